--- /dev/null
+++ b/internal/deps/deps_test.go
@@ -0,0 +1,6 @@
+package deps
+
+import (
+	_ "github.com/anishathalye/porcupine"
+	_ "go.uber.org/goleak"
+)
