Owner-side execution, routing, sessions and the client server

The owner holds a statement's final messages until a majority holds its write; the router follows hints to the primary and prefers replicas that are known to hold the floor; the session decides what may be sent again. Not wired yet.

--- /dev/null
+++ b/internal/coordination/execution/backend.go
@@ -0,0 +1,76 @@
+package execution
+
+import (
+	"context"
+	"time"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// Message is one whole backend message. Raw begins with the type byte and the
+// length; it is valid until the next Receive.
+type Message struct {
+	Type byte
+	Raw  []byte
+}
+
+// Body returns the message without its type and length.
+func (m Message) Body() []byte {
+	return m.Raw[messageHeaderBytes:]
+}
+
+// messageHeaderBytes is the type byte and the four bytes of length.
+const messageHeaderBytes = 5
+
+// Backend is one open connection to a backend server. It serves one goroutine
+// at a time, but for Cancel and Close.
+type Backend interface {
+	// Write sends whole frontend messages.
+	Write(ctx context.Context, messages []byte) error
+	// Receive returns the next backend message.
+	Receive(ctx context.Context) (Message, error)
+	// Buffered reports whether a message can be received without waiting.
+	Buffered() bool
+	// Cancel asks for the running statement to be cancelled, and returns once
+	// the backend server has taken the request in.
+	Cancel(ctx context.Context) error
+	Close()
+}
+
+// Dialer opens connections to backend servers.
+type Dialer interface {
+	Dial(ctx context.Context, database state.Database) (Backend, error)
+}
+
+// Slot is the right to run one statement on a backend server.
+type Slot interface {
+	// Release gives the slot back.
+	Release()
+}
+
+// Lease is the right to hold one connection of a backend server.
+type Lease interface {
+	// Release gives the connection back.
+	Release()
+}
+
+// Gate shares out the connections and slots of one backend server. Errors are
+// *state.Failure with OutcomeNotRun.
+type Gate interface {
+	AcquireConnection(ctx context.Context, plan state.PlanID, timeout time.Duration) (Lease, error)
+	AcquireSlot(ctx context.Context, plan state.PlanID, inTransaction bool, timeout time.Duration) (Slot, error)
+}
+
+// Replication is what the owner needs to know of a group's replication.
+type Replication interface {
+	// Primary returns the group's primary, or false while none is known.
+	Primary() (state.DatabaseID, bool)
+	// WaitAcknowledged returns nil once a majority holds the position.
+	WaitAcknowledged(ctx context.Context, position state.Position) error
+	// WaitHolds returns nil once the database is known to hold the floor.
+	WaitHolds(ctx context.Context, database state.DatabaseID, floor state.Position) error
+	// ProvenAge returns a proven bound of the age of a database's data.
+	ProvenAge(database state.DatabaseID) (time.Duration, bool)
+	// Holders lists the databases that are known to hold the position.
+	Holders(position state.Position) []state.DatabaseID
+}
--- /dev/null
+++ b/internal/coordination/execution/owner.go
@@ -0,0 +1,239 @@
+package execution
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// Options are the owner's bounds. All must be above zero.
+type Options struct {
+	// DialTimeout bounds the opening of a backend connection.
+	DialTimeout time.Duration
+	// AcknowledgeTimeout bounds the wait for a majority to hold a write. When
+	// it passes, the outcome of the write is unknown.
+	AcknowledgeTimeout time.Duration
+	// CatchUpTimeout bounds the wait for a replica that is behind the floor.
+	CatchUpTimeout time.Duration
+	// SilenceTimeout bounds the time without any progress of a statement
+	// before the backend server is probed on another connection.
+	SilenceTimeout time.Duration
+	// RetryAfter is what callers are told where nothing better is known.
+	RetryAfter time.Duration
+}
+
+// DefaultOptions returns the bounds of a production instance.
+func DefaultOptions() Options {
+	return Options{
+		DialTimeout:        2 * time.Second,
+		AcknowledgeTimeout: 3 * time.Second,
+		CatchUpTimeout:     30 * time.Millisecond,
+		SilenceTimeout:     2 * time.Second,
+		RetryAfter:         500 * time.Millisecond,
+	}
+}
+
+// ServerParts are what the owner of one backend server works with.
+type ServerParts struct {
+	Database state.Database
+	Gate     Gate
+	// Probe asks the backend server for an answer on a new connection. It
+	// tells a silent connection from a long statement.
+	Probe func(ctx context.Context) error
+}
+
+// Owner runs requests on the backend servers of groups. It is the Executor of
+// its own instance, and the one that peers reach over the peer link.
+//
+// Lock order: Owner.mu, then the mutex of a pool or gate. No lock is held
+// while input or output is done.
+type Owner struct {
+	options Options
+	dialer  Dialer
+
+	mu     sync.RWMutex
+	groups map[state.GroupID]*ownedGroup
+}
+
+type ownedGroup struct {
+	replication Replication
+	servers     map[state.DatabaseID]*server
+}
+
+type server struct {
+	ServerParts
+	pool *pool
+}
+
+// NewOwner returns an owner that serves no group yet.
+func NewOwner(dialer Dialer, options Options) *Owner {
+	return &Owner{options: options, dialer: dialer, groups: map[state.GroupID]*ownedGroup{}}
+}
+
+// SetGroup starts to serve a group, or replaces what was known of it.
+// Connections of backend servers that stay are kept.
+func (o *Owner) SetGroup(id state.GroupID, replication Replication, parts []ServerParts) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	previous := o.groups[id]
+	group := &ownedGroup{replication: replication, servers: map[state.DatabaseID]*server{}}
+	for _, part := range parts {
+		group.servers[part.Database.ID] = o.serverFor(previous, part)
+	}
+	o.groups[id] = group
+}
+
+func (o *Owner) serverFor(previous *ownedGroup, part ServerParts) *server {
+	if previous != nil {
+		kept, found := previous.servers[part.Database.ID]
+		if found && kept.Database.Address == part.Database.Address {
+			return &server{ServerParts: part, pool: kept.pool}
+		}
+	}
+	return &server{ServerParts: part, pool: newPool(part.Database, o.dialer, part.Database.MaxConnections)}
+}
+
+// Close closes all idle connections; connections in use are closed when
+// their streams are.
+func (o *Owner) Close() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, group := range o.groups {
+		for _, server := range group.servers {
+			server.pool.close()
+		}
+	}
+}
+
+// CloseIdle closes the idle connections to one backend server.
+func (o *Owner) CloseIdle(group state.GroupID, database state.DatabaseID) {
+	_, server, err := o.find(group, database)
+	if err == nil {
+		server.pool.closeIdle()
+	}
+}
+
+// ServerSnapshot is the dump of one backend server's connections.
+type ServerSnapshot struct {
+	Group    state.GroupID    `json:"group"`
+	Database state.DatabaseID `json:"database"`
+	Open     int              `json:"open_connections"`
+	Idle     int              `json:"idle_connections"`
+}
+
+// Snapshot lists the connections held, for the state dump.
+func (o *Owner) Snapshot() []ServerSnapshot {
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	var snapshots []ServerSnapshot
+	for id, group := range o.groups {
+		for databaseID, server := range group.servers {
+			open, idle := server.pool.counts()
+			snapshots = append(snapshots, ServerSnapshot{Group: id, Database: databaseID, Open: open, Idle: idle})
+		}
+	}
+	return snapshots
+}
+
+func (o *Owner) find(groupID state.GroupID, database state.DatabaseID) (*ownedGroup, *server, error) {
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	group, found := o.groups[groupID]
+	if !found {
+		return nil, nil, o.notRun(state.ReasonUnreachable, "find group", string(groupID), nil)
+	}
+	server, found := group.servers[database]
+	if !found {
+		return nil, nil, o.notRun(state.ReasonUnreachable, "find backend server", string(database), nil)
+	}
+	return group, server, nil
+}
+
+// Open implements Executor.
+func (o *Owner) Open(ctx context.Context, request OpenRequest) (Stream, error) {
+	group, server, err := o.find(request.Group, request.Database)
+	if err != nil {
+		return nil, err
+	}
+	if err := o.mayServe(ctx, group, request); err != nil {
+		return nil, err
+	}
+	lease, err := server.Gate.AcquireConnection(ctx, request.Plan, request.QueueTimeout)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := o.connect(ctx, server)
+	if err != nil {
+		lease.Release()
+		return nil, err
+	}
+	return &ownerStream{
+		owner: o, group: group, server: server, request: request,
+		lease: lease, conn: conn, txStatus: txIdle,
+	}, nil
+}
+
+// connect takes a connection from the pool or opens one.
+func (o *Owner) connect(ctx context.Context, server *server) (*connection, error) {
+	dialCtx, cancel := context.WithTimeout(ctx, o.options.DialTimeout)
+	defer cancel()
+	conn, _, err := server.pool.get(dialCtx)
+	if err != nil {
+		return nil, o.notRun(state.ReasonUnreachable, "open backend connection", string(server.Database.ID), err)
+	}
+	return conn, nil
+}
+
+// mayServe checks that the database may run the request now.
+func (o *Owner) mayServe(ctx context.Context, group *ownedGroup, request OpenRequest) error {
+	if request.Access == AccessWrite {
+		return o.mustBePrimary(group, request.Database)
+	}
+	if request.MaxAge > 0 {
+		age, known := group.replication.ProvenAge(request.Database)
+		if !known || age > request.MaxAge {
+			return o.notRun(state.ReasonTooStale, "prove age", string(request.Database), nil)
+		}
+	}
+	if request.Floor.IsZero() {
+		return nil
+	}
+	waitCtx, cancel := context.WithTimeout(ctx, o.options.CatchUpTimeout)
+	defer cancel()
+	if err := group.replication.WaitHolds(waitCtx, request.Database, request.Floor); err != nil {
+		return o.notRun(state.ReasonTooStale, "wait for replica", string(request.Database), err)
+	}
+	return nil
+}
+
+func (o *Owner) mustBePrimary(group *ownedGroup, database state.DatabaseID) error {
+	primary, known := group.replication.Primary()
+	if !known {
+		return o.notRun(state.ReasonNoPrimary, "find primary", string(database), nil)
+	}
+	if primary != database {
+		failure := o.notRun(state.ReasonNoPrimary, "find primary", string(database), nil)
+		failure.Primary = primary
+		return failure
+	}
+	return nil
+}
+
+func (o *Owner) notRun(reason state.Reason, step, peer string, cause error) *state.Failure {
+	return state.NotRun(reason, step, peer, o.options.RetryAfter, cause)
+}
+
+// asNotRun returns err as it is if it is a Failure, else as one not run.
+func (o *Owner) asNotRun(err error, step, peer string) *state.Failure {
+	if failure, ok := state.AsFailure(err); ok {
+		return failure
+	}
+	reason := state.ReasonUnreachable
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
+		reason = state.ReasonOverloaded
+	}
+	return o.notRun(reason, step, peer, err)
+}
--- /dev/null
+++ b/internal/coordination/execution/settings.go
@@ -0,0 +1,104 @@
+package execution
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// applySettings brings the connection's session parameters to those of the
+// stream's session. Within a transaction they already are.
+func (s *ownerStream) applySettings(ctx context.Context, unit Unit, inTransaction bool) error {
+	if inTransaction || s.pinned {
+		return nil
+	}
+	if s.conn.settingsKnown && slices.Equal(s.conn.settings, s.request.Settings) {
+		return nil
+	}
+	if unit.ChangesSettings {
+		s.conn.settingsKnown = false
+	}
+	if _, err := s.runInternal(ctx, settingsScript(s.request.Settings)); err != nil {
+		return err
+	}
+	s.conn.settings = s.request.Settings
+	s.conn.settingsKnown = true
+	return nil
+}
+
+// settingsScript resets all parameters and sets the session's own.
+func settingsScript(settings []Setting) string {
+	var script strings.Builder
+	script.WriteString("RESET ALL")
+	for _, setting := range settings {
+		script.WriteString("; SELECT set_config(")
+		script.WriteString(quoteLiteral(setting.Name))
+		script.WriteString(", ")
+		script.WriteString(quoteLiteral(setting.Value))
+		script.WriteString(", false)")
+	}
+	return script.String()
+}
+
+// internalAnswer is what is kept of the answer to the proxy's own SQL.
+type internalAnswer struct {
+	firstColumn string // of the last row
+	commandTag  string // of the last statement
+}
+
+// runInternal runs the proxy's own SQL. An error response is an error; the
+// connection stays usable after one.
+func (s *ownerStream) runInternal(ctx context.Context, sql string) (internalAnswer, error) {
+	var answer internalAnswer
+	if err := s.conn.backend.Write(ctx, appendQuery(nil, sql)); err != nil {
+		return answer, err
+	}
+	var refused error
+	for {
+		message, err := s.conn.backend.Receive(ctx)
+		if err != nil {
+			return answer, err
+		}
+		switch message.Type {
+		case msgDataRow:
+			answer.firstColumn = firstColumn(message.Body())
+		case msgCommandComplete:
+			answer.commandTag = parseCommandTag(message.Body())
+		case msgParameterStatus:
+			s.notePosition(message)
+		case msgErrorResponse:
+			refused = &refusedError{sql: sql, sqlState: errorField(message.Body(), 'C'), text: errorField(message.Body(), 'M')}
+		case msgReadyForQuery:
+			s.txStatus = message.Body()[0]
+			return answer, refused
+		}
+	}
+}
+
+// refusedError is the backend server's error response to the proxy's own SQL.
+type refusedError struct {
+	sql      string
+	sqlState string
+	text     string
+}
+
+func (e *refusedError) Error() string {
+	return fmt.Sprintf("run %q: %s (%s)", e.sql, e.text, e.sqlState)
+}
+
+// errorField finds a field of an ErrorResponse by its type.
+func errorField(body []byte, field byte) string {
+	for len(body) > 1 {
+		value, rest, found := bytes.Cut(body[1:], []byte{0})
+		if !found {
+			return ""
+		}
+		if body[0] == field {
+			return string(value)
+		}
+		body = rest
+	}
+	return ""
+}
--- a/internal/coordination/execution/stream.go
+++ b/internal/coordination/execution/stream.go
@@ -32,8 +32,9 @@
 	Access   Access           `msgpack:"access"`
 	// Floor is the position that a read must see.
 	Floor state.Position `msgpack:"floor"`
-	// MaxAge, when above zero, lets a read see data that is proven to be at
-	// most this old, in place of the floor.
+	// MaxAge, when above zero, requires the data to be proven at most this
+	// old. It goes beside the floor, which then holds only the session's own
+	// writes.
 	MaxAge time.Duration `msgpack:"age"`
 	// QueueTimeout bounds the wait for a connection and a slot. The owner
 	// refuses at once when it expects to exceed it.
@@ -61,6 +62,13 @@
 	Access Access `msgpack:"a"`
 	// RequestID, when set, gives the unit at-most-once execution.
 	RequestID string `msgpack:"r"`
+	// Extended is set when Messages are of the extended query protocol.
+	Extended bool `msgpack:"x"`
+	// ChangesSettings is set when the unit changes session parameters.
+	ChangesSettings bool `msgpack:"cs"`
+	// Pins is set when the unit leaves state on the connection that cannot be
+	// replayed on another.
+	Pins bool `msgpack:"pin"`
 }
 
 // Event is one step of the answer to a unit.
@@ -70,11 +78,15 @@
 	// Done is set on the unit's last event; its messages end with the
 	// ReadyForQuery.
 	Done bool `msgpack:"d"`
+	// Errored is set with Done when the answer holds an error response.
+	Errored bool `msgpack:"e"`
 	// TxStatus is the transaction status of that ReadyForQuery: I, T or E.
 	TxStatus byte `msgpack:"tx"`
 	// Position is the log position of the group that the unit reached, set
 	// with Done when it wrote; it has been acknowledged by a majority.
 	Position state.Position `msgpack:"pos"`
+	// Holders lists the databases that are known to hold Position.
+	Holders []state.DatabaseID `msgpack:"h"`
 	// Pinned is set with Done when the connection holds session state that
 	// cannot be replayed, so that the stream must be kept.
 	Pinned bool `msgpack:"pin"`
--- /dev/null
+++ b/internal/coordination/routing/router.go
@@ -0,0 +1,196 @@
+package routing
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/execution"
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// Topology tells which databases a group has.
+type Topology interface {
+	Group(id state.GroupID) (state.Group, bool)
+}
+
+// Membership tells which instances own a backend server, best first, and takes
+// direct evidence of whether they can be reached.
+type Membership interface {
+	Self() state.Instance
+	Owners(database state.Database) []state.Instance
+	ReportFailure(id state.InstanceID, incarnation state.Incarnation, err error)
+	ReportSuccess(id state.InstanceID, incarnation state.Incarnation)
+}
+
+// Peers reaches other instances.
+type Peers interface {
+	Open(ctx context.Context, peer state.Instance, request execution.OpenRequest) (execution.Stream, error)
+	Barrier(ctx context.Context, peer state.Instance, group state.GroupID) (state.Position, error)
+}
+
+// Local is the owner on this instance.
+type Local interface {
+	execution.Executor
+	Barrier(ctx context.Context, group state.GroupID) (state.Position, error)
+}
+
+// Options are the router's bounds.
+type Options struct {
+	// PrimaryWait bounds how long a write waits for a primary to be known.
+	PrimaryWait time.Duration
+	// MaxPrimaryWaiters bounds how many writes wait for a primary at once on
+	// this instance.
+	MaxPrimaryWaiters int
+	// RetryDelay is the mean pause between two rounds over a group's databases.
+	RetryDelay time.Duration
+	// BarrierTimeout bounds the taking of a barrier.
+	BarrierTimeout time.Duration
+	// OpenTimeout bounds one attempt to reach one owner, beyond the queue
+	// timeout of the request.
+	OpenTimeout time.Duration
+}
+
+// DefaultOptions returns the bounds of a production instance.
+func DefaultOptions() Options {
+	return Options{
+		PrimaryWait:       5 * time.Second,
+		MaxPrimaryWaiters: 2000,
+		RetryDelay:        50 * time.Millisecond,
+		BarrierTimeout:    time.Second,
+		OpenTimeout:       2 * time.Second,
+	}
+}
+
+// Request is what a session asks the router for.
+type Request struct {
+	Plan         state.PlanID
+	Group        state.GroupID
+	Access       execution.Access
+	Floor        state.Position
+	MaxAge       time.Duration
+	QueueTimeout time.Duration
+	Settings     []execution.Setting
+	// Avoid is the database on which the attempt before failed.
+	Avoid state.DatabaseID
+}
+
+// Router opens streams for sessions.
+//
+// Lock order: Router.mu is a leaf lock; it guards what has been learnt of
+// groups and databases, and is not held during input or output.
+type Router struct {
+	topology   Topology
+	membership Membership
+	peers      Peers
+	local      Local
+	options    Options
+	waiters    chan struct{}
+
+	mu        sync.Mutex
+	primaries map[state.GroupID]state.DatabaseID
+	databases map[state.DatabaseID]*databaseScore
+	barriers  map[state.GroupID]*barrierBatch
+}
+
+// New returns a router.
+func New(topology Topology, membership Membership, peers Peers, local Local, options Options) *Router {
+	return &Router{
+		topology: topology, membership: membership, peers: peers, local: local, options: options,
+		waiters:   make(chan struct{}, options.MaxPrimaryWaiters),
+		primaries: map[state.GroupID]state.DatabaseID{},
+		databases: map[state.DatabaseID]*databaseScore{},
+		barriers:  map[state.GroupID]*barrierBatch{},
+	}
+}
+
+// Open returns a stream on a backend server that may run the request. An error
+// is a *state.Failure with OutcomeNotRun.
+func (r *Router) Open(ctx context.Context, request Request) (*Stream, error) {
+	group, found := r.topology.Group(request.Group)
+	if !found {
+		return nil, state.NotRun(state.ReasonUnreachable, "find group", string(request.Group), r.options.PrimaryWait, nil)
+	}
+	if request.Access == execution.AccessRead {
+		return r.openRead(ctx, group, request)
+	}
+	return r.openWrite(ctx, group, request)
+}
+
+// openAt opens a stream on one database, at its owner.
+func (r *Router) openAt(ctx context.Context, group state.Group, database state.Database, request Request) (*Stream, error) {
+	open := execution.OpenRequest{
+		Plan: request.Plan, Group: group.ID, Database: database.ID, Access: request.Access,
+		Floor: request.Floor, MaxAge: request.MaxAge,
+		QueueTimeout: request.QueueTimeout, Settings: request.Settings,
+	}
+	ctx, cancel := context.WithTimeout(ctx, request.QueueTimeout+r.options.OpenTimeout)
+	defer cancel()
+	started := time.Now()
+	inner, err := r.openAtOwner(ctx, database, open)
+	if err != nil {
+		r.noteFailure(database.ID, err)
+		return nil, err
+	}
+	r.noteOpened(database.ID)
+	return &Stream{Stream: inner, Database: database.ID, Floor: request.Floor, router: r, started: started}, nil
+}
+
+// openAtOwner tries the owners of a database, best first. A second one is
+// tried only when the first can't be reached.
+func (r *Router) openAtOwner(ctx context.Context, database state.Database, open execution.OpenRequest) (execution.Stream, error) {
+	const ownersTried = 2
+	var lastErr error
+	owners := r.membership.Owners(database)
+	for _, owner := range owners[:min(ownersTried, len(owners))] {
+		if owner.ID == r.membership.Self().ID {
+			return r.local.Open(ctx, open)
+		}
+		stream, err := r.peers.Open(ctx, owner, open)
+		if err == nil {
+			r.membership.ReportSuccess(owner.ID, owner.Incarnation)
+			return stream, nil
+		}
+		lastErr = err
+		if !ownerUnreachable(err) {
+			return nil, err
+		}
+		r.membership.ReportFailure(owner.ID, owner.Incarnation, err)
+	}
+	if lastErr == nil {
+		lastErr = state.NotRun(state.ReasonUnreachable, "find owner", string(database.ID), r.options.RetryDelay, nil)
+	}
+	return nil, lastErr
+}
+
+// ownerUnreachable tells a peer that could not be reached from one that
+// answered with a refusal.
+func ownerUnreachable(err error) bool {
+	failure, ok := state.AsFailure(err)
+	if !ok {
+		return true
+	}
+	return failure.Step == StepPeerDial || failure.Step == StepPeerOpen
+}
+
+// Steps at which the peer link reports that the peer itself failed.
+const (
+	StepPeerDial = "peer dial"
+	StepPeerOpen = "peer open"
+)
+
+// Primary returns the database that was last learnt to be the group's primary.
+func (r *Router) primaryOf(group state.Group) state.DatabaseID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if primary, known := r.primaries[group.ID]; known {
+		return primary
+	}
+	return group.Primary
+}
+
+func (r *Router) learnPrimary(group state.GroupID, primary state.DatabaseID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.primaries[group] = primary
+}
--- /dev/null
+++ b/internal/coordination/routing/write.go
@@ -0,0 +1,109 @@
+package routing
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// openWrite opens a stream on the primary. While the primary is unknown or
+// being changed it goes round the group's databases, for PrimaryWait at most
+// and with a bounded number of other writes.
+func (r *Router) openWrite(ctx context.Context, group state.Group, request Request) (*Stream, error) {
+	stream, err := r.tryPrimary(ctx, group, request)
+	if err == nil || !waitsForPrimary(err) {
+		return stream, err
+	}
+	select {
+	case r.waiters <- struct{}{}:
+		defer func() { <-r.waiters }()
+	default:
+		return nil, err
+	}
+	deadline := time.NewTimer(r.options.PrimaryWait)
+	defer deadline.Stop()
+	for {
+		pause := time.NewTimer(jitter(r.options.RetryDelay))
+		select {
+		case <-pause.C:
+		case <-deadline.C:
+			pause.Stop()
+			return nil, err
+		case <-ctx.Done():
+			pause.Stop()
+			return nil, err
+		}
+		stream, err = r.tryPrimary(ctx, group, request)
+		if err == nil || !waitsForPrimary(err) {
+			return stream, err
+		}
+	}
+}
+
+// tryPrimary tries the presumed primary, then the others, following hints.
+func (r *Router) tryPrimary(ctx context.Context, group state.Group, request Request) (*Stream, error) {
+	var lastErr error
+	tried := map[state.DatabaseID]bool{}
+	next := r.primaryOf(group)
+	for range group.Databases {
+		database, found := group.Database(next)
+		if !found || tried[next] {
+			database, found = firstUntried(group, tried)
+			if !found {
+				break
+			}
+		}
+		tried[database.ID] = true
+		stream, err := r.openAt(ctx, group, database, request)
+		if err == nil {
+			r.learnPrimary(group.ID, database.ID)
+			return stream, nil
+		}
+		if !waitsForPrimary(err) {
+			return nil, err
+		}
+		lastErr = err
+		next = hintedPrimary(err)
+	}
+	return nil, lastErr
+}
+
+func firstUntried(group state.Group, tried map[state.DatabaseID]bool) (state.Database, bool) {
+	for _, database := range group.Databases {
+		if !tried[database.ID] {
+			return database, true
+		}
+	}
+	return state.Database{}, false
+}
+
+// waitsForPrimary reports whether a write that failed so may find a primary
+// elsewhere or later. It never may once it could have run.
+func waitsForPrimary(err error) bool {
+	failure, ok := state.AsFailure(err)
+	if !ok || failure.Outcome != state.OutcomeNotRun {
+		return false
+	}
+	switch failure.Reason {
+	case state.ReasonNoPrimary, state.ReasonSuperseded, state.ReasonUnreachable,
+		state.ReasonLeaving, state.ReasonConnectionLost, state.ReasonSilent:
+		return true
+	default:
+		return false
+	}
+}
+
+func hintedPrimary(err error) state.DatabaseID {
+	failure, ok := state.AsFailure(err)
+	if !ok {
+		return ""
+	}
+	return failure.Primary
+}
+
+// jitter returns a duration between half of mean and one and a half of it.
+func jitter(mean time.Duration) time.Duration {
+	return mean/2 + rand.N(mean)
+}
--- /dev/null
+++ b/internal/coordination/session/settings.go
@@ -0,0 +1,66 @@
+package session
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/execution"
+)
+
+// settingChange is a parameter change inside an open transaction.
+type settingChange struct {
+	name  string
+	value string
+	reset bool
+}
+
+// ChangeSetting records that the client set a parameter. Within a transaction
+// it counts only once the transaction commits.
+func (s *Session) ChangeSetting(name, value string) {
+	s.recordChange(settingChange{name: strings.ToLower(name), value: value})
+}
+
+// ResetSetting records that the client reset a parameter, or all when name is
+// empty.
+func (s *Session) ResetSetting(name string) {
+	s.recordChange(settingChange{name: strings.ToLower(name), reset: true})
+}
+
+func (s *Session) recordChange(change settingChange) {
+	if s.status == StatusIdle {
+		s.settings = applyChange(s.settings, change)
+		return
+	}
+	s.pendingChanges = append(s.pendingChanges, change)
+}
+
+// EndTransactionSettings takes over or drops the changes of a transaction that
+// has ended.
+func (s *Session) EndTransactionSettings(committed bool) {
+	if committed {
+		for _, change := range s.pendingChanges {
+			s.settings = applyChange(s.settings, change)
+		}
+	}
+	s.pendingChanges = nil
+}
+
+// ResetAll forgets all parameters, as DISCARD ALL does.
+func (s *Session) ResetAll() {
+	s.settings = nil
+	s.pendingChanges = nil
+}
+
+// applyChange returns a new slice, since requests in flight share the old one.
+func applyChange(settings []execution.Setting, change settingChange) []execution.Setting {
+	if change.reset && change.name == "" {
+		return nil
+	}
+	settings = slices.DeleteFunc(slices.Clone(settings), func(setting execution.Setting) bool {
+		return setting.Name == change.name
+	})
+	if change.reset {
+		return settings
+	}
+	return append(settings, execution.Setting{Name: change.name, Value: change.value})
+}
--- /dev/null
+++ b/internal/transport/pgserver/local.go
@@ -0,0 +1,150 @@
+package pgserver
+
+import (
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/rotisserie/eris"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/session"
+	"github.com/cyclamenpin/cyclamenpin/internal/protocol/outcome"
+	"github.com/cyclamenpin/cyclamenpin/internal/protocol/statement"
+)
+
+// textOID is the type of text columns.
+const textOID = 25
+
+// isLocal reports whether the proxy answers the statement itself: its own
+// parameters, and DISCARD ALL, which concerns only what the proxy keeps.
+func isLocal(class statement.Class) bool {
+	if class.Statements != 1 {
+		return false
+	}
+	switch class.Kind {
+	case statement.KindSet, statement.KindReset, statement.KindShow:
+		return strings.HasPrefix(class.SettingName, parameterPrefix)
+	case statement.KindDiscard:
+		return class.SettingName == "all"
+	default:
+		return false
+	}
+}
+
+// runLocal runs a local statement. simple tells whether the row description
+// belongs into the answer, and whether the answer ends with ReadyForQuery.
+func (c *conn) runLocal(class statement.Class, simple bool) error {
+	switch class.Kind {
+	case statement.KindShow:
+		return c.showParameter(class, simple)
+	case statement.KindSet:
+		if err := c.setParameter(class.SettingName, class.SettingValue); err != nil {
+			return c.localError(outcome.NewError(outcome.SQLStateInvalidParameter, err.Error()), simple)
+		}
+		return c.localDone("SET", simple)
+	case statement.KindReset:
+		c.resetParameter(class.SettingName)
+		return c.localDone("RESET", simple)
+	default:
+		return c.discardAll(simple)
+	}
+}
+
+func (c *conn) localDone(tag string, simple bool) error {
+	c.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
+	if !simple {
+		return nil
+	}
+	return c.sendReady()
+}
+
+func (c *conn) localError(response *pgproto3.ErrorResponse, simple bool) error {
+	c.backend.Send(response)
+	if !simple {
+		c.batch.failed = true
+		return nil
+	}
+	return c.sendReady()
+}
+
+func (c *conn) setParameter(name, value string) error {
+	switch name {
+	case parameterToken:
+		position, err := tokenFor(value, c.group)
+		if err != nil {
+			return err
+		}
+		c.session.RaiseFloor(position)
+	case parameterMaxStaleness:
+		age, err := parseAge(value)
+		if err != nil {
+			return err
+		}
+		if allowed := c.planLimit().MaxStaleness(); age > allowed {
+			return eris.Errorf("%s %s is beyond the plan's limit of %s", name, age, allowed)
+		}
+		c.maxAge = age
+	case parameterRequestID:
+		c.requestID = value
+	default:
+		return eris.Errorf("unknown parameter %q", name)
+	}
+	return nil
+}
+
+// parseAge reads a duration; a bare 0 needs no unit.
+func parseAge(value string) (time.Duration, error) {
+	age, err := time.ParseDuration(value)
+	if err != nil {
+		return 0, eris.Wrapf(err, "parse %s", parameterMaxStaleness)
+	}
+	if age < 0 {
+		return 0, eris.Errorf("%s may not be negative", parameterMaxStaleness)
+	}
+	return age, nil
+}
+
+func (c *conn) resetParameter(name string) {
+	switch name {
+	case parameterMaxStaleness:
+		c.maxAge = 0
+	case parameterRequestID:
+		c.requestID = ""
+	}
+}
+
+func (c *conn) showParameter(class statement.Class, simple bool) error {
+	value := ""
+	switch class.SettingName {
+	case parameterToken:
+		value = formatToken(c.group, c.session.Floor())
+	case parameterMaxStaleness:
+		value = c.maxAge.String()
+	case parameterRequestID:
+		value = c.requestID
+	default:
+		return c.localError(outcome.NewError(outcome.SQLStateInvalidParameter, "unknown parameter "+class.SettingName), simple)
+	}
+	if simple {
+		c.backend.Send(rowDescription(class.SettingName))
+	}
+	c.backend.Send(&pgproto3.DataRow{Values: [][]byte{[]byte(value)}})
+	return c.localDone("SHOW", simple)
+}
+
+func rowDescription(name string) *pgproto3.RowDescription {
+	return &pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{{
+		Name: []byte(name), DataTypeOID: textOID, DataTypeSize: -1, TypeModifier: -1,
+	}}}
+}
+
+func (c *conn) discardAll(simple bool) error {
+	if c.session.Status() != session.StatusIdle {
+		return c.localError(outcome.NewError("25001", "DISCARD ALL cannot run inside a transaction block"), simple)
+	}
+	c.session.Abandon()
+	c.session.ResetAll()
+	c.statements = map[string]*preparedStatement{}
+	c.maxAge, c.requestID = 0, ""
+	return c.localDone("DISCARD ALL", simple)
+}
--- /dev/null
+++ b/internal/transport/pgserver/startup.go
@@ -0,0 +1,154 @@
+package pgserver
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/rotisserie/eris"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/session"
+	"github.com/cyclamenpin/cyclamenpin/internal/protocol/outcome"
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// errStartupEnded ends a connection whose startup was answered in full.
+var errStartupEnded = errors.New("startup ended")
+
+// maxStartupMessages bounds the requests for encryption before the startup
+// message.
+const maxStartupMessages = 4
+
+// startup brings a connection up to its first ReadyForQuery.
+func (c *conn) startup() error {
+	c.net.SetDeadline(time.Now().Add(c.server.options.StartupTimeout))
+	message, err := c.receiveStartup()
+	if err != nil {
+		return err
+	}
+	configuration := c.server.configurations.Current()
+	if configuration == nil {
+		return c.refuse(outcome.Response(state.NotRun(state.ReasonNoConfiguration, "start session", "", time.Second, nil)))
+	}
+	if c.server.isDraining() {
+		return c.refuse(outcome.NewError(outcome.SQLStateCannotConnectNow, "the instance is leaving"))
+	}
+	if c.server.tooManyClients() {
+		return c.refuse(outcome.NewError(outcome.SQLStateTooManyConnections, "the instance holds as many clients as it may"))
+	}
+	plan, err := c.authenticate(configuration, message.Parameters["user"])
+	if err != nil {
+		return err
+	}
+	if err := c.beginSession(configuration, plan, message.Parameters); err != nil {
+		return err
+	}
+	c.net.SetDeadline(time.Time{})
+	return nil
+}
+
+// receiveStartup answers requests for encryption with no, and serves a cancel
+// request, until the startup message comes.
+func (c *conn) receiveStartup() (*pgproto3.StartupMessage, error) {
+	for range maxStartupMessages {
+		message, err := c.backend.ReceiveStartupMessage()
+		if err != nil {
+			return nil, eris.Wrap(err, "receive startup message")
+		}
+		switch message := message.(type) {
+		case *pgproto3.StartupMessage:
+			return message, nil
+		case *pgproto3.SSLRequest, *pgproto3.GSSEncRequest:
+			if _, err := c.net.Write([]byte{'N'}); err != nil {
+				return nil, eris.Wrap(err, "answer encryption request")
+			}
+		case *pgproto3.CancelRequest:
+			c.serveCancel(message)
+			return nil, errStartupEnded
+		}
+	}
+	return nil, eris.New("receive startup message: too many requests before it")
+}
+
+func (c *conn) serveCancel(message *pgproto3.CancelRequest) {
+	ctx, stop := context.WithTimeout(context.Background(), c.server.options.StartupTimeout)
+	defer stop()
+	key, ok := cancelKeyOf(message)
+	if !ok || c.server.Cancel(ctx, key) {
+		return
+	}
+	if c.server.forwarder != nil {
+		c.server.forwarder.ForwardCancel(ctx, key)
+	}
+}
+
+// refuse sends an error after which the connection ends.
+func (c *conn) refuse(response *pgproto3.ErrorResponse) error {
+	response.Severity = "FATAL"
+	response.SeverityUnlocalized = "FATAL"
+	c.backend.Send(response)
+	if err := c.backend.Flush(); err != nil {
+		return eris.Wrap(err, "refuse session")
+	}
+	return errStartupEnded
+}
+
+// beginSession checks what the plan may reach and starts the session.
+func (c *conn) beginSession(configuration *state.Configuration, plan state.Plan, parameters map[string]string) error {
+	group := state.GroupID(parameters["database"])
+	limit, found := configuration.LimitOf(plan.ID)
+	if !found || !limit.Allows(group) {
+		return c.refuse(outcome.NewError(outcome.SQLStateInsufficientPrivilege,
+			"the plan may not reach database "+string(group)))
+	}
+	token, err := tokenFor(parameters[parameterToken], group)
+	if err != nil {
+		return c.refuse(outcome.NewError(outcome.SQLStateInvalidParameter, err.Error()))
+	}
+	identity := session.Identity{
+		Plan: plan.ID, Group: group, Scope: limit.SessionScope, QueueTimeout: c.server.options.QueueTimeout,
+	}
+	c.session = c.server.sessions.NewSession(identity, token)
+	c.setIdentity(plan.ID, group)
+	c.key = c.server.cancels.add(c)
+	for name, value := range parameters {
+		if isClientParameter(name) {
+			c.session.ChangeSetting(name, value)
+		}
+	}
+	return c.welcome()
+}
+
+// isClientParameter reports whether a startup parameter is a session parameter
+// to be replayed on backend connections.
+func isClientParameter(name string) bool {
+	switch name {
+	case "user", "database", "replication", "options", parameterToken:
+		return false
+	default:
+		return len(name) > 0 && name[0] != '_'
+	}
+}
+
+func (c *conn) welcome() error {
+	c.backend.Send(&pgproto3.AuthenticationOk{})
+	for _, parameter := range [][2]string{
+		{"server_version", c.server.options.ServerVersion},
+		{"server_encoding", "UTF8"},
+		{"client_encoding", "UTF8"},
+		{"DateStyle", "ISO, MDY"},
+		{"IntervalStyle", "postgres"},
+		{"TimeZone", "UTC"},
+		{"integer_datetimes", "on"},
+		{"standard_conforming_strings", "on"},
+	} {
+		c.backend.Send(&pgproto3.ParameterStatus{Name: parameter[0], Value: parameter[1]})
+	}
+	c.backend.Send(&pgproto3.BackendKeyData{ProcessID: c.key.ProcessID, SecretKey: secretBytes(c.key)})
+	c.backend.Send(&pgproto3.ReadyForQuery{TxStatus: session.StatusIdle})
+	if err := c.backend.Flush(); err != nil {
+		return eris.Wrap(err, "welcome client")
+	}
+	return nil
+}
