replication: watcher of one group's databases

One watcher a group asks each database independently, with one request in flight and one due, and serves acknowledgements, barriers, floors and proven ages to any number of callers.

An acknowledgement counts a database only by a log whose last entry is of the term that the database is in: a log without such an entry may come from a superseded primary. Acknowledging from a log of a later term was ruled out, because a status does not say where that term began.

A thousand concurrent callers of a barrier and an acknowledgement cost at most four requests to the primary (TestManyWaitersShareRequestsAndPassASlowDatabase); an idle group costs one request a database each 250 ms.

--- /dev/null
+++ b/internal/coordination/replication/watcher_test.go
@@ -0,0 +1,213 @@
+package replication
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// scripted is a database whose answers the test sets. The schedules of faults
+// against a whole group are in the failover package's tests.
+type scripted struct {
+	mu       sync.Mutex
+	status   state.DatabaseStatus
+	delay    time.Duration
+	err      error
+	inFlight int
+	most     int
+	requests int
+}
+
+func (s *scripted) set(term state.Term, role state.Role, log state.Position) {
+	s.change(func(s *scripted) { s.status.Term, s.status.Role, s.status.Log = term, role, log })
+}
+
+func (s *scripted) change(apply func(*scripted)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	apply(s)
+}
+
+func (s *scripted) requestCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.requests
+}
+
+func (s *scripted) Status(ctx context.Context) (state.DatabaseStatus, error) {
+	s.mu.Lock()
+	s.requests++
+	s.inFlight++
+	s.most = max(s.most, s.inFlight)
+	delay := s.delay
+	s.mu.Unlock()
+	sleep(ctx, delay)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inFlight--
+	return s.status, errors.Join(s.err, ctx.Err())
+}
+
+func (s *scripted) Probe(ctx context.Context) (state.DatabaseStatus, error) { return s.Status(ctx) }
+
+func (s *scripted) Fence(context.Context, state.Term, state.InstanceID) (state.DatabaseStatus, error) {
+	return state.DatabaseStatus{}, errors.ErrUnsupported
+}
+
+func (s *scripted) Promote(context.Context, state.Term, state.InstanceID) (state.DatabaseStatus, error) {
+	return state.DatabaseStatus{}, errors.ErrUnsupported
+}
+
+func (s *scripted) Follow(context.Context, state.Term, state.Database) (state.DatabaseStatus, error) {
+	return state.DatabaseStatus{}, errors.ErrUnsupported
+}
+
+// inBubble runs test against a Watcher of databases a, b and c, of which a is
+// the primary of term 1 and all logs end at 1/10.
+func inBubble(t *testing.T, test func(t *testing.T, w *Watcher, databases []*scripted)) {
+	synctest.Test(t, func(t *testing.T) {
+		group := state.Group{ID: "g"}
+		controls := map[state.DatabaseID]Control{}
+		var databases []*scripted
+		for i, id := range []state.DatabaseID{"a", "b", "c"} {
+			s := &scripted{status: state.DatabaseStatus{Database: id, Term: 1, Role: state.RoleReplica}, delay: time.Millisecond}
+			s.status.Log = state.Position{Term: 1, Offset: 10}
+			if i == 0 {
+				s.status.Role = state.RolePrimary
+			}
+			group.Databases = append(group.Databases, state.Database{ID: id})
+			controls[id] = s
+			databases = append(databases, s)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		w := New(group, controls, Options{})
+		defer cancel()
+		done := make(chan error, 1)
+		go func() { done <- w.Run(ctx) }()
+		time.Sleep(10 * time.Millisecond)
+		test(t, w, databases)
+		cancel()
+		require.ErrorIs(t, <-done, context.Canceled)
+	})
+}
+
+func withinSecond(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func TestManyWaitersShareRequestsAndPassASlowDatabase(t *testing.T) {
+	inBubble(t, func(t *testing.T, w *Watcher, databases []*scripted) {
+		databases[2].change(func(s *scripted) { s.delay = time.Second })
+		before := databases[0].requestCount()
+		start := time.Now()
+		var callers sync.WaitGroup
+		for range 1000 {
+			callers.Go(func() {
+				_, err := w.Barrier(withinSecond(t))
+				require.NoError(t, err)
+				require.NoError(t, w.WaitAcknowledged(withinSecond(t), state.Position{Term: 1, Offset: 10}))
+			})
+		}
+		callers.Wait()
+		require.Less(t, time.Since(start), 5*time.Millisecond)
+		require.LessOrEqual(t, databases[0].requestCount()-before, 4)
+		for _, database := range databases {
+			database.change(func(s *scripted) { require.Equal(t, 1, s.most) })
+		}
+	})
+}
+
+func TestIdleGroupCostsOneRequestADatabaseEachHeartbeat(t *testing.T) {
+	inBubble(t, func(t *testing.T, w *Watcher, _ []*scripted) {
+		before := w.View().Counts.Requests
+		time.Sleep(10 * time.Second)
+		require.InDelta(t, 3*40, w.View().Counts.Requests-before, 3)
+	})
+}
+
+func TestAcknowledgementEndsOnlyWhenNoMajorityOfTheTermIsLeft(t *testing.T) {
+	inBubble(t, func(t *testing.T, w *Watcher, databases []*scripted) {
+		position := state.Position{Term: 1, Offset: 20}
+		databases[0].set(1, state.RolePrimary, position)
+		databases[2].set(2, state.RoleFenced, state.Position{Term: 1, Offset: 10})
+		err := w.WaitAcknowledged(withinSecond(t), position)
+		require.ErrorIs(t, err, context.DeadlineExceeded)
+		databases[1].set(1, state.RoleReplica, position)
+		require.NoError(t, w.WaitAcknowledged(withinSecond(t), position))
+
+		lost := state.Position{Term: 1, Offset: 30}
+		databases[1].set(2, state.RoleFenced, position)
+		start := time.Now()
+		err = w.WaitAcknowledged(withinSecond(t), lost)
+		require.ErrorIs(t, err, ErrSuperseded)
+		require.Less(t, time.Since(start), 10*time.Millisecond)
+		failure, ok := state.AsFailure(err)
+		require.True(t, ok)
+		require.Equal(t, state.OutcomeUnknown, failure.Outcome)
+		require.Empty(t, w.View().Primary)
+	})
+}
+
+func TestDatabasePastTheForkDoesNotServe(t *testing.T) {
+	inBubble(t, func(t *testing.T, w *Watcher, databases []*scripted) {
+		floor := state.Position{Term: 1, Offset: 10}
+		for _, database := range databases {
+			database.set(2, state.RoleReplica, floor)
+		}
+		databases[1].set(2, state.RolePrimary, floor)
+		databases[2].set(2, state.RoleReplica, state.Position{Term: 1, Offset: 15})
+		time.Sleep(2 * DefaultHeartbeatInterval)
+		require.NoError(t, w.WaitHolds(withinSecond(t), "a", floor))
+		require.ErrorIs(t, w.WaitHolds(withinSecond(t), "c", floor), ErrBehind)
+		_, proven := w.ProvenAge("c")
+		require.False(t, proven)
+
+		databases[1].set(2, state.RolePrimary, state.Position{Term: 2, Offset: 11})
+		databases[2].set(2, state.RoleReplica, state.Position{Term: 2, Offset: 11})
+		require.NoError(t, w.WaitHolds(withinSecond(t), "c", floor))
+	})
+}
+
+func TestAgeGrowsWithoutThePrimaryAndTermsNeverGoDown(t *testing.T) {
+	inBubble(t, func(t *testing.T, w *Watcher, databases []*scripted) {
+		databases[0].change(func(s *scripted) { s.err = ErrRefused })
+		time.Sleep(2 * time.Second)
+		age, proven := w.ProvenAge("b")
+		require.True(t, proven)
+		require.InDelta(t, 2*time.Second, age, float64(300*time.Millisecond))
+		view, _ := w.View().Database("a")
+		require.Greater(t, view.Health.Refused, 1)
+
+		for _, database := range databases[1:] {
+			database.set(0, state.RoleReplica, state.Position{Offset: 50})
+		}
+		time.Sleep(time.Second)
+		_, proven = w.ProvenAge("b")
+		require.False(t, proven)
+		require.ErrorIs(t, w.WaitAcknowledged(withinSecond(t), state.Position{Term: 1, Offset: 5}), context.DeadlineExceeded)
+	})
+}
+
+func TestStoppedWatcherFailsItsWaiters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := New(state.Group{ID: "g", Databases: []state.Database{{ID: "a"}, {ID: "b"}}}, nil, Options{})
+		results := make(chan error, 3)
+		go func() { results <- w.WaitAcknowledged(t.Context(), state.Position{Term: 1, Offset: 1}) }()
+		go func() { results <- w.WaitHolds(t.Context(), "a", state.Position{}) }()
+		go func() { _, err := w.Barrier(t.Context()); results <- err }()
+		synctest.Wait()
+		w.stop()
+		for range 3 {
+			require.ErrorIs(t, <-results, ErrStopped)
+		}
+	})
+}
