--- a/internal/coordination/execution/owner.go
+++ b/internal/coordination/execution/owner.go
@@ -96,6 +96,20 @@
 	return &server{ServerParts: part, pool: newPool(part.Database, o.dialer, part.Database.MaxConnections)}
 }
 
+// RemoveGroup stops to serve a group. Streams that are open go on to their end.
+func (o *Owner) RemoveGroup(id state.GroupID) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	group, found := o.groups[id]
+	if !found {
+		return
+	}
+	delete(o.groups, id)
+	for _, server := range group.servers {
+		server.pool.close()
+	}
+}
+
 // Close closes all idle connections; connections in use are closed when
 // their streams are.
 func (o *Owner) Close() {
--- a/internal/coordination/routing/barrier.go
+++ b/internal/coordination/routing/barrier.go
@@ -73,7 +73,7 @@
 func (r *Router) takeBarrier(groupID state.GroupID) (state.Position, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), r.options.BarrierTimeout)
 	defer cancel()
-	group, found := r.topology.Group(groupID)
+	group, found := r.topology.Get(groupID)
 	if !found {
 		return state.Position{}, state.NotRun(state.ReasonUnreachable, "find group", string(groupID), r.options.RetryDelay, nil)
 	}
--- a/internal/coordination/routing/router.go
+++ b/internal/coordination/routing/router.go
@@ -11,7 +11,7 @@
 
 // Topology tells which databases a group has.
 type Topology interface {
-	Group(id state.GroupID) (state.Group, bool)
+	Get(id state.GroupID) (state.Group, bool)
 }
 
 // Membership tells which instances own a backend server, best first, and takes
@@ -107,7 +107,7 @@
 // Open returns a stream on a backend server that may run the request. An error
 // is a *state.Failure with OutcomeNotRun.
 func (r *Router) Open(ctx context.Context, request Request) (*Stream, error) {
-	group, found := r.topology.Group(request.Group)
+	group, found := r.topology.Get(request.Group)
 	if !found {
 		return nil, state.NotRun(state.ReasonUnreachable, "find group", string(request.Group), r.options.PrimaryWait, nil)
 	}
