Add stand-in database and backend connections

The proxy needs databases with terms and log positions to be tested against, and connections that carry raw messages to them. The stand-in keeps two SQLite copies (open write transaction, committed data), since one copy would either show uncommitted rows or block reads during a write. Write transactions are replayed from the log, on replicas as on the committed copy.

--- /dev/null
+++ b/internal/standin/database/applyqueue.go
@@ -0,0 +1,75 @@
+package database
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// queuedEntry is an entry that waits for the replication lag to pass.
+type queuedEntry struct {
+	entry   Entry
+	arrived time.Time
+}
+
+// applyQueue holds received entries in order. It has no bound, so that a long
+// lag never delays the heartbeats that arrive behind the entries.
+type applyQueue struct {
+	mu      sync.Mutex // protects entries
+	entries []queuedEntry
+	arrival chan struct{} // holds one token when entries may be waiting
+}
+
+func newApplyQueue() *applyQueue {
+	return &applyQueue{arrival: make(chan struct{}, 1)}
+}
+
+func (q *applyQueue) push(entry Entry) {
+	q.mu.Lock()
+	q.entries = append(q.entries, queuedEntry{entry: entry, arrived: time.Now()})
+	q.mu.Unlock()
+	select {
+	case q.arrival <- struct{}{}:
+	default:
+	}
+}
+
+// first waits for an entry and returns it without removing it.
+func (q *applyQueue) first(ctx context.Context) (queuedEntry, bool) {
+	for {
+		q.mu.Lock()
+		if len(q.entries) > 0 {
+			first := q.entries[0]
+			q.mu.Unlock()
+			return first, ctx.Err() == nil
+		}
+		q.mu.Unlock()
+		select {
+		case <-q.arrival:
+		case <-ctx.Done():
+			return queuedEntry{}, false
+		}
+	}
+}
+
+// drop removes the first entry.
+func (q *applyQueue) drop() {
+	q.mu.Lock()
+	q.entries = q.entries[1:]
+	q.mu.Unlock()
+}
+
+// pause waits and reports false when ctx ended first.
+func pause(ctx context.Context, duration time.Duration) bool {
+	if duration <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/standin/database/engine.go
@@ -0,0 +1,152 @@
+package database
+
+import (
+	"context"
+	"database/sql"
+	"strings"
+	"sync"
+
+	"github.com/rotisserie/eris"
+	_ "modernc.org/sqlite" // registers the driver
+)
+
+// engine is one in-memory SQLite database on one connection.
+type engine struct {
+	mu         sync.Mutex // protects database and connection
+	database   *sql.DB
+	connection *sql.Conn
+}
+
+func newEngine() (*engine, error) {
+	e := &engine{}
+	return e, e.reset()
+}
+
+// reset replaces the database by an empty one.
+func (e *engine) reset() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.closeLocked()
+	database, err := sql.Open("sqlite", ":memory:")
+	if err != nil {
+		return eris.Wrap(err, "open in-memory database")
+	}
+	connection, err := database.Conn(context.Background())
+	if err != nil {
+		_ = database.Close()
+		return eris.Wrap(err, "open in-memory database")
+	}
+	e.database, e.connection = database, connection
+	return nil
+}
+
+func (e *engine) close() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.closeLocked()
+}
+
+func (e *engine) closeLocked() {
+	if e.connection != nil {
+		_ = e.connection.Close()
+		_ = e.database.Close()
+		e.connection = nil
+	}
+}
+
+// exec runs a statement that returns no rows. It can't be interrupted, since a
+// driver that gave up its connection would lose the database.
+func (e *engine) exec(text string, args ...any) (affected int64, err error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	outcome, err := e.connection.ExecContext(context.Background(), text, args...)
+	if err != nil {
+		return 0, err
+	}
+	return outcome.RowsAffected()
+}
+
+// query runs a statement and reads all of its rows.
+func (e *engine) query(text string, args ...any) (*result, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	rows, err := e.connection.QueryContext(context.Background(), text, args...)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = rows.Close() }()
+	answer, err := newResult(rows)
+	if err != nil {
+		return nil, err
+	}
+	for rows.Next() {
+		row, err := scanRow(rows, len(answer.columns))
+		if err != nil {
+			return nil, err
+		}
+		answer.rows = append(answer.rows, row)
+	}
+	answer.inferTypes()
+	return answer, rows.Err()
+}
+
+// apply runs the statements of one entry in one transaction.
+func (e *engine) apply(entry Entry) error {
+	if len(entry.Statements) == 0 {
+		return nil
+	}
+	if _, err := e.exec("BEGIN"); err != nil {
+		return err
+	}
+	for _, statement := range entry.Statements {
+		if _, err := e.exec(statement.SQL, statement.Args...); err != nil {
+			e.rollback()
+			return eris.Wrapf(err, "apply entry %s", entry.Position)
+		}
+	}
+	_, err := e.exec("COMMIT")
+	return err
+}
+
+// rollback ends the open transaction. SQLite may have ended it already.
+func (e *engine) rollback() {
+	_, _ = e.exec("ROLLBACK")
+}
+
+// rebuild runs a whole log on an empty database.
+func (e *engine) rebuild(log entryLog) error {
+	if err := e.reset(); err != nil {
+		return err
+	}
+	for _, entry := range log {
+		if err := e.apply(entry); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func scanRow(rows *sql.Rows, width int) ([]any, error) {
+	row := make([]any, width)
+	targets := make([]any, width)
+	for i := range row {
+		targets[i] = &row[i]
+	}
+	if err := rows.Scan(targets...); err != nil {
+		return nil, err
+	}
+	return row, nil
+}
+
+func newResult(rows *sql.Rows) (*result, error) {
+	types, err := rows.ColumnTypes()
+	if err != nil {
+		return nil, err
+	}
+	answer := &result{}
+	for _, columnType := range types {
+		declared := strings.ToLower(columnType.DatabaseTypeName())
+		answer.columns = append(answer.columns, column{name: columnType.Name(), oid: declaredOID(declared)})
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/internal/standin/database/execute.go
@@ -0,0 +1,235 @@
+package database
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// execute runs one statement of any kind.
+func (s *session) execute(statement string, args []any) (*result, error) {
+	kind := classify(statement)
+	if s.txState == txFailed && kind != kindCommit && kind != kindRollback && kind != kindRollbackTo && kind != kindControl {
+		return nil, &sqlError{codeFailedTransaction, "current transaction is aborted, commands ignored until end of transaction block"}
+	}
+	switch kind {
+	case kindControl:
+		return s.run.server.node.control(statement)
+	case kindBegin:
+		return s.begin(), nil
+	case kindCommit:
+		return s.commit()
+	case kindRollback:
+		return s.rollback(), nil
+	case kindSet, kindReset, kindShow, kindDiscard, kindDeallocate:
+		return s.executeSetting(kind, statement)
+	case kindEmpty:
+		return &result{}, nil
+	default:
+		return s.executeOrdinary(kind, statement, args)
+	}
+}
+
+func (s *session) begin() *result {
+	if s.txState == txIdle {
+		s.txState = txOpen
+		s.savepoints = 0
+		s.settings.begin()
+	}
+	return &result{tag: "BEGIN"}
+}
+
+func (s *session) commit() (*result, error) {
+	if s.txState == txFailed {
+		return s.rollback(), nil
+	}
+	err := s.commitWrites()
+	s.txState = txIdle
+	s.settings.end(err == nil)
+	if err != nil {
+		return nil, err
+	}
+	return &result{tag: "COMMIT"}, nil
+}
+
+func (s *session) rollback() *result {
+	s.abandon()
+	s.txState = txIdle
+	s.settings.end(false)
+	return &result{tag: "ROLLBACK"}
+}
+
+// endImplicit commits what was written outside a transaction block.
+func (s *session) endImplicit() error {
+	if s.txState != txIdle {
+		return nil
+	}
+	return s.commitWrites()
+}
+
+// commitWrites commits the open write transaction, if any, in a slot.
+func (s *session) commitWrites() error {
+	if s.tx == nil {
+		return nil
+	}
+	tx := s.tx
+	s.tx = nil
+	ctx, done := s.statementContext()
+	defer done()
+	if s.txState == txOpen {
+		release, err := s.run.takeSlot(ctx)
+		if err != nil {
+			s.run.server.node.rollback(tx)
+			return err
+		}
+		defer release()
+	}
+	if !s.run.server.gate.wait(s.run.ctx.Done()) {
+		s.run.server.node.rollback(tx)
+		return &sqlError{codeAdminShutdown, "terminating connection"}
+	}
+	position, err := s.run.server.node.commit(tx)
+	if err != nil {
+		return err
+	}
+	if !position.IsZero() {
+		s.position = position
+	}
+	return nil
+}
+
+func (s *session) executeSetting(kind statementKind, statement string) (*result, error) {
+	tag := strings.ToUpper(firstWord(statement))
+	switch kind {
+	case kindShow:
+		return s.settings.show(statement)
+	case kindSet:
+		if err := s.settings.set(statement); err != nil {
+			return nil, err
+		}
+	case kindReset:
+		s.settings.reset(statement)
+	case kindDiscard:
+		s.settings.reset("RESET ALL")
+		clear(s.statements)
+		clear(s.portals)
+		tag = "DISCARD ALL"
+	case kindDeallocate:
+		s.deallocate(settingName(statement))
+	}
+	if kind == kindSet || kind == kindReset {
+		s.reportSettings()
+	}
+	return &result{tag: tag}, nil
+}
+
+func (s *session) deallocate(name string) {
+	name = strings.TrimPrefix(name, "prepare ")
+	if strings.EqualFold(name, "all") {
+		clear(s.statements)
+		return
+	}
+	delete(s.statements, unquote(name))
+}
+
+// reportSettings sends the parameters that PostgreSQL reports on change.
+func (s *session) reportSettings() {
+	for _, name := range reportedSettings {
+		value, _ := s.settings.get(name)
+		s.backend.Send(&pgproto3.ParameterStatus{Name: name, Value: value})
+	}
+}
+
+// executeOrdinary runs a statement that takes a slot. It waits for the writer
+// before the slot, so that waiting writers never keep the holder from a slot.
+func (s *session) executeOrdinary(kind statementKind, statement string, args []any) (*result, error) {
+	ctx, done := s.statementContext()
+	defer done()
+	if err := s.prepareWrite(ctx, kind); err != nil {
+		return nil, err
+	}
+	release, err := s.run.takeSlot(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer release()
+	if kind == kindSleep {
+		return s.sleep(ctx, statement)
+	}
+	answer, err := s.runSQL(kind, toSQLite(statement, kind), args)
+	if err != nil {
+		return nil, err
+	}
+	s.countSavepoints(kind, statement)
+	return answer, nil
+}
+
+// prepareWrite starts a write transaction where the statement needs one.
+func (s *session) prepareWrite(ctx context.Context, kind statementKind) error {
+	writes := kind == kindWrite || kind == kindLockingRead || kind == kindSavepoint
+	if !writes || s.tx != nil {
+		return nil
+	}
+	if kind == kindSavepoint && s.txState == txIdle {
+		return &sqlError{codeFailedTransaction, "SAVEPOINT can only be used in transaction blocks"}
+	}
+	tx, err := s.run.server.node.beginWrite(ctx)
+	if err != nil {
+		return err
+	}
+	s.tx = tx
+	return nil
+}
+
+func (s *session) runSQL(kind statementKind, text string, args []any) (*result, error) {
+	if s.tx != nil {
+		return s.run.server.node.run(s.tx, kind, text, args)
+	}
+	if kind == kindRollbackTo {
+		return nil, &sqlError{codeFailedTransaction, "no such savepoint"}
+	}
+	return runOn(s.run.server.node.reader, kind, text, args)
+}
+
+func (s *session) countSavepoints(kind statementKind, statement string) {
+	switch {
+	case kind == kindRollbackTo:
+		s.txState = txOpen
+	case kind == kindSavepoint && strings.EqualFold(firstWord(statement), "savepoint"):
+		s.savepoints++
+	}
+}
+
+func (s *session) sleep(ctx context.Context, statement string) (*result, error) {
+	seconds, err := strconv.ParseFloat(sleepPattern.FindStringSubmatch(statement)[1], 64)
+	if err != nil {
+		return nil, &sqlError{codeInvalidTextValue, "invalid duration"}
+	}
+	if !pause(ctx, time.Duration(seconds*float64(time.Second))) || !s.run.server.gate.wait(ctx.Done()) {
+		return nil, errCanceled()
+	}
+	return textResult([]string{"pg_sleep"}, []any{""}, "SELECT 1"), nil
+}
+
+// commandTag makes PostgreSQL's command tag of a statement.
+func commandTag(text string, rows int64) string {
+	word := strings.ToUpper(firstWord(text))
+	count := strconv.FormatInt(rows, 10)
+	switch word {
+	case "INSERT", "REPLACE":
+		return "INSERT 0 " + count
+	case "UPDATE", "DELETE", "SELECT":
+		return word + " " + count
+	case "WITH", "VALUES":
+		return "SELECT " + count
+	case "CREATE", "DROP", "ALTER":
+		fields := strings.Fields(text)
+		if len(fields) > 1 {
+			return word + " " + strings.ToUpper(fields[1])
+		}
+	}
+	return word
+}
--- /dev/null
+++ b/internal/standin/database/session.go
@@ -0,0 +1,221 @@
+package database
+
+import (
+	"context"
+	"crypto/rand"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// Transaction states as ReadyForQuery reports them.
+const (
+	txIdle   = byte('I')
+	txOpen   = byte('T')
+	txFailed = byte('E')
+)
+
+const (
+	secretBytes          = 4
+	logPositionParameter = "log_position"
+)
+
+// session is one client connection after its startup. One goroutine uses it,
+// but for cancelStatement.
+type session struct {
+	run        *run
+	connection *guardedConn
+	backend    *pgproto3.Backend
+	pid        uint32
+	secret     []byte
+	settings   *settings
+
+	txState byte
+	// tx is the write transaction that is open on the writer, or nil. In
+	// state txIdle it is the implicit one of the current unit.
+	tx         *transaction
+	savepoints int
+	// position is that of the last commit not yet reported to the client.
+	position state.Position
+
+	statements map[string]*preparedStatement
+	portals    map[string]*portal
+	// skipping is set after an error in the extended protocol, until Sync.
+	skipping bool
+
+	mu     sync.Mutex // protects cancel
+	cancel context.CancelFunc
+}
+
+func newSession(r *run, connection *guardedConn, backend *pgproto3.Backend, parameters map[string]string) *session {
+	secret := make([]byte, secretBytes)
+	_, _ = rand.Read(secret)
+	return &session{
+		run:        r,
+		connection: connection,
+		backend:    backend,
+		secret:     secret,
+		settings:   newSettings(parameters),
+		txState:    txIdle,
+		statements: make(map[string]*preparedStatement),
+		portals:    make(map[string]*portal),
+	}
+}
+
+// serve runs the session until its connection ends.
+func (s *session) serve() {
+	defer s.abandon()
+	s.backend.Send(&pgproto3.AuthenticationOk{})
+	for _, name := range reportedSettings {
+		value, _ := s.settings.get(name)
+		s.backend.Send(&pgproto3.ParameterStatus{Name: name, Value: value})
+	}
+	s.backend.Send(&pgproto3.BackendKeyData{ProcessID: s.pid, SecretKey: s.secret})
+	if s.ready() != nil {
+		return
+	}
+	for {
+		message, err := s.receive()
+		if err != nil {
+			return
+		}
+		if _, ends := message.(*pgproto3.Terminate); ends {
+			return
+		}
+		if s.handle(message) != nil {
+			return
+		}
+	}
+}
+
+// abandon rolls back what the session left open.
+func (s *session) abandon() {
+	if s.tx != nil {
+		s.run.server.node.rollback(s.tx)
+		s.tx = nil
+	}
+}
+
+// receive reads one message. A session that has written in a transaction must
+// not be idle for too long, since it keeps all other writers waiting.
+func (s *session) receive() (pgproto3.FrontendMessage, error) {
+	if s.tx != nil {
+		timer := time.AfterFunc(s.run.server.options.IdleInTransactionTimeout, s.connection.drop)
+		defer timer.Stop()
+	}
+	return s.backend.Receive()
+}
+
+// handle runs one message. An error ends the connection.
+func (s *session) handle(message pgproto3.FrontendMessage) error {
+	switch message := message.(type) {
+	case *pgproto3.Query:
+		s.skipping = false
+		s.simpleQuery(message.String)
+		return s.ready()
+	case *pgproto3.Sync:
+		s.sync()
+		return s.ready()
+	case *pgproto3.Flush:
+		return s.backend.Flush()
+	default:
+		if s.skipping {
+			return nil
+		}
+		if err := s.extended(message); err != nil {
+			s.fail(err)
+			s.skipping = true
+		}
+		return nil
+	}
+}
+
+// ready reports the log position of a commit and the transaction state, and
+// sends everything.
+func (s *session) ready() error {
+	if !s.position.IsZero() {
+		s.backend.Send(&pgproto3.ParameterStatus{Name: logPositionParameter, Value: s.position.String()})
+		s.position = state.Position{}
+	}
+	s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: s.txState})
+	if !pause(s.run.ctx, time.Duration(s.run.server.answerDelay.Load())) {
+		return s.run.ctx.Err()
+	}
+	return s.backend.Flush()
+}
+
+// fail sends an error and leaves the transaction failed.
+func (s *session) fail(err error) {
+	s.backend.Send(errorResponse(severityError, err))
+	if s.txState == txOpen {
+		s.txState = txFailed
+	}
+	if s.tx != nil && (s.savepoints == 0 || s.txState == txIdle) {
+		s.run.server.node.rollback(s.tx)
+		s.tx = nil
+	}
+}
+
+// statementContext returns a context that a CancelRequest ends.
+func (s *session) statementContext() (context.Context, func()) {
+	ctx, cancel := context.WithCancel(s.run.ctx)
+	s.mu.Lock()
+	s.cancel = cancel
+	s.mu.Unlock()
+	return ctx, func() {
+		s.mu.Lock()
+		s.cancel = nil
+		s.mu.Unlock()
+		cancel()
+	}
+}
+
+// cancelStatement ends the statement that runs now, if any.
+func (s *session) cancelStatement() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cancel != nil {
+		s.cancel()
+	}
+}
+
+// simpleQuery runs the statements of one Query message in one implicit
+// transaction.
+func (s *session) simpleQuery(text string) {
+	statements := splitStatements(text)
+	if len(statements) == 0 {
+		s.backend.Send(&pgproto3.EmptyQueryResponse{})
+		return
+	}
+	for i, statement := range statements {
+		answer, err := s.execute(statement, nil)
+		if err == nil && i == len(statements)-1 {
+			err = s.endImplicit()
+		}
+		if err == nil {
+			err = s.sendResult(answer)
+		}
+		if err != nil {
+			s.fail(err)
+			return
+		}
+	}
+}
+
+func (s *session) sendResult(answer *result) error {
+	if answer.columns != nil {
+		s.backend.Send(answer.description(nil))
+	}
+	for _, row := range answer.rows {
+		message, err := dataRow(answer.columns, row, nil)
+		if err != nil {
+			return err
+		}
+		s.backend.Send(message)
+	}
+	s.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte(answer.tag)})
+	return nil
+}
--- /dev/null
+++ b/internal/standin/database/settings.go
@@ -0,0 +1,162 @@
+package database
+
+import (
+	"maps"
+	"regexp"
+	"sort"
+	"strings"
+)
+
+var (
+	setPattern          = regexp.MustCompile(`(?is)^set\s+(?:(local|session)\s+)?([\w.]+)\s*(?:=|\s+to\s)\s*(.*)$`)
+	setTimeZonePattern  = regexp.MustCompile(`(?is)^set\s+(?:(local|session)\s+)?time\s+zone\s+(.*)$`)
+	setIgnoredPattern   = regexp.MustCompile(`(?is)^set\s+(transaction|session\s+characteristics|constraints)\b`)
+	settingNamePattern  = regexp.MustCompile(`(?is)^\w+\s+(.+)$`)
+	reportedSettings    = []string{"application_name", "client_encoding", "DateStyle", "integer_datetimes", "server_encoding", "server_version", "standard_conforming_strings", "TimeZone"}
+	fixedSettingDefault = map[string]string{
+		"server_version": "16.0", "server_encoding": "UTF8", "client_encoding": "UTF8",
+		"datestyle": "ISO, MDY", "timezone": "UTC", "integer_datetimes": "on",
+		"standard_conforming_strings": "on", "application_name": "", "search_path": `"$user", public`,
+		"transaction_isolation": "read committed", "statement_timeout": "0",
+	}
+)
+
+// settings are the parameters of one session, by lower-case name.
+type settings struct {
+	defaults map[string]string
+	session  map[string]string
+	local    map[string]string
+	// before is the session map as it was at the start of the transaction.
+	before map[string]string
+}
+
+func newSettings(startup map[string]string) *settings {
+	defaults := maps.Clone(fixedSettingDefault)
+	for name, value := range startup {
+		if name != "user" && name != "database" && name != "options" {
+			defaults[strings.ToLower(name)] = value
+		}
+	}
+	return &settings{
+		defaults: defaults,
+		session:  make(map[string]string),
+		local:    make(map[string]string),
+	}
+}
+
+func (s *settings) get(name string) (string, bool) {
+	name = strings.ToLower(name)
+	for _, level := range []map[string]string{s.local, s.session, s.defaults} {
+		if value, ok := level[name]; ok {
+			return value, true
+		}
+	}
+	return "", false
+}
+
+// begin remembers the parameters, to be restored by a rollback.
+func (s *settings) begin() {
+	s.before = maps.Clone(s.session)
+}
+
+// end finishes a transaction.
+func (s *settings) end(committed bool) {
+	if !committed && s.before != nil {
+		s.session = s.before
+	}
+	s.before = nil
+	clear(s.local)
+}
+
+// set runs a SET statement.
+func (s *settings) set(statement string) error {
+	if setIgnoredPattern.MatchString(statement) {
+		return nil
+	}
+	match := setPattern.FindStringSubmatch(statement)
+	if zone := setTimeZonePattern.FindStringSubmatch(statement); zone != nil {
+		match = []string{"", zone[1], "timezone", zone[2]}
+	}
+	if match == nil {
+		return &sqlError{codeSyntaxError, "syntax error in SET"}
+	}
+	target := s.session
+	if strings.EqualFold(match[1], "local") {
+		target = s.local
+		if s.before == nil {
+			return nil
+		}
+	}
+	name, value := strings.ToLower(match[2]), unquote(match[3])
+	if strings.EqualFold(value, "default") {
+		delete(target, name)
+		return nil
+	}
+	target[name] = value
+	return nil
+}
+
+// reset runs a RESET statement.
+func (s *settings) reset(statement string) {
+	name := settingName(statement)
+	if strings.EqualFold(name, "all") {
+		clear(s.session)
+		clear(s.local)
+		return
+	}
+	delete(s.session, strings.ToLower(name))
+	delete(s.local, strings.ToLower(name))
+}
+
+// show runs a SHOW statement.
+func (s *settings) show(statement string) (*result, error) {
+	name := settingName(statement)
+	if strings.EqualFold(name, "all") {
+		return s.showAll(), nil
+	}
+	value, ok := s.get(name)
+	if !ok {
+		return nil, &sqlError{codeUndefinedObject, "unknown configuration parameter \"" + name + "\""}
+	}
+	return textResult([]string{name}, []any{value}, "SHOW"), nil
+}
+
+func (s *settings) showAll() *result {
+	names := make(map[string]bool)
+	for _, level := range []map[string]string{s.local, s.session, s.defaults} {
+		for name := range level {
+			names[name] = true
+		}
+	}
+	answer := textResult([]string{"name", "setting"}, nil, "SHOW")
+	for name := range names {
+		value, _ := s.get(name)
+		answer.rows = append(answer.rows, []any{name, value})
+	}
+	sort.Slice(answer.rows, func(i, j int) bool {
+		return answer.rows[i][0].(string) < answer.rows[j][0].(string)
+	})
+	return answer
+}
+
+func settingName(statement string) string {
+	match := settingNamePattern.FindStringSubmatch(statement)
+	if match == nil {
+		return ""
+	}
+	name := strings.ToLower(strings.TrimSpace(match[1]))
+	if name == "time zone" {
+		return "timezone"
+	}
+	return unquote(name)
+}
+
+func unquote(text string) string {
+	text = strings.TrimSpace(text)
+	for _, quote := range []string{"'", `"`} {
+		if len(text) >= 2 && strings.HasPrefix(text, quote) && strings.HasSuffix(text, quote) {
+			return strings.ReplaceAll(text[1:len(text)-1], quote+quote, quote)
+		}
+	}
+	return text
+}
--- /dev/null
+++ b/internal/transport/backend/conn.go
@@ -0,0 +1,164 @@
+package backend
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// Message is one message of a database.
+type Message struct {
+	Type byte
+	// Raw is the whole message with its type byte and length. It is valid
+	// until the next Receive.
+	Raw []byte
+}
+
+// Conn is a connection to a database after startup. One goroutine may write
+// while another receives; Cancel and Close may be called at any time.
+type Conn struct {
+	dialer   *Dialer
+	database state.Database
+	pid      uint32
+	secret   []byte
+	initial  map[string]string
+
+	connection net.Conn
+	reader     *messageReader
+	reading    deadlines
+	writing    deadlines
+	broken     atomic.Bool
+}
+
+func newConn(dialer *Dialer, database state.Database, hijacked *pgconn.HijackedConn) *Conn {
+	_ = hijacked.Conn.SetDeadline(time.Time{})
+	return &Conn{
+		dialer:     dialer,
+		database:   database,
+		pid:        hijacked.PID,
+		secret:     hijacked.SecretKey,
+		initial:    hijacked.ParameterStatuses,
+		connection: hijacked.Conn,
+		reader:     newMessageReader(hijacked.Conn, dialer.maxMessageBytes()),
+		reading:    deadlines{set: hijacked.Conn.SetReadDeadline},
+		writing:    deadlines{set: hijacked.Conn.SetWriteDeadline},
+	}
+}
+
+// Database returns the database that the connection was dialled to.
+func (c *Conn) Database() state.Database {
+	return c.database
+}
+
+// PID returns the process id by which the database knows the connection.
+func (c *Conn) PID() uint32 {
+	return c.pid
+}
+
+// ParameterStatuses returns the parameters that the database reported at
+// startup. The caller must not change the map.
+func (c *Conn) ParameterStatuses() map[string]string {
+	return c.initial
+}
+
+// Broken reports whether a write or read failed in a way after which the
+// connection can't be used.
+func (c *Conn) Broken() bool {
+	return c.broken.Load()
+}
+
+// Write sends raw frontend messages. An error breaks the connection and is a
+// *state.Failure with OutcomeUnknown, since a part may have been sent.
+func (c *Conn) Write(ctx context.Context, messages []byte) error {
+	if c.broken.Load() {
+		return c.failure(stepWrite, net.ErrClosed)
+	}
+	if err := c.writing.use(ctx); err != nil {
+		return c.failure(stepWrite, err)
+	}
+	if _, err := c.connection.Write(messages); err != nil {
+		c.broken.Store(true)
+		return c.failure(stepWrite, err)
+	}
+	return nil
+}
+
+// Receive returns the next message. An error is a *state.Failure with
+// OutcomeUnknown. After a timeout or the end of ctx (ReasonSilent) a later
+// Receive may go on; after any other error the connection is broken.
+func (c *Conn) Receive(ctx context.Context) (Message, error) {
+	if c.broken.Load() {
+		return Message{}, c.failure(stepReceive, net.ErrClosed)
+	}
+	if !c.reader.buffered() {
+		if err := c.reading.use(ctx); err != nil {
+			return Message{}, c.failure(stepReceive, err)
+		}
+	}
+	raw, err := c.reader.next()
+	if err != nil {
+		if !isTimeout(err) {
+			c.broken.Store(true)
+		}
+		return Message{}, c.failure(stepReceive, err)
+	}
+	return Message{Type: raw[0], Raw: raw}, nil
+}
+
+// Cancel asks the database, over a connection of its own, to cancel what runs
+// on this one, and waits until the database has taken the request.
+func (c *Conn) Cancel(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, orDefault(c.dialer.ConnectTimeout, defaultConnectTimeout))
+	defer cancel()
+	connection, err := c.dialer.dialTCP(ctx, "tcp", c.database.Address)
+	if err != nil {
+		return c.failure(stepCancel, err)
+	}
+	defer connection.Close()
+	stop := context.AfterFunc(ctx, func() { connection.SetDeadline(aLongTimeAgo) })
+	defer stop()
+	request := &pgproto3.CancelRequest{ProcessID: c.pid, SecretKey: c.secret}
+	encoded, err := request.Encode(nil)
+	if err != nil {
+		return c.failure(stepCancel, err)
+	}
+	if _, err := connection.Write(encoded); err != nil {
+		return c.failure(stepCancel, err)
+	}
+	if _, err := io.Copy(io.Discard, connection); err != nil && isTimeout(err) {
+		return c.failure(stepCancel, err)
+	}
+	return nil
+}
+
+// Close closes the connection at once. Operations in progress fail.
+func (c *Conn) Close() {
+	c.broken.Store(true)
+	c.connection.Close()
+	c.reading.release()
+	c.writing.release()
+}
+
+func (c *Conn) failure(step string, err error) *state.Failure {
+	reason := state.ReasonConnectionLost
+	if isTimeout(err) {
+		reason = state.ReasonSilent
+	}
+	return state.Unknown(reason, step, c.database.Address, err)
+}
+
+// isTimeout reports whether an error came of a deadline or of a context.
+func isTimeout(err error) bool {
+	return errors.Is(err, os.ErrDeadlineExceeded) ||
+		errors.Is(err, context.DeadlineExceeded) ||
+		errors.Is(err, context.Canceled)
+}
--- /dev/null
+++ b/internal/transport/backend/dialer.go
@@ -0,0 +1,124 @@
+package backend
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/rotisserie/eris"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+const (
+	defaultConnectTimeout   = 2 * time.Second
+	defaultMaxMessageBytes  = 64 << 20
+	defaultKeepAliveIdle    = 5 * time.Second
+	defaultKeepAliveEvery   = 2 * time.Second
+	defaultKeepAliveCount   = 3
+	dialRetryAfter          = 50 * time.Millisecond
+	stepDial                = "dial backend"
+	stepWrite               = "write to backend"
+	stepReceive             = "receive from backend"
+	stepCancel              = "cancel at backend"
+	defaultApplicationName  = "cyclamenpin"
+	settingApplicationName  = "application_name"
+	emptyConnectionSettings = "host=127.0.0.1 port=5432 user=x sslmode=disable passfile=/dev/null connect_timeout=0"
+)
+
+// Dialer opens connections to databases. The zero value of each field but the
+// user means its default. It may be used by many goroutines.
+type Dialer struct {
+	User     string
+	Password string
+	// DatabaseName is the name sent at startup; empty means the user's name.
+	DatabaseName string
+	// ConnectTimeout bounds a whole dial; 0 means 2 s.
+	ConnectTimeout time.Duration
+	// MaxMessageBytes bounds one message from a database; 0 means 64 MiB.
+	MaxMessageBytes int
+	// KeepAlive configures TCP keepalive; the zero value means probes after
+	// 5 s of silence, every 2 s, at most 3.
+	KeepAlive net.KeepAliveConfig
+}
+
+// Dial opens a connection. An empty user means the Dialer's own. The error is a
+// *state.Failure with OutcomeNotRun; errors.Is tells syscall.ECONNREFUSED.
+func (d *Dialer) Dial(ctx context.Context, database state.Database, user string) (*Conn, error) {
+	connected, err := d.connect(ctx, database.Address, user)
+	if err != nil {
+		return nil, state.NotRun(state.ReasonUnreachable, stepDial, database.Address, dialRetryAfter, err)
+	}
+	hijacked, err := connected.Hijack()
+	if err != nil {
+		_ = connected.Close(ctx)
+		return nil, state.NotRun(state.ReasonUnreachable, stepDial, database.Address, dialRetryAfter, err)
+	}
+	return newConn(d, database, hijacked), nil
+}
+
+// connect opens a connection through pgconn.
+func (d *Dialer) connect(ctx context.Context, address, user string) (*pgconn.PgConn, error) {
+	config, err := d.config(address, user)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, orDefault(d.ConnectTimeout, defaultConnectTimeout))
+	defer cancel()
+	return pgconn.ConnectConfig(ctx, config)
+}
+
+func (d *Dialer) config(address, user string) (*pgconn.Config, error) {
+	host, portText, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "address %q", address)
+	}
+	port, err := strconv.ParseUint(portText, 10, 16)
+	if err != nil {
+		return nil, eris.Wrapf(err, "address %q: port", address)
+	}
+	config, err := pgconn.ParseConfig(emptyConnectionSettings)
+	if err != nil {
+		return nil, eris.Wrap(err, "connection settings")
+	}
+	config.Host, config.Port = host, uint16(port)
+	config.User, config.Password = orDefault(user, d.User), d.Password
+	config.Database = orDefault(d.DatabaseName, config.User)
+	config.RuntimeParams = map[string]string{settingApplicationName: defaultApplicationName}
+	config.TLSConfig, config.Fallbacks = nil, nil
+	config.DialFunc = d.dialTCP
+	return config, nil
+}
+
+// dialTCP opens the TCP connection itself.
+func (d *Dialer) dialTCP(ctx context.Context, network, address string) (net.Conn, error) {
+	keepAlive := d.KeepAlive
+	if keepAlive == (net.KeepAliveConfig{}) {
+		keepAlive = net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     defaultKeepAliveIdle,
+			Interval: defaultKeepAliveEvery,
+			Count:    defaultKeepAliveCount,
+		}
+	}
+	dialer := net.Dialer{
+		Timeout:         orDefault(d.ConnectTimeout, defaultConnectTimeout),
+		KeepAliveConfig: keepAlive,
+	}
+	return dialer.DialContext(ctx, network, address)
+}
+
+func (d *Dialer) maxMessageBytes() int {
+	return orDefault(d.MaxMessageBytes, defaultMaxMessageBytes)
+}
+
+// orDefault returns value unless it is the zero value.
+func orDefault[T comparable](value, fallback T) T {
+	var zero T
+	if value == zero {
+		return fallback
+	}
+	return value
+}
--- /dev/null
+++ b/internal/transport/backend/status.go
@@ -0,0 +1,48 @@
+package backend
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/rotisserie/eris"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// The columns of a status row.
+const (
+	columnDatabase = iota
+	columnTerm
+	columnRole
+	columnLogTerm
+	columnLogOffset
+	columnContactAge
+	columnCount
+)
+
+// parseStatus reads the one row that each group statement answers.
+func parseStatus(results []*pgconn.Result) (state.DatabaseStatus, error) {
+	if len(results) != 1 || len(results[0].Rows) != 1 || len(results[0].Rows[0]) != columnCount {
+		return state.DatabaseStatus{}, eris.New("status: want one row of six columns")
+	}
+	row := results[0].Rows[0]
+	var numbers [columnCount]uint64
+	for _, column := range []int{columnTerm, columnLogTerm, columnLogOffset, columnContactAge} {
+		number, err := strconv.ParseUint(string(row[column]), 10, 63)
+		if err != nil {
+			return state.DatabaseStatus{}, eris.Wrapf(err, "status: column %d", column)
+		}
+		numbers[column] = number
+	}
+	return state.DatabaseStatus{
+		Database: state.DatabaseID(row[columnDatabase]),
+		Term:     state.Term(numbers[columnTerm]),
+		Role:     state.ParseRole(string(row[columnRole])),
+		Log: state.Position{
+			Term:   state.Term(numbers[columnLogTerm]),
+			Offset: numbers[columnLogOffset],
+		},
+		PrimaryContactAge: time.Duration(numbers[columnContactAge]) * time.Millisecond,
+	}, nil
+}
