Platform: messages, stand-in, client and configuration follower

Cause: edits, groups and the configuration in force need the platform's table service, and a way through its outages.

Built, vetted and linted; no test has run yet.

--- /dev/null
+++ b/internal/coordination/configuration/claims.go
@@ -0,0 +1,111 @@
+package configuration
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/tables"
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// prefixClaims, followed by a group's id, holds the latest claim.
+const prefixClaims = "claims/"
+
+// conditionalTries bounds how often a conditional write starts anew because
+// its record changed meanwhile.
+const conditionalTries = 4
+
+// claim is a promoter's claim of a term.
+type claim struct {
+	Term     state.Term       `json:"term"`
+	Promoter state.InstanceID `json:"promoter"`
+}
+
+// ClaimTerm claims a group's term for a promoter. It is idempotent. A
+// *ClaimedError means that another promoter claimed that term or anyone a
+// higher one. A *state.Failure means that the platform could not be asked, and
+// with OutcomeUnknown that the claim may stand; repeating it tells.
+func (g *Groups) ClaimTerm(ctx context.Context, group state.GroupID, term state.Term, promoter state.InstanceID) error {
+	key := prefixClaims + string(group)
+	wanted := claim{Term: term, Promoter: promoter}
+	decide := func(record tables.Record) ([]byte, error) {
+		var held claim
+		if record.Exists() {
+			if err := decodeRecord("read claim", record.Value, &held); err != nil {
+				return nil, err
+			}
+		}
+		if held == wanted {
+			return nil, nil
+		}
+		if held.Term >= term {
+			return nil, &ClaimedError{Group: group, Term: held.Term, Promoter: held.Promoter}
+		}
+		return encodeRecord(wanted), nil
+	}
+	_, err := g.update(ctx, key, decide)
+	return err
+}
+
+// RecordPrimary records the primary of a group's term. It is idempotent. A
+// *SupersededError means that the record is of a higher term, or names another
+// primary of the same term.
+func (g *Groups) RecordPrimary(ctx context.Context, id state.GroupID, term state.Term, primary state.DatabaseID) error {
+	var recorded state.Group
+	decide := func(record tables.Record) ([]byte, error) {
+		if !record.Exists() {
+			return nil, eris.Errorf("record primary: there is no group %s", id)
+		}
+		if err := decodeRecord("read group", record.Value, &recorded); err != nil {
+			return nil, err
+		}
+		if recorded.Term == term && recorded.Primary == primary {
+			return nil, nil
+		}
+		if recorded.Term >= term {
+			return nil, &SupersededError{Group: id, Term: recorded.Term, Primary: recorded.Primary}
+		}
+		recorded.Term = term
+		recorded.Primary = primary
+		return encodeRecord(recorded), nil
+	}
+	version, err := g.update(ctx, GroupKey(id), decide)
+	if err != nil {
+		return err
+	}
+	g.merge([]GroupRecord{{Group: recorded, Version: version}})
+	return nil
+}
+
+// update replaces a record's value by what decide returns, or leaves it where
+// that is nil, and returns the record's version. decide never sees an older
+// record than the latest.
+func (g *Groups) update(
+	ctx context.Context, key string, decide func(tables.Record) ([]byte, error),
+) (uint64, error) {
+	records, err := tables.ReadLatest(ctx, g.tables, uuid.NewString(), key)
+	for range conditionalTries {
+		if err != nil {
+			return 0, err
+		}
+		latest := records[0]
+		value, decideErr := decide(latest)
+		if decideErr != nil || value == nil {
+			return latest.Version, decideErr
+		}
+		var result tables.Result
+		result, err = g.tables.Transact(ctx, tables.Transaction{
+			ID:         fmt.Sprintf("update/%s/%s", key, uuid.NewString()),
+			Conditions: []tables.Condition{{Key: key, Version: latest.Version}},
+			Writes:     []tables.Write{{Key: key, Value: value}},
+		})
+		if result.Committed {
+			return result.Records[0].Version, err
+		}
+		records = result.Records
+	}
+	return 0, state.NotRun(state.ReasonConflict, "update "+key, "", 0, eris.New("the record changed again and again"))
+}
--- /dev/null
+++ b/internal/coordination/configuration/gossip.go
@@ -0,0 +1,175 @@
+package configuration
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// Exchange is the message by which two instances bring each other up to date,
+// and its answer. Each side sends its digests, and adds what it knows the
+// other side lacks.
+type Exchange struct {
+	// Digest is that of the sender's configuration.
+	Digest Digest `msgpack:"digest" json:"digest"`
+	// InForce is the revision in force on the sender, zero where none is. It
+	// may lie below Digest while the sender starts.
+	InForce state.Revision `msgpack:"force" json:"in_force"`
+	// Document is the sender's configuration, where the receiver is known to
+	// be behind.
+	Document *state.Configuration `msgpack:"doc" json:"document,omitempty"`
+	// GroupsHash is the hash of the sender's group records.
+	GroupsHash string `msgpack:"ghash" json:"groups_hash"`
+	// Groups are the sender's group records, where the receiver is known to
+	// have other ones.
+	Groups []GroupRecord `msgpack:"groups" json:"groups,omitempty"`
+}
+
+// Peers reaches the other instances. Implementations pick live ones first.
+type Peers interface {
+	// Sample returns up to n distinct peers, chosen at random.
+	Sample(n int) []state.InstanceID
+	// All returns all known peers.
+	All() []state.InstanceID
+	// Exchange sends a message to a peer's HandleExchange and returns its
+	// answer. An error is a *state.Failure.
+	Exchange(ctx context.Context, peer state.InstanceID, message Exchange) (Exchange, error)
+}
+
+// HandleExchange answers a peer's message.
+func (f *Follower) HandleExchange(ctx context.Context, message Exchange) Exchange {
+	f.take(ctx, message)
+	return f.messageFor(message.Digest, message.GroupsHash)
+}
+
+// take offers what a message carries.
+func (f *Follower) take(ctx context.Context, message Exchange) {
+	if f.groups != nil {
+		f.groups.merge(message.Groups)
+	}
+	if message.Document == nil {
+		return
+	}
+	if DigestOf(message.Document) != message.Digest {
+		f.reportCorruption(message.Digest.Revision, string(SourcePeer))
+		return
+	}
+	f.Offer(ctx, message.Document, SourcePeer)
+}
+
+// messageFor returns a message to a peer that has sent its digests.
+func (f *Follower) messageFor(peer Digest, peerGroups string) Exchange {
+	held := f.held()
+	message := Exchange{Digest: held.digest, InForce: f.inForce.Load().digest.Revision}
+	if held.digest.Revision > peer.Revision {
+		message.Document = held.configuration
+	}
+	if f.groups != nil {
+		message.GroupsHash, message.Groups = f.groups.messageFor(peerGroups)
+	}
+	return message
+}
+
+// greeting returns a message that carries digests only.
+func (f *Follower) greeting() Exchange {
+	message := Exchange{Digest: f.Digest(), InForce: f.inForce.Load().digest.Revision}
+	if f.groups != nil {
+		message.GroupsHash = f.groups.hash()
+	}
+	return message
+}
+
+// exchangeWith brings this instance and one peer up to date. It returns the
+// revision that the peer had in force in the end, and whether it answered.
+func (f *Follower) exchangeWith(ctx context.Context, peer state.InstanceID) (state.Revision, bool) {
+	callContext, cancel := context.WithTimeout(ctx, f.options.CallTimeout)
+	defer cancel()
+	answer, err := f.peers.Exchange(callContext, peer, f.greeting())
+	if err != nil {
+		f.logger.Debug().Err(err).Str("peer", string(peer)).Msg("exchange of configuration failed")
+		return 0, false
+	}
+	f.take(ctx, answer)
+	f.isNewer(answer.Digest, f.Digest(), string(SourcePeer))
+	update := f.messageFor(answer.Digest, answer.GroupsHash)
+	if update.Document == nil && update.Groups == nil {
+		return answer.InForce, true
+	}
+	if answer, err = f.peers.Exchange(callContext, peer, update); err != nil {
+		return 0, false
+	}
+	return answer.InForce, true
+}
+
+func (f *Follower) exchangeWithAll(ctx context.Context, peers []state.InstanceID) {
+	var exchanges sync.WaitGroup
+	for _, peer := range peers {
+		exchanges.Go(func() { f.exchangeWith(ctx, peer) })
+	}
+	exchanges.Wait()
+}
+
+// maxConcurrentAsks bounds the exchanges in flight of AskAll.
+const maxConcurrentAsks = 32
+
+// InForce says on how many instances a revision, or a later one, is in force.
+type InForce struct {
+	Revision state.Revision `json:"revision"`
+	// Confirmed counts the instances that said so, this one included.
+	Confirmed int `json:"confirmed"`
+	// Instances counts all known instances, this one included.
+	Instances int `json:"instances"`
+	// Highest is the highest revision that any instance has in force.
+	Highest state.Revision `json:"highest_revision"`
+	// Behind are the instances that have an older revision, and Silent those
+	// that did not answer.
+	Behind []state.InstanceID `json:"behind,omitempty"`
+	Silent []state.InstanceID `json:"silent,omitempty"`
+}
+
+// AskAll exchanges with every known peer, and says where a revision is in
+// force. Peers that were behind are brought up to date by it, and so is this
+// instance.
+func (f *Follower) AskAll(ctx context.Context, revision state.Revision) InForce {
+	peers := f.peers.All()
+	answers := make([]peerAnswer, len(peers))
+	var asks sync.WaitGroup
+	tokens := make(chan struct{}, maxConcurrentAsks)
+	for i, peer := range peers {
+		tokens <- struct{}{}
+		asks.Go(func() {
+			defer func() { <-tokens }()
+			answers[i].peer = peer
+			answers[i].revision, answers[i].answered = f.exchangeWith(ctx, peer)
+		})
+	}
+	asks.Wait()
+	result := InForce{Revision: revision, Instances: len(peers) + 1}
+	if own := f.Current(); own != nil {
+		result.count(peerAnswer{revision: own.Revision, answered: true})
+	}
+	for _, answer := range answers {
+		result.count(answer)
+	}
+	return result
+}
+
+// peerAnswer is what one instance said of itself.
+type peerAnswer struct {
+	peer     state.InstanceID
+	revision state.Revision
+	answered bool
+}
+
+func (r *InForce) count(answer peerAnswer) {
+	r.Highest = max(r.Highest, answer.revision)
+	switch {
+	case !answer.answered:
+		r.Silent = append(r.Silent, answer.peer)
+	case answer.revision >= r.Revision:
+		r.Confirmed++
+	default:
+		r.Behind = append(r.Behind, answer.peer)
+	}
+}
--- /dev/null
+++ b/internal/standin/platform/switches.go
@@ -0,0 +1,87 @@
+package platform
+
+import (
+	"net/http"
+	"time"
+)
+
+// Paths of the switches.
+const (
+	PathSwitches = "/switches"
+	PathCounts   = "/counts"
+)
+
+// Switches sets the faults of a stand-in that runs in another process. A nil
+// field leaves its switch as it is.
+type Switches struct {
+	Down                *bool    `json:"down,omitempty"`
+	SlowMillis          *int64   `json:"slow_ms,omitempty"`
+	LoseNextAnswers     *int     `json:"lose_next_answers,omitempty"`
+	ErrorShare          *float64 `json:"error_share,omitempty"`
+	StaleReads          *bool    `json:"stale_reads,omitempty"`
+	InstanceLagMillis   *int64   `json:"instance_lag_ms,omitempty"`
+	TakeSnapshot        bool     `json:"take_snapshot,omitempty"`
+	RestoreLastSnapshot bool     `json:"restore_last_snapshot,omitempty"`
+}
+
+// SwitchHandler serves POST PathSwitches and GET PathCounts. It is kept apart
+// from Handler so that no switch can cut off the switches.
+func (s *Server) SwitchHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+PathSwitches, func(w http.ResponseWriter, r *http.Request) {
+		var switches Switches
+		if err := decode(r, &switches); err != nil {
+			write(w, failed(http.StatusBadRequest, err.Error()))
+			return
+		}
+		s.set(switches)
+		write(w, ok(switches))
+	})
+	mux.HandleFunc("GET "+PathCounts, func(w http.ResponseWriter, _ *http.Request) {
+		write(w, ok(s.Counts()))
+	})
+	return mux
+}
+
+func (s *Server) set(switches Switches) {
+	if switches.TakeSnapshot {
+		s.saveSnapshot(s.Snapshot())
+	}
+	if switches.RestoreLastSnapshot {
+		s.Restore(s.savedSnapshot())
+	}
+	s.setFaults(switches)
+}
+
+func (s *Server) saveSnapshot(snapshot Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.saved = snapshot
+}
+
+func (s *Server) savedSnapshot() Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.saved
+}
+
+func (s *Server) setFaults(switches Switches) {
+	if switches.Down != nil {
+		s.SetDown(*switches.Down)
+	}
+	if switches.SlowMillis != nil {
+		s.SetSlow(time.Duration(*switches.SlowMillis) * time.Millisecond)
+	}
+	if switches.LoseNextAnswers != nil {
+		s.LoseNextAnswers(*switches.LoseNextAnswers)
+	}
+	if switches.ErrorShare != nil {
+		s.SetErrorShare(*switches.ErrorShare)
+	}
+	if switches.StaleReads != nil {
+		s.SetStaleReads(*switches.StaleReads)
+	}
+	if switches.InstanceLagMillis != nil {
+		s.SetInstanceLag(time.Duration(*switches.InstanceLagMillis) * time.Millisecond)
+	}
+}
