--- /dev/null
+++ b/internal/app/dialer.go
@@ -0,0 +1,23 @@
+package app
+
+import (
+	"context"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/execution"
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+	"github.com/cyclamenpin/cyclamenpin/internal/transport/backend"
+)
+
+// backendDialer gives the owner connections of the transport layer.
+type backendDialer struct {
+	dialer *backend.Dialer
+}
+
+// Dial implements execution.Dialer.
+func (d backendDialer) Dial(ctx context.Context, database state.Database) (execution.Backend, error) {
+	conn, err := d.dialer.Dial(ctx, database, "")
+	if err != nil {
+		return nil, err
+	}
+	return conn, nil
+}
--- /dev/null
+++ b/internal/app/group_runner.go
@@ -0,0 +1,177 @@
+package app
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/admission"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/execution"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/failover"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/membership"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/ownership"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/replication"
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+	"github.com/cyclamenpin/cyclamenpin/internal/transport/backend"
+)
+
+// runnerFactory starts the parts that watch and serve a group.
+type runnerFactory struct {
+	self       state.Instance
+	dialer     *backend.Dialer
+	claims     failover.Claims
+	observers  failover.Observers
+	membership *membership.Membership
+	limits     *limitsInForce
+	log        zerolog.Logger
+}
+
+// Start implements ownership.Factory.
+func (f *runnerFactory) Start(group state.Group) ownership.Runner {
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &groupRunner{factory: f, cancel: cancel, gates: map[state.DatabaseID]*admission.Gate{}}
+	controls := map[state.DatabaseID]replication.Control{}
+	for _, database := range group.Databases {
+		control := backend.NewControl(f.dialer, database)
+		controls[database.ID] = control
+		r.controls = append(r.controls, control)
+		r.addServer(group, database, control)
+	}
+	r.watcher = replication.New(group, controls, replication.Options{})
+	r.failover = failover.New(group, r.watcher, controls, f.claims, f.observers, failover.Options{
+		Self: f.self.ID, Incarnation: f.self.Incarnation, Rank: func() int { return f.rank(group) }, Logger: f.log,
+	})
+	r.running.Go(func() { _ = r.watcher.Run(ctx) })
+	r.running.Go(func() { _ = r.failover.Run(ctx) })
+	return r
+}
+
+// rank returns this instance's place among the owners of a group's databases.
+func (f *runnerFactory) rank(group state.Group) int {
+	var owners []state.InstanceID
+	for _, database := range group.Databases {
+		candidates := f.membership.Owners(database)
+		if len(candidates) > 0 {
+			owners = append(owners, candidates[0].ID)
+		}
+	}
+	slices.Sort(owners)
+	owners = slices.Compact(owners)
+	if rank := slices.Index(owners, f.self.ID); rank >= 0 {
+		return rank
+	}
+	return len(owners)
+}
+
+// groupRunner watches one group and serves its databases.
+type groupRunner struct {
+	factory  *runnerFactory
+	watcher  *replication.Watcher
+	failover *failover.Manager
+	controls []*backend.Control
+	gates    map[state.DatabaseID]*admission.Gate
+	parts    []execution.ServerParts
+	cancel   context.CancelFunc
+	running  sync.WaitGroup
+}
+
+// addServer makes the admission gate of one backend server. The owner uses at
+// most half of the connections that the backend server accepts, so that a
+// successor can work while the backend server still counts this one's.
+func (r *groupRunner) addServer(group state.Group, database state.Database, control *backend.Control) {
+	gate := admission.NewGate(admission.Options{
+		Server: database.ID, Connections: max(1, database.MaxConnections/2), Slots: max(1, database.Slots),
+	})
+	gate.SetLeaving(database.Leaving)
+	r.factory.limits.attach(group.ID, gate)
+	r.gates[database.ID] = gate
+	r.parts = append(r.parts, execution.ServerParts{
+		Database: database,
+		Gate:     gateAdapter{gate: gate},
+		Probe: func(ctx context.Context) error {
+			_, err := control.Probe(ctx)
+			return err
+		},
+	})
+}
+
+// Parts implements ownership.Runner.
+func (r *groupRunner) Parts() []execution.ServerParts {
+	return r.parts
+}
+
+// Update implements ownership.Runner.
+func (r *groupRunner) Update(group state.Group) {
+	r.failover.SetGroup(group)
+	for _, database := range group.Databases {
+		if gate, found := r.gates[database.ID]; found {
+			gate.SetLeaving(database.Leaving)
+		}
+	}
+}
+
+// Barrier implements ownership.Runner.
+func (r *groupRunner) Barrier(ctx context.Context) (state.Position, error) {
+	return r.watcher.Barrier(ctx)
+}
+
+// Primary implements execution.Replication.
+func (r *groupRunner) Primary() (state.DatabaseID, bool) {
+	return r.watcher.Primary()
+}
+
+// WaitAcknowledged implements execution.Replication.
+func (r *groupRunner) WaitAcknowledged(ctx context.Context, position state.Position) error {
+	return r.watcher.WaitAcknowledged(ctx, position)
+}
+
+// WaitHolds implements execution.Replication.
+func (r *groupRunner) WaitHolds(ctx context.Context, database state.DatabaseID, floor state.Position) error {
+	return r.watcher.WaitHolds(ctx, database, floor)
+}
+
+// ProvenAge implements execution.Replication.
+func (r *groupRunner) ProvenAge(database state.DatabaseID) (time.Duration, bool) {
+	return r.watcher.ProvenAge(database)
+}
+
+// Holders implements execution.Replication.
+func (r *groupRunner) Holders(position state.Position) []state.DatabaseID {
+	return r.watcher.Holders(position)
+}
+
+// Observe returns what this instance sees of the group's primary.
+func (r *groupRunner) Observe() failover.Observation {
+	return r.failover.Observe()
+}
+
+// runnerSnapshot is a group's part of the state dump.
+type runnerSnapshot struct {
+	Replication replication.View        `json:"replication"`
+	Changes     []failover.ChangeReport `json:"changes"`
+	Gates       []admission.Snapshot    `json:"gates"`
+}
+
+// Snapshot implements ownership.Runner.
+func (r *groupRunner) Snapshot() any {
+	snapshot := runnerSnapshot{Replication: r.watcher.View(), Changes: r.failover.Reports()}
+	for _, part := range r.parts {
+		snapshot.Gates = append(snapshot.Gates, r.gates[part.Database.ID].Snapshot())
+	}
+	return snapshot
+}
+
+// Close implements ownership.Runner.
+func (r *groupRunner) Close() {
+	r.cancel()
+	r.running.Wait()
+	for _, control := range r.controls {
+		control.Close()
+	}
+	for _, gate := range r.gates {
+		r.factory.limits.detach(gate)
+	}
+}
--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -1,8 +1,16 @@
 package cli
 
 import (
+	"context"
+	"errors"
+	"flag"
 	"fmt"
 	"io"
+	"runtime/debug"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/app"
 )
 
 // Exit codes of every subcommand.
@@ -12,11 +20,80 @@
 	ExitUsage  = 2
 )
 
+// usageError is a command line that can't be carried out as it stands.
+type usageError string
+
+func (e usageError) Error() string {
+	return string(e)
+}
+
 // Run executes the subcommand that args name and returns its exit code.
-func Run(args []string, _, stderr io.Writer) int {
-	if len(args) == 0 {
-		fmt.Fprintln(stderr, "usage: cyclamenpin SUBCOMMAND")
+func Run(args []string, stdout, stderr io.Writer) int {
+	root := rootCommand(stdout, stderr)
+	if err := root.Parse(args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return ExitOK
+		}
+		fmt.Fprintln(stderr, "cyclamenpin:", err)
 		return ExitUsage
 	}
-	return ExitOK
+	return exitCode(root.Run(context.Background()), stderr)
+}
+
+func exitCode(err error, stderr io.Writer) int {
+	if err == nil {
+		return ExitOK
+	}
+	if errors.Is(err, flag.ErrHelp) {
+		return ExitUsage
+	}
+	fmt.Fprintln(stderr, "cyclamenpin:", err)
+	var usage usageError
+	if _, isSettings := app.AsSettingsError(err); isSettings || errors.As(err, &usage) {
+		return ExitUsage
+	}
+	return ExitFailed
+}
+
+func rootCommand(stdout, stderr io.Writer) *ffcli.Command {
+	flags := flag.NewFlagSet("cyclamenpin", flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	return &ffcli.Command{
+		Name:       "cyclamenpin",
+		ShortUsage: "cyclamenpin SUBCOMMAND [flags]",
+		ShortHelp:  "a database proxy with session consistency",
+		FlagSet:    flags,
+		Subcommands: []*ffcli.Command{
+			proxyCommand(stderr),
+			versionCommand(stdout),
+		},
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) > 0 {
+				return usageError(fmt.Sprintf("unknown subcommand %q; see cyclamenpin -h", args[0]))
+			}
+			return flag.ErrHelp
+		},
+	}
+}
+
+func versionCommand(stdout io.Writer) *ffcli.Command {
+	return &ffcli.Command{
+		Name:       "version",
+		ShortUsage: "cyclamenpin version",
+		ShortHelp:  "print the version",
+		FlagSet:    flag.NewFlagSet("cyclamenpin version", flag.ContinueOnError),
+		Exec: func(context.Context, []string) error {
+			fmt.Fprintln(stdout, version())
+			return nil
+		},
+	}
+}
+
+// version returns the module's version, or devel where the build has none.
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok || info.Main.Version == "" {
+		return "devel"
+	}
+	return info.Main.Version
 }
--- /dev/null
+++ b/internal/coordination/replication/lookup.go
@@ -0,0 +1,27 @@
+package replication
+
+import "github.com/cyclamenpin/cyclamenpin/internal/state"
+
+// Primary returns the database known to be the group's primary, or false
+// while none is.
+func (w *Watcher) Primary() (state.DatabaseID, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.primary == nil {
+		return "", false
+	}
+	return w.primary.database.ID, true
+}
+
+// Holders lists the databases that are known to hold an acknowledged position.
+func (w *Watcher) Holders(position state.Position) []state.DatabaseID {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var holders []state.DatabaseID
+	for _, m := range w.members {
+		if m.holds(position) {
+			holders = append(holders, m.database.ID)
+		}
+	}
+	return holders
+}
