Admit requests to a backend server by plan

Connections and slots are scarce and every plan wants them, so the owner of a backend server needs one place that decides.

Counting grants in place of time was ruled out: a plan of long statements would get a multiple of its share.

--- /dev/null
+++ b/internal/coordination/admission/queue.go
@@ -0,0 +1,65 @@
+package admission
+
+import "time"
+
+// waiter is one request in a queue. The Gate's mutex protects its fields.
+type waiter struct {
+	plan          *plan
+	queue         *queue
+	inTransaction bool
+	since         time.Time
+	deadline      time.Time
+	next, prev    *waiter
+
+	// done is closed when the waiter has been granted or refused. It is made
+	// only for a waiter that blocks.
+	done  chan struct{}
+	lease *Lease
+	slot  *Slot
+	err   error
+}
+
+// settled reports whether the waiter has its grant or its refusal.
+func (w *waiter) settled() bool {
+	return w.lease != nil || w.slot != nil || w.err != nil
+}
+
+// wake tells the caller, if it blocks, that the waiter is settled.
+func (w *waiter) wake() {
+	if w.done != nil {
+		close(w.done)
+	}
+}
+
+// queue is a first-in first-out list with removal at any place.
+type queue struct {
+	head, tail *waiter
+	length     int
+}
+
+func (q *queue) push(w *waiter) {
+	w.queue = q
+	w.prev = q.tail
+	if q.tail == nil {
+		q.head = w
+	} else {
+		q.tail.next = w
+	}
+	q.tail = w
+	q.length++
+}
+
+func (q *queue) remove(w *waiter) {
+	if w.prev == nil {
+		q.head = w.next
+	} else {
+		w.prev.next = w.next
+	}
+	if w.next == nil {
+		q.tail = w.prev
+	} else {
+		w.next.prev = w.prev
+	}
+	w.queue, w.prev, w.next = nil, nil, nil
+	q.length--
+}
--- /dev/null
+++ b/internal/coordination/admission/slots.go
@@ -0,0 +1,144 @@
+package admission
+
+import (
+	"context"
+	"time"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// SlotOutcome says how the use of a slot ended.
+type SlotOutcome uint8
+
+const (
+	// SlotCompleted means that the statement ran to its end, so that its time
+	// counts towards the expected time of others.
+	SlotCompleted SlotOutcome = iota
+	// SlotAborted means that the statement was never sent or did not end.
+	SlotAborted
+)
+
+// Slot is the right to run one statement. Release ends it.
+type Slot struct {
+	gate  *Gate
+	plan  *plan
+	start time.Time
+	// charged is the slot time already added to the plan's virtual time.
+	charged  time.Duration
+	released bool
+}
+
+// AcquireSlot waits for at most queueTimeout until one more statement of the
+// plan may run. inTransaction is set for a statement of an open transaction.
+// An error is a *state.Failure with OutcomeNotRun; it comes at once where the
+// wait is expected to exceed queueTimeout.
+func (g *Gate) AcquireSlot(
+	ctx context.Context, id state.PlanID, inTransaction bool, queueTimeout time.Duration,
+) (*Slot, error) {
+	w := newWaiter(ctx, queueTimeout)
+	w.inTransaction = inTransaction
+	g.mu.Lock()
+	if w.err = g.bindSlot(w, id); w.err == nil {
+		g.admit(w, w.plan.slotQueue(inTransaction))
+	}
+	g.mu.Unlock()
+	g.await(ctx, w)
+	return w.slot, w.err
+}
+
+// bindSlot finds the waiter's plan. A plan without a limit may still finish
+// what it has begun on the connections that it holds.
+func (g *Gate) bindSlot(w *waiter, id state.PlanID) error {
+	if g.leaving && !w.inTransaction {
+		return g.refuse(state.ReasonLeaving, minRetryAfter, nil)
+	}
+	p, found := g.plans[id]
+	if !found {
+		return g.refuse(state.ReasonNotAllowed, maxRetryAfter, nil)
+	}
+	w.plan = p
+	return nil
+}
+
+// Release gives the slot back. Further calls do nothing.
+func (s *Slot) Release(outcome SlotOutcome) {
+	g := s.gate
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if s.released {
+		return
+	}
+	s.released = true
+	now := time.Now()
+	elapsed := now.Sub(s.start)
+	s.plan.charge(elapsed - s.charged)
+	if outcome == SlotCompleted {
+		s.plan.slotTime.add(elapsed)
+		g.allSlotTime.add(elapsed)
+	}
+	g.running = without(g.running, s)
+	g.update(s.plan, func() { s.plan.running-- })
+	g.dispatch(now)
+}
+
+// dispatchSlots grants free slots to waiters.
+func (g *Gate) dispatchSlots(now time.Time) {
+	if len(g.running) >= g.slotLimit || g.slotWaiters == 0 {
+		return
+	}
+	g.chargeRunning(now)
+	for len(g.running) < g.slotLimit && g.slotWaiters > 0 {
+		p := g.nextForSlot()
+		w := p.firstSlotWaiter()
+		if w.deadline.Before(now) {
+			g.giveUp(w, context.DeadlineExceeded)
+			continue
+		}
+		g.grantSlot(w, now)
+	}
+}
+
+// chargeRunning charges statements for what they have run beyond what they
+// were charged at the start.
+func (g *Gate) chargeRunning(now time.Time) {
+	for _, slot := range g.running {
+		over := now.Sub(slot.start) - slot.charged
+		if over > 0 {
+			slot.plan.charge(over)
+			slot.charged += over
+		}
+	}
+}
+
+// grantSlot starts a statement, charging its plan the expected time.
+func (g *Gate) grantSlot(w *waiter, now time.Time) {
+	p := w.plan
+	g.virtualTime = max(g.virtualTime, p.virtualTime)
+	slot := &Slot{gate: g, plan: p, start: now, charged: g.slotTime(p)}
+	p.charge(slot.charged)
+	p.running++
+	g.running = append(g.running, slot)
+	g.dequeue(w)
+	w.slot = slot
+	w.wake()
+}
+
+// nextForSlot chooses the waiting plan that has used the least slot time for
+// its weight.
+func (g *Gate) nextForSlot() *plan {
+	var best *plan
+	for _, p := range g.slotPlans {
+		if best == nil || slotBefore(p, best) {
+			best = p
+		}
+	}
+	return best
+}
+
+func slotBefore(a, b *plan) bool {
+	rankA, rankB := a.slotRank(), b.slotRank()
+	if rankA != rankB {
+		return rankA < rankB
+	}
+	return waitsLonger(a.firstSlotWaiter(), b.firstSlotWaiter())
+}
