--- /dev/null
+++ b/internal/app/instance.go
@@ -0,0 +1,282 @@
+package app
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/configuration"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/execution"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/membership"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/ownership"
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+	"github.com/cyclamenpin/cyclamenpin/internal/transport/admin"
+	"github.com/cyclamenpin/cyclamenpin/internal/transport/peerlink"
+	"github.com/cyclamenpin/cyclamenpin/internal/transport/pgserver"
+	"github.com/cyclamenpin/cyclamenpin/internal/transport/platformclient"
+)
+
+// Instance is a running entry instance.
+type Instance struct {
+	settings   Settings
+	log        zerolog.Logger
+	fx         *fx.App
+	started    time.Time
+	draining   atomic.Bool
+	membership *membership.Membership
+	groups     *configuration.Groups
+	follower   *configuration.Follower
+	store      *configuration.Store
+	owner      *execution.Owner
+	ownership  *ownership.Manager
+	limits     *limitsInForce
+	platform   *platformclient.Client
+	peerClient *peerlink.Client
+	peerServer *peerlink.Server
+	clients    *pgserver.Server
+	caller     peerCaller
+
+	clientListener net.Listener
+	peerListener   net.Listener
+	adminListener  net.Listener
+	admin          *http.Server
+
+	// background holds the loops that run until cancel.
+	background sync.WaitGroup
+	cancel     context.CancelFunc
+}
+
+// NewLogger returns the logger of an instance, at the level of its settings.
+func NewLogger(settings Settings, output io.Writer) zerolog.Logger {
+	level, err := zerolog.ParseLevel(settings.LogLevel)
+	if err != nil {
+		level = zerolog.InfoLevel
+	}
+	return zerolog.New(output).Level(level).With().Timestamp().Str("instance", string(settings.InstanceID)).Logger()
+}
+
+// Start starts an instance. When any part can't start, none is left running.
+func Start(ctx context.Context, settings Settings, log zerolog.Logger) (*Instance, error) {
+	instance := &Instance{settings: settings, log: log, started: time.Now()}
+	if err := instance.listen(); err != nil {
+		instance.closeListeners()
+		return nil, err
+	}
+	// The addresses that were listened on replace ports left open.
+	instance.settings.PeerListen = instance.peerListener.Addr().String()
+	instance.fx = fx.New(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.Supply(instance.settings, log),
+		stateModule(), protocolModule(), transportModule(), coordinationModule(),
+		fx.Populate(
+			&instance.membership, &instance.groups, &instance.follower, &instance.store, &instance.owner,
+			&instance.ownership, &instance.limits, &instance.platform, &instance.peerClient,
+			&instance.peerServer, &instance.clients, &instance.caller,
+		),
+		fx.Invoke(func(lifecycle fx.Lifecycle) {
+			lifecycle.Append(fx.Hook{OnStart: instance.run, OnStop: instance.drain})
+		}),
+	)
+	if err := instance.fx.Start(ctx); err != nil {
+		instance.closeListeners()
+		return nil, eris.Wrap(err, "start instance")
+	}
+	return instance, nil
+}
+
+func (i *Instance) listen() error {
+	var err error
+	if i.clientListener, err = net.Listen("tcp", i.settings.ClientListen); err != nil {
+		return eris.Wrap(err, "listen for clients")
+	}
+	if i.peerListener, err = net.Listen("tcp", i.settings.PeerListen); err != nil {
+		return eris.Wrap(err, "listen for peers")
+	}
+	if i.adminListener, err = net.Listen("tcp", i.settings.AdminListen); err != nil {
+		return eris.Wrap(err, "listen for operators")
+	}
+	return nil
+}
+
+func (i *Instance) closeListeners() {
+	for _, listener := range []net.Listener{i.clientListener, i.peerListener, i.adminListener} {
+		if listener != nil {
+			listener.Close()
+		}
+	}
+}
+
+// run starts all loops and servers.
+func (i *Instance) run(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	i.cancel = cancel
+	i.background.Go(func() { i.followLimits(ctx) })
+	i.background.Go(func() { i.membership.Run(ctx) })
+	i.background.Go(func() { i.groups.Run(ctx) })
+	i.background.Go(func() { i.follower.Run(ctx) })
+	i.background.Go(func() { i.ownership.Run(ctx) })
+	i.background.Go(func() { i.announce(ctx) })
+	i.background.Go(func() { i.report("serve peers", i.peerServer.Serve(i.peerListener)) })
+	i.background.Go(func() { i.report("serve clients", i.clients.Serve(i.clientListener)) })
+	i.admin = i.newAdminServer()
+	i.background.Go(func() { i.report("serve operators", i.admin.Serve(i.adminListener)) })
+	i.log.Info().Str("step", "start").Str("clients", i.ClientAddr()).Str("peers", i.peerListener.Addr().String()).
+		Str("admin", i.AdminAddr()).Msg("instance started")
+	return nil
+}
+
+func (i *Instance) report(step string, err error) {
+	if err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		i.log.Error().Err(err).Str("step", step).Msg("server ended")
+	}
+}
+
+// adminTimeout bounds the reading of a request's header on the admin server.
+const adminTimeout = 10 * time.Second
+
+func (i *Instance) newAdminServer() *http.Server {
+	loopback := isLoopback(i.settings.AdminListen)
+	handler := admin.NewHandler(admin.Endpoints{
+		Dump:          func() any { return i.Dump() },
+		Ready:         i.ready,
+		Configuration: i.configurationHandler(),
+	}, admin.RequireToken(i.settings.AdminToken, loopback))
+	return &http.Server{Handler: handler, ReadHeaderTimeout: adminTimeout}
+}
+
+// ready returns nil while the instance can serve clients.
+func (i *Instance) ready() error {
+	switch {
+	case i.draining.Load():
+		return errors.New("leaving")
+	case i.follower.Current() == nil:
+		return errors.New("no configuration yet")
+	case len(i.groups.IDs()) == 0:
+		return errors.New("no groups yet")
+	default:
+		return nil
+	}
+}
+
+// followLimits puts each newer configuration in force: on the gates, and on
+// sessions whose plan may no longer reach its group.
+func (i *Instance) followLimits(ctx context.Context) {
+	configurations, stop := i.follower.Subscribe()
+	defer stop()
+	for {
+		select {
+		case configuration := <-configurations:
+			i.limits.enforce(configuration)
+			i.clients.EndSessions(func(plan state.PlanID, group state.GroupID) bool {
+				limit, found := configuration.LimitOf(plan)
+				return found && limit.Allows(group)
+			})
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// announceInterval is the pause between attempts to announce the instance.
+const announceInterval = 2 * time.Second
+
+// announce tells the platform of this instance, until that has succeeded.
+func (i *Instance) announce(ctx context.Context) {
+	for {
+		err := i.platform.Announce(ctx, i.Self())
+		if err == nil {
+			return
+		}
+		i.log.Warn().Err(err).Str("step", "announce instance").Msg("the platform does not know this instance yet")
+		select {
+		case <-time.After(announceInterval):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Self describes this run of the instance.
+func (i *Instance) Self() state.Instance {
+	return i.membership.Self()
+}
+
+// ClientAddr returns the address on which clients are accepted.
+func (i *Instance) ClientAddr() string {
+	return i.clientListener.Addr().String()
+}
+
+// AdminAddr returns the address of the admin server.
+func (i *Instance) AdminAddr() string {
+	return i.adminListener.Addr().String()
+}
+
+// Ready reports whether the instance can serve clients.
+func (i *Instance) Ready() bool {
+	return i.ready() == nil
+}
+
+// Stop stops the instance gracefully. When ctx ends first, what is left is
+// ended, and the error says so.
+func (i *Instance) Stop(ctx context.Context) error {
+	return i.fx.Stop(ctx)
+}
+
+// leaveTimeout bounds the message to the platform at a graceful stop.
+const leaveTimeout = time.Second
+
+// drain is the graceful stop: peers and platform are told first, then clients
+// are let go, then the streams of peers, then everything else.
+func (i *Instance) drain(ctx context.Context) error {
+	i.draining.Store(true)
+	i.membership.SetLeaving()
+	i.background.Go(func() { i.leave() })
+	clientsErr := i.clients.Shutdown(ctx)
+	peersErr := i.peerServer.Shutdown(ctx)
+	i.cancel()
+	i.peerClient.Close()
+	_ = i.admin.Close()
+	i.background.Wait()
+	i.owner.Close()
+	i.platform.Close()
+	i.log.Info().Str("step", "stop").Msg("instance stopped")
+	return errors.Join(clientsErr, peersErr)
+}
+
+func (i *Instance) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	self := i.Self()
+	if err := i.platform.Leave(ctx, self.ID, self.Incarnation); err != nil {
+		i.log.Warn().Err(err).Str("step", "leave").Msg("the platform was not told that this instance leaves")
+	}
+}
+
+// Revision returns the revision in force on this instance, zero before the
+// first.
+func (i *Instance) Revision() state.Revision {
+	configuration := i.follower.Current()
+	if configuration == nil {
+		return 0
+	}
+	return configuration.Revision
+}
+
+// Edit makes an operator's edit and puts it in force on this instance.
+func (i *Instance) Edit(ctx context.Context, edit configuration.Edit) (configuration.Accepted, error) {
+	accepted, err := i.store.Edit(ctx, edit, i.follower.Current(), i.groups.IDs())
+	if err == nil {
+		i.follower.Offer(ctx, accepted.Configuration, configuration.SourceEdit)
+	}
+	return accepted, err
+}
--- /dev/null
+++ b/internal/app/modules.go
@@ -0,0 +1,166 @@
+package app
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/admission"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/configuration"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/execution"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/failover"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/membership"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/ownership"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/routing"
+	"github.com/cyclamenpin/cyclamenpin/internal/protocol/peerproto"
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+	"github.com/cyclamenpin/cyclamenpin/internal/transport/backend"
+	"github.com/cyclamenpin/cyclamenpin/internal/transport/peerlink"
+	"github.com/cyclamenpin/cyclamenpin/internal/transport/pgserver"
+	"github.com/cyclamenpin/cyclamenpin/internal/transport/platformclient"
+)
+
+// stateModule provides the facts that come from the settings.
+func stateModule() fx.Option {
+	return fx.Module("state", fx.Provide(newSelf, newLimitsInForce))
+}
+
+// newSelf describes this run of the instance. The incarnation is the start
+// time, so a later run has a higher one.
+func newSelf(settings Settings) state.Instance {
+	advertised := settings.PeerAdvertise
+	if advertised == "" {
+		advertised = settings.PeerListen
+	}
+	return state.Instance{
+		ID: settings.InstanceID, Incarnation: state.Incarnation(time.Now().UnixNano()),
+		DataCentre: settings.DataCentre, PeerAddress: advertised,
+	}
+}
+
+// protocolModule provides what the peer link's handshake needs.
+func protocolModule() fx.Option {
+	return fx.Module("protocol", fx.Provide(newKeyRing))
+}
+
+func newKeyRing(settings Settings) (*peerproto.KeyRing, error) {
+	keys := make([][]byte, len(settings.PeerKeys))
+	for i, key := range settings.PeerKeys {
+		keys[i] = []byte(key)
+	}
+	return peerproto.NewKeyRing(keys...)
+}
+
+// transportModule provides the clients and servers of the network.
+func transportModule() fx.Option {
+	return fx.Module("transport", fx.Provide(
+		newPlatformClient, newBackendDialer, newPeerClient, newPeerCaller, newPeerServer, newClientServer,
+	))
+}
+
+func newPlatformClient(settings Settings, log zerolog.Logger) (*platformclient.Client, error) {
+	return platformclient.New(platformclient.Options{BaseURL: settings.PlatformURL}, log)
+}
+
+func newBackendDialer(settings Settings) *backend.Dialer {
+	return &backend.Dialer{User: settings.BackendUser, Password: settings.BackendPassword}
+}
+
+func newPeerClient(self state.Instance, keys *peerproto.KeyRing, members *membership.Membership, log zerolog.Logger) *peerlink.Client {
+	return peerlink.NewClient(peerlink.ClientOptions{
+		Self: self, Keys: keys, OnLeaving: members.ReportLeaving, Logger: log,
+	})
+}
+
+func newPeerCaller(client *peerlink.Client, members *membership.Membership) peerCaller {
+	return peerCaller{client: client, membership: members}
+}
+
+func newPeerServer(self state.Instance, keys *peerproto.KeyRing, handler *peerHandler, log zerolog.Logger) *peerlink.Server {
+	return peerlink.NewServer(peerlink.ServerOptions{Self: self, Keys: keys, Logger: log}, handler)
+}
+
+func newClientServer(settings Settings, follower *configuration.Follower, sessions *sessionFactory, caller peerCaller, log zerolog.Logger) *pgserver.Server {
+	options := pgserver.DefaultOptions()
+	options.Instance = settings.InstanceID
+	options.MaxClients = settings.MaxClients
+	options.QueueTimeout = settings.QueueTimeout
+	options.IdleInTransaction = settings.IdleInTransaction
+	return pgserver.New(options, follower, sessions, caller, log)
+}
+
+// coordinationModule provides the parts that decide.
+func coordinationModule() fx.Option {
+	return fx.Module("coordination", fx.Provide(
+		newMembership, newGroups, newStore, newFollower, newOwner, newRunnerFactory, newOwnership, newRouter,
+		newRetryBudget, newSessionFactory, newPeerHandler,
+	))
+}
+
+func newMembership(settings Settings, self state.Instance, client *platformclient.Client, log zerolog.Logger) (*membership.Membership, error) {
+	seeds, err := settings.SeedInstances()
+	if err != nil {
+		return nil, err
+	}
+	return membership.New(membership.Options{Self: self, Seeds: seeds, Lister: platformLister{client: client}, Logger: log}), nil
+}
+
+// platformLister reads the platform's instance list.
+type platformLister struct {
+	client *platformclient.Client
+}
+
+// List implements membership.Lister.
+func (l platformLister) List(ctx context.Context) ([]state.Instance, error) {
+	return l.client.Instances(ctx)
+}
+
+func newFollowerOptions(members *membership.Membership) configuration.FollowerOptions {
+	return configuration.FollowerOptions{Instances: func() int { return len(members.Peers()) + 1 }}
+}
+
+func newGroups(client *platformclient.Client, members *membership.Membership, log zerolog.Logger) *configuration.Groups {
+	return configuration.NewGroups(client, newFollowerOptions(members), log)
+}
+
+func newStore(client *platformclient.Client) *configuration.Store {
+	return configuration.NewStore(client)
+}
+
+func newFollower(store *configuration.Store, caller peerCaller, groups *configuration.Groups, members *membership.Membership, log zerolog.Logger) *configuration.Follower {
+	return configuration.NewFollower(store, caller, groups, newFollowerOptions(members), log)
+}
+
+func newOwner(dialer *backend.Dialer) *execution.Owner {
+	return execution.NewOwner(backendDialer{dialer: dialer}, execution.DefaultOptions())
+}
+
+func newRunnerFactory(self state.Instance, dialer *backend.Dialer, groups *configuration.Groups, caller peerCaller,
+	members *membership.Membership, limits *limitsInForce, log zerolog.Logger,
+) *runnerFactory {
+	return &runnerFactory{
+		self: self, dialer: dialer, claims: platformClaims{groups: groups},
+		observers:  failover.Observers(groupObservers{caller: caller, groups: groups}),
+		membership: members, limits: limits, log: log,
+	}
+}
+
+func newOwnership(groups *configuration.Groups, members *membership.Membership, factory *runnerFactory, owner *execution.Owner, log zerolog.Logger) *ownership.Manager {
+	return ownership.NewManager(groups, members, factory, owner, ownership.DefaultOptions(), log)
+}
+
+func newRouter(settings Settings, groups *configuration.Groups, members *membership.Membership, caller peerCaller, manager *ownership.Manager) *routing.Router {
+	options := routing.DefaultOptions()
+	options.PrimaryWait = settings.PrimaryWait
+	return routing.New(groups, members, caller, manager, options)
+}
+
+func newRetryBudget() *admission.RetryBudget {
+	return admission.NewRetryBudget()
+}
+
+func newPeerHandler(manager *ownership.Manager, follower *configuration.Follower, clients *pgserver.Server) *peerHandler {
+	return &peerHandler{ownership: manager, follower: follower, clients: clients}
+}
--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -65,6 +65,9 @@
 		FlagSet:    flags,
 		Subcommands: []*ffcli.Command{
 			proxyCommand(stderr),
+			devCommand(stdout, stderr),
+			dumpCommand(stdout, stderr),
+			standinCommand(stdout, stderr),
 			versionCommand(stdout),
 		},
 		Exec: func(_ context.Context, args []string) error {
--- /dev/null
+++ b/internal/cli/text.go
@@ -0,0 +1,18 @@
+package cli
+
+import (
+	"maps"
+	"slices"
+	"strings"
+)
+
+// sortedKeys returns the keys of a map in order.
+func sortedKeys[V any](values map[string]V) []string {
+	return slices.Sorted(maps.Keys(values))
+}
+
+// cutPair splits id=value.
+func cutPair(text string) (id, value string, found bool) {
+	id, value, found = strings.Cut(text, "=")
+	return id, value, found && id != "" && value != ""
+}
--- /dev/null
+++ b/internal/coordination/execution/owner_test.go
@@ -0,0 +1,206 @@
+package execution
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+func TestNothingOfAWritesCompletionGoesOutBeforeItsAcknowledgement(t *testing.T) {
+	f := newFixture()
+	f.replication.acknowledge = func(state.Position) error { return errors.New("superseded") }
+	stream := f.open(t, AccessWrite)
+	answer, _, err := runUnit(stream, query("write a"))
+	requireOutcome(t, err, state.OutcomeUnknown)
+	require.Empty(t, answer, "a completion was passed on before the acknowledgement")
+	stream.Close()
+	require.Zero(t, f.gate.connections)
+	require.Zero(t, f.gate.slots)
+}
+
+func TestOutcomeOfACutConnection(t *testing.T) {
+	for _, fault := range []string{"cut before", "cut after"} {
+		f := newFixture()
+		stream := f.open(t, AccessWrite)
+		f.database.fault = func(string) string { return fault }
+		_, _, err := runUnit(stream, query("write a"))
+		requireOutcome(t, err, state.OutcomeUnknown)
+		stream.Close()
+		require.Zero(t, f.gate.slots)
+		open, idle := f.owner.groups["group"].servers[testDatabase].pool.counts()
+		require.Zero(t, open+idle, "a broken connection was kept")
+	}
+}
+
+func TestWriteToAnotherThanThePrimaryIsNotRunAndNamesThePrimary(t *testing.T) {
+	f := newFixture()
+	f.replication.primary = "other"
+	_, err := f.owner.Open(context.Background(), OpenRequest{Group: "group", Database: testDatabase})
+	requireOutcome(t, err, state.OutcomeNotRun)
+	failure, _ := state.AsFailure(err)
+	require.Equal(t, state.DatabaseID("other"), failure.Primary)
+	require.Zero(t, f.database.opened)
+}
+
+func TestReadNeedsTheFloorAndTheAge(t *testing.T) {
+	f := newFixture()
+	f.replication.held = state.Position{Term: 2, Offset: 5}
+	f.replication.age = 3 * time.Second
+	cases := []struct {
+		floor  state.Position
+		maxAge time.Duration
+		served bool
+	}{
+		{state.Position{Term: 2, Offset: 5}, 0, true},
+		{state.Position{Term: 1, Offset: 900}, 0, true},
+		{state.Position{Term: 2, Offset: 6}, 0, false},
+		{state.Position{Term: 3, Offset: 1}, 0, false},
+		{state.Position{}, 4 * time.Second, true},
+		{state.Position{}, 2 * time.Second, false},
+		{state.Position{Term: 2, Offset: 6}, 4 * time.Second, false},
+	}
+	for _, c := range cases {
+		request := OpenRequest{Group: "group", Database: testDatabase, Access: AccessRead, Floor: c.floor, MaxAge: c.maxAge}
+		stream, err := f.owner.Open(context.Background(), request)
+		require.Equal(t, c.served, err == nil, "floor %s age %s: %v", c.floor, c.maxAge, err)
+		if err == nil {
+			stream.Close()
+		}
+	}
+}
+
+func TestRepeatedRequestRunsOnce(t *testing.T) {
+	f := newFixture()
+	unit := query("write order")
+	unit.RequestID = "r-1"
+	for range 3 {
+		stream := f.open(t, AccessWrite)
+		answer, _, err := runUnit(stream, unit)
+		require.NoError(t, err)
+		require.Equal(t, "done(UPDATE 1) ready(I) ", answer)
+		stream.Close()
+	}
+	require.Equal(t, []string{"write order"}, f.database.executed)
+}
+
+func TestRepeatedTransactionFailsBeforeItsStatementsRun(t *testing.T) {
+	f := newFixture()
+	first := query("write order")
+	first.RequestID = "r-1"
+	for attempt := range 2 {
+		stream := f.open(t, AccessWrite)
+		_, _, err := runUnit(stream, query("BEGIN"))
+		require.NoError(t, err)
+		answer, event, err := runUnit(stream, first)
+		require.NoError(t, err)
+		if attempt == 0 {
+			_, _, err = runUnit(stream, query("COMMIT"))
+			require.NoError(t, err)
+		} else {
+			require.Equal(t, "error(Y1001) ready(E) ", answer)
+			require.Equal(t, byte(txFailed), event.TxStatus)
+		}
+		stream.Close()
+	}
+	require.Equal(t, []string{"write order"}, f.database.executed)
+}
+
+func TestPreparedStatementFollowsTheSessionToAnotherConnection(t *testing.T) {
+	f := newFixture()
+	parse := &pgproto3.Parse{Name: "s1", Query: "read x"}
+	encodedParse, err := parse.Encode(nil)
+	require.NoError(t, err)
+	var use []byte
+	for _, message := range []pgproto3.FrontendMessage{&pgproto3.Bind{PreparedStatement: "s1"}, &pgproto3.Execute{}, &pgproto3.Sync{}} {
+		use, err = message.Encode(use)
+		require.NoError(t, err)
+	}
+	unit := Unit{Messages: use, Prepare: []PreparedStatement{{Name: "s1", Message: encodedParse}}, Access: AccessRead, Extended: true}
+	streams := []Stream{f.open(t, AccessRead), f.open(t, AccessRead)}
+	for i, stream := range streams {
+		for range 2 {
+			answer, _, err := runUnit(stream, unit)
+			require.NoError(t, err)
+			require.Equal(t, fmt.Sprintf("bound row(read x on %d) done(SELECT 1) ready(I) ", i+1), answer)
+		}
+	}
+	encodedSync, _ := (&pgproto3.Sync{}).Encode(append([]byte(nil), encodedParse...))
+	answer, _, err := runUnit(streams[0], Unit{Messages: encodedSync, Parses: []string{"s1"}, Extended: true})
+	require.NoError(t, err)
+	require.Equal(t, "parsed ready(I) ", answer, "the internal Close must not show")
+}
+
+func TestCancelledConnectionIsNotReused(t *testing.T) {
+	f := newFixture()
+	stream := f.open(t, AccessRead)
+	require.NoError(t, stream.Cancel(context.Background()), "nothing runs yet")
+	require.Empty(t, f.database.cancels)
+	require.NoError(t, stream.Send(context.Background(), query("read long")))
+	require.NoError(t, stream.Cancel(context.Background()))
+	require.Equal(t, []string{"read long"}, f.database.cancels)
+	_, err := stream.Receive(context.Background())
+	require.NoError(t, err)
+	stream.Close()
+	f.open(t, AccessRead)
+	require.Equal(t, 2, f.database.opened)
+}
+
+// The model: sessions run units, some with request ids and repeats, on
+// connections that are cut at random. Each answer must be that of its own
+// unit, a unit with an id takes effect at most once, a unit that was answered
+// as done took effect exactly once, and one answered as not run never did.
+func TestOutcomesAreTrueUnderCuts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFixture()
+		faults := rapid.SliceOfN(rapid.SampledFrom([]string{"", "", "", "cut before", "cut after"}), 40, 80).Draw(t, "faults")
+		f.database.fault = func(string) string {
+			if len(faults) == 0 {
+				return ""
+			}
+			fault := faults[0]
+			faults = faults[1:]
+			return fault
+		}
+		done, notRun := map[string]int{}, map[string]int{}
+		for number := range rapid.IntRange(1, 20).Draw(t, "units") {
+			id := rapid.IntRange(0, 5).Draw(t, "request")
+			unit := query(fmt.Sprintf("write %d", id))
+			unit.RequestID = fmt.Sprint(id)
+			if id == 0 {
+				unit = query(fmt.Sprintf("write unique %d", number))
+			}
+			name := string(unit.Messages[messageHeaderBytes : len(unit.Messages)-1])
+			stream := f.open(t, AccessWrite)
+			answer, _, err := runUnit(stream, unit)
+			failure, _ := state.AsFailure(err)
+			switch {
+			case err == nil:
+				require.Equal(t, "done(UPDATE 1) ready(I) ", answer)
+				done[name]++
+			case failure.Outcome == state.OutcomeNotRun:
+				notRun[name]++
+			}
+			stream.Close()
+		}
+		executed := map[string]int{}
+		for _, name := range f.database.executed {
+			executed[name]++
+		}
+		for name, count := range executed {
+			require.Equal(t, 1, count, "%s took effect more than once", name)
+		}
+		for name := range done {
+			require.Equal(t, 1, executed[name], "%s was answered and did not take effect", name)
+		}
+		require.Zero(t, f.gate.connections)
+		require.Zero(t, f.gate.slots)
+	})
+}
--- a/internal/coordination/routing/router.go
+++ b/internal/coordination/routing/router.go
@@ -194,3 +194,10 @@
 	defer r.mu.Unlock()
 	r.primaries[group] = primary
 }
+
+// IsPrimary reports whether a database is, as far as is known here, the
+// group's primary.
+func (r *Router) IsPrimary(id state.GroupID, database state.DatabaseID) bool {
+	group, found := r.topology.Get(id)
+	return found && r.primaryOf(group) == database
+}
--- a/internal/coordination/session/session.go
+++ b/internal/coordination/session/session.go
@@ -64,6 +64,8 @@
 	status  byte
 	lost    bool
 	pinned  bool
+	// servedBy is the database that served the last unit.
+	servedBy state.DatabaseID
 	// pendingChanges are the parameter changes of the open transaction.
 	pendingChanges []settingChange
 }
@@ -99,6 +101,11 @@
 	return s.floor
 }
 
+// ServedBy returns the database that served the last unit.
+func (s *Session) ServedBy() state.DatabaseID {
+	return s.servedBy
+}
+
 // Settings returns the session's parameters.
 func (s *Session) Settings() []execution.Setting {
 	return s.settings
@@ -232,6 +239,7 @@
 
 // unitDone takes in the end of a unit, before the client sees it.
 func (s *Session) unitDone(stream *routing.Stream, unit execution.Unit, event execution.Event) {
+	s.servedBy = stream.Database
 	s.observer.UnitDone(unit.Access, s.identity.Group, stream.Database)
 	if !event.Position.IsZero() {
 		s.floor = state.MaxPosition(s.floor, event.Position)
--- /dev/null
+++ b/internal/dev/stack.go
@@ -0,0 +1,215 @@
+// Package dev runs a whole small installation in one process, on loopback: the
+// platform's stand-in, a group of three databases and two entry instances. It
+// is the embedded default for a newcomer, and runs a self test against itself.
+package dev
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/app"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/configuration"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/execution"
+	"github.com/cyclamenpin/cyclamenpin/internal/standin/database"
+	"github.com/cyclamenpin/cyclamenpin/internal/standin/platform"
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+	"github.com/cyclamenpin/cyclamenpin/internal/transport/platformclient"
+)
+
+// Names of the installation.
+const (
+	GroupName    = "orders"
+	UserName     = "demo"
+	Password     = "demo"
+	planName     = "demo"
+	firstSite    = state.DataCentre("canterbury")
+	secondSite   = state.DataCentre("otago")
+	thirdSite    = state.DataCentre("wellington")
+	instanceKeys = "a key for development only"
+	firstEdit    = "development-1"
+)
+
+// Sizes and times of the installation.
+const (
+	slots           = 3
+	maxConnections  = 20
+	openDelay       = 12 * time.Millisecond
+	replicationLag  = 20 * time.Millisecond
+	statementTime   = time.Millisecond
+	queueTimeout    = 500 * time.Millisecond
+	primaryWait     = 10 * time.Second
+	drainTimeout    = 10 * time.Second
+	readyTimeout    = 10 * time.Second
+	readyInterval   = 20 * time.Millisecond
+	startupTimeout  = 15 * time.Second
+	headerTimeout   = 10 * time.Second
+	demoConnections = 8
+	demoStalenessMS = 5000
+)
+
+// Stack is the running installation.
+type Stack struct {
+	Platform    *platform.Server
+	Group       *database.Group
+	Instances   []*app.Instance
+	platformURL string
+	platformAPI *http.Server
+	log         io.Writer
+}
+
+// Start starts the installation. Logs of the instances go to log.
+func Start(ctx context.Context, log io.Writer, logLevel string) (*Stack, error) {
+	stack := &Stack{Platform: platform.NewServer(), log: log}
+	if err := stack.start(ctx, logLevel); err != nil {
+		stack.Close()
+		return nil, err
+	}
+	return stack, nil
+}
+
+func (s *Stack) start(ctx context.Context, logLevel string) error {
+	ctx, cancel := context.WithTimeout(ctx, startupTimeout)
+	defer cancel()
+	if err := s.startPlatform(); err != nil {
+		return err
+	}
+	if err := s.startGroup(ctx); err != nil {
+		return err
+	}
+	if err := s.putConfiguration(ctx); err != nil {
+		return err
+	}
+	for number, site := range []state.DataCentre{firstSite, secondSite} {
+		instance, err := s.startInstance(ctx, number+1, site, logLevel)
+		if err != nil {
+			return err
+		}
+		s.Instances = append(s.Instances, instance)
+	}
+	return s.awaitReady(ctx)
+}
+
+func (s *Stack) startPlatform() error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return eris.Wrap(err, "listen for the platform stand-in")
+	}
+	s.platformURL = "http://" + listener.Addr().String()
+	s.platformAPI = &http.Server{Handler: s.Platform.Handler(), ReadHeaderTimeout: headerTimeout}
+	go func() { _ = s.platformAPI.Serve(listener) }()
+	return nil
+}
+
+func (s *Stack) startGroup(ctx context.Context) error {
+	var options []database.Options
+	for _, site := range []state.DataCentre{firstSite, secondSite, thirdSite} {
+		options = append(options, database.Options{
+			DataCentre: site, Slots: slots, MaxConnections: maxConnections,
+			OpenDelay: openDelay, ReplicationLag: replicationLag, StatementTime: statementTime,
+		})
+	}
+	group, err := database.StartGroup(ctx, database.GroupOptions{ID: GroupName, Databases: options})
+	if err != nil {
+		return eris.Wrap(err, "start database group")
+	}
+	s.Group = group
+	record, err := json.Marshal(group.Describe())
+	if err != nil {
+		return eris.Wrap(err, "describe database group")
+	}
+	s.Platform.Put(configuration.GroupKey(GroupName), record)
+	return s.createLedger(ctx, group)
+}
+
+// createLedger creates the table of request ids, as operators do once.
+func (s *Stack) createLedger(ctx context.Context, group *database.Group) error {
+	conn, err := pgx.Connect(ctx, fmt.Sprintf("postgres://operator@%s/%s", group.Servers()[0].Addr(), GroupName))
+	if err != nil {
+		return eris.Wrap(err, "connect to the primary")
+	}
+	defer func() { _ = conn.Close(ctx) }()
+	_, err = conn.Exec(ctx, execution.LedgerDDL)
+	return eris.Wrap(err, "create table of request ids")
+}
+
+// putConfiguration makes the first edit, as an operator would.
+func (s *Stack) putConfiguration(ctx context.Context) error {
+	verifier, err := configuration.NewVerifier(Password, firstEdit, planName)
+	if err != nil {
+		return eris.Wrap(err, "make verifier")
+	}
+	client, err := platformclient.New(platformclient.Options{BaseURL: s.platformURL}, zerolog.Nop())
+	if err != nil {
+		return eris.Wrap(err, "reach the platform stand-in")
+	}
+	defer client.Close()
+	change := configuration.Change{
+		PutPlans: []state.Plan{{
+			ID: planName, User: UserName, PasswordVerifier: verifier, Description: "demonstration",
+		}},
+		PutLimits: []state.Limit{{
+			Plan: planName, MaxConnections: demoConnections, MaxStalenessMillis: demoStalenessMS,
+			Databases: []state.GroupID{GroupName},
+		}},
+	}
+	edit := configuration.Edit{ID: firstEdit, Change: change}
+	_, err = configuration.NewStore(client).Edit(ctx, edit, nil, []state.GroupID{GroupName})
+	return eris.Wrap(err, "make the first edit")
+}
+
+func (s *Stack) startInstance(ctx context.Context, number int, site state.DataCentre, logLevel string) (*app.Instance, error) {
+	settings := app.Settings{
+		InstanceID: state.InstanceID(fmt.Sprintf("dev-%d", number)), DataCentre: site,
+		ClientListen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", AdminListen: "127.0.0.1:0",
+		PlatformURL: s.platformURL, PeerKeys: []string{instanceKeys}, BackendUser: "cyclamenpin",
+		MaxClients: 1000, QueueTimeout: queueTimeout, PrimaryWait: primaryWait,
+		IdleInTransaction: time.Minute, DrainTimeout: drainTimeout, LogLevel: logLevel,
+	}
+	return app.Start(ctx, settings, app.NewLogger(settings, zerolog.SyncWriter(s.log)))
+}
+
+// awaitReady waits until all instances can serve clients.
+func (s *Stack) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for _, instance := range s.Instances {
+		for !instance.Ready() {
+			select {
+			case <-time.After(readyInterval):
+			case <-ctx.Done():
+				return eris.Wrapf(ctx.Err(), "wait for instance %s", instance.Self().ID)
+			}
+		}
+	}
+	return nil
+}
+
+// URL returns the connection string of one instance for the demonstration
+// plan.
+func (s *Stack) URL(instance *app.Instance) string {
+	return fmt.Sprintf("postgres://%s:%s@%s/%s", UserName, Password, instance.ClientAddr(), GroupName)
+}
+
+// Close stops everything.
+func (s *Stack) Close() {
+	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
+	defer cancel()
+	for _, instance := range s.Instances {
+		_ = instance.Stop(ctx)
+	}
+	if s.Group != nil {
+		s.Group.Close()
+	}
+	if s.platformAPI != nil {
+		_ = s.platformAPI.Close()
+	}
+}
--- a/internal/transport/pgserver/local.go
+++ b/internal/transport/pgserver/local.go
@@ -122,6 +122,8 @@
 		value = c.maxAge.String()
 	case parameterRequestID:
 		value = c.requestID
+	case parameterServedBy:
+		value = string(c.session.ServedBy())
 	default:
 		return c.localError(outcome.NewError(outcome.SQLStateInvalidParameter, "unknown parameter "+class.SettingName), simple)
 	}
--- a/internal/transport/pgserver/parameters.go
+++ b/internal/transport/pgserver/parameters.go
@@ -21,6 +21,8 @@
 	parameterMaxStaleness = "cyclamenpin.max_staleness"
 	// parameterRequestID is the idempotency key of the next request.
 	parameterRequestID = "cyclamenpin.request_id"
+	// parameterServedBy shows the database that served the last request.
+	parameterServedBy = "cyclamenpin.served_by"
 )
 
 // formatToken writes the token that a client may bring to another instance.
