--- a/internal/app/claims.go
+++ b/internal/app/claims.go
@@ -19,7 +19,7 @@
 	err := c.groups.ClaimTerm(ctx, group, term, promoter)
 	var claimed *configuration.ClaimedError
 	if errors.As(err, &claimed) {
-		return errors.Join(failover.ErrClaimedByOther, err)
+		return &failover.ClaimedError{Term: claimed.Term, Promoter: claimed.Promoter}
 	}
 	if err != nil {
 		return errors.Join(failover.ErrUnavailable, err)
--- a/internal/app/dialer.go
+++ b/internal/app/dialer.go
@@ -19,5 +19,16 @@
 	if err != nil {
 		return nil, err
 	}
-	return conn, nil
+	return backendConn{Conn: conn}, nil
+}
+
+// backendConn gives a connection the message type of the owner.
+type backendConn struct {
+	*backend.Conn
+}
+
+// Receive implements execution.Backend.
+func (c backendConn) Receive(ctx context.Context) (execution.Message, error) {
+	message, err := c.Conn.Receive(ctx)
+	return execution.Message(message), err
 }
--- a/internal/app/group_runner.go
+++ b/internal/app/group_runner.go
@@ -66,6 +66,10 @@
 	return len(owners)
 }
 
+// concurrentOpens bounds the connections that are being opened to one backend
+// server at once.
+const concurrentOpens = 3
+
 // groupRunner watches one group and serves its databases.
 type groupRunner struct {
 	factory  *runnerFactory
@@ -91,6 +95,7 @@
 	r.parts = append(r.parts, execution.ServerParts{
 		Database: database,
 		Gate:     gateAdapter{gate: gate},
+		Pacer:    admission.NewPacer(database.ID, concurrentOpens),
 		Probe: func(ctx context.Context) error {
 			_, err := control.Probe(ctx)
 			return err
--- a/internal/app/limits.go
+++ b/internal/app/limits.go
@@ -79,5 +79,19 @@
 	if err != nil {
 		return nil, err
 	}
-	return slot, nil
+	return slotAdapter{slot: slot}, nil
+}
+
+// slotAdapter narrows an admission slot to what the owner needs.
+type slotAdapter struct {
+	slot *admission.Slot
+}
+
+// Release implements execution.Slot.
+func (a slotAdapter) Release(completed bool) {
+	if completed {
+		a.slot.Release(admission.SlotCompleted)
+		return
+	}
+	a.slot.Release(admission.SlotAborted)
 }
--- a/internal/app/modules.go
+++ b/internal/app/modules.go
@@ -157,8 +157,15 @@
 	return routing.New(groups, members, caller, manager, options)
 }
 
+// Retries of an instance: a share of what succeeds, and a few a second besides.
+const (
+	retryRatio     = 0.1
+	retryPerSecond = 10
+	retryBurst     = 100
+)
+
 func newRetryBudget() *admission.RetryBudget {
-	return admission.NewRetryBudget()
+	return admission.NewRetryBudget(retryRatio, retryPerSecond, retryBurst)
 }
 
 func newPeerHandler(manager *ownership.Manager, follower *configuration.Follower, clients *pgserver.Server) *peerHandler {
--- /dev/null
+++ b/internal/app/stub_test_only.go
@@ -0,0 +1,5 @@
+package app
+
+import "net/http"
+
+func (i *Instance) configurationHandler() http.Handler { return nil }
--- a/internal/coordination/execution/backend.go
+++ b/internal/coordination/execution/backend.go
@@ -44,8 +44,9 @@
 
 // Slot is the right to run one statement on a backend server.
 type Slot interface {
-	// Release gives the slot back.
-	Release()
+	// Release gives the slot back. completed tells whether the statement ran
+	// to its end, so that its time says something of others.
+	Release(completed bool)
 }
 
 // Lease is the right to hold one connection of a backend server.
@@ -61,6 +62,13 @@
 	AcquireSlot(ctx context.Context, plan state.PlanID, inTransaction bool, timeout time.Duration) (Slot, error)
 }
 
+// Pacer bounds how many connections to one backend server are being opened at
+// once, and spaces attempts after failures. Errors of its own are
+// *state.Failure with OutcomeNotRun.
+type Pacer interface {
+	Open(ctx context.Context, open func(context.Context) error) error
+}
+
 // Replication is what the owner needs to know of a group's replication.
 type Replication interface {
 	// Primary returns the group's primary, or false while none is known.
--- a/internal/coordination/execution/fake_test.go
+++ b/internal/coordination/execution/fake_test.go
@@ -257,12 +257,21 @@
 
 func (h held) Release() { h.release() }
 
+type heldSlot struct{ held }
+
+func (h heldSlot) Release(bool) { h.release() }
+
+// openPacer opens at once.
+type openPacer struct{}
+
+func (openPacer) Open(ctx context.Context, open func(context.Context) error) error { return open(ctx) }
+
 func (g *openGate) AcquireConnection(context.Context, state.PlanID, time.Duration) (Lease, error) {
 	return g.take(&g.connections), nil
 }
 
 func (g *openGate) AcquireSlot(context.Context, state.PlanID, bool, time.Duration) (Slot, error) {
-	return g.take(&g.slots), nil
+	return heldSlot{g.take(&g.slots)}, nil
 }
 
 func (g *openGate) take(count *int) held {
@@ -318,7 +327,7 @@
 func newFixture() *fixture {
 	f := &fixture{database: newFakeDatabase(), replication: &fakeReplication{primary: testDatabase}, gate: &openGate{}}
 	f.owner = NewOwner(f.database, DefaultOptions())
-	parts := []ServerParts{{Database: state.Database{ID: testDatabase, MaxConnections: 4, Slots: 3}, Gate: f.gate}}
+	parts := []ServerParts{{Database: state.Database{ID: testDatabase, MaxConnections: 4, Slots: 3}, Gate: f.gate, Pacer: openPacer{}}}
 	f.owner.SetGroup("group", f.replication, parts)
 	return f
 }
--- a/internal/coordination/execution/owner.go
+++ b/internal/coordination/execution/owner.go
@@ -40,6 +40,7 @@
 type ServerParts struct {
 	Database state.Database
 	Gate     Gate
+	Pacer    Pacer
 	// Probe asks the backend server for an answer on a new connection. It
 	// tells a silent connection from a long statement.
 	Probe func(ctx context.Context) error
@@ -93,7 +94,7 @@
 			return &server{ServerParts: part, pool: kept.pool}
 		}
 	}
-	return &server{ServerParts: part, pool: newPool(part.Database, o.dialer, part.Database.MaxConnections)}
+	return &server{ServerParts: part, pool: newPool(part.Database, o.dialer, part.Pacer)}
 }
 
 // RemoveGroup stops to serve a group. Streams that are open go on to their end.
--- a/internal/coordination/execution/owner_stream.go
+++ b/internal/coordination/execution/owner_stream.go
@@ -83,11 +83,11 @@
 		return s.owner.asNotRun(err, "acquire slot", string(s.server.Database.ID))
 	}
 	if err := s.recheck(ctx, unit, inTransaction); err != nil {
-		slot.Release()
+		slot.Release(false)
 		return err
 	}
 	if err := s.applySettings(ctx, unit, inTransaction); err != nil {
-		slot.Release()
+		slot.Release(false)
 		s.broken = true
 		return s.owner.notRun(state.ReasonConnectionLost, "apply settings", string(s.server.Database.ID), err)
 	}
@@ -305,7 +305,7 @@
 			return Event{}, s.fail(err, "commit request id")
 		}
 	}
-	running.slot.Release()
+	running.slot.Release(true)
 	s.unit = nil
 
 	event := Event{
@@ -359,7 +359,7 @@
 		return
 	}
 	s.setRunning(false)
-	s.unit.slot.Release()
+	s.unit.slot.Release(false)
 	s.unit = nil
 }
 
--- a/internal/coordination/execution/pool.go
+++ b/internal/coordination/execution/pool.go
@@ -24,6 +24,7 @@
 type pool struct {
 	database state.Database
 	dialer   Dialer
+	pacer    Pacer
 	maxIdle  int
 
 	mu     sync.Mutex
@@ -32,8 +33,8 @@
 	closed bool
 }
 
-func newPool(database state.Database, dialer Dialer, maxIdle int) *pool {
-	return &pool{database: database, dialer: dialer, maxIdle: maxIdle}
+func newPool(database state.Database, dialer Dialer, pacer Pacer) *pool {
+	return &pool{database: database, dialer: dialer, pacer: pacer, maxIdle: database.MaxConnections}
 }
 
 // get returns an idle connection or opens one. fresh tells which.
@@ -46,7 +47,12 @@
 }
 
 func (p *pool) dial(ctx context.Context) (*connection, error) {
-	backend, err := p.dialer.Dial(ctx, p.database)
+	var backend Backend
+	err := p.pacer.Open(ctx, func(ctx context.Context) error {
+		opened, err := p.dialer.Dial(ctx, p.database)
+		backend = opened
+		return err
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/coordination/session/session.go
+++ b/internal/coordination/session/session.go
@@ -33,8 +33,8 @@
 
 // Budget bounds retries to a share of what succeeds.
 type Budget interface {
-	// TryRetry reports whether one more retry may be made now.
-	TryRetry() bool
+	// Take reports whether one more retry may be made now, and counts it.
+	Take() bool
 	// Succeeded records a request that needed no retry.
 	Succeeded()
 }
@@ -152,7 +152,7 @@
 			return nil
 		}
 		again := !delivered && mayRepeat(unit, err) && attempt < maxAttempts && ctx.Err() == nil
-		if !again || !s.budget.TryRetry() {
+		if !again || !s.budget.Take() {
 			return err
 		}
 	}
--- a/internal/dev/stack.go
+++ b/internal/dev/stack.go
@@ -117,7 +117,8 @@
 			OpenDelay: openDelay, ReplicationLag: replicationLag, StatementTime: statementTime,
 		})
 	}
-	group, err := database.StartGroup(ctx, database.GroupOptions{ID: GroupName, Databases: options})
+	// The databases live until Close, not only until the start is over.
+	group, err := database.StartGroup(context.WithoutCancel(ctx), database.GroupOptions{ID: GroupName, Databases: options})
 	if err != nil {
 		return eris.Wrap(err, "start database group")
 	}
--- a/internal/state/group.go
+++ b/internal/state/group.go
@@ -79,6 +79,11 @@
 	}
 }
 
+// MarshalText implements encoding.TextMarshaler, for dumps.
+func (r Role) MarshalText() ([]byte, error) {
+	return []byte(r.String()), nil
+}
+
 // ParseRole reads the form that Role.String writes; anything else is fenced,
 // the role that may do nothing.
 func ParseRole(text string) Role {
