--- a/internal/coordination/execution/owner_stream.go
+++ b/internal/coordination/execution/owner_stream.go
@@ -88,8 +88,7 @@
 	}
 	if err := s.applySettings(ctx, unit, inTransaction); err != nil {
 		slot.Release(false)
-		s.broken = true
-		return s.owner.notRun(state.ReasonConnectionLost, "apply settings", string(s.server.Database.ID), err)
+		return s.settingsFailed(err)
 	}
 	s.unit = &runningUnit{unit: unit, slot: slot, positionBefore: s.conn.position}
 	if unit.RequestID != "" {
@@ -103,6 +102,19 @@
 	return s.write(ctx, unit)
 }
 
+// settingsFailed ends a unit before which the session's parameters could not
+// be set. Nothing of the unit was sent.
+func (s *ownerStream) settingsFailed(err error) error {
+	s.broken = true
+	failure := s.owner.notRun(state.ReasonConnectionLost, "apply settings", string(s.server.Database.ID), err)
+	var refused *refusedError
+	if errors.As(err, &refused) {
+		failure.Reason = state.ReasonUnsupported
+		failure.Message = "the backend server refused the session's parameters: " + refused.text
+	}
+	return failure
+}
+
 // recheck repeats what Open checked, since time has passed in the queue.
 func (s *ownerStream) recheck(ctx context.Context, unit Unit, inTransaction bool) error {
 	if inTransaction {
