Tell silent connections from long statements

Cause: an open connection that goes silent was waited for until the backend server itself dropped it (10 s in the self test's stand-in), and an idle one cost a write its outcome. While no message comes, the owner now asks the backend server on a new connection whether the statement still runs; twice no ends the wait, within 4 times the interval. Ruled out: a fixed statement timeout, which long statements would hit; TCP keepalive alone, which a middle box may answer.

--- a/internal/app/group_runner.go
+++ b/internal/app/group_runner.go
@@ -96,10 +96,7 @@
 		Database: database,
 		Gate:     gateAdapter{gate: gate},
 		Pacer:    admission.NewPacer(database.ID, concurrentOpens),
-		Probe: func(ctx context.Context) error {
-			_, err := control.Probe(ctx)
-			return err
-		},
+		Probe:    control.Running,
 	})
 }
 
--- a/internal/coordination/execution/at_most_once.go
+++ b/internal/coordination/execution/at_most_once.go
@@ -87,6 +87,7 @@
 	if err := s.endRepeated(ctx, inTransaction); err != nil {
 		return s.fail(err, "end repeated request")
 	}
+	running.silence.stop()
 	running.slot.Release(true)
 	s.unit = nil
 	s.replay = &Event{Messages: recordedAnswer(answer.firstColumn, running.unit, s.txStatus), Done: true, TxStatus: s.txStatus}
--- a/internal/coordination/execution/backend.go
+++ b/internal/coordination/execution/backend.go
@@ -31,6 +31,9 @@
 	Receive(ctx context.Context) (Message, error)
 	// Buffered reports whether a message can be received without waiting.
 	Buffered() bool
+	// PID returns the process id by which the backend server knows the
+	// connection.
+	PID() uint32
 	// Cancel asks for the running statement to be cancelled, and returns once
 	// the backend server has taken the request in.
 	Cancel(ctx context.Context) error
--- a/internal/coordination/execution/fake_test.go
+++ b/internal/coordination/execution/fake_test.go
@@ -245,6 +245,8 @@
 	return nil
 }
 
+func (b *fakeBackend) PID() uint32 { return uint32(b.id) }
+
 func (b *fakeBackend) Close() { b.closed = true }
 
 // openGate admits everybody and counts what is held.
--- a/internal/coordination/execution/messages.go
+++ b/internal/coordination/execution/messages.go
@@ -47,6 +47,11 @@
 	return append(messages, 0)
 }
 
+// appendSync appends a Sync message.
+func appendSync(messages []byte) []byte {
+	return append(messages, 'S', 0, 0, 0, 4)
+}
+
 // appendQuery appends a simple Query message.
 func appendQuery(messages []byte, sql string) []byte {
 	messages = append(messages, 'Q')
--- a/internal/coordination/execution/owner.go
+++ b/internal/coordination/execution/owner.go
@@ -18,8 +18,9 @@
 	AcknowledgeTimeout time.Duration
 	// CatchUpTimeout bounds the wait for a replica that is behind the floor.
 	CatchUpTimeout time.Duration
-	// SilenceTimeout bounds the time without any progress of a statement
-	// before the backend server is probed on another connection.
+	// SilenceTimeout is the time without a message after which the backend
+	// server is asked whether the statement still runs, and the bound of that
+	// question. A silent connection is given up after four times this.
 	SilenceTimeout time.Duration
 	// RetryAfter is what callers are told where nothing better is known.
 	RetryAfter time.Duration
@@ -31,7 +32,7 @@
 		DialTimeout:        2 * time.Second,
 		AcknowledgeTimeout: 3 * time.Second,
 		CatchUpTimeout:     30 * time.Millisecond,
-		SilenceTimeout:     2 * time.Second,
+		SilenceTimeout:     1 * time.Second,
 		RetryAfter:         500 * time.Millisecond,
 	}
 }
@@ -41,9 +42,9 @@
 	Database state.Database
 	Gate     Gate
 	Pacer    Pacer
-	// Probe asks the backend server for an answer on a new connection. It
-	// tells a silent connection from a long statement.
-	Probe func(ctx context.Context) error
+	// Probe tells a silent connection from a long statement. Without it,
+	// silence is not noticed.
+	Probe ActivityProbe
 }
 
 // Owner runs requests on the backend servers of groups. It is the Executor of
@@ -195,7 +196,7 @@
 func (o *Owner) connect(ctx context.Context, server *server) (*connection, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, o.options.DialTimeout)
 	defer cancel()
-	conn, _, err := server.pool.get(dialCtx)
+	conn, err := server.pool.get(dialCtx)
 	if err != nil {
 		return nil, o.notRun(state.ReasonUnreachable, "open backend connection", string(server.Database.ID), err)
 	}
--- a/internal/coordination/execution/owner_stream.go
+++ b/internal/coordination/execution/owner_stream.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"sync"
-	"time"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 )
@@ -54,8 +53,9 @@
 
 // runningUnit is the unit that was sent and whose answer is being received.
 type runningUnit struct {
-	unit Unit
-	slot Slot
+	unit    Unit
+	slot    Slot
+	silence *silenceWatch
 	// awaitedParses are the statements whose ParseComplete is yet to come, in
 	// order. The first injectedParses of them are not the caller's.
 	awaitedParses   []string
@@ -90,7 +90,10 @@
 		slot.Release(false)
 		return s.settingsFailed(err)
 	}
-	s.unit = &runningUnit{unit: unit, slot: slot, positionBefore: s.conn.position}
+	s.unit = &runningUnit{
+		unit: unit, slot: slot, positionBefore: s.conn.position,
+		silence: startSilenceWatch(s.conn.backend, s.server.Probe, s.owner.options.SilenceTimeout),
+	}
 	if unit.RequestID != "" {
 		proceed, err := s.beginOnce(ctx, inTransaction)
 		if err != nil || !proceed {
@@ -178,10 +181,11 @@
 		return event, nil
 	}
 	for {
-		message, err := s.receive(ctx)
+		message, err := s.conn.backend.Receive(ctx)
 		if err != nil {
 			return Event{}, s.fail(err, "receive from backend server")
 		}
+		s.unit.silence.progress()
 		done, err := s.handle(message)
 		if err != nil {
 			return Event{}, err
@@ -196,44 +200,6 @@
 	}
 }
 
-// receive returns the next message. While none comes, it probes the backend
-// server on a new connection each SilenceTimeout: an answer there to two probes in
-// a row does not prove this connection dead, since a statement may take long,
-// so only the failure of the probe ends the wait early.
-func (s *ownerStream) receive(ctx context.Context) (Message, error) {
-	if s.server.Probe == nil || s.conn.backend.Buffered() {
-		return s.conn.backend.Receive(ctx)
-	}
-	stop := s.watchSilence(ctx)
-	defer stop()
-	return s.conn.backend.Receive(ctx)
-}
-
-// watchSilence closes the connection when the backend server answers no probe
-// while a message is awaited. The returned function ends the watch.
-func (s *ownerStream) watchSilence(ctx context.Context) func() {
-	backend := s.conn.backend
-	var timer *time.Timer
-	probeCtx, cancel := context.WithCancel(ctx)
-	timer = time.AfterFunc(s.owner.options.SilenceTimeout, func() {
-		limited, done := context.WithTimeout(probeCtx, s.owner.options.SilenceTimeout)
-		defer done()
-		err := s.server.Probe(limited)
-		if probeCtx.Err() != nil {
-			return
-		}
-		if err != nil {
-			backend.Close()
-			return
-		}
-		timer.Reset(s.owner.options.SilenceTimeout)
-	})
-	return func() {
-		cancel()
-		timer.Stop()
-	}
-}
-
 // handle takes one message into the buffer or the held messages, or swallows
 // it. done is true for ReadyForQuery.
 func (s *ownerStream) handle(message Message) (done bool, err error) {
@@ -317,6 +283,7 @@
 			return Event{}, s.fail(err, "commit request id")
 		}
 	}
+	running.silence.stop()
 	running.slot.Release(true)
 	s.unit = nil
 
@@ -356,13 +323,20 @@
 // fail ends the unit because the connection failed in the middle of it.
 func (s *ownerStream) fail(err error, step string) error {
 	running := s.unit
+	reason := state.ReasonConnectionLost
+	if running != nil {
+		reason = running.silence.reasonOf()
+	}
+	if reason == state.ReasonSilent {
+		s.server.pool.doubt()
+	}
 	s.endUnit()
 	peer := string(s.server.Database.ID)
 	var refused *refusedError
 	if running == nil || !running.onBackend || errors.As(err, &refused) {
 		return s.owner.asNotRun(err, step, peer)
 	}
-	return state.Unknown(state.ReasonConnectionLost, step, peer, err)
+	return state.Unknown(reason, step, peer, err)
 }
 
 func (s *ownerStream) endUnit() {
@@ -371,6 +345,7 @@
 		return
 	}
 	s.setRunning(false)
+	s.unit.silence.stop()
 	s.unit.slot.Release(false)
 	s.unit = nil
 }
--- a/internal/coordination/execution/settings.go
+++ b/internal/coordination/execution/settings.go
@@ -20,6 +20,8 @@
 	if unit.ChangesSettings {
 		s.conn.settingsKnown = false
 	}
+	ctx, cancel := context.WithTimeout(ctx, s.owner.options.DialTimeout)
+	defer cancel()
 	if _, err := s.runInternal(ctx, settingsScript(s.request.Settings)); err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/coordination/execution/silence.go
@@ -0,0 +1,128 @@
+package execution
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// silentProbes is how many probes in a row must find fault with a connection
+// before it counts as silent. One may race with an answer on its way.
+const silentProbes = 2
+
+// silenceWatch notices that a backend connection has gone silent while a unit
+// runs on it. While no message comes it asks the backend server, on a new
+// connection, whether the unit's statement still runs there. When the server
+// says no, or gives no answer, twice in a row, the watch closes the
+// connection, which ends the wait for its messages.
+type silenceWatch struct {
+	backend  Backend
+	probe    ActivityProbe
+	interval time.Duration
+
+	// mu guards the rest. It is a leaf lock.
+	mu      sync.Mutex
+	timer   *time.Timer
+	cancel  context.CancelFunc
+	moved   bool // a message came since the last look
+	suspect int
+	silent  bool
+	stopped bool
+}
+
+// ActivityProbe asks a backend server, on a new connection, whether the
+// connection with the given process id runs a statement.
+type ActivityProbe func(ctx context.Context, processID uint32) (running bool, err error)
+
+// startSilenceWatch begins to watch; it does nothing where probe is nil.
+func startSilenceWatch(backend Backend, probe ActivityProbe, interval time.Duration) *silenceWatch {
+	w := &silenceWatch{backend: backend, probe: probe, interval: interval}
+	if probe == nil {
+		return w
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(interval, w.look)
+	return w
+}
+
+// progress notes that a message came.
+func (w *silenceWatch) progress() {
+	w.mu.Lock()
+	w.moved = true
+	w.mu.Unlock()
+}
+
+// stop ends the watch. It reports whether the connection was found silent.
+func (w *silenceWatch) stop() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+	if w.cancel != nil {
+		w.cancel()
+	}
+	return w.silent
+}
+
+// look runs on its own goroutine each interval.
+func (w *silenceWatch) look() {
+	ctx, proceed := w.beginLook()
+	if !proceed {
+		return
+	}
+	running, err := w.probe(ctx, w.backend.PID())
+	w.endLook(running && err == nil)
+}
+
+// beginLook reports whether a probe is called for.
+func (w *silenceWatch) beginLook() (context.Context, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped {
+		return nil, false
+	}
+	if w.moved {
+		w.moved, w.suspect = false, 0
+		w.timer.Reset(w.interval)
+		return nil, false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), w.interval)
+	w.cancel = cancel
+	return ctx, true
+}
+
+// endLook takes the result of a probe. A message that came meanwhile clears
+// the connection.
+func (w *silenceWatch) endLook(running bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cancel()
+	w.cancel = nil
+	if w.stopped {
+		return
+	}
+	if running || w.moved {
+		w.moved, w.suspect = false, 0
+	} else {
+		w.suspect++
+	}
+	if w.suspect >= silentProbes {
+		w.silent = true
+		w.backend.Close()
+		return
+	}
+	w.timer.Reset(w.interval)
+}
+
+// reasonOf says why the connection failed.
+func (w *silenceWatch) reasonOf() state.Reason {
+	if w.stop() {
+		return state.ReasonSilent
+	}
+	return state.ReasonConnectionLost
+}
--- /dev/null
+++ b/internal/coordination/execution/silence_test.go
@@ -0,0 +1,83 @@
+package execution
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// silentBackend never answers until it is closed.
+type silentBackend struct {
+	closed chan struct{}
+}
+
+func (b *silentBackend) Write(context.Context, []byte) error { return nil }
+
+func (b *silentBackend) Receive(ctx context.Context) (Message, error) {
+	select {
+	case <-b.closed:
+		return Message{}, errCut
+	case <-ctx.Done():
+		return Message{}, ctx.Err()
+	}
+}
+
+func (b *silentBackend) Buffered() bool               { return false }
+func (b *silentBackend) PID() uint32                  { return 7 }
+func (b *silentBackend) Cancel(context.Context) error { return nil }
+func (b *silentBackend) Close()                       { close(b.closed) }
+
+func TestSilentConnectionIsFoundWithinItsBound(t *testing.T) {
+	for name, probe := range map[string]ActivityProbe{
+		"statement no longer runs": func(context.Context, uint32) (bool, error) { return false, nil },
+		"server refuses":           func(context.Context, uint32) (bool, error) { return false, errors.New("refused") },
+		"server hangs": func(ctx context.Context, _ uint32) (bool, error) {
+			<-ctx.Done()
+			return false, ctx.Err()
+		},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			backend := &silentBackend{closed: make(chan struct{})}
+			started := time.Now()
+			watch := startSilenceWatch(backend, probe, time.Second)
+			_, err := backend.Receive(context.Background())
+			require.Error(t, err)
+			require.True(t, watch.stop(), name)
+			require.LessOrEqual(t, time.Since(started), 4*time.Second, name)
+		})
+	}
+}
+
+func TestLongStatementIsNotTakenForSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		backend := &silentBackend{closed: make(chan struct{})}
+		looks := 0
+		watch := startSilenceWatch(backend, func(context.Context, uint32) (bool, error) {
+			looks++
+			return looks%2 == 0, nil // every other answer races with an end of the statement
+		}, time.Second)
+		time.Sleep(time.Hour)
+		require.False(t, watch.stop())
+		require.Greater(t, looks, 1000)
+	})
+}
+
+func TestSilentIdleConnectionsAreReplacedBeforeUse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture()
+		stream := f.open(t, AccessWrite)
+		stream.Close()
+		time.Sleep(2 * trustIdleFor)
+		for _, conn := range f.owner.groups["group"].servers[testDatabase].pool.idle {
+			conn.backend.(*fakeBackend).cut = true
+		}
+		stream = f.open(t, AccessWrite)
+		answer, _, err := runUnit(stream, query("write a"))
+		require.NoError(t, err)
+		require.Equal(t, "done(UPDATE 1) ready(I) ", answer)
+	})
+}
--- /dev/null
+++ b/internal/dev/wire_test.go
@@ -0,0 +1,249 @@
+package dev
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/stretchr/testify/require"
+)
+
+// stack is the installation that all tests of this file share.
+var stack *Stack
+
+func TestMain(m *testing.M) {
+	var err error
+	stack, err = Start(context.Background(), io.Discard, "error")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	stack.Close()
+	os.Exit(code)
+}
+
+func connect(t *testing.T, number int) *pgx.Conn {
+	t.Helper()
+	conn, err := pgx.Connect(t.Context(), stack.URL(stack.Instances[number]))
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close(context.Background()) })
+	return conn
+}
+
+func mustExec(t *testing.T, conn *pgx.Conn, sql string, arguments ...any) pgconn.CommandTag {
+	t.Helper()
+	tag, err := conn.Exec(t.Context(), sql, arguments...)
+	require.NoError(t, err, sql)
+	return tag
+}
+
+func requireSQLState(t *testing.T, err error, code string) *pgconn.PgError {
+	t.Helper()
+	var pgErr *pgconn.PgError
+	require.True(t, errors.As(err, &pgErr), "want SQLSTATE %s: %v", code, err)
+	require.Equal(t, code, pgErr.Code, pgErr.Message)
+	return pgErr
+}
+
+func TestWrongCredentialsAreRefusedAlike(t *testing.T) {
+	address := stack.Instances[0].ClientAddr()
+	for _, url := range []string{
+		"postgres://demo:wrong@" + address + "/orders",
+		"postgres://nobody:demo@" + address + "/orders",
+	} {
+		_, err := pgx.Connect(t.Context(), url)
+		requireSQLState(t, err, "28P01")
+	}
+	_, err := pgx.Connect(t.Context(), "postgres://demo:demo@"+address+"/elsewhere")
+	requireSQLState(t, err, "42501")
+}
+
+func TestPreparedStatementsOutliveTheirBackendConnection(t *testing.T) {
+	conn := connect(t, 0)
+	mustExec(t, conn, "CREATE TABLE prepared (id bigint PRIMARY KEY, note text)")
+	_, err := conn.Prepare(t.Context(), "get", "SELECT note FROM prepared WHERE id = $1")
+	require.NoError(t, err)
+	for id := range int64(30) {
+		mustExec(t, conn, "INSERT INTO prepared (id, note) VALUES ($1, $2)", id, fmt.Sprint("note ", id))
+		var note string
+		require.NoError(t, conn.QueryRow(t.Context(), "get", id).Scan(&note))
+		require.Equal(t, fmt.Sprint("note ", id), note)
+	}
+}
+
+func TestUnsupportedStatementsLeaveTheConnectionUsable(t *testing.T) {
+	conn := connect(t, 0)
+	for _, sql := range []string{"COPY x FROM STDIN", "LISTEN x", "NOTIFY x"} {
+		_, err := conn.Exec(t.Context(), sql)
+		requireSQLState(t, err, "0A000")
+		mustExec(t, conn, "SELECT 1")
+	}
+}
+
+func TestBatchAnswersInOrder(t *testing.T) {
+	conn := connect(t, 0)
+	mustExec(t, conn, "CREATE TABLE batched (id bigint PRIMARY KEY)")
+	var batch pgx.Batch
+	for id := range 20 {
+		batch.Queue("INSERT INTO batched (id) VALUES ($1)", id)
+		batch.Queue("SELECT count(*) FROM batched WHERE id <= $1", id)
+	}
+	results := conn.SendBatch(t.Context(), &batch)
+	for id := range 20 {
+		_, err := results.Exec()
+		require.NoError(t, err)
+		var count int
+		require.NoError(t, results.QueryRow().Scan(&count))
+		require.Equal(t, id+1, count)
+	}
+	require.NoError(t, results.Close())
+}
+
+func TestSettingsFollowTheSessionAndDoNotLeak(t *testing.T) {
+	mine, other := connect(t, 0), connect(t, 0)
+	mustExec(t, mine, "SET application_name = 'mine'")
+	mustExec(t, mine, "BEGIN")
+	mustExec(t, mine, "SET application_name = 'dropped'")
+	mustExec(t, mine, "ROLLBACK")
+	for range 10 {
+		var name string
+		require.NoError(t, mine.QueryRow(t.Context(), "SHOW application_name").Scan(&name))
+		require.Equal(t, "mine", name)
+		require.NoError(t, other.QueryRow(t.Context(), "SHOW application_name").Scan(&name))
+		require.NotEqual(t, "mine", name)
+	}
+}
+
+func TestStalenessBeyondThePlanIsRefused(t *testing.T) {
+	conn := connect(t, 0)
+	_, err := conn.Exec(t.Context(), "SET cyclamenpin.max_staleness = '1h'")
+	requireSQLState(t, err, "22023")
+	mustExec(t, conn, "SET cyclamenpin.max_staleness = '5s'")
+	mustExec(t, conn, "SELECT 1")
+	_, err = conn.Exec(t.Context(), "/* cyclamenpin:max_age=1h */ SELECT 1")
+	requireSQLState(t, err, "22023")
+}
+
+func TestCancelReachesOnlyItsStatementThroughAnyInstance(t *testing.T) {
+	conn := connect(t, 0)
+	bystander := connect(t, 0)
+	answers := make(chan error, 2)
+	go func() {
+		_, err := conn.Exec(context.Background(), "SELECT pg_sleep(20)")
+		answers <- err
+	}()
+	go func() {
+		_, err := bystander.Exec(context.Background(), "SELECT pg_sleep(0.5)")
+		answers <- err
+	}()
+	time.Sleep(100 * time.Millisecond)
+	require.NoError(t, sendCancel(stack.Instances[1].ClientAddr(), conn.PgConn()))
+	requireSQLState(t, <-answers, "57014")
+	require.NoError(t, <-answers)
+	mustExec(t, conn, "SELECT 1")
+}
+
+// sendCancel sends a cancel request for a session to another address.
+func sendCancel(address string, session *pgconn.PgConn) error {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	request := &pgproto3.CancelRequest{ProcessID: session.PID(), SecretKey: session.SecretKey()}
+	encoded, err := request.Encode(nil)
+	if err != nil {
+		return err
+	}
+	if _, err := conn.Write(encoded); err != nil {
+		return err
+	}
+	_, _ = io.ReadAll(conn)
+	return nil
+}
+
+func TestLostTransactionAcceptsOnlyItsEnd(t *testing.T) {
+	conn := connect(t, 0)
+	mustExec(t, conn, "CREATE TABLE lost (id bigint)")
+	mustExec(t, conn, "BEGIN")
+	mustExec(t, conn, "INSERT INTO lost VALUES (1)")
+	stack.Group.Server(stack.Group.Describe().Primary).SilenceOpenConnections()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	_, err := conn.Exec(ctx, "INSERT INTO lost VALUES (2)")
+	requireSQLState(t, err, "08007")
+	_, err = conn.Exec(t.Context(), "INSERT INTO lost VALUES (3)")
+	requireSQLState(t, err, "25P02")
+	require.Equal(t, "ROLLBACK", mustExec(t, conn, "COMMIT").String())
+	var count int
+	require.NoError(t, conn.QueryRow(t.Context(), "SELECT count(*) FROM lost").Scan(&count))
+	require.Zero(t, count)
+}
+
+func TestLargeResultArrivesWhole(t *testing.T) {
+	conn := connect(t, 0)
+	mustExec(t, conn, "CREATE TABLE large (id bigint, note text)")
+	const rows = 5000
+	mustExec(t, conn, "INSERT INTO large WITH RECURSIVE n(i) AS (SELECT 1 UNION ALL SELECT i+1 FROM n WHERE i < 5000) SELECT i, hex(zeroblob(500)) FROM n")
+	got, err := conn.Query(t.Context(), "SELECT id, note FROM large ORDER BY id")
+	require.NoError(t, err)
+	next := int64(1)
+	for got.Next() {
+		var id int64
+		var note string
+		require.NoError(t, got.Scan(&id, &note))
+		require.Equal(t, next, id)
+		require.Len(t, note, 1000)
+		next++
+	}
+	require.NoError(t, got.Err())
+	require.EqualValues(t, rows+1, next)
+}
+
+func TestMalformedInputEndsOnlyItsConnection(t *testing.T) {
+	bystander := connect(t, 0)
+	for _, input := range []string{
+		"\x00\x00\x00\x08\xff\xff\xff\xff",
+		"\x7f\xff\xff\xff" + strings.Repeat("x", 64),
+		"GET / HTTP/1.1\r\n\r\n",
+		"\x00\x00\x00\x00",
+	} {
+		conn, err := net.Dial("tcp", stack.Instances[0].ClientAddr())
+		require.NoError(t, err)
+		_, err = conn.Write([]byte(input))
+		require.NoError(t, err)
+		require.NoError(t, conn.SetReadDeadline(time.Now().Add(15*time.Second)))
+		_, err = io.ReadAll(conn)
+		require.NotErrorIs(t, err, os.ErrDeadlineExceeded, "%q", input)
+		conn.Close()
+	}
+	mustExec(t, bystander, "SELECT 1")
+}
+
+func TestProxyParametersOverTheExtendedProtocol(t *testing.T) {
+	conn := connect(t, 0)
+	mustExec(t, conn, "CREATE TABLE once (id bigint)")
+	for range 2 {
+		_, err := conn.Exec(t.Context(), "SET cyclamenpin.request_id = 'once-1'", pgx.QueryExecModeExec)
+		require.NoError(t, err)
+		_, err = conn.Exec(t.Context(), "INSERT INTO once VALUES ($1)", 1)
+		if err != nil {
+			requireSQLState(t, err, "Y1001")
+		}
+	}
+	var count int
+	require.NoError(t, conn.QueryRow(t.Context(), "SELECT count(*) FROM once").Scan(&count))
+	require.Equal(t, 1, count)
+	token := conn.PgConn().ParameterStatus("cyclamenpin.session_token")
+	require.True(t, strings.HasPrefix(token, "orders:"), token)
+}
