--- a/internal/app/stub_test_only.go
+++ /dev/null
@@ -1,5 +0,0 @@
-package app
-
-import "net/http"
-
-func (i *Instance) configurationHandler() http.Handler { return nil }
