--- a/internal/standin/database/database_test.go
+++ b/internal/standin/database/database_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -11,6 +12,7 @@
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 )
@@ -260,13 +262,7 @@
 	require.Equal(t, before, primary.Status())
 	execAll(t, connect(t, primary), "insert into t values (3)")
 	require.Eventually(t, caughtUp(primary, replica), testTimeout, time.Millisecond)
-	require.Len(t, dump2(t, replica), 2)
-}
-
-func dump2(t testing.TB, server *Server) [][]any {
-	answer, err := server.node.reader.query("select id from t")
-	require.NoError(t, err)
-	return answer.rows
+	require.Equal(t, [][]any{{int64(1)}, {int64(3)}}, dump(t, replica))
 }
 
 func TestFrozenAndSilenced(t *testing.T) {
@@ -307,6 +303,69 @@
 	require.Eventually(t, caughtUp(primary, replica), testTimeout, time.Millisecond)
 }
 
+// Readers on primary and replica see both rows of a transaction or neither.
+func TestTransactionsAreVisibleAsAWhole(t *testing.T) {
+	const transactions = 200
+	group, err := StartGroup(context.Background(), GroupOptions{ID: "g"})
+	require.NoError(t, err)
+	t.Cleanup(group.Close)
+	ctx := testContext(t)
+	writer := connect(t, group.Servers()[0])
+	execAll(t, writer, "create table t (id bigint)")
+	require.Eventually(t, caughtUp(group.Servers()...), testTimeout, time.Millisecond)
+	var reading errgroup.Group
+	for _, server := range group.Servers()[:2] {
+		reader := connect(t, server)
+		reading.Go(func() error {
+			for count := int64(0); count < 2*transactions; {
+				if err := reader.QueryRow(ctx, "select count(*) from t").Scan(&count); err != nil {
+					return err
+				}
+				if count%2 != 0 {
+					return errors.New("half of a transaction is visible")
+				}
+			}
+			return nil
+		})
+	}
+	for range transactions {
+		execAll(t, writer, "insert into t values (1); insert into t values (2)")
+	}
+	require.NoError(t, reading.Wait())
+}
+
+func TestReadOnlyAndDeterministicWrites(t *testing.T) {
+	ctx := testContext(t)
+	group, err := StartGroup(context.Background(), GroupOptions{ID: "g"})
+	require.NoError(t, err)
+	t.Cleanup(group.Close)
+	primary, replica := group.Servers()[0], group.Servers()[1]
+	connection, reading := connect(t, primary), connect(t, replica)
+	execAll(t, connection, "create table t (id bigint, at timestamptz)", "insert into t values (1, now())")
+	require.Eventually(t, caughtUp(primary, replica), testTimeout, time.Millisecond)
+	require.Equal(t, dump(t, primary), dump(t, replica))
+	_, err = connection.Exec(ctx, "insert into t values (random(), null)")
+	requireCode(t, err, codeFeatureNotSupported)
+	execAll(t, connection, "begin read only")
+	_, err = connection.Exec(ctx, "insert into t values (2, null)", pgx.QueryExecModeSimpleProtocol)
+	requireCode(t, err, codeReadOnlyTransaction)
+	execAll(t, connection, "rollback")
+	execAll(t, reading, "begin", "savepoint a", "rollback to savepoint a", "select * from t", "commit")
+	_, err = reading.Exec(ctx, "pragma user_version = 3; vacuum", pgx.QueryExecModeSimpleProtocol)
+	require.Error(t, err, "a statement that is not known to write must not change a replica")
+	require.Equal(t, primary.Entries(), replica.Entries())
+}
+
+// A client that went silent in a write transaction must not stop all others.
+func TestIdleWriteTransactionEnds(t *testing.T) {
+	server := startOne(t, Options{IdleInTransactionTimeout: 50 * time.Millisecond})
+	connection := connect(t, server)
+	execAll(t, connection, "create table t (id bigint)", "begin", "insert into t values (1)")
+	server.SilenceOpenConnections()
+	execAll(t, connect(t, server), "insert into t values (2)")
+	require.Equal(t, [][]any{{int64(2)}}, dump(t, server))
+}
+
 func TestSwitchHandler(t *testing.T) {
 	server := startOne(t, Options{})
 	handler := server.SwitchHandler()
--- a/internal/standin/database/engine.go
+++ b/internal/standin/database/engine.go
@@ -12,20 +12,21 @@
 
 // engine is one in-memory SQLite database on one connection.
 type engine struct {
+	// forReading makes apply the only way to change the data.
+	forReading bool
+
 	mu         sync.Mutex // protects database and connection
 	database   *sql.DB
 	connection *sql.Conn
 }
 
-func newEngine() (*engine, error) {
-	e := &engine{}
-	return e, e.reset()
+func newEngine(forReading bool) (*engine, error) {
+	e := &engine{forReading: forReading}
+	return e, e.rebuild(nil)
 }
 
-// reset replaces the database by an empty one.
-func (e *engine) reset() error {
-	e.mu.Lock()
-	defer e.mu.Unlock()
+// resetLocked replaces the database by an empty one.
+func (e *engine) resetLocked() error {
 	e.closeLocked()
 	database, err := sql.Open("sqlite", ":memory:")
 	if err != nil {
@@ -37,7 +38,7 @@
 		return eris.Wrap(err, "open in-memory database")
 	}
 	e.database, e.connection = database, connection
-	return nil
+	return e.setQueryOnlyLocked(true)
 }
 
 func (e *engine) close() {
@@ -59,6 +60,10 @@
 func (e *engine) exec(text string, args ...any) (affected int64, err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	return e.execLocked(text, args...)
+}
+
+func (e *engine) execLocked(text string, args ...any) (affected int64, err error) {
 	outcome, err := e.connection.ExecContext(context.Background(), text, args...)
 	if err != nil {
 		return 0, err
@@ -90,21 +95,47 @@
 	return answer, rows.Err()
 }
 
-// apply runs the statements of one entry in one transaction.
+// apply runs the statements of one entry in one transaction. No query sees a
+// part of it.
 func (e *engine) apply(entry Entry) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.applyLocked(entry)
+}
+
+func (e *engine) applyLocked(entry Entry) error {
 	if len(entry.Statements) == 0 {
 		return nil
 	}
-	if _, err := e.exec("BEGIN"); err != nil {
+	if err := e.setQueryOnlyLocked(false); err != nil {
+		return err
+	}
+	if _, err := e.execLocked("BEGIN"); err != nil {
 		return err
 	}
 	for _, statement := range entry.Statements {
-		if _, err := e.exec(statement.SQL, statement.Args...); err != nil {
-			e.rollback()
+		if _, err := e.execLocked(statement.SQL, statement.Args...); err != nil {
+			_, _ = e.execLocked("ROLLBACK")
+			_ = e.setQueryOnlyLocked(true)
 			return eris.Wrapf(err, "apply entry %s", entry.Position)
 		}
 	}
-	_, err := e.exec("COMMIT")
+	if _, err := e.execLocked("COMMIT"); err != nil {
+		return err
+	}
+	return e.setQueryOnlyLocked(true)
+}
+
+// setQueryOnlyLocked refuses or permits writes on a copy for reading.
+func (e *engine) setQueryOnlyLocked(refuse bool) error {
+	if !e.forReading {
+		return nil
+	}
+	setting := "PRAGMA query_only = OFF"
+	if refuse {
+		setting = "PRAGMA query_only = ON"
+	}
+	_, err := e.execLocked(setting)
 	return err
 }
 
@@ -113,13 +144,15 @@
 	_, _ = e.exec("ROLLBACK")
 }
 
-// rebuild runs a whole log on an empty database.
+// rebuild replaces the data by what a log makes of an empty database.
 func (e *engine) rebuild(log entryLog) error {
-	if err := e.reset(); err != nil {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err := e.resetLocked(); err != nil {
 		return err
 	}
 	for _, entry := range log {
-		if err := e.apply(entry); err != nil {
+		if err := e.applyLocked(entry); err != nil {
 			return err
 		}
 	}
--- a/internal/standin/database/errors.go
+++ b/internal/standin/database/errors.go
@@ -17,7 +17,9 @@
 	codeUniqueViolation     = "23505"
 	codeCheckViolation      = "23514"
 	codeReadOnlyTransaction = "25006"
+	codeNoActiveTransaction = "25P01"
 	codeFailedTransaction   = "25P02"
+	codeNoSuchSavepoint     = "3B001"
 	codeNoSuchStatement     = "26000"
 	codeNoSuchCursor        = "34000"
 	codeSyntaxError         = "42601"
@@ -62,6 +64,7 @@
 	{"no such table", codeUndefinedTable},
 	{"no such column", codeUndefinedColumn},
 	{"already exists", codeDuplicateTable},
+	{"readonly database", codeReadOnlyTransaction},
 	{"syntax error", codeSyntaxError},
 	{"incomplete input", codeSyntaxError},
 }
--- a/internal/standin/database/execute.go
+++ b/internal/standin/database/execute.go
@@ -19,7 +19,7 @@
 	case kindControl:
 		return s.run.server.node.control(statement)
 	case kindBegin:
-		return s.begin(), nil
+		return s.begin(statement), nil
 	case kindCommit:
 		return s.commit()
 	case kindRollback:
@@ -33,8 +33,9 @@
 	}
 }
 
-func (s *session) begin() *result {
+func (s *session) begin(statement string) *result {
 	if s.txState == txIdle {
+		s.readOnly = readOnlyPattern.MatchString(statement)
 		s.txState = txOpen
 		s.savepoints = 0
 		s.settings.begin()
@@ -159,7 +160,11 @@
 	if kind == kindSleep {
 		return s.sleep(ctx, statement)
 	}
-	answer, err := s.runSQL(kind, toSQLite(statement, kind), args)
+	text, err := makeDeterministic(toSQLite(statement, kind), kind)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := s.runSQL(kind, text, args)
 	if err != nil {
 		return nil, err
 	}
@@ -169,16 +174,25 @@
 
 // prepareWrite starts a write transaction where the statement needs one.
 func (s *session) prepareWrite(ctx context.Context, kind statementKind) error {
-	writes := kind == kindWrite || kind == kindLockingRead || kind == kindSavepoint
-	if !writes || s.tx != nil {
+	writes := kind == kindWrite || kind == kindLockingRead
+	if !writes && kind != kindSavepoint || s.tx != nil {
 		return nil
 	}
 	if kind == kindSavepoint && s.txState == txIdle {
-		return &sqlError{codeFailedTransaction, "SAVEPOINT can only be used in transaction blocks"}
+		return &sqlError{codeNoActiveTransaction, "SAVEPOINT can only be used in transaction blocks"}
+	}
+	if s.txState != txIdle && s.readOnly {
+		if writes {
+			return errReadOnly()
+		}
+		return nil
 	}
 	tx, err := s.run.server.node.beginWrite(ctx)
 	if err != nil {
-		return err
+		if writes {
+			return err
+		}
+		return nil // a savepoint of a transaction that only reads
 	}
 	s.tx = tx
 	return nil
@@ -188,8 +202,14 @@
 	if s.tx != nil {
 		return s.run.server.node.run(s.tx, kind, text, args)
 	}
-	if kind == kindRollbackTo {
-		return nil, &sqlError{codeFailedTransaction, "no such savepoint"}
+	switch kind {
+	case kindSavepoint:
+		return &result{tag: commandTag(text, 0)}, nil
+	case kindRollbackTo:
+		if s.savepoints == 0 {
+			return nil, &sqlError{codeNoSuchSavepoint, "no such savepoint"}
+		}
+		return &result{tag: commandTag(text, 0)}, nil
 	}
 	return runOn(s.run.server.node.reader, kind, text, args)
 }
--- a/internal/standin/database/node.go
+++ b/internal/standin/database/node.go
@@ -45,11 +45,11 @@
 }
 
 func newNode(options Options) (*node, error) {
-	reader, err := newEngine()
+	reader, err := newEngine(true)
 	if err != nil {
 		return nil, err
 	}
-	writer, err := newEngine()
+	writer, err := newEngine(false)
 	if err != nil {
 		reader.close()
 		return nil, err
--- a/internal/standin/database/session.go
+++ b/internal/standin/database/session.go
@@ -38,6 +38,7 @@
 	// state txIdle it is the implicit one of the current unit.
 	tx         *transaction
 	savepoints int
+	readOnly   bool // the transaction was begun READ ONLY
 	// position is that of the last commit not yet reported to the client.
 	position state.Position
 
@@ -113,7 +114,9 @@
 func (s *session) handle(message pgproto3.FrontendMessage) error {
 	switch message := message.(type) {
 	case *pgproto3.Query:
-		s.skipping = false
+		if s.skipping {
+			return nil
+		}
 		s.simpleQuery(message.String)
 		return s.ready()
 	case *pgproto3.Sync:
--- a/internal/transport/backend/dialer.go
+++ b/internal/transport/backend/dialer.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
@@ -18,6 +19,7 @@
 	defaultKeepAliveIdle    = 5 * time.Second
 	defaultKeepAliveEvery   = 2 * time.Second
 	defaultKeepAliveCount   = 3
+	defaultUserTimeout      = 10 * time.Second
 	dialRetryAfter          = 50 * time.Millisecond
 	stepDial                = "dial backend"
 	stepWrite               = "write to backend"
@@ -42,6 +44,9 @@
 	// KeepAlive configures TCP keepalive; the zero value means probes after
 	// 5 s of silence, every 2 s, at most 3.
 	KeepAlive net.KeepAliveConfig
+	// UserTimeout is how long sent data may stay unacknowledged by the
+	// database's machine, where the system can bound it; 0 means 10 s.
+	UserTimeout time.Duration
 }
 
 // Dial opens a connection. An empty user means the Dialer's own. The error is a
@@ -88,6 +93,7 @@
 	config.Database = orDefault(d.DatabaseName, config.User)
 	config.RuntimeParams = map[string]string{settingApplicationName: defaultApplicationName}
 	config.TLSConfig, config.Fallbacks = nil, nil
+	config.ValidateConnect, config.AfterConnect = nil, nil
 	config.DialFunc = d.dialTCP
 	return config, nil
 }
@@ -106,6 +112,9 @@
 	dialer := net.Dialer{
 		Timeout:         orDefault(d.ConnectTimeout, defaultConnectTimeout),
 		KeepAliveConfig: keepAlive,
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			return setUserTimeout(raw, orDefault(d.UserTimeout, defaultUserTimeout))
+		},
 	}
 	return dialer.DialContext(ctx, network, address)
 }
--- /dev/null
+++ b/internal/transport/backend/reader_test.go
@@ -0,0 +1,136 @@
+package backend
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// chunkSource hands out a stream in drawn pieces, with timeouts between them.
+type chunkSource struct {
+	t    *rapid.T
+	left []byte
+}
+
+func (s *chunkSource) Read(buffer []byte) (int, error) {
+	if rapid.Bool().Draw(s.t, "timeout") {
+		return 0, os.ErrDeadlineExceeded
+	}
+	size := rapid.IntRange(len(s.left)/10+1, len(s.left)+1).Draw(s.t, "chunk")
+	count := copy(buffer, s.left[:min(size, len(s.left))])
+	s.left = s.left[count:]
+	return count, nil
+}
+
+func encodeMessage(kind byte, body []byte) []byte {
+	message := binary.BigEndian.AppendUint32([]byte{kind}, uint32(len(body)+lengthBytes))
+	return append(message, body...)
+}
+
+// Messages come out whole and in order however the stream is cut, and whatever
+// timeouts come between.
+func TestReaderKeepsMessagesWhole(t *testing.T) {
+	sizes := []int{0, 1, 100, initialBufferSize - headerBytes, initialBufferSize, keptBufferSize + 1}
+	rapid.Check(t, func(t *rapid.T) {
+		var stream []byte
+		var want [][]byte
+		for _, size := range rapid.SliceOfN(rapid.SampledFrom(sizes), 1, 8).Draw(t, "sizes") {
+			message := encodeMessage(byte('A'+len(want)), bytes.Repeat([]byte{byte(len(want))}, size))
+			want = append(want, message)
+			stream = append(stream, message...)
+		}
+		reader := newMessageReader(&chunkSource{t: t, left: stream}, defaultMaxMessageBytes)
+		for i := 0; i < len(want); {
+			whole := reader.buffered()
+			message, err := reader.next()
+			if err != nil {
+				require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+				require.False(t, whole, "a buffered message needs no read")
+				continue
+			}
+			require.True(t, bytes.Equal(want[i], message))
+			i++
+		}
+	})
+}
+
+func TestReaderRefusesBadLengths(t *testing.T) {
+	for _, stream := range [][]byte{{'D', 0, 0, 0, 3}, {'D', 0, 0, 4, 1}, {'D', 0xff, 0xff, 0xff, 0xff}} {
+		_, err := newMessageReader(bytes.NewReader(stream), 1024).next()
+		require.Error(t, err)
+	}
+	whole := encodeMessage('D', make([]byte, 1024-headerBytes))
+	message, err := newMessageReader(bytes.NewReader(whole), 1024).next()
+	require.NoError(t, err)
+	require.Equal(t, whole, message)
+}
+
+// endlessConn answers each read with the same messages.
+type endlessConn struct {
+	net.Conn
+	data []byte
+}
+
+func (c *endlessConn) Read(buffer []byte) (int, error)  { return copy(buffer, c.data), nil }
+func (c *endlessConn) Write(buffer []byte) (int, error) { return len(buffer), nil }
+func (c *endlessConn) SetReadDeadline(time.Time) error  { return nil }
+func (c *endlessConn) SetWriteDeadline(time.Time) error { return nil }
+
+func TestSteadyPathAllocatesNothing(t *testing.T) {
+	source := &endlessConn{data: encodeMessage('D', make([]byte, 50))}
+	connection := &Conn{
+		connection: source,
+		reader:     newMessageReader(source, defaultMaxMessageBytes),
+		reading:    deadlines{set: source.SetReadDeadline},
+		writing:    deadlines{set: source.SetWriteDeadline},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	allocations := testing.AllocsPerRun(1000, func() {
+		if err := connection.Write(ctx, source.data); err != nil {
+			t.Error(err)
+		}
+		if _, err := connection.Receive(ctx); err != nil {
+			t.Error(err)
+		}
+	})
+	require.Zero(t, allocations)
+}
+
+// The end of a context that is no longer in force must not disturb the next
+// operation, while the end of the one in force must end it.
+func TestOnlyTheContextInForceEndsAnOperation(t *testing.T) {
+	near, far := net.Pipe()
+	defer near.Close()
+	defer far.Close()
+	connection := &Conn{
+		connection: near,
+		reader:     newMessageReader(near, defaultMaxMessageBytes),
+		reading:    deadlines{set: near.SetReadDeadline},
+	}
+	message := encodeMessage('Z', []byte{'I'})
+	for range 200 {
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() { _, _ = far.Write(message) }()
+		received, err := connection.Receive(ctx)
+		require.NoError(t, err)
+		require.Equal(t, message, received.Raw)
+		go cancel()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(time.Millisecond, cancel)
+	_, err := connection.Receive(ctx)
+	failure, ok := state.AsFailure(err)
+	require.True(t, ok)
+	require.Equal(t, state.ReasonSilent, failure.Reason)
+	require.False(t, connection.Broken())
+}
