Platform: tests of edits, following, claims and the client

A reply delayed by the stand-in held its connection, because the server sees a caller leave only after the body was read; it now reads the body first.

--- /dev/null
+++ b/internal/coordination/configuration/claims_test.go
@@ -0,0 +1,75 @@
+package configuration
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// Several promoters claim and record terms through lost answers and stale
+// reads: a term is won by one promoter at most, also when it claims again, and
+// neither the recorded term nor the one that an instance holds goes down.
+func TestTermHasOnePromoterAndRecordsOnlyGoUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ctx := context.Background()
+		service := newFakeTables()
+		service.Put(GroupKey("g"), encodeRecord(state.Group{ID: "g", Databases: make([]state.Database, 3)}))
+		snapshot := service.records
+		sets := make([]*Groups, 3)
+		for i := range sets {
+			sets[i] = NewGroups(service, FollowerOptions{}, zerolog.Nop())
+			sets[i].poll(ctx)
+		}
+		winners := map[state.Term]state.InstanceID{}
+		held := make([]state.Term, len(sets))
+		var recorded state.Term
+		t.Repeat(map[string]func(*rapid.T){
+			"claim": func(t *rapid.T) {
+				i := rapid.IntRange(0, len(sets)-1).Draw(t, "promoter")
+				term := state.Term(rapid.IntRange(1, 6).Draw(t, "term"))
+				err := sets[i].ClaimTerm(ctx, "g", term, instanceID(i))
+				if err != nil {
+					return
+				}
+				winner, won := winners[term]
+				require.True(t, !won || winner == instanceID(i), "term %d has two promoters", term)
+				winners[term] = instanceID(i)
+				service.loseAnswers = 0
+				require.NoError(t, sets[i].ClaimTerm(ctx, "g", term, instanceID(i)), "a claim is idempotent")
+				primary := state.DatabaseID(fmt.Sprintf("d%d", i))
+				if sets[i].RecordPrimary(ctx, "g", term, primary) == nil {
+					recorded = max(recorded, term)
+				}
+			},
+			"lose":  func(t *rapid.T) { service.loseAnswers = rapid.IntRange(0, 2).Draw(t, "lost") },
+			"stale": func(*rapid.T) { service.stale = snapshot },
+			"fresh": func(*rapid.T) { service.stale = nil },
+			"restore": func(*rapid.T) {
+				record := service.records[GroupKey("g")]
+				service.lastVersion++
+				record.Version = service.lastVersion
+				record.Value = snapshot[GroupKey("g")].Value
+				service.records[GroupKey("g")] = record
+				recorded = 0
+			},
+			"poll": func(t *rapid.T) { sets[rapid.IntRange(0, len(sets)-1).Draw(t, "set")].poll(ctx) },
+			"": func(t *rapid.T) {
+				group := state.Group{}
+				_ = decodeRecord("test", service.records[GroupKey("g")].Value, &group)
+				require.GreaterOrEqual(t, group.Term, recorded)
+				for i, set := range sets {
+					seen, found := set.Get("g")
+					require.True(t, found)
+					require.GreaterOrEqual(t, seen.Term, held[i])
+					held[i] = seen.Term
+				}
+			},
+		})
+	})
+}
--- a/internal/coordination/configuration/edit.go
+++ b/internal/coordination/configuration/edit.go
@@ -31,6 +31,9 @@
 	// of the platform's, where the platform holds an older one. Base must be
 	// the revision in force.
 	Restore bool `json:"restore,omitempty"`
+	// Retry says that an earlier attempt of the same edit ended with an
+	// unknown outcome, so that a failure to look it up leaves it unknown.
+	Retry bool `json:"retry,omitempty"`
 }
 
 // Accepted says what an accepted edit made.
@@ -75,7 +78,7 @@
 ) (Accepted, bool, error) {
 	latest, earlier, err := s.readLatest(ctx, edit.ID)
 	if err != nil {
-		return Accepted{}, false, notRunIfUnknown(err)
+		return Accepted{}, false, outcomeOfRead(edit, err)
 	}
 	if earlier.Revision != 0 {
 		accepted, err := acceptedBefore(edit, earlier)
@@ -83,7 +86,7 @@
 	}
 	next, err := s.next(ctx, edit, latest.configuration, inForce)
 	if err != nil {
-		return Accepted{}, false, notRunIfUnknown(err)
+		return Accepted{}, false, outcomeOfRead(edit, err)
 	}
 	if err := Validate(next, groups); err != nil {
 		return Accepted{}, false, err
@@ -102,14 +105,19 @@
 	return Accepted{Revision: earlier.Revision, AlreadyAccepted: true}, nil
 }
 
-// notRunIfUnknown turns the unknown outcome of a read into that of the edit,
-// of which nothing ran. It does not know of earlier attempts of the same edit.
-func notRunIfUnknown(err error) error {
+// outcomeOfRead turns the failure of a read before the edit's write into that
+// of the edit: nothing of this attempt ran, but an earlier one may have.
+func outcomeOfRead(edit Edit, err error) error {
 	failure, ok := state.AsFailure(err)
-	if !ok || failure.Outcome != state.OutcomeUnknown {
+	if !ok {
 		return err
 	}
-	return state.NotRun(failure.Reason, failure.Step, failure.Peer, failure.RetryAfter, failure)
+	outcome := *failure
+	outcome.Outcome = state.OutcomeNotRun
+	if edit.Retry {
+		outcome.Outcome = state.OutcomeUnknown
+	}
+	return &outcome
 }
 
 // next returns the configuration that the edit makes.
--- /dev/null
+++ b/internal/coordination/configuration/follow_test.go
@@ -0,0 +1,183 @@
+package configuration
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// inForceDeadline is the time in which an accepted edit must be in force on
+// all instances.
+const inForceDeadline = 18 * time.Second
+
+// cluster runs followers against one platform in a synctest bubble.
+type cluster struct {
+	tables    *fakeTables
+	store     *Store
+	network   *network
+	followers []*Follower
+}
+
+func startCluster(ctx context.Context, size int) *cluster {
+	c := &cluster{tables: newFakeTables(), network: newNetwork()}
+	c.store = NewStore(c.tables)
+	for i := range size {
+		c.followers = append(c.followers, c.start(ctx, i, size))
+	}
+	synctest.Wait()
+	return c
+}
+
+func (c *cluster) start(ctx context.Context, i, size int) *Follower {
+	peers := &fakePeers{own: instanceID(i), network: c.network, random: rand.New(rand.NewPCG(2, uint64(i)))}
+	options := FollowerOptions{Instances: func() int { return size }}
+	groups := NewGroups(c.tables, options, zerolog.Nop())
+	follower := NewFollower(c.store, peers, groups, options, zerolog.Nop())
+	c.network.join(instanceID(i), follower)
+	go groups.Run(ctx)
+	go follower.Run(ctx)
+	return follower
+}
+
+func (c *cluster) counts() (reads, exchanges int) {
+	c.tables.mu.Lock()
+	defer c.tables.mu.Unlock()
+	c.network.mu.Lock()
+	defer c.network.mu.Unlock()
+	return c.tables.reads, c.network.exchanges
+}
+
+func (c *cluster) countInForce(revision state.Revision) int {
+	count := 0
+	for _, follower := range c.followers {
+		if configuration := follower.Current(); configuration != nil && configuration.Revision >= revision {
+			count++
+		}
+	}
+	return count
+}
+
+// untilInForce returns how long it took until all instances had a revision.
+func (c *cluster) untilInForce(t *testing.T, revision state.Revision) time.Duration {
+	began := time.Now()
+	for c.countInForce(revision) < len(c.followers) {
+		require.Less(t, time.Since(began), inForceDeadline, "in force on %d of %d", c.countInForce(revision), len(c.followers))
+		time.Sleep(100 * time.Millisecond)
+	}
+	return time.Since(began)
+}
+
+func TestEditIsInForceEverywhereInTime(t *testing.T) {
+	change := Change{PutPlans: []state.Plan{testPlan("a", "")}}
+	for name, test := range map[string]struct {
+		size int
+		// platformDown takes the platform away right after the edit.
+		platformDown bool
+		// peersCut leaves polling as the only way.
+		peersCut bool
+	}{
+		"4 instances":                     {size: 4},
+		"4 instances by polling alone":    {size: 4, peersCut: true},
+		"4 instances without platform":    {size: 4, platformDown: true},
+		"300 instances":                   {size: 300},
+		"300 instances by polling alone":  {size: 300, peersCut: true},
+		"300 instances without platform":  {size: 300, platformDown: true},
+		"1500 instances by polling alone": {size: 1500, peersCut: true},
+		"1500 instances without platform": {size: 1500, platformDown: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer synctest.Wait()
+				defer cancel()
+				c := startCluster(ctx, test.size)
+				time.Sleep(time.Minute)
+				if test.peersCut {
+					c.network.mu.Lock()
+					clear(c.network.followers)
+					c.network.ids = nil
+					c.network.mu.Unlock()
+				}
+				accepted, err := c.store.Edit(ctx, Edit{ID: "1", Change: change}, nil, nil)
+				require.NoError(t, err)
+				c.tables.mu.Lock()
+				c.tables.down = test.platformDown
+				c.tables.mu.Unlock()
+				if test.platformDown {
+					c.followers[0].Offer(ctx, accepted.Configuration, SourceEdit)
+				}
+				took := c.untilInForce(t, accepted.Revision)
+				t.Logf("in force on all %d instances after %v", test.size, took)
+			})
+		})
+	}
+}
+
+func TestControlTrafficOfAnIdleCluster(t *testing.T) {
+	const period = time.Minute
+	for _, size := range []int{4, 300, 1500} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer synctest.Wait()
+			defer cancel()
+			c := startCluster(ctx, size)
+			time.Sleep(time.Minute)
+			readsBefore, exchangesBefore := c.counts()
+			time.Sleep(period)
+			reads, exchanges := c.counts()
+			readRate := float64(reads-readsBefore) / period.Seconds()
+			exchangeRate := float64(exchanges-exchangesBefore) / period.Seconds() / float64(size)
+			t.Logf("%d instances: %.1f platform reads/s in all, %.2f exchanges/s begun by each", size, readRate, exchangeRate)
+			require.Less(t, readRate, 250.0)
+			require.Less(t, exchangeRate, 0.5)
+		})
+	}
+}
+
+func TestNewInstanceWithoutPlatformAsksPeersBeforeAnythingIsInForce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		c := startCluster(ctx, 3)
+		c.tables.Put(GroupKey("g"), encodeRecord(state.Group{ID: "g", Databases: make([]state.Database, 3)}))
+		old, err := c.store.Edit(ctx, Edit{ID: "1", Change: Change{PutPlans: []state.Plan{testPlan("a", "")}}}, nil, nil)
+		require.NoError(t, err)
+		_, err = c.store.Edit(ctx, Edit{ID: "2", Base: 1, Change: Change{PutPlans: []state.Plan{testPlan("b", "")}}}, nil, nil)
+		require.NoError(t, err)
+		c.untilInForce(t, 2)
+		time.Sleep(30 * time.Second)
+		c.tables.mu.Lock()
+		c.tables.down = true
+		c.tables.mu.Unlock()
+
+		late := c.start(ctx, 9, 4)
+		late.Offer(ctx, old.Configuration, SourcePeer)
+		require.Nil(t, late.Current(), "nothing is in force before platform and peers were asked")
+		time.Sleep(DefaultStartTimeout)
+		require.EqualValues(t, 2, late.Current().Revision)
+		_, found := late.groups.Get("g")
+		require.True(t, found, "groups come from peers too")
+	})
+}
+
+func TestSameRevisionWithOtherContentsIsCorruption(t *testing.T) {
+	m := newNetwork()
+	follower := NewFollower(NewStore(newFakeTables()), &fakePeers{network: m}, nil, FollowerOptions{}, zerolog.Nop())
+	follower.start(t.Context())
+	held := &state.Configuration{Revision: 3, EditID: "held"}
+	require.True(t, follower.Offer(t.Context(), held, SourcePeer))
+	before := corruptions().Get()
+	require.False(t, follower.Offer(t.Context(), &state.Configuration{Revision: 3, EditID: "other"}, SourcePeer))
+	other := &state.Configuration{Revision: 4}
+	follower.HandleExchange(t.Context(), Exchange{Digest: Digest{Revision: 4, Hash: "wrong"}, Document: other})
+	require.Same(t, held, follower.Current())
+	require.EqualValues(t, 2, corruptions().Get()-before)
+}
--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -1,12 +1,15 @@
 package platform
 
 import (
+	"bytes"
 	"encoding/json"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/tables"
+	"github.com/cyclamenpin/cyclamenpin/internal/protocol/platformapi"
 )
 
 // faultSeed makes the choice of failing requests the same on every run.
@@ -132,6 +135,10 @@
 		if v.cutBefore {
 			panic(http.ErrAbortHandler)
 		}
+		// The server notices that a caller went away only once the body is read.
+		if err := bufferBody(r); err != nil {
+			panic(http.ErrAbortHandler)
+		}
 		if v.delay > 0 && !waitFor(v.delay, v.requestOver) {
 			panic(http.ErrAbortHandler)
 		}
@@ -150,6 +157,12 @@
 	}
 }
 
+func bufferBody(r *http.Request) error {
+	body, err := io.ReadAll(io.LimitReader(r.Body, platformapi.MaxBodyBytes))
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	return err
+}
+
 // waitFor reports false where over closed first.
 func waitFor(delay time.Duration, over <-chan struct{}) bool {
 	timer := time.NewTimer(delay)
--- a/internal/transport/platformclient/client.go
+++ b/internal/transport/platformclient/client.go
@@ -65,21 +65,20 @@
 	c.http.CloseIdleConnections()
 }
 
-// Limits of repeated reads.
+// Limits of repeated calls.
 const (
 	readTries         = 3
-	firstRetryWait    = 50 * time.Millisecond
-	longestRetryWait  = time.Second
+	maxRetryWaits     = 20
 	retryWaitJitter   = 0.5
 	retryWaitMultiple = 2
 )
 
-func retryWaits() *backoff.ExponentialBackOff {
+func (c *Client) retryWaits() *backoff.ExponentialBackOff {
 	return &backoff.ExponentialBackOff{
-		InitialInterval:     firstRetryWait,
+		InitialInterval:     c.options.RetryWait,
 		RandomizationFactor: retryWaitJitter,
 		Multiplier:          retryWaitMultiple,
-		MaxInterval:         longestRetryWait,
+		MaxInterval:         maxRetryWaits * c.options.RetryWait,
 	}
 }
 
@@ -111,7 +110,7 @@
 		}
 		return body, err
 	}
-	body, err := backoff.Retry(ctx, operation, backoff.WithBackOff(retryWaits()), backoff.WithMaxTries(readTries))
+	body, err := backoff.Retry(ctx, operation, backoff.WithBackOff(c.retryWaits()), backoff.WithMaxTries(readTries))
 	if err == nil {
 		return body, nil
 	}
--- a/internal/transport/platformclient/options.go
+++ b/internal/transport/platformclient/options.go
@@ -9,6 +9,7 @@
 const (
 	DefaultTimeout        = 2 * time.Second
 	DefaultResolveTimeout = 10 * time.Second
+	DefaultRetryWait      = 50 * time.Millisecond
 	DefaultReadsPerSecond = 2
 	DefaultReadBurst      = 20
 	// DefaultWritesPerSecond keeps the writes of 1,500 instances, all at their
@@ -26,6 +27,9 @@
 	// ResolveTimeout bounds the time for which a write whose answer was lost
 	// is repeated to learn its result.
 	ResolveTimeout time.Duration
+	// RetryWait is the mean wait before the first repeat of a call. Later ones
+	// wait longer, up to maxRetryWaits times as long.
+	RetryWait time.Duration
 	// ReadsPerSecond and ReadBurst are this instance's budget of reads.
 	ReadsPerSecond float64
 	ReadBurst      int
@@ -44,6 +48,9 @@
 	if o.ResolveTimeout == 0 {
 		o.ResolveTimeout = DefaultResolveTimeout
 	}
+	if o.RetryWait == 0 {
+		o.RetryWait = DefaultRetryWait
+	}
 	if o.ReadsPerSecond == 0 {
 		o.ReadsPerSecond = DefaultReadsPerSecond
 	}
--- a/internal/transport/platformclient/transact.go
+++ b/internal/transport/platformclient/transact.go
@@ -53,7 +53,7 @@
 		return body, err
 	}
 	body, err := backoff.Retry(ctx, operation,
-		backoff.WithBackOff(retryWaits()), backoff.WithMaxElapsedTime(c.options.ResolveTimeout))
+		backoff.WithBackOff(c.retryWaits()), backoff.WithMaxElapsedTime(c.options.ResolveTimeout))
 	if err == nil {
 		return body, nil
 	}
