--- a/internal/coordination/configuration/claims_test.go
+++ b/internal/coordination/configuration/claims_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"testing"
 
 	"github.com/rs/zerolog"
@@ -20,7 +21,7 @@
 		ctx := context.Background()
 		service := newFakeTables()
 		service.Put(GroupKey("g"), encodeRecord(state.Group{ID: "g", Databases: make([]state.Database, 3)}))
-		snapshot := service.records
+		snapshot := maps.Clone(service.records)
 		sets := make([]*Groups, 3)
 		for i := range sets {
 			sets[i] = NewGroups(service, FollowerOptions{}, zerolog.Nop())
@@ -29,25 +30,30 @@
 		winners := map[state.Term]state.InstanceID{}
 		held := make([]state.Term, len(sets))
 		var recorded state.Term
-		t.Repeat(map[string]func(*rapid.T){
-			"claim": func(t *rapid.T) {
-				i := rapid.IntRange(0, len(sets)-1).Draw(t, "promoter")
-				term := state.Term(rapid.IntRange(1, 6).Draw(t, "term"))
-				err := sets[i].ClaimTerm(ctx, "g", term, instanceID(i))
-				if err != nil {
-					return
-				}
+		claim := func(i int, term state.Term) {
+			if sets[i].ClaimTerm(ctx, "g", term, instanceID(i)) == nil {
 				winner, won := winners[term]
 				require.True(t, !won || winner == instanceID(i), "term %d has two promoters", term)
 				winners[term] = instanceID(i)
-				service.loseAnswers = 0
+				service.loseCommits = 0
 				require.NoError(t, sets[i].ClaimTerm(ctx, "g", term, instanceID(i)), "a claim is idempotent")
 				primary := state.DatabaseID(fmt.Sprintf("d%d", i))
 				if sets[i].RecordPrimary(ctx, "g", term, primary) == nil {
 					recorded = max(recorded, term)
 				}
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"claim": func(t *rapid.T) {
+				i := rapid.IntRange(0, len(sets)-1).Draw(t, "promoter")
+				term := state.Term(rapid.IntRange(1, 6).Draw(t, "term"))
+				if rapid.Bool().Draw(t, "raced") {
+					service.interrupt = func() { claim((i+1)%len(sets), term) }
+				}
+				claim(i, term)
+				service.interrupt = nil
 			},
-			"lose":  func(t *rapid.T) { service.loseAnswers = rapid.IntRange(0, 2).Draw(t, "lost") },
+			"lose":  func(t *rapid.T) { service.loseCommits = rapid.IntRange(0, 2).Draw(t, "lost") },
 			"stale": func(*rapid.T) { service.stale = snapshot },
 			"fresh": func(*rapid.T) { service.stale = nil },
 			"restore": func(*rapid.T) {
--- a/internal/coordination/configuration/fakes_test.go
+++ b/internal/coordination/configuration/fakes_test.go
@@ -25,9 +25,15 @@
 	lastVersion uint64
 	stale       map[string]tables.Record
 	down        bool
+	// loseAnswers counts down with each transaction, loseCommits with each
+	// that commits.
 	loseAnswers int
+	loseCommits int
 	reads       int
-	committed   []*state.Configuration
+	// interrupt, when set, is called once before the next transaction that
+	// writes.
+	interrupt func()
+	committed []*state.Configuration
 }
 
 func newFakeTables() *fakeTables {
@@ -77,6 +83,12 @@
 
 func (f *fakeTables) Transact(_ context.Context, transaction tables.Transaction) (tables.Result, error) {
 	f.mu.Lock()
+	if interrupt := f.interrupt; interrupt != nil && len(transaction.Writes) > 0 {
+		f.interrupt = nil
+		f.mu.Unlock()
+		interrupt()
+		f.mu.Lock()
+	}
 	defer f.mu.Unlock()
 	if f.down {
 		return tables.Result{}, state.NotRun(state.ReasonPlatform, "fake", "platform", 0, nil)
@@ -90,6 +102,10 @@
 		f.loseAnswers--
 		return tables.Result{}, state.Unknown(state.ReasonPlatform, "fake", "platform", errors.New("lost"))
 	}
+	if result.Committed && f.loseCommits > 0 {
+		f.loseCommits--
+		return tables.Result{}, state.Unknown(state.ReasonPlatform, "fake", "platform", errors.New("lost"))
+	}
 	return result, nil
 }
 
--- /dev/null
+++ b/internal/coordination/configuration/file.go
@@ -0,0 +1,249 @@
+package configuration
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"reflect"
+	"strings"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// File is the operators' form of the lists: a JSON object with one of them or
+// both.
+type File struct {
+	// Revision is the one that the file was written from, or nil.
+	Revision *state.Revision `json:"revision"`
+	Plans    []state.Plan    `json:"plans"`
+	Limits   []state.Limit   `json:"limits"`
+
+	// lines holds the line of each path of the file.
+	lines map[string]int
+}
+
+// HasPlans reports whether the file holds the list of plans.
+func (f *File) HasPlans() bool {
+	return f.lines["plans"] > 0
+}
+
+// HasLimits reports whether the file holds the list of limits.
+func (f *File) HasLimits() bool {
+	return f.lines["limits"] > 0
+}
+
+// Merge returns the lists of a configuration with those of the file in place
+// of them.
+func (f *File) Merge(base *state.Configuration) *state.Configuration {
+	merged := *base
+	if f.HasPlans() {
+		merged.Plans = f.Plans
+	}
+	if f.HasLimits() {
+		merged.Limits = f.Limits
+	}
+	return &merged
+}
+
+// AddLines completes the faults of the merged lists by the lines of the file.
+func (f *File) AddLines(err error) error {
+	var invalid *ValidationError
+	if !errors.As(err, &invalid) {
+		return err
+	}
+	for i := range invalid.Fields {
+		invalid.Fields[i].Line = f.line(invalid.Fields[i].Path)
+	}
+	return err
+}
+
+// line returns the line of a path, or of the closest entry that contains it.
+func (f *File) line(path string) int {
+	for path != "" {
+		if line, found := f.lines[path]; found {
+			return line
+		}
+		path = path[:max(0, strings.LastIndexAny(path, ".["))]
+	}
+	return 0
+}
+
+// ParseFile reads the operators' form strictly: it refuses unknown, repeated
+// and null keys, values of another type, and anything after the object. The
+// error is a *ValidationError that names each fault's path and line.
+func ParseFile(text []byte) (*File, error) {
+	p := &parser{text: text, decoder: json.NewDecoder(bytes.NewReader(text)), lines: make(map[string]int)}
+	p.decoder.UseNumber()
+	p.value("", reflect.TypeFor[File]())
+	p.end()
+	if len(p.fields) > 0 {
+		return nil, &ValidationError{Fields: p.fields}
+	}
+	file := &File{lines: p.lines}
+	if err := json.Unmarshal(text, file); err != nil {
+		return nil, &ValidationError{Fields: []FieldError{{Message: err.Error()}}}
+	}
+	if !file.HasPlans() && !file.HasLimits() {
+		return nil, &ValidationError{Fields: []FieldError{{Path: "plans", Line: 1, Message: "the file holds neither plans nor limits"}}}
+	}
+	return file, nil
+}
+
+// parser checks a file against the type that it is to be read into.
+type parser struct {
+	text    []byte
+	decoder *json.Decoder
+	lines   map[string]int
+	fields  []FieldError
+	// broken is set once the text is no JSON from here on.
+	broken bool
+}
+
+func (p *parser) lineHere() int {
+	return 1 + bytes.Count(p.text[:p.decoder.InputOffset()], []byte("\n"))
+}
+
+func (p *parser) add(path, format string, arguments ...any) {
+	p.fields = append(p.fields, FieldError{Path: path, Line: p.lineHere(), Message: fmt.Sprintf(format, arguments...)})
+}
+
+// token returns the next token, or nil once the text is broken.
+func (p *parser) token(path string) json.Token {
+	if p.broken {
+		return nil
+	}
+	token, err := p.decoder.Token()
+	if err != nil {
+		p.broken = true
+		p.add(path, "is not valid JSON: %v", err)
+		return nil
+	}
+	if token == nil {
+		p.add(path, "must not be null")
+	}
+	return token
+}
+
+func (p *parser) end() {
+	if p.broken {
+		return
+	}
+	if _, err := p.decoder.Token(); !errors.Is(err, io.EOF) {
+		p.add("", "there is text after the object")
+	}
+}
+
+// value checks the next value against the type that it is read into.
+func (p *parser) value(path string, want reflect.Type) {
+	token := p.token(path)
+	if token == nil {
+		return
+	}
+	p.lines[path] = p.lineHere()
+	if want.Kind() == reflect.Pointer {
+		want = want.Elem()
+	}
+	switch token {
+	case json.Delim('{'):
+		p.object(path, want)
+	case json.Delim('['):
+		p.array(path, want)
+	default:
+		p.scalar(path, token, want)
+	}
+}
+
+func (p *parser) object(path string, want reflect.Type) {
+	if want.Kind() != reflect.Struct {
+		p.add(path, "is an object, want %s", describe(want))
+	}
+	seen := make(map[string]bool)
+	for p.more() {
+		key, _ := p.token(path).(string)
+		if p.broken {
+			return
+		}
+		member := strings.TrimPrefix(path+"."+key, ".")
+		if seen[key] {
+			p.add(member, "stands twice")
+		}
+		seen[key] = true
+		p.member(member, key, want)
+	}
+	p.token(path)
+}
+
+// member checks the value of an object's key, and skips that of an unknown one.
+func (p *parser) member(path, key string, want reflect.Type) {
+	if want.Kind() == reflect.Struct {
+		for i := range want.NumField() {
+			field := want.Field(i)
+			name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+			if name == key && name != "" {
+				p.value(path, field.Type)
+				return
+			}
+		}
+		p.add(path, "unknown key")
+	}
+	p.skip()
+}
+
+func (p *parser) array(path string, want reflect.Type) {
+	element := want
+	if want.Kind() == reflect.Slice {
+		element = want.Elem()
+	} else {
+		p.add(path, "is an array, want %s", describe(want))
+	}
+	for i := 0; p.more(); i++ {
+		if want.Kind() != reflect.Slice {
+			p.skip()
+			continue
+		}
+		p.value(fmt.Sprintf("%s[%d]", path, i), element)
+	}
+	p.token(path)
+}
+
+func (p *parser) more() bool {
+	return !p.broken && p.decoder.More()
+}
+
+func (p *parser) skip() {
+	var ignored json.RawMessage
+	if p.broken {
+		return
+	}
+	if err := p.decoder.Decode(&ignored); err != nil {
+		p.broken = true
+		p.add("", "is not valid JSON: %v", err)
+	}
+}
+
+func (p *parser) scalar(path string, token json.Token, want reflect.Type) {
+	zero := reflect.New(want).Interface()
+	encoded, err := json.Marshal(token)
+	if err == nil && json.Unmarshal(encoded, zero) == nil {
+		return
+	}
+	p.add(path, "is %s, want %s", encoded, describe(want))
+}
+
+// describe names the JSON form of a type.
+func describe(want reflect.Type) string {
+	switch want.Kind() {
+	case reflect.Struct:
+		return "an object"
+	case reflect.Slice:
+		return "an array"
+	case reflect.String:
+		return "a string"
+	case reflect.Uint64:
+		return "an integer that is not negative"
+	default:
+		return "an integer"
+	}
+}
--- a/internal/coordination/configuration/follow_test.go
+++ b/internal/coordination/configuration/follow_test.go
@@ -1,6 +1,7 @@
 package configuration
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"testing"
@@ -80,12 +81,14 @@
 		size int
 		// platformDown takes the platform away right after the edit.
 		platformDown bool
+		// within is inForceDeadline where zero.
+		within time.Duration
 		// peersCut leaves polling as the only way.
 		peersCut bool
 	}{
 		"4 instances":                     {size: 4},
 		"4 instances by polling alone":    {size: 4, peersCut: true},
-		"4 instances without platform":    {size: 4, platformDown: true},
+		"4 instances without platform":    {size: 4, platformDown: true, within: time.Second},
 		"300 instances":                   {size: 300},
 		"300 instances by polling alone":  {size: 300, peersCut: true},
 		"300 instances without platform":  {size: 300, platformDown: true},
@@ -114,6 +117,7 @@
 					c.followers[0].Offer(ctx, accepted.Configuration, SourceEdit)
 				}
 				took := c.untilInForce(t, accepted.Revision)
+				require.LessOrEqual(t, took, cmp.Or(test.within, inForceDeadline))
 				t.Logf("in force on all %d instances after %v", test.size, took)
 			})
 		})
@@ -159,10 +163,12 @@
 		c.tables.mu.Unlock()
 
 		late := c.start(ctx, 9, 4)
+		changes, unsubscribe := late.Subscribe()
+		defer unsubscribe()
 		late.Offer(ctx, old.Configuration, SourcePeer)
 		require.Nil(t, late.Current(), "nothing is in force before platform and peers were asked")
-		time.Sleep(DefaultStartTimeout)
-		require.EqualValues(t, 2, late.Current().Revision)
+		first := <-changes
+		require.EqualValues(t, 2, first.Revision)
 		_, found := late.groups.Get("g")
 		require.True(t, found, "groups come from peers too")
 	})
--- a/internal/coordination/configuration/property_test.go
+++ b/internal/coordination/configuration/property_test.go
@@ -91,7 +91,19 @@
 
 // edit makes an operator's new edit, or repeats the one whose answer was lost.
 func (m *model) edit() {
-	o := &m.operators[rapid.IntRange(0, modelOperators-1).Draw(m.t, "operator")]
+	m.editBy(rapid.IntRange(0, modelOperators-2).Draw(m.t, "operator"))
+}
+
+// race lets the last operator's edit come between the read and the write of
+// another's.
+func (m *model) race() {
+	m.tables.interrupt = func() { m.editBy(modelOperators - 1) }
+	m.edit()
+	m.tables.interrupt = nil
+}
+
+func (m *model) editBy(i int) {
+	o := &m.operators[i]
 	edit := o.pending
 	if edit == nil {
 		seen := m.followers[m.anyInstance()].Digest().Revision
@@ -177,12 +189,21 @@
 		return
 	}
 	m.startInstance(i)
+	for j, follower := range m.followers {
+		if m.inReach(i, j) && follower.Current() != nil {
+			require.GreaterOrEqual(m.t, m.followers[i].Digest().Revision, follower.Current().Revision,
+				"a new process starts with the newest revision in reach")
+		}
+	}
+}
+
+func (m *model) inReach(i, j int) bool {
+	return j != i && !m.network.cut[[2]state.InstanceID{instanceID(i), instanceID(j)}]
 }
 
 func (m *model) newestInReach(i int) bool {
 	for j, follower := range m.followers {
-		cut := m.network.cut[[2]state.InstanceID{instanceID(i), instanceID(j)}]
-		if j != i && !cut && follower.Digest().Revision == m.highestInForce() {
+		if m.inReach(i, j) && follower.Digest().Revision == m.highestInForce() {
 			return true
 		}
 	}
@@ -192,7 +213,8 @@
 func (m *model) toggleDown() { m.tables.down = !m.tables.down }
 
 func (m *model) loseAnswers() {
-	m.tables.loseAnswers = rapid.IntRange(0, 3).Draw(m.t, "lost")
+	m.tables.loseAnswers = rapid.IntRange(0, 2).Draw(m.t, "lost answers")
+	m.tables.loseCommits = rapid.IntRange(0, 2).Draw(m.t, "lost commits")
 }
 
 func (m *model) toggleStale() {
@@ -221,6 +243,7 @@
 func (m *model) heal() {
 	ctx := context.Background()
 	m.tables.down, m.tables.stale, m.tables.loseAnswers = false, nil, 0
+	m.tables.loseCommits = 0
 	m.network.cut = map[[2]state.InstanceID]bool{}
 	for i := range m.operators {
 		if m.operators[i].pending != nil {
@@ -263,7 +286,7 @@
 		m := newModel(t)
 		actions := map[string]func(*rapid.T){"": func(*rapid.T) { m.check() }}
 		for name, action := range map[string]func(){
-			"edit": m.edit, "edit again": m.edit, "poll": m.poll, "gossip": m.gossip, "offer old": m.offerOld,
+			"edit": m.edit, "edit again": m.edit, "race": m.race, "race again": m.race, "poll": m.poll, "gossip": m.gossip, "offer old": m.offerOld,
 			"cut": m.cut, "restart": m.restart, "down": m.toggleDown, "lose": m.loseAnswers,
 			"stale": m.toggleStale, "snapshot": m.takeSnapshot, "restore": m.restore,
 		} {
