--- a/internal/coordination/configuration/file.go
+++ b/internal/coordination/configuration/file.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"reflect"
+	"slices"
 	"strings"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
@@ -47,8 +48,52 @@
 	return &merged
 }
 
-// AddLines completes the faults of the merged lists by the lines of the file.
+// Validate checks the lists of a configuration with those of the file in place
+// of them, but for the existence of the databases. A plan that base has may
+// keep its verifier. The error is a *ValidationError with the file's lines.
+func (f *File) Validate(base *state.Configuration) error {
+	v := &validation{keepable: make(map[state.PlanID]bool)}
+	for _, plan := range base.Plans {
+		v.keepable[plan.ID] = true
+	}
+	return f.addLines(v.check(f.Merge(base)))
+}
+
+// AddLines completes the faults that the store found in an edit made from the
+// file, whose lists may be in another order, by the file's paths and lines.
 func (f *File) AddLines(err error) error {
+	var invalid *ValidationError
+	if !errors.As(err, &invalid) {
+		return err
+	}
+	for i, field := range invalid.Fields {
+		if field.Line == 0 {
+			invalid.Fields[i].Path = f.pathOf(field)
+		}
+	}
+	return f.addLines(err)
+}
+
+// pathOf returns the path of a fault with the entry's index in the file, or as
+// it is where the file does not have the entry.
+func (f *File) pathOf(field FieldError) string {
+	_, member, found := strings.Cut(field.Path, "]")
+	if !found || field.Plan == "" {
+		return field.Path
+	}
+	list := ListPlans
+	index := slices.IndexFunc(f.Plans, func(plan state.Plan) bool { return plan.ID == field.Plan })
+	if strings.HasPrefix(field.Path, string(ListLimits)) {
+		list = ListLimits
+		index = slices.IndexFunc(f.Limits, func(limit state.Limit) bool { return limit.Plan == field.Plan })
+	}
+	if index < 0 {
+		return field.Path
+	}
+	return fmt.Sprintf("%s[%d]%s", list, index, member)
+}
+
+func (f *File) addLines(err error) error {
 	var invalid *ValidationError
 	if !errors.As(err, &invalid) {
 		return err
--- a/internal/coordination/configuration/file_test.go
+++ b/internal/coordination/configuration/file_test.go
@@ -50,13 +50,16 @@
 	file, err := ParseFile([]byte("{\"limits\": [\n{\"plan\": \"a\"},\n{\"plan\": \"x\",\n\"max_connections\": 1,\n\"databases\": [\"g\",\n\"h\"]}]}"))
 	require.NoError(t, err)
 	base := &state.Configuration{Plans: []state.Plan{testPlan("a", "")}}
-	err = file.AddLines(Validate(file.Merge(base), []state.GroupID{"g"}))
+	sorted := Diff(base, file.Merge(base)).Apply(base)
+	sorted.Limits = append([]state.Limit{{Plan: "0", MaxConnections: 1}}, sorted.Limits...)
+	sorted.Plans = append(sorted.Plans, testPlan("0", ""))
+	err = file.AddLines(Validate(sorted, []state.GroupID{"g"}))
 	var invalid *ValidationError
 	require.ErrorAs(t, err, &invalid)
 	require.Equal(t, []FieldError{
-		{Path: "limits[0].max_connections", Line: 2, Message: "is 0, want 1 to 10000"},
-		{Path: "limits[1].plan", Line: 3, Message: `there is no plan "x"`},
-		{Path: "limits[1].databases[1]", Line: 6, Message: `there is no database "h"`},
+		{Path: "limits[0].max_connections", Plan: "a", Line: 2, Message: "is 0, want 1 to 10000"},
+		{Path: "limits[1].plan", Plan: "x", Line: 3, Message: `there is no plan "x"`},
+		{Path: "limits[1].databases[1]", Plan: "x", Line: 6, Message: `there is no database "h"`},
 	}, invalid.Fields)
 }
 
--- a/internal/coordination/configuration/property_test.go
+++ b/internal/coordination/configuration/property_test.go
@@ -102,6 +102,17 @@
 	m.tables.interrupt = nil
 }
 
+// loseThenRetryStale loses the answer of an operator's edit and repeats it
+// while reads are stale.
+func (m *model) loseThenRetryStale() {
+	stale := maps.Clone(m.tables.records)
+	m.tables.loseCommits = 1
+	m.editBy(0)
+	m.tables.stale = stale
+	m.editBy(0)
+	m.tables.stale, m.tables.loseCommits = nil, 0
+}
+
 func (m *model) editBy(i int) {
 	o := &m.operators[i]
 	edit := o.pending
@@ -286,7 +297,8 @@
 		m := newModel(t)
 		actions := map[string]func(*rapid.T){"": func(*rapid.T) { m.check() }}
 		for name, action := range map[string]func(){
-			"edit": m.edit, "edit again": m.edit, "race": m.race, "race again": m.race, "poll": m.poll, "gossip": m.gossip, "offer old": m.offerOld,
+			"edit": m.edit, "edit again": m.edit, "race": m.race, "race again": m.race, "lose and retry": m.loseThenRetryStale,
+			"poll": m.poll, "gossip": m.gossip, "offer old": m.offerOld,
 			"cut": m.cut, "restart": m.restart, "down": m.toggleDown, "lose": m.loseAnswers,
 			"stale": m.toggleStale, "snapshot": m.takeSnapshot, "restore": m.restore,
 		} {
--- a/internal/coordination/configuration/validate.go
+++ b/internal/coordination/configuration/validate.go
@@ -26,6 +26,9 @@
 type FieldError struct {
 	// Path names the field, such as limits[3].max_connections.
 	Path string `json:"path"`
+	// Plan is that of the entry which the path is in; empty where it is in
+	// none.
+	Plan state.PlanID `json:"plan,omitempty"`
 	// Line is the line of the operators' file, from 1; zero where the lists
 	// did not come from a file.
 	Line    int    `json:"line,omitempty"`
@@ -34,10 +37,14 @@
 
 // String writes the error as "line 7: limits[3].weight: message".
 func (e FieldError) String() string {
-	if e.Line == 0 {
-		return e.Path + ": " + e.Message
+	place := e.Path
+	if e.Plan != "" {
+		place += fmt.Sprintf(" (plan %s)", e.Plan)
 	}
-	return fmt.Sprintf("line %d: %s: %s", e.Line, e.Path, e.Message)
+	if e.Line != 0 {
+		place = fmt.Sprintf("line %d: %s", e.Line, place)
+	}
+	return place + ": " + e.Message
 }
 
 // ValidationError lists all faults of a configuration, none of which was
@@ -62,6 +69,10 @@
 // *ValidationError.
 func Validate(configuration *state.Configuration, groups []state.GroupID) error {
 	v := &validation{groups: groups, checkGroups: groups != nil}
+	return v.check(configuration)
+}
+
+func (v *validation) check(configuration *state.Configuration) error {
 	v.plans(configuration.Plans)
 	v.limits(configuration)
 	if len(v.fields) == 0 {
@@ -74,11 +85,15 @@
 type validation struct {
 	groups      []state.GroupID
 	checkGroups bool
-	fields      []FieldError
+	// keepable are the plans whose verifier may be KeptVerifier.
+	keepable map[state.PlanID]bool
+	// plan is that of the entry under check.
+	plan   state.PlanID
+	fields []FieldError
 }
 
 func (v *validation) add(path, format string, arguments ...any) {
-	v.fields = append(v.fields, FieldError{Path: path, Message: fmt.Sprintf(format, arguments...)})
+	v.fields = append(v.fields, FieldError{Path: path, Plan: v.plan, Message: fmt.Sprintf(format, arguments...)})
 }
 
 func (v *validation) plans(plans []state.Plan) {
@@ -86,6 +101,7 @@
 	users := make(map[string]int, len(plans))
 	for i, plan := range plans {
 		path := fmt.Sprintf("plans[%d]", i)
+		v.plan = plan.ID
 		v.name(path+".id", string(plan.ID))
 		v.name(path+".user", plan.User)
 		if first, found := ids[plan.ID]; found {
@@ -98,9 +114,16 @@
 		} else {
 			users[plan.User] = i
 		}
-		if problem := verifierProblem(plan.PasswordVerifier); problem != "" {
-			v.add(path+".password_verifier", "plan %q: %s", plan.ID, problem)
-		}
+		v.verifier(path+".password_verifier", plan)
+	}
+}
+
+func (v *validation) verifier(path string, plan state.Plan) {
+	if plan.PasswordVerifier == KeptVerifier && v.keepable[plan.ID] {
+		return
+	}
+	if problem := verifierProblem(plan.PasswordVerifier); problem != "" {
+		v.add(path, "%s", problem)
 	}
 }
 
@@ -128,6 +151,7 @@
 	seen := make(map[state.PlanID]int, len(configuration.Limits))
 	for i, limit := range configuration.Limits {
 		path := fmt.Sprintf("limits[%d]", i)
+		v.plan = limit.Plan
 		if !known[limit.Plan] {
 			v.add(path+".plan", "there is no plan %q", limit.Plan)
 		}
