peerproto: framing, keyed handshake and bodies between instances

The msgpack library's limit on slice allocation does not work for slices of structs (it compares the flag with 1), so a stated length of 4 G elements would allocate at once; bodies are therefore checked for shape before they are decoded. Both handshake proofs sign the Hello and Terms as they crossed the network, so a newer release may add fields without breaking an older one. Arrays were weighed against maps with short names: they save two bytes a body and break on any added field.

--- /dev/null
+++ b/internal/protocol/peerproto/frame_test.go
@@ -0,0 +1,130 @@
+package peerproto
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"runtime"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/execution"
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+func TestFramesRoundTripThroughAnySplit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		unit := Unit{Number: rapid.Uint64().Draw(t, "number"), Unit: execution.Unit{
+			Messages:  rapid.SliceOf(rapid.Byte()).Draw(t, "messages"),
+			RequestID: rapid.String().Draw(t, "request id"),
+		}}
+		body, err := Marshal(&unit)
+		require.NoError(t, err)
+		frame := Frame{
+			Kind: KindUnit, Flags: rapid.Byte().Draw(t, "flags"),
+			Stream: rapid.Uint64().Draw(t, "stream"), Body: body,
+		}
+		encoded := AppendFrame(AppendFrame(nil, frame), frame)
+		cut := rapid.IntRange(0, len(encoded)).Draw(t, "cut")
+		reader := NewFrameReader(bytes.NewReader(encoded[:cut]), DefaultMaxFrame)
+		for range cut / (len(encoded) / 2) {
+			got, err := reader.Next()
+			require.NoError(t, err)
+			require.Equal(t, frame, got)
+			var decoded Unit
+			require.NoError(t, Unmarshal(got.Body, &decoded))
+			require.Equal(t, unit.Number, decoded.Number)
+			require.True(t, bytes.Equal(unit.Unit.Messages, decoded.Unit.Messages))
+		}
+		_, err = reader.Next()
+		require.Error(t, err)
+		require.Equal(t, cut%(len(encoded)/2) == 0, errors.Is(err, io.EOF), "a cut frame is never a clean end")
+	})
+}
+
+func TestFrameAboveLimitIsTyped(t *testing.T) {
+	encoded := AppendFrame(nil, Frame{Kind: KindEvent, Body: make([]byte, 11)})
+	_, err := NewFrameReader(bytes.NewReader(encoded), 10).Next()
+	var size *FrameSizeError
+	require.ErrorAs(t, err, &size)
+	require.Equal(t, FrameSizeError{Size: 11, Limit: 10}, *size)
+}
+
+func TestUnknownNamesAreSkipped(t *testing.T) {
+	type newer struct {
+		Method string `msgpack:"method"`
+		Hint   []int  `msgpack:"hint"`
+	}
+	encoded, err := Marshal(&newer{Method: "m", Hint: []int{1}})
+	require.NoError(t, err)
+	var call Call
+	require.NoError(t, Unmarshal(encoded, &call))
+	require.Equal(t, "m", call.Method)
+}
+
+func TestFailureSurvivesTheNetwork(t *testing.T) {
+	failure := state.NotRun(state.ReasonOverloaded, "queue", "db1", 5, io.EOF)
+	encoded, err := Marshal(PortableFailure(failure))
+	require.NoError(t, err)
+	decoded, err := UnmarshalFailure(encoded)
+	require.NoError(t, err)
+	require.Equal(t, failure.Error(), decoded.Error())
+	failure.Outcome = 0
+	encoded, err = Marshal(PortableFailure(failure))
+	require.NoError(t, err)
+	decoded, err = UnmarshalFailure(encoded)
+	require.NoError(t, err)
+	require.Equal(t, state.OutcomeUnknown, decoded.Outcome)
+}
+
+// decodeTargets are the bodies that a peer may send.
+func decodeTargets() []any {
+	return []any{
+		&Hello{}, &Challenge{}, &Terms{}, &Proof{}, &Welcome{}, &Refuse{}, &Open{}, &Unit{},
+		&Event{}, &Cancel{}, &Credit{}, &Ping{}, &Call{}, &Reply{}, &state.Failure{},
+	}
+}
+
+// allocationLimit is what decoding size bytes into one body may allocate.
+func allocationLimit(size int) uint64 {
+	const perByte, fixed = 256, 1 << 20
+	return uint64(perByte*size + fixed)
+}
+
+func FuzzFrame(f *testing.F) {
+	for _, target := range decodeTargets() {
+		body, err := Marshal(target)
+		require.NoError(f, err)
+		f.Add(AppendFrame(nil, Frame{Kind: KindOpen, Stream: 1, Body: body}))
+	}
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff})
+	f.Add([]byte{0, 0, 0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11})
+	nested := bytes.Repeat([]byte{0x91}, 1<<12)
+	f.Add(AppendFrame(nil, Frame{Kind: KindOpen, Body: nested}))
+	// An Open whose list of settings states 4 G elements.
+	huge := []byte("\x81\xa7request\x81\xa8settings\xdd\xff\xff\xff\xff")
+	f.Add(AppendFrame(nil, Frame{Kind: KindOpen, Body: huge}))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		reader := NewFrameReader(bytes.NewReader(data), 1<<20)
+		for {
+			frame, err := reader.Next()
+			if err != nil {
+				break
+			}
+			decodeAll(t, frame.Body)
+		}
+		require.LessOrEqual(t, cap(reader.body), max(2*len(data), 2*readStep))
+	})
+}
+
+func decodeAll(t *testing.T, body []byte) {
+	for _, target := range decodeTargets() {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		_ = Unmarshal(body, target)
+		runtime.ReadMemStats(&after)
+		require.Less(t, after.TotalAlloc-before.TotalAlloc, allocationLimit(len(body)), "%T", target)
+	}
+}
--- /dev/null
+++ b/internal/protocol/peerproto/handshake_test.go
@@ -0,0 +1,182 @@
+package peerproto
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+func key(text string) []byte {
+	return []byte("shared test key " + text)
+}
+
+func party(id state.InstanceID, versions VersionRange, keys ...[]byte) Party {
+	ring, err := NewKeyRing(keys...)
+	if err != nil {
+		panic(err)
+	}
+	return Party{Identity: Identity{ID: id, Incarnation: 7, DataCentre: "dc"}, Versions: versions, Keys: ring}
+}
+
+// shake runs both sides over a pipe and returns what each made of it.
+func shake(client, server Party, want Identity, gate Gate) (dialled, accepted Agreement, dialErr, acceptErr error) {
+	near, far := net.Pipe()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		accepted, acceptErr = Accept(far, server, gate)
+		far.Close()
+	}()
+	dialled, dialErr = Dial(near, client, want)
+	near.Close()
+	<-done
+	return dialled, accepted, dialErr, acceptErr
+}
+
+func TestHandshakeAgreesExactlyWhereKeysAndVersionsAllow(t *testing.T) {
+	names := []string{"a", "b", "c"}
+	drawKeys := func(t *rapid.T, label string) [][]byte {
+		var keys [][]byte
+		for _, name := range rapid.SliceOfNDistinct(rapid.SampledFrom(names), 1, 3, rapid.ID).Draw(t, label) {
+			keys = append(keys, key(name))
+		}
+		return keys
+	}
+	drawVersions := func(t *rapid.T, label string) VersionRange {
+		lowest := rapid.Uint16Range(1, 4).Draw(t, label)
+		return VersionRange{Version(lowest), Version(lowest + rapid.Uint16Range(0, 2).Draw(t, label+" more"))}
+	}
+	holds := func(keys [][]byte, one []byte) bool {
+		for _, held := range keys {
+			if bytes.Equal(held, one) {
+				return true
+			}
+		}
+		return false
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		clientKeys, serverKeys := drawKeys(t, "client keys"), drawKeys(t, "server keys")
+		client := party("c", drawVersions(t, "client"), clientKeys...)
+		server := party("s", drawVersions(t, "server"), serverKeys...)
+		dialled, accepted, dialErr, acceptErr := shake(client, server, server.Identity, nil)
+		lowest := max(client.Versions.Lowest, server.Versions.Lowest)
+		highest := min(client.Versions.Highest, server.Versions.Highest)
+		if lowest > highest {
+			var version *VersionError
+			require.ErrorAs(t, dialErr, &version)
+			require.ErrorAs(t, acceptErr, &version)
+			return
+		}
+		if !holds(clientKeys, serverKeys[0]) {
+			require.ErrorIs(t, dialErr, ErrAuthentication)
+			require.Error(t, acceptErr)
+			return
+		}
+		if !holds(serverKeys, clientKeys[0]) {
+			require.Error(t, dialErr)
+			require.ErrorIs(t, acceptErr, ErrAuthentication)
+			return
+		}
+		require.NoError(t, dialErr)
+		require.NoError(t, acceptErr)
+		require.Equal(t, Agreement{Peer: server.Identity, Version: highest}, dialled)
+		require.Equal(t, Agreement{Peer: client.Identity, Version: highest}, accepted)
+	})
+}
+
+func TestHandshakeTellsAnotherIncarnation(t *testing.T) {
+	server := party("s", SupportedVersions(), key("a"))
+	client := party("c", SupportedVersions(), key("a"))
+	_, _, err, _ := shake(client, server, Identity{ID: "s", Incarnation: 6}, nil)
+	var identity *IdentityError
+	require.ErrorAs(t, err, &identity)
+	require.Equal(t, state.Incarnation(7), identity.Got.Incarnation)
+}
+
+func TestGateRefusalReachesTheDialler(t *testing.T) {
+	server := party("s", SupportedVersions(), key("a"))
+	client := party("c", SupportedVersions(), key("a"))
+	_, _, err, _ := shake(client, server, server.Identity, func(Agreement) (Welcome, error) {
+		return Welcome{}, &RefusedError{Message: "superseded"}
+	})
+	var refused *RefusedError
+	require.ErrorAs(t, err, &refused)
+	require.Equal(t, "superseded", refused.Message)
+}
+
+func TestKeyRingRefusesWeakLists(t *testing.T) {
+	ring, err := NewKeyRing(key("a"))
+	require.NoError(t, err)
+	require.ErrorIs(t, ring.Set(), ErrNoKeys)
+	require.Error(t, ring.Set([]byte("short")))
+	require.Equal(t, [][]byte{key("a")}, ring.snapshot())
+	require.NotContains(t, ring.String(), "shared test key")
+}
+
+// flippingConn flips one bit of what is read through it.
+type flippingConn struct {
+	net.Conn
+	at, seen int
+	flipped  bool
+}
+
+func (c *flippingConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	if c.at >= c.seen && c.at < c.seen+n {
+		data[c.at-c.seen] ^= 1
+		c.flipped = true
+	}
+	c.seen += n
+	return n, err
+}
+
+func TestNoAlteredHandshakeSucceeds(t *testing.T) {
+	versions := VersionRange{Lowest: 1, Highest: 3}
+	client, server := party("c", versions, key("a")), party("s", versions, key("a"))
+	check := func(t *rapid.T) {
+		near, far := net.Pipe()
+		require.NoError(t, near.SetDeadline(time.Now().Add(time.Second)))
+		altered := &flippingConn{Conn: far, at: rapid.IntRange(0, 300).Draw(t, "byte")}
+		done := make(chan error)
+		go func() {
+			_, err := Accept(altered, server, nil)
+			far.Close()
+			done <- err
+		}()
+		_, err := Dial(near, client, server.Identity)
+		near.Close()
+		require.Equal(t, altered.flipped, <-done != nil)
+		require.Equal(t, altered.flipped, err != nil)
+	}
+	synctest.Test(t, func(t *testing.T) { rapid.Check(struct{ rapid.TB }{t}, check) })
+}
+
+type scriptedConn struct {
+	io.Reader
+	io.Writer
+}
+
+func FuzzHandshake(f *testing.F) {
+	client, server := party("c", SupportedVersions(), key("a")), party("s", SupportedVersions(), key("a"))
+	hello, err := Marshal(&Hello{Magic: Magic, Versions: SupportedVersions(), Nonce: make([]byte, nonceBytes)})
+	require.NoError(f, err)
+	f.Add(AppendFrame(nil, Frame{Kind: KindHello, Body: hello}))
+	refuse, err := Marshal(&Refuse{Message: "no", Versions: SupportedVersions()})
+	require.NoError(f, err)
+	f.Add(AppendFrame(nil, Frame{Kind: KindRefuse, Body: refuse}))
+	f.Add([]byte("GET / HTTP/1.1\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		_, err := Accept(scriptedConn{bytes.NewReader(data), io.Discard}, server, nil)
+		require.Error(t, err, "no fixed bytes may pass a fresh challenge")
+		_, err = Dial(scriptedConn{bytes.NewReader(data), io.Discard}, client, server.Identity)
+		require.Error(t, err)
+	})
+}
