--- /dev/null
+++ b/internal/transport/peerlink/config.go
@@ -0,0 +1,135 @@
+package peerlink
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/protocol/peerproto"
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// Defaults of Config.
+const (
+	DefaultProbeAfter       = 500 * time.Millisecond
+	DefaultProbeTimeout     = time.Second
+	DefaultHeldProbeAfter   = 5 * time.Second
+	DefaultHandshakeTimeout = 3 * time.Second
+	DefaultIdleTimeout      = 5 * time.Minute
+	DefaultCallWorkers      = 32
+	DefaultCallQueue        = 1024
+	DefaultMaxStreams       = 10_000
+	DefaultDialBackoff      = 100 * time.Millisecond
+	DefaultMaxDialBackoff   = 3 * time.Second
+)
+
+// maxQueuedBytes bounds what waits to be written on one link. A peer that lets
+// more than this build up does not read, and its link is given up.
+const maxQueuedBytes = 64 << 20
+
+// Evidence takes what links show about peers. Its methods must not block.
+type Evidence interface {
+	ReportSuccess(id state.InstanceID, incarnation state.Incarnation)
+	ReportFailure(id state.InstanceID, incarnation state.Incarnation, err error)
+	ReportLeaving(id state.InstanceID, incarnation state.Incarnation)
+}
+
+type noEvidence struct{}
+
+// ReportSuccess ignores the report, as do the other methods.
+func (noEvidence) ReportSuccess(state.InstanceID, state.Incarnation) {}
+
+// ReportFailure ignores the report.
+func (noEvidence) ReportFailure(state.InstanceID, state.Incarnation, error) {}
+
+// ReportLeaving ignores the report.
+func (noEvidence) ReportLeaving(state.InstanceID, state.Incarnation) {}
+
+// Config is shared by Client and Server. Zero durations and numbers mean the
+// defaults above.
+type Config struct {
+	// Self, Keys and Versions are this side of the handshake.
+	Self     state.Instance
+	Keys     *peerproto.KeyRing
+	Versions peerproto.VersionRange
+	// ClientTLS and ServerTLS, when set, encrypt the links.
+	ClientTLS *tls.Config
+	ServerTLS *tls.Config
+	// MaxFrame bounds a frame's body, in bytes.
+	MaxFrame int
+	// ProbeAfter is how long a link with a unit, open or call in flight may
+	// deliver nothing before it is probed.
+	ProbeAfter time.Duration
+	// HeldProbeAfter is the same for a link that holds open streams with
+	// nothing in flight.
+	HeldProbeAfter time.Duration
+	// ProbeTimeout is how long a probed link may deliver nothing before it is
+	// declared silent.
+	ProbeTimeout     time.Duration
+	HandshakeTimeout time.Duration
+	// IdleTimeout closes a dialled link that carried nothing for so long.
+	IdleTimeout time.Duration
+	// CallWorkers is how many goroutines of a Server run calls, and CallQueue
+	// how many calls may wait for one.
+	CallWorkers int
+	CallQueue   int
+	// MaxStreams bounds the open streams of a Server over all links.
+	MaxStreams int
+	// Dial connects to a peer's address. The default dials TCP with
+	// keepalive.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// DialBackoff is the first pause after a failed dial; it doubles, with
+	// jitter, up to MaxDialBackoff.
+	DialBackoff    time.Duration
+	MaxDialBackoff time.Duration
+	// Evidence, when set, is told what links show about their peers.
+	Evidence Evidence
+	Logger   zerolog.Logger
+}
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.Versions, peerproto.SupportedVersions())
+	setDefault(&c.MaxFrame, peerproto.DefaultMaxFrame)
+	setDefault(&c.ProbeAfter, DefaultProbeAfter)
+	setDefault(&c.HeldProbeAfter, DefaultHeldProbeAfter)
+	setDefault(&c.ProbeTimeout, DefaultProbeTimeout)
+	setDefault(&c.HandshakeTimeout, DefaultHandshakeTimeout)
+	setDefault(&c.IdleTimeout, DefaultIdleTimeout)
+	setDefault(&c.CallWorkers, DefaultCallWorkers)
+	setDefault(&c.CallQueue, DefaultCallQueue)
+	setDefault(&c.MaxStreams, DefaultMaxStreams)
+	setDefault(&c.DialBackoff, DefaultDialBackoff)
+	setDefault(&c.MaxDialBackoff, DefaultMaxDialBackoff)
+	setDefault[Evidence](&c.Evidence, noEvidence{})
+	if c.Dial == nil {
+		c.Dial = dialTCP
+	}
+	return c
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+func (c Config) party() peerproto.Party {
+	identity := peerproto.Identity{
+		ID: c.Self.ID, Incarnation: c.Self.Incarnation, DataCentre: c.Self.DataCentre,
+	}
+	return peerproto.Party{Identity: identity, Versions: c.Versions, Keys: c.Keys}
+}
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true}}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
+// peerName is how failures and logs name a peer.
+func peerName(id state.InstanceID, address string) string {
+	return string(id) + "@" + address
+}
--- /dev/null
+++ b/internal/transport/peerlink/peerlink_test.go
@@ -0,0 +1,406 @@
+package peerlink
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/execution"
+	"github.com/cyclamenpin/cyclamenpin/internal/protocol/peerproto"
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var owner = state.Instance{ID: "owner", Incarnation: 3, DataCentre: "dc1", PeerAddress: "owner:1"}
+
+// pair is a client and a server on an in-memory network.
+type pair struct {
+	network *network
+	backend *backend
+	client  *Client
+	server  *Server
+	served  chan error
+}
+
+func testConfig(self state.Instance) Config {
+	ring, err := peerproto.NewKeyRing([]byte("a key shared by the test's peers"))
+	if err != nil {
+		panic(err)
+	}
+	return Config{Self: self, Keys: ring}
+}
+
+func newPair() *pair {
+	p := &pair{network: newNetwork(), backend: newBackend(), served: make(chan error, 1)}
+	p.startServer(owner)
+	config := testConfig(state.Instance{ID: "entry", Incarnation: 1})
+	config.Dial = p.network.dial
+	p.client = NewClient(config)
+	return p
+}
+
+func (p *pair) startServer(self state.Instance) {
+	p.server = NewServer(testConfig(self), p.backend)
+	listener := p.network.listen(self.PeerAddress)
+	server := p.server
+	go func() { p.served <- server.Serve(listener) }()
+}
+
+func (p *pair) close() {
+	p.network.thaw()
+	p.client.Close()
+	p.server.Close()
+	<-p.served
+}
+
+// outcome is what the caller of one unit was told.
+type outcome struct {
+	name    string
+	answer  [][]byte
+	failure *state.Failure
+}
+
+// runUnit runs one unit to its end, and cancels it after a while if asked to.
+func runUnit(stream execution.Stream, name string, timeout, cancelAfter time.Duration) outcome {
+	result := outcome{name: name}
+	ctx, stop := context.WithTimeout(context.Background(), timeout)
+	defer stop()
+	if err := stream.Send(ctx, execution.Unit{Messages: []byte(name)}); err != nil {
+		result.failure, _ = state.AsFailure(err)
+		return result
+	}
+	if cancelAfter > 0 {
+		timer := time.AfterFunc(cancelAfter, func() { _ = stream.Cancel(ctx) })
+		defer timer.Stop()
+	}
+	for {
+		event, err := stream.Receive(ctx)
+		if err != nil {
+			result.failure, _ = state.AsFailure(err)
+			return result
+		}
+		result.answer = append(result.answer, event.Messages)
+		if event.Done {
+			return result
+		}
+	}
+}
+
+// caller is one drawn client of the property test.
+type caller struct {
+	start, timeout, cancelAfter time.Duration
+	units                       []int // events of each unit's answer
+}
+
+func drawMillis(t *rapid.T, label string, limit int) time.Duration {
+	return time.Duration(rapid.IntRange(0, limit).Draw(t, label)) * time.Millisecond
+}
+
+func (c caller) run(p *pair, number int, report func(outcome)) {
+	time.Sleep(c.start)
+	ctx, stop := context.WithTimeout(context.Background(), c.timeout)
+	defer stop()
+	stream, err := p.client.Open(ctx, owner, execution.OpenRequest{})
+	if err != nil {
+		failure, _ := state.AsFailure(err)
+		report(outcome{failure: failure, name: fmt.Sprintf("%d/open", number)})
+		return
+	}
+	defer stream.Close()
+	for unit, events := range c.units {
+		name := fmt.Sprintf("%d/%d/%s", number, unit, strings.Repeat("e", events))
+		result := runUnit(stream, name, c.timeout, c.cancelAfter)
+		report(result)
+		if result.failure != nil {
+			return
+		}
+	}
+}
+
+func TestEveryCallerGetsItsWholeAnswerOrAnHonestFailure(t *testing.T) {
+	check := func(t *rapid.T) {
+		p := newPair()
+		p.backend.pause = drawMillis(t, "pause", 20)
+		p.backend.eventBytes = rapid.SampledFrom([]int{10, 5_000, 70_000, 300_000}).Draw(t, "event bytes")
+		var callers []caller
+		for range rapid.IntRange(1, 6).Draw(t, "callers") {
+			callers = append(callers, caller{
+				start: drawMillis(t, "start", 1_000), timeout: 1 + drawMillis(t, "timeout", 4_000),
+				cancelAfter: drawMillis(t, "cancel", 30),
+				units:       rapid.SliceOfN(rapid.IntRange(1, 6), 1, 4).Draw(t, "units"),
+			})
+		}
+		var mu sync.Mutex
+		var outcomes []outcome
+		var running sync.WaitGroup
+		for number, one := range callers {
+			running.Go(func() {
+				one.run(p, number, func(o outcome) {
+					mu.Lock()
+					defer mu.Unlock()
+					outcomes = append(outcomes, o)
+				})
+			})
+		}
+		for range rapid.IntRange(0, 4).Draw(t, "faults") {
+			time.Sleep(drawMillis(t, "until fault", 600))
+			switch rapid.SampledFrom([]string{"cut", "freeze", "short freeze", "restart"}).Draw(t, "fault") {
+			case "cut":
+				p.network.cut()
+			case "freeze":
+				p.network.freeze()
+			case "short freeze":
+				p.network.freeze()
+				time.Sleep(drawMillis(t, "frozen", 400))
+				p.network.thaw()
+			case "restart":
+				p.server.Close()
+				<-p.served
+				p.startServer(owner)
+			}
+		}
+		running.Wait()
+		p.network.thaw() // what was held back on the way arrives now
+		time.Sleep(time.Minute)
+		p.close()
+		checkOutcomes(t, p.backend, callers, outcomes)
+	}
+	synctest.Test(t, func(t *testing.T) { rapid.Check(struct{ rapid.TB }{t}, check) })
+}
+
+func checkOutcomes(t *rapid.T, b *backend, callers []caller, outcomes []outcome) {
+	told := make(map[string]bool)
+	for _, o := range outcomes {
+		told[o.name] = true
+		if strings.HasSuffix(o.name, "/open") {
+			require.Equal(t, state.OutcomeNotRun, o.failure.Outcome)
+			continue
+		}
+		if o.failure != nil {
+			if o.failure.Outcome == state.OutcomeNotRun {
+				require.Zero(t, b.executed[o.name], "%s was said not to have run: %v", o.name, o.failure)
+			}
+			continue
+		}
+		require.Equal(t, 1, b.executed[o.name])
+		require.Len(t, o.answer, answerEvents(o.name))
+		for _, messages := range o.answer {
+			require.Equal(t, answerOf(o.name, b.eventBytes), messages)
+		}
+	}
+	for name, times := range b.executed {
+		require.Equal(t, 1, times, name)
+		require.True(t, told[name], "%s ran and nobody was told", name)
+	}
+	for name := range b.cancelled {
+		var number int
+		_, err := fmt.Sscanf(name, "%d/", &number)
+		require.NoError(t, err, "a cancel reached no unit")
+		require.NotZero(t, callers[number].cancelAfter, "%s was cancelled by nobody", name)
+	}
+	require.Zero(t, b.open, "streams left open on the backend")
+}
+
+func bubble(t *testing.T, run func(t *testing.T, p *pair)) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair()
+		defer p.close()
+		run(t, p)
+	})
+}
+
+func openStream(t *testing.T, p *pair) execution.Stream {
+	stream, err := p.client.Open(t.Context(), owner, execution.OpenRequest{})
+	require.NoError(t, err)
+	return stream
+}
+
+func TestSilentLinkIsFoundInTimeAndReplaced(t *testing.T) {
+	bubble(t, func(t *testing.T, p *pair) {
+		p.backend.pause = 100 * time.Millisecond
+		stream := openStream(t, p)
+		start := time.Now()
+		p.network.freeze()
+		result := runUnit(stream, "u/e", time.Hour, 0)
+		require.Equal(t, state.OutcomeUnknown, result.failure.Outcome)
+		require.Equal(t, state.ReasonSilent, result.failure.Reason)
+		require.LessOrEqual(t, time.Since(start), DefaultProbeAfter+DefaultProbeTimeout)
+		again := openStream(t, p)
+		require.Nil(t, runUnit(again, "v/e", time.Hour, 0).failure)
+		again.Close()
+		require.Equal(t, 2, p.network.dials())
+	})
+}
+
+func TestSlowAnswerIsNoSilence(t *testing.T) {
+	bubble(t, func(t *testing.T, p *pair) {
+		p.backend.pause = time.Minute
+		stream := openStream(t, p)
+		require.Nil(t, runUnit(stream, "u/e", time.Hour, 0).failure)
+		require.Equal(t, 1, p.network.dials())
+		stream.Close()
+	})
+}
+
+func TestIdleLinkSendsNothingAndIsClosedInTheEnd(t *testing.T) {
+	bubble(t, func(t *testing.T, p *pair) {
+		openStream(t, p).Close()
+		time.Sleep(time.Second)
+		before := p.client.Snapshot().Links[0]
+		time.Sleep(DefaultIdleTimeout - 2*time.Second)
+		require.Equal(t, before, p.client.Snapshot().Links[0])
+		time.Sleep(time.Minute)
+		require.Empty(t, p.client.Snapshot().Links)
+		require.Empty(t, p.server.Snapshot().Links)
+	})
+}
+
+func TestVanishedEntryFreesItsStreams(t *testing.T) {
+	bubble(t, func(t *testing.T, p *pair) {
+		stream := openStream(t, p)
+		require.Nil(t, runUnit(stream, "u/e", time.Hour, 0).failure)
+		p.network.freeze() // an open transaction, nothing in flight
+		time.Sleep(DefaultHeldProbeAfter + DefaultProbeTimeout + time.Millisecond)
+		p.backend.do(func() { require.Zero(t, p.backend.open) })
+		stream.Close()
+	})
+}
+
+func TestSlowReaderSlowsOnlyItselfWithinBoundedMemory(t *testing.T) {
+	bubble(t, func(t *testing.T, p *pair) {
+		const eventBytes, events = 16 << 10, 100
+		p.backend.eventBytes = eventBytes
+		slow, fast := openStream(t, p), openStream(t, p)
+		defer slow.Close()
+		defer fast.Close()
+		name := "slow/" + strings.Repeat("e", events)
+		require.NoError(t, slow.Send(t.Context(), execution.Unit{Messages: []byte(name)}))
+		time.Sleep(time.Minute)
+		p.backend.do(func() { require.LessOrEqual(t, p.backend.sent, peerproto.InitialWindow/eventBytes+1) })
+		result := runUnit(fast, "fast/"+strings.Repeat("e", events), time.Second, 0)
+		require.Nil(t, result.failure)
+		for i := range events {
+			event, err := slow.Receive(t.Context())
+			require.NoError(t, err)
+			require.Equal(t, i == events-1, event.Done)
+		}
+	})
+}
+
+func TestUnitAboveTheFrameLimitIsNotRunAndHarmsNobody(t *testing.T) {
+	bubble(t, func(t *testing.T, p *pair) {
+		stream := openStream(t, p)
+		defer stream.Close()
+		err := stream.Send(t.Context(), execution.Unit{Messages: make([]byte, peerproto.DefaultMaxFrame)})
+		var size *peerproto.FrameSizeError
+		require.ErrorAs(t, err, &size)
+		require.Nil(t, runUnit(stream, "u/e", time.Second, 0).failure)
+	})
+}
+
+func TestShutdownCutsNothingInProgress(t *testing.T) {
+	bubble(t, func(t *testing.T, p *pair) {
+		p.backend.pause = time.Second
+		stream := openStream(t, p)
+		done := make(chan error, 1)
+		result := make(chan outcome, 1)
+		go func() { result <- runUnit(stream, "u/eee", time.Hour, 0) }()
+		time.Sleep(time.Millisecond)
+		go func() { done <- p.server.Shutdown(context.Background()) }()
+		time.Sleep(time.Millisecond)
+		_, err := p.client.Open(t.Context(), owner, execution.OpenRequest{})
+		failure, _ := state.AsFailure(err)
+		require.Equal(t, state.ReasonLeaving, failure.Reason)
+		require.Equal(t, state.OutcomeNotRun, failure.Outcome)
+		require.Nil(t, (<-result).failure)
+		stream.Close()
+		require.NoError(t, <-done)
+	})
+}
+
+func TestCallOutcomes(t *testing.T) {
+	bubble(t, func(t *testing.T, p *pair) {
+		var answer string
+		require.NoError(t, p.client.Call(t.Context(), owner, "m", "one", &answer))
+		require.Equal(t, "entrymone", answer)
+		p.backend.pause = time.Second
+		ctx, stop := context.WithTimeout(t.Context(), time.Millisecond)
+		defer stop()
+		failure, _ := state.AsFailure(p.client.Call(ctx, owner, "m", "two", nil))
+		require.Equal(t, state.OutcomeUnknown, failure.Outcome)
+		earlier := owner
+		earlier.Incarnation--
+		failure, _ = state.AsFailure(p.client.Call(t.Context(), earlier, "m", "three", nil))
+		require.Equal(t, state.OutcomeNotRun, failure.Outcome)
+		var identity *peerproto.IdentityError
+		require.ErrorAs(t, failure, &identity)
+	})
+}
+
+func TestLaterIncarnationEndsTheEarlierOnesLinks(t *testing.T) {
+	bubble(t, func(t *testing.T, p *pair) {
+		stream := openStream(t, p)
+		config := testConfig(state.Instance{ID: "entry", Incarnation: 2})
+		config.Dial = p.network.dial
+		later := NewClient(config)
+		defer later.Close()
+		require.NoError(t, later.Call(t.Context(), owner, "m", "x", nil))
+		time.Sleep(time.Millisecond)
+		require.NotNil(t, runUnit(stream, "u/e", time.Second, 0).failure)
+		_, err := p.client.Open(t.Context(), owner, execution.OpenRequest{})
+		var refused *peerproto.RefusedError
+		require.ErrorAs(t, err, &refused)
+	})
+}
+
+func TestOutboxTakesTurnsAndKeepsOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		box := newOutbox()
+		queued := make(map[uint64][]*outgoing)
+		waited := make(map[uint64]int) // frames of others taken while one waits
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			id := rapid.Uint64Range(0, 4).Draw(t, "stream")
+			switch rapid.SampledFrom([]string{"put", "put", "take", "withdraw"}).Draw(t, "step") {
+			case "put":
+				frame := &outgoing{stream: id, encoded: []byte{1}}
+				require.True(t, box.put(frame))
+				queued[id] = append(queued[id], frame)
+			case "take":
+				frame := box.take()
+				if frame == nil {
+					for _, frames := range queued {
+						require.Empty(t, frames)
+					}
+					continue
+				}
+				require.Same(t, queued[frame.stream][0], frame)
+				queued[frame.stream] = queued[frame.stream][1:]
+				waited[frame.stream] = 0
+				for other, frames := range queued {
+					if frame.stream != 0 && other != 0 && other != frame.stream && len(frames) > 0 {
+						waited[other]++
+						require.LessOrEqual(t, waited[other], 4, "stream %d starved", other)
+					}
+				}
+			case "withdraw":
+				if id == 0 || len(queued[id]) == 0 {
+					continue
+				}
+				require.True(t, box.withdraw(queued[id][0]))
+				queued[id] = queued[id][1:]
+				if len(queued[id]) == 0 {
+					waited[id] = 0
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/transport/peerlink/snapshot.go
@@ -0,0 +1,108 @@
+package peerlink
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/protocol/peerproto"
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// LinkSnapshot is the state of one link for the dump.
+type LinkSnapshot struct {
+	Peer           state.InstanceID  `json:"peer"`
+	Incarnation    state.Incarnation `json:"incarnation"`
+	Address        string            `json:"address"`
+	Version        peerproto.Version `json:"version"`
+	Streams        int               `json:"streams"`
+	AnswersAwaited int               `json:"answers_awaited"`
+	Probes         uint64            `json:"probes"`
+	BytesIn        uint64            `json:"bytes_in"`
+	BytesOut       uint64            `json:"bytes_out"`
+	QueuedFrames   int               `json:"queued_frames"`
+	QueuedBytes    int               `json:"queued_bytes"`
+	Draining       bool              `json:"draining,omitempty"`
+}
+
+// TargetSnapshot is a peer that the client knows but has no link to.
+type TargetSnapshot struct {
+	Peer        state.InstanceID  `json:"peer"`
+	Incarnation state.Incarnation `json:"incarnation"`
+	Dialling    bool              `json:"dialling,omitempty"`
+	Leaving     bool              `json:"leaving,omitempty"`
+	Failures    int               `json:"failures,omitempty"`
+	LastFailure string            `json:"last_failure,omitempty"`
+}
+
+// ClientSnapshot is the state of a Client for the dump.
+type ClientSnapshot struct {
+	Links    []LinkSnapshot   `json:"links"`
+	Unlinked []TargetSnapshot `json:"unlinked"`
+}
+
+// ServerSnapshot is the state of a Server for the dump.
+type ServerSnapshot struct {
+	Links       []LinkSnapshot `json:"links"`
+	Streams     int            `json:"streams"`
+	QueuedCalls int            `json:"queued_calls"`
+	Leaving     bool           `json:"leaving"`
+}
+
+func (l *link) snapshot() LinkSnapshot {
+	flights, holds, probes := l.probe.counts()
+	frames, bytes := l.outbox.depth()
+	return LinkSnapshot{
+		Peer: l.peer.ID, Incarnation: l.peer.Incarnation, Address: l.peer.PeerAddress, Version: l.version,
+		Streams: holds, AnswersAwaited: flights, Probes: probes,
+		BytesIn: l.bytesIn.Load(), BytesOut: l.bytesOut.Load(),
+		QueuedFrames: frames, QueuedBytes: bytes,
+	}
+}
+
+func sortLinks(links []LinkSnapshot) {
+	slices.SortFunc(links, func(a, b LinkSnapshot) int {
+		return cmp.Or(cmp.Compare(a.Peer, b.Peer), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+}
+
+// Snapshot returns the state of all links, sorted by peer.
+func (c *Client) Snapshot() ClientSnapshot {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var snapshot ClientSnapshot
+	for key, to := range c.routes {
+		if to.link != nil {
+			link := to.link.snapshot()
+			link.Draining = to.leaving
+			snapshot.Links = append(snapshot.Links, link)
+			continue
+		}
+		known := TargetSnapshot{
+			Peer: key.id, Incarnation: key.incarnation,
+			Dialling: to.dialling != nil, Leaving: to.leaving, Failures: to.failures,
+		}
+		if to.failure != nil {
+			known.LastFailure = to.failure.Error()
+		}
+		snapshot.Unlinked = append(snapshot.Unlinked, known)
+	}
+	sortLinks(snapshot.Links)
+	slices.SortFunc(snapshot.Unlinked, func(a, b TargetSnapshot) int {
+		return cmp.Or(cmp.Compare(a.Peer, b.Peer), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	return snapshot
+}
+
+// Snapshot returns the state of all links, sorted by peer.
+func (s *Server) Snapshot() ServerSnapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	snapshot := ServerSnapshot{Streams: s.streams, QueuedCalls: len(s.calls), Leaving: s.leaving}
+	for link := range s.links {
+		entry := link.snapshot()
+		entry.Draining = s.leaving
+		snapshot.Links = append(snapshot.Links, entry)
+	}
+	sortLinks(snapshot.Links)
+	return snapshot
+}
