--- a/internal/app/instance.go
+++ b/internal/app/instance.go
@@ -154,6 +154,13 @@
 	return &http.Server{Handler: handler, ReadHeaderTimeout: adminTimeout}
 }
 
+// configurationHandler serves the operators' calls on the two lists.
+func (i *Instance) configurationHandler() http.Handler {
+	mux := http.NewServeMux()
+	admin.NewEdits(i.store, i.follower, i.groups.IDs, i.log).Register(mux)
+	return mux
+}
+
 // ready returns nil while the instance can serve clients.
 func (i *Instance) ready() error {
 	switch {
--- a/internal/app/modules.go
+++ b/internal/app/modules.go
@@ -69,9 +69,7 @@
 }
 
 func newPeerClient(self state.Instance, keys *peerproto.KeyRing, members *membership.Membership, log zerolog.Logger) *peerlink.Client {
-	return peerlink.NewClient(peerlink.ClientOptions{
-		Self: self, Keys: keys, OnLeaving: members.ReportLeaving, Logger: log,
-	})
+	return peerlink.NewClient(peerlink.Config{Self: self, Keys: keys, Evidence: members, Logger: log})
 }
 
 func newPeerCaller(client *peerlink.Client, members *membership.Membership) peerCaller {
@@ -79,7 +77,7 @@
 }
 
 func newPeerServer(self state.Instance, keys *peerproto.KeyRing, handler *peerHandler, log zerolog.Logger) *peerlink.Server {
-	return peerlink.NewServer(peerlink.ServerOptions{Self: self, Keys: keys, Logger: log}, handler)
+	return peerlink.NewServer(peerlink.Config{Self: self, Keys: keys, Logger: log}, handler)
 }
 
 func newClientServer(settings Settings, follower *configuration.Follower, sessions *sessionFactory, caller peerCaller, log zerolog.Logger) *pgserver.Server {
--- a/internal/cli/dump.go
+++ b/internal/cli/dump.go
@@ -29,7 +29,7 @@
 func dumpCommand(stdout, stderr io.Writer) *ffcli.Command {
 	flags := flag.NewFlagSet("cyclamenpin dump", flag.ContinueOnError)
 	flags.SetOutput(stderr)
-	adminURL := flags.String("admin", "http://127.0.0.1:6434", "URL of the instance's admin server")
+	adminURL := flags.String("admin", defaultAdminURL, "URL of the instance's admin server")
 	token := flags.String("admin-token", "", "operators' credential")
 	output := flags.String("output", "table", "table or json")
 	return &ffcli.Command{
--- a/internal/cli/lists_options.go
+++ b/internal/cli/lists_options.go
@@ -15,7 +15,7 @@
 // Settings of the operators' commands.
 const (
 	envPrefix       = "CYCLAMENPIN"
-	defaultAdminURL = "http://127.0.0.1:7070"
+	defaultAdminURL = "http://127.0.0.1:6434"
 	defaultTimeout  = 30 * time.Second
 	waitInterval    = 500 * time.Millisecond
 )
--- a/internal/cli/proxy.go
+++ b/internal/cli/proxy.go
@@ -18,9 +18,6 @@
 	"github.com/cyclamenpin/cyclamenpin/internal/transport/pgserver"
 )
 
-// envPrefix starts the environment variable of every flag.
-const envPrefix = "CYCLAMENPIN"
-
 const proxyHelp = `Runs an entry instance until it is told to stop.
 
 SIGTERM or SIGINT starts a graceful stop: no new clients, idle sessions end,
--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -20,13 +20,6 @@
 	ExitUsage  = 2
 )
 
-// usageError is a command line that can't be carried out as it stands.
-type usageError string
-
-func (e usageError) Error() string {
-	return string(e)
-}
-
 // Run executes the subcommand that args name and returns its exit code.
 func Run(args []string, stdout, stderr io.Writer) int {
 	root := rootCommand(stdout, stderr)
@@ -40,19 +33,18 @@
 	return exitCode(root.Run(context.Background()), stderr)
 }
 
+// exitCode prints an error and returns the code for it.
 func exitCode(err error, stderr io.Writer) int {
 	if err == nil {
 		return ExitOK
 	}
-	if errors.Is(err, flag.ErrHelp) {
-		return ExitUsage
+	if !errors.Is(err, flag.ErrHelp) {
+		fmt.Fprintln(stderr, "cyclamenpin:", err)
 	}
-	fmt.Fprintln(stderr, "cyclamenpin:", err)
-	var usage usageError
-	if _, isSettings := app.AsSettingsError(err); isSettings || errors.As(err, &usage) {
+	if _, isSettings := app.AsSettingsError(err); isSettings {
 		return ExitUsage
 	}
-	return ExitFailed
+	return ExitCode(err)
 }
 
 func rootCommand(stdout, stderr io.Writer) *ffcli.Command {
@@ -66,6 +58,8 @@
 		Subcommands: []*ffcli.Command{
 			proxyCommand(stderr),
 			devCommand(stdout, stderr),
+			PlansCommand(stdout, stderr),
+			LimitsCommand(stdout, stderr),
 			dumpCommand(stdout, stderr),
 			standinCommand(stdout, stderr),
 			versionCommand(stdout),
--- a/internal/cli/text.go
+++ b/internal/cli/text.go
@@ -16,3 +16,8 @@
 	id, value, found = strings.Cut(text, "=")
 	return id, value, found && id != "" && value != ""
 }
+
+// usageError makes the error of a command line that can't be carried out.
+func usageError(message string) error {
+	return &UsageError{Message: message}
+}
--- a/internal/coordination/execution/at_most_once.go
+++ b/internal/coordination/execution/at_most_once.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -14,13 +15,14 @@
 // LedgerDDL creates the table in which each group keeps the ids of the
 // requests that ran. Operators create it once in each group. The row commits in
 // the transaction of the request itself, so it is there if and only if the
-// request ran, on whichever primary the group has later.
+// request ran, on whichever primary the group has later. created_at_ms is the
+// owner's wall clock in milliseconds since 1970, for the deletion of old rows.
 const LedgerDDL = `CREATE TABLE IF NOT EXISTS cyclamenpin_requests (
 	plan text NOT NULL,
 	request_id text NOT NULL,
 	command_tag text NOT NULL,
 	returned_rows boolean NOT NULL,
-	created_at timestamptz NOT NULL DEFAULT CURRENT_TIMESTAMP,
+	created_at_ms bigint NOT NULL,
 	PRIMARY KEY (plan, request_id)
 )`
 
@@ -43,8 +45,8 @@
 		s.unit.once = true
 	}
 	insert := fmt.Sprintf(
-		"INSERT INTO cyclamenpin_requests (plan, request_id, command_tag, returned_rows) VALUES (%s, %s, '', false) ON CONFLICT DO NOTHING",
-		quoteLiteral(string(s.request.Plan)), quoteLiteral(s.unit.unit.RequestID))
+		"INSERT INTO cyclamenpin_requests (plan, request_id, command_tag, returned_rows, created_at_ms) VALUES (%s, %s, '', false, %d) ON CONFLICT DO NOTHING",
+		quoteLiteral(string(s.request.Plan)), quoteLiteral(s.unit.unit.RequestID), time.Now().UnixMilli())
 	answer, err := s.runInternal(ctx, insert)
 	if err != nil {
 		return false, s.failOnce(ctx, err)
