Stand-in database: refuse a second Parse of a name, and unknown DEALLOCATE

A proxy that keeps prepared statements per connection depends on both errors (42P05 and 26000), which the stand-in passed over. Names now keep their case.

--- a/internal/standin/database/database_test.go
+++ b/internal/standin/database/database_test.go
@@ -92,6 +92,15 @@
 	require.Equal(t, int64(9), returned)
 	_, err := connection.Exec(ctx, "insert into t (id) values ($1)", 9)
 	requireCode(t, err, codeUniqueViolation)
+
+	direct := connection.PgConn()
+	_, err = direct.Prepare(ctx, "Named", "select id from t", nil)
+	require.NoError(t, err)
+	_, err = direct.Prepare(ctx, "Named", "select id from t", nil)
+	requireCode(t, err, codeDuplicateStatement)
+	execAll(t, connection, `deallocate prepare "Named"`)
+	_, err = connection.Exec(ctx, "deallocate named", pgx.QueryExecModeSimpleProtocol)
+	requireCode(t, err, codeNoSuchStatement)
 }
 
 func TestTransactions(t *testing.T) {
--- a/internal/standin/database/errors.go
+++ b/internal/standin/database/errors.go
@@ -26,6 +26,7 @@
 	codeUndefinedColumn     = "42703"
 	codeUndefinedObject     = "42704"
 	codeUndefinedTable      = "42P01"
+	codeDuplicateStatement  = "42P05"
 	codeDuplicateTable      = "42P07"
 	codeTooManyConnections  = "53300"
 	codeNotInPrerequisite   = "55000"
--- a/internal/standin/database/execute.go
+++ b/internal/standin/database/execute.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strconv"
 	"strings"
 	"time"
@@ -119,7 +120,9 @@
 		clear(s.portals)
 		tag = "DISCARD ALL"
 	case kindDeallocate:
-		s.deallocate(settingName(statement))
+		if err := s.deallocate(deallocatePattern.FindStringSubmatch(statement)[1]); err != nil {
+			return nil, err
+		}
 	}
 	if kind == kindSet || kind == kindReset {
 		s.reportSettings()
@@ -127,13 +130,17 @@
 	return &result{tag: tag}, nil
 }
 
-func (s *session) deallocate(name string) {
-	name = strings.TrimPrefix(name, "prepare ")
+func (s *session) deallocate(name string) error {
 	if strings.EqualFold(name, "all") {
 		clear(s.statements)
-		return
+		return nil
 	}
-	delete(s.statements, unquote(name))
+	name = unquote(name)
+	if _, exists := s.statements[name]; !exists {
+		return &sqlError{codeNoSuchStatement, fmt.Sprintf("prepared statement %q does not exist", name)}
+	}
+	delete(s.statements, name)
+	return nil
 }
 
 // reportSettings sends the parameters that PostgreSQL reports on change.
--- a/internal/standin/database/extended.go
+++ b/internal/standin/database/extended.go
@@ -69,6 +69,9 @@
 }
 
 func (s *session) parse(message *pgproto3.Parse) error {
+	if _, exists := s.statements[message.Name]; exists && message.Name != "" {
+		return &sqlError{codeDuplicateStatement, fmt.Sprintf("prepared statement %q already exists", message.Name)}
+	}
 	statements := splitStatements(message.Query)
 	if len(statements) > 1 {
 		return &sqlError{codeSyntaxError, "cannot insert multiple commands into a prepared statement"}
--- a/internal/standin/database/settings.go
+++ b/internal/standin/database/settings.go
@@ -139,13 +139,14 @@
 	return answer
 }
 
+// settingName returns what follows the first word, without quotes.
 func settingName(statement string) string {
 	match := settingNamePattern.FindStringSubmatch(statement)
 	if match == nil {
 		return ""
 	}
-	name := strings.ToLower(strings.TrimSpace(match[1]))
-	if name == "time zone" {
+	name := strings.TrimSpace(match[1])
+	if strings.EqualFold(name, "time zone") {
 		return "timezone"
 	}
 	return unquote(name)
--- a/internal/standin/database/sqltext.go
+++ b/internal/standin/database/sqltext.go
@@ -41,6 +41,7 @@
 	lockClausePattern  = regexp.MustCompile(`(?is)\s+for\s+(no\s+key\s+update|update|key\s+share|share)\b.*$`)
 	sleepPattern       = regexp.MustCompile(`(?i)^select\s+pg_sleep\s*\(\s*([0-9]*\.?[0-9]+)\s*\)$`)
 	rollbackToPattern  = regexp.MustCompile(`(?i)^rollback\s+(transaction\s+|work\s+)?to\b`)
+	deallocatePattern  = regexp.MustCompile(`(?is)^deallocate\s*(?:prepare\s+)?(.*)$`)
 	truncatePattern    = regexp.MustCompile(`(?i)^truncate\s+(table\s+)?(\S+).*$`)
 	returningPattern   = regexp.MustCompile(`(?is)\breturning\b(.*)$`)
 	writeTargetPattern = regexp.MustCompile(`(?i)\b(?:into|update|from)\s+([\w."]+)`)
