--- a/internal/coordination/execution/owner_stream.go
+++ b/internal/coordination/execution/owner_stream.go
@@ -181,6 +181,7 @@
 		return event, nil
 	}
 	for {
+		s.unit.silence.await()
 		message, err := s.conn.backend.Receive(ctx)
 		if err != nil {
 			return Event{}, s.fail(err, "receive from backend server")
--- a/internal/coordination/execution/settings.go
+++ b/internal/coordination/execution/settings.go
@@ -59,7 +59,7 @@
 	}
 	var refused error
 	for {
-		message, err := s.conn.backend.Receive(ctx)
+		message, err := s.receiveInternal(ctx)
 		if err != nil {
 			return answer, err
 		}
@@ -79,6 +79,17 @@
 	}
 }
 
+// receiveInternal receives a message under the running unit's watch, if one
+// runs.
+func (s *ownerStream) receiveInternal(ctx context.Context) (Message, error) {
+	if s.unit == nil {
+		return s.conn.backend.Receive(ctx)
+	}
+	s.unit.silence.await()
+	defer s.unit.silence.progress()
+	return s.conn.backend.Receive(ctx)
+}
+
 // refusedError is the backend server's error response to the proxy's own SQL.
 type refusedError struct {
 	sql      string
--- a/internal/coordination/execution/silence.go
+++ b/internal/coordination/execution/silence.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
@@ -22,11 +23,16 @@
 	probe    ActivityProbe
 	interval time.Duration
 
+	// awaiting is set while a message is awaited: silence counts only then.
+	// A caller that is slow to take its answer is no silence.
+	awaiting atomic.Bool
+	// moved is set when a message came since the last look.
+	moved atomic.Bool
+
 	// mu guards the rest. It is a leaf lock.
 	mu      sync.Mutex
 	timer   *time.Timer
 	cancel  context.CancelFunc
-	moved   bool // a message came since the last look
 	suspect int
 	silent  bool
 	stopped bool
@@ -48,11 +54,21 @@
 	return w
 }
 
+// await notes that a message is awaited from now on.
+func (w *silenceWatch) await() {
+	w.awaiting.Store(true)
+}
+
 // progress notes that a message came.
 func (w *silenceWatch) progress() {
-	w.mu.Lock()
-	w.moved = true
-	w.mu.Unlock()
+	w.awaiting.Store(false)
+	w.moved.Store(true)
+}
+
+// quiet reports whether a message was awaited all the time since the last call.
+func (w *silenceWatch) quiet() bool {
+	moved := w.moved.Swap(false)
+	return !moved && w.awaiting.Load()
 }
 
 // stop ends the watch. It reports whether the connection was found silent.
@@ -86,8 +102,8 @@
 	if w.stopped {
 		return nil, false
 	}
-	if w.moved {
-		w.moved, w.suspect = false, 0
+	if !w.quiet() {
+		w.suspect = 0
 		w.timer.Reset(w.interval)
 		return nil, false
 	}
@@ -106,8 +122,8 @@
 	if w.stopped {
 		return
 	}
-	if running || w.moved {
-		w.moved, w.suspect = false, 0
+	if running || !w.quiet() {
+		w.suspect = 0
 	} else {
 		w.suspect++
 	}
--- a/internal/coordination/execution/silence_test.go
+++ b/internal/coordination/execution/silence_test.go
@@ -44,6 +44,7 @@
 			backend := &silentBackend{closed: make(chan struct{})}
 			started := time.Now()
 			watch := startSilenceWatch(backend, probe, time.Second)
+			watch.await()
 			_, err := backend.Receive(context.Background())
 			require.Error(t, err)
 			require.True(t, watch.stop(), name)
@@ -60,12 +61,25 @@
 			looks++
 			return looks%2 == 0, nil // every other answer races with an end of the statement
 		}, time.Second)
+		watch.await()
 		time.Sleep(time.Hour)
 		require.False(t, watch.stop())
 		require.Greater(t, looks, 1000)
 	})
 }
 
+func TestSlowCallerIsNotTakenForSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		backend := &silentBackend{closed: make(chan struct{})}
+		probe := func(context.Context, uint32) (bool, error) { return false, nil }
+		watch := startSilenceWatch(backend, probe, time.Second)
+		watch.await()
+		watch.progress()
+		time.Sleep(time.Minute)
+		require.False(t, watch.stop())
+	})
+}
+
 func TestSilentIdleConnectionsAreReplacedBeforeUse(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture()
--- a/internal/standin/database/execute.go
+++ b/internal/standin/database/execute.go
@@ -27,6 +27,10 @@
 		return s.rollback(), nil
 	case kindSet, kindReset, kindShow, kindDiscard, kindDeallocate:
 		return s.executeSetting(kind, statement)
+	case kindSetConfig:
+		return s.setConfig(statement)
+	case kindActivity:
+		return s.activity(statement)
 	case kindEmpty:
 		return &result{}, nil
 	default:
--- a/internal/standin/database/sqltext.go
+++ b/internal/standin/database/sqltext.go
@@ -13,6 +13,8 @@
 	kindWrite
 	kindLockingRead
 	kindSleep
+	kindSetConfig
+	kindActivity
 	kindBegin
 	kindCommit
 	kindRollback
@@ -73,6 +75,10 @@
 	switch {
 	case controlPattern.MatchString(sql):
 		return kindControl
+	case setConfigPattern.MatchString(sql):
+		return kindSetConfig
+	case activityPattern.MatchString(sql):
+		return kindActivity
 	case sleepPattern.MatchString(sql):
 		return kindSleep
 	case lockClausePattern.MatchString(sql):
