--- a/internal/coordination/admission/connections.go
+++ b/internal/coordination/admission/connections.go
@@ -60,10 +60,12 @@
 }
 
 // guarantee is the number of connections that the plan gets before any plan
-// gets more than its own guarantee: its weighted share among active plans.
+// gets more than its own guarantee: its weighted share, among active plans, of
+// what is not reserved.
 func (g *Gate) guarantee(p *plan) int {
 	weights := max(g.activeWeight, p.weight())
-	return max(1, int(float64(g.connections)*p.weight()/weights))
+	shared := float64(g.connections - g.reserve())
+	return max(1, int(shared*p.weight()/weights))
 }
 
 // reserve is how many connections plans beyond their guarantee leave free for
@@ -94,7 +96,7 @@
 	}
 	p := w.plan
 	if w.done != nil {
-		p.connectionPace.add(now.Sub(p.backlogSince))
+		p.connectionPace.add(now.Sub(p.backlogSince), smoothing)
 		p.backlogSince = now
 	}
 	g.held++
--- a/internal/coordination/admission/estimate.go
+++ b/internal/coordination/admission/estimate.go
@@ -11,12 +11,13 @@
 	known bool
 }
 
-func (a *average) add(sample time.Duration) {
+// add counts a sample with the weight given, from 0 to 1.
+func (a *average) add(sample time.Duration, weight float64) {
 	if !a.known {
 		a.value, a.known = sample, true
 		return
 	}
-	a.value += time.Duration(smoothing * float64(sample-a.value))
+	a.value += time.Duration(weight * float64(sample-a.value))
 }
 
 // or returns the average, or fallback where there is none yet.
--- a/internal/coordination/admission/gate.go
+++ b/internal/coordination/admission/gate.go
@@ -18,8 +18,10 @@
 	// mu protects all that follows, and the plans, waiters, leases and slots.
 	mu          sync.Mutex
 	connections int
-	slotLimit   int
-	leaving     bool
+	concurrency concurrency
+	// slotLimit is how many statements may be in flight: concurrency.limit.
+	slotLimit int
+	leaving   bool
 
 	// plans holds the active plans and those with a limit. The two lists hold
 	// those that wait for a connection and for a slot.
@@ -50,6 +52,7 @@
 		queueTotal:   options.QueueTotal,
 		connections:  options.Connections,
 		slotLimit:    options.Slots,
+		concurrency:  concurrency{slots: options.Slots},
 		plans:        map[state.PlanID]*plan{},
 		refused:      map[state.Reason]uint64{},
 	}
@@ -95,7 +98,19 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.connections = connections
-	g.slotLimit = slots
+	g.concurrency.slots = slots
+	g.slotLimit = g.concurrency.limit()
+	g.dispatch(time.Now())
+}
+
+// SetRoundTrip says how long the network takes to the backend server and back.
+// While it lasts a slot idles between statements, unless more statements are
+// in flight than there are slots.
+func (g *Gate) SetRoundTrip(roundTrip time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.concurrency.roundTrip = roundTrip
+	g.slotLimit = g.concurrency.limit()
 	g.dispatch(time.Now())
 }
 
@@ -192,6 +207,7 @@
 // admit queues a waiter and grants or refuses it at once if either is due.
 // Otherwise it makes the channel on which the caller is to wait.
 func (g *Gate) admit(w *waiter, q *queue) {
+	w.deadline = g.startBy(w)
 	ahead := q.length
 	if q == &w.plan.statementQueue {
 		ahead = w.plan.slotQueueLength()
@@ -206,6 +222,22 @@
 	}
 }
 
+// startBy returns the time by which the waiter must be granted, so that a
+// usual statement of its plan ends before the caller's own deadline.
+func (g *Gate) startBy(w *waiter) time.Time {
+	if !w.bounded {
+		return w.deadline
+	}
+	latest := w.answerBy.Add(-g.slotTime(w.plan))
+	if latest.Before(w.since) {
+		latest = w.since
+	}
+	if latest.Before(w.deadline) {
+		return latest
+	}
+	return w.deadline
+}
+
 // await blocks until the waiter is settled, its caller has gone or its
 // deadline has passed. A grant that comes first is kept.
 func (g *Gate) await(ctx context.Context, w *waiter) {
@@ -238,8 +270,6 @@
 func newWaiter(ctx context.Context, queueTimeout time.Duration) *waiter {
 	now := time.Now()
 	w := &waiter{since: now, deadline: now.Add(queueTimeout)}
-	if deadline, ok := ctx.Deadline(); ok && deadline.Before(w.deadline) {
-		w.deadline = deadline
-	}
+	w.answerBy, w.bounded = ctx.Deadline()
 	return w
 }
--- a/internal/coordination/admission/options.go
+++ b/internal/coordination/admission/options.go
@@ -21,6 +21,11 @@
 	// guarantee leave free: one in four.
 	reserveDivisor = 4
 
+	// waitMargin is the factor by which a waiter's time must exceed its
+	// expected wait: statements differ, and one that is let in and then not
+	// served has been held for nothing.
+	waitMargin = 2
+
 	minRetryAfter = 10 * time.Millisecond
 	maxRetryAfter = 5 * time.Second
 )
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -8,8 +8,12 @@
 	queue         *queue
 	inTransaction bool
 	since         time.Time
-	deadline      time.Time
-	next, prev    *waiter
+	// deadline is the time by which it must be granted, answerBy the caller's
+	// own deadline, if bounded.
+	deadline   time.Time
+	answerBy   time.Time
+	bounded    bool
+	next, prev *waiter
 
 	// done is closed when the waiter has been granted or refused. It is made
 	// only for a waiter that blocks.
--- a/internal/coordination/admission/refusal.go
+++ b/internal/coordination/admission/refusal.go
@@ -48,9 +48,9 @@
 }
 
 // refuseIfHopeless refuses a waiter that just joined its queue behind ahead
-// others of its plan, if a queue is full or its deadline cannot be met.
+// others of its plan, if a queue is full or its deadline is not surely met.
 func (g *Gate) refuseIfHopeless(w *waiter, ahead int) {
-	wait := g.expectedWait(w, ahead, w.since)
+	wait := waitMargin * g.expectedWait(w, ahead, w.since)
 	full := g.connectionWaiters+g.slotWaiters > g.queueTotal || w.plan.waiting() > g.queuePerPlan
 	allowed := w.deadline.Sub(w.since)
 	if !full && wait <= allowed {
--- a/internal/coordination/admission/slots.go
+++ b/internal/coordination/admission/slots.go
@@ -73,14 +73,21 @@
 	elapsed := now.Sub(s.start)
 	s.plan.charge(elapsed - s.charged)
 	if outcome == SlotCompleted {
-		s.plan.slotTime.add(elapsed)
-		g.allSlotTime.add(elapsed)
+		g.observe(s.plan, elapsed)
 	}
 	g.running = without(g.running, s)
 	g.update(s.plan, func() { s.plan.running-- })
 	g.dispatch(now)
 }
 
+// observe counts the time of a statement that ran to its end.
+func (g *Gate) observe(p *plan, elapsed time.Duration) {
+	p.slotTime.add(elapsed, smoothing)
+	g.allSlotTime.add(elapsed, smoothing)
+	g.concurrency.elapsed.add(elapsed, limitSmoothing)
+	g.slotLimit = g.concurrency.limit()
+}
+
 // dispatchSlots grants free slots to waiters.
 func (g *Gate) dispatchSlots(now time.Time) {
 	if len(g.running) >= g.slotLimit || g.slotWaiters == 0 {
--- a/internal/coordination/admission/snapshot.go
+++ b/internal/coordination/admission/snapshot.go
@@ -16,6 +16,7 @@
 	Connections       int                     `json:"connections"`
 	ConnectionsHeld   int                     `json:"connections_held"`
 	Slots             int                     `json:"slots"`
+	SlotLimit         int                     `json:"slot_limit"`
 	SlotsHeld         int                     `json:"slots_held"`
 	ConnectionWaiters int                     `json:"connection_waiters"`
 	SlotWaiters       int                     `json:"slot_waiters"`
@@ -47,7 +48,8 @@
 		Leaving:           g.leaving,
 		Connections:       g.connections,
 		ConnectionsHeld:   g.held,
-		Slots:             g.slotLimit,
+		Slots:             g.concurrency.slots,
+		SlotLimit:         g.slotLimit,
 		SlotsHeld:         len(g.running),
 		ConnectionWaiters: g.connectionWaiters,
 		SlotWaiters:       g.slotWaiters,
