--- a/internal/cli/lists_commands.go
+++ b/internal/cli/lists_commands.go
@@ -137,10 +137,7 @@
 	path := flags.String("f", "", "JSON file with the lists plans, limits or both, or - for standard input")
 	return c.command("apply", "apply -f FILE [flags]", "Replace the lists by those of a file.", flags,
 		func(ctx context.Context, arguments []string) error {
-			if err := errors.Join(refuseArguments(arguments), options.complete()); err != nil {
-				return err
-			}
-			file, err := readFile(*path)
+			file, err := fileArgument(arguments, options, *path)
 			if err != nil {
 				return err
 			}
@@ -161,10 +158,7 @@
 	path := flags.String("f", "", "JSON file as for apply")
 	return c.command("diff", "diff -f FILE [flags]", "Show what apply would change.", flags,
 		func(ctx context.Context, arguments []string) error {
-			if err := errors.Join(refuseArguments(arguments), options.complete()); err != nil {
-				return err
-			}
-			file, err := readFile(*path)
+			file, err := fileArgument(arguments, options, *path)
 			if err != nil {
 				return err
 			}
@@ -184,6 +178,14 @@
 		})
 }
 
+// fileArgument reads the file of a command that takes no other argument.
+func fileArgument(arguments []string, options *listOptions, path string) (*configuration.File, error) {
+	if err := errors.Join(refuseArguments(arguments), options.complete()); err != nil {
+		return nil, err
+	}
+	return readFile(path)
+}
+
 func readFile(path string) (*configuration.File, error) {
 	if path == "" {
 		return nil, &UsageError{Message: "want -f FILE"}
--- a/internal/cli/lists_options.go
+++ b/internal/cli/lists_options.go
@@ -17,7 +17,7 @@
 	envPrefix       = "CYCLAMENPIN"
 	defaultAdminURL = "http://127.0.0.1:7070"
 	defaultTimeout  = 30 * time.Second
-	waitInterval    = 500 * time.Millisecond
+	waitInterval    = time.Second
 )
 
 // The forms of output.
--- a/internal/coordination/configuration/claims_test.go
+++ b/internal/coordination/configuration/claims_test.go
@@ -29,6 +29,7 @@
 		}
 		winners := map[state.Term]state.InstanceID{}
 		held := make([]state.Term, len(sets))
+		versions := make([]uint64, len(sets))
 		var recorded state.Term
 		claim := func(i int, term state.Term) {
 			if sets[i].ClaimTerm(ctx, "g", term, instanceID(i)) == nil {
@@ -74,6 +75,8 @@
 					require.True(t, found)
 					require.GreaterOrEqual(t, seen.Term, held[i])
 					held[i] = seen.Term
+					require.GreaterOrEqual(t, set.records["g"].Version, versions[i], "an older record was taken")
+					versions[i] = set.records["g"].Version
 				}
 			},
 		})
--- a/internal/coordination/configuration/follower.go
+++ b/internal/coordination/configuration/follower.go
@@ -1,6 +1,7 @@
 package configuration
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -63,22 +64,16 @@
 }
 
 func (o FollowerOptions) withDefaults() FollowerOptions {
-	setDefault(&o.PollInterval, DefaultPollInterval)
-	setDefault(&o.GossipInterval, DefaultGossipInterval)
-	setDefault(&o.StartTimeout, DefaultStartTimeout)
-	setDefault(&o.CallTimeout, DefaultCallTimeout)
+	o.PollInterval = cmp.Or(o.PollInterval, DefaultPollInterval)
+	o.GossipInterval = cmp.Or(o.GossipInterval, DefaultGossipInterval)
+	o.StartTimeout = cmp.Or(o.StartTimeout, DefaultStartTimeout)
+	o.CallTimeout = cmp.Or(o.CallTimeout, DefaultCallTimeout)
 	if o.Instances == nil {
 		o.Instances = func() int { return 1 }
 	}
 	return o
 }
 
-func setDefault(field *time.Duration, value time.Duration) {
-	if *field == 0 {
-		*field = value
-	}
-}
-
 // Platform is where the follower polls for the current configuration. Store
 // implements it.
 type Platform interface {
--- a/internal/coordination/configuration/gossip.go
+++ b/internal/coordination/configuration/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 )
@@ -110,8 +111,13 @@
 	exchanges.Wait()
 }
 
-// maxConcurrentAsks bounds the exchanges in flight of AskAll.
-const maxConcurrentAsks = 32
+// Bounds of AskAll.
+const (
+	maxConcurrentAsks = 128
+	// askAllTimeout is after how long the peers that have not answered count
+	// as silent, so that a cut-off data centre does not hold up an edit.
+	askAllTimeout = 5 * time.Second
+)
 
 // InForce says on how many instances a revision, or a later one, is in force.
 type InForce struct {
@@ -132,6 +138,8 @@
 // force. Peers that were behind are brought up to date by it, and so is this
 // instance.
 func (f *Follower) AskAll(ctx context.Context, revision state.Revision) InForce {
+	ctx, cancel := context.WithTimeout(ctx, askAllTimeout)
+	defer cancel()
 	peers := f.peers.All()
 	answers := make([]peerAnswer, len(peers))
 	var asks sync.WaitGroup
--- a/internal/transport/platformclient/client.go
+++ b/internal/transport/platformclient/client.go
@@ -60,6 +60,14 @@
 	return c.breaker.State() != gobreaker.StateOpen
 }
 
+// ShareAmong lowers this instance's budget to its part of what all instances
+// together may ask of the platform, where that is less than the options allow.
+func (c *Client) ShareAmong(instances int) {
+	share := 1 / float64(max(instances, 1))
+	c.reads.SetLimit(rate.Limit(min(c.options.ReadsPerSecond, totalReadsPerSecond*share)))
+	c.writes.SetLimit(rate.Limit(min(c.options.WritesPerSecond, totalWritesPerSecond*share)))
+}
+
 // Close drops the idle connections.
 func (c *Client) Close() {
 	c.http.CloseIdleConnections()
--- a/internal/transport/platformclient/client_test.go
+++ b/internal/transport/platformclient/client_test.go
@@ -142,11 +142,27 @@
 	_, err := client.Get(t.Context(), "a")
 	failure, _ := state.AsFailure(err)
 	require.Equal(t, state.OutcomeNotRun, failure.Outcome)
+	require.Positive(t, failure.RetryAfter)
 	require.Equal(t, 2, server.Counts().Reads)
 	_, err = client.Transact(t.Context(), put("t", "a", "1", tables.VersionAbsent))
 	require.NoError(t, err)
 }
 
+func TestBudgetIsThePartOfAllInstances(t *testing.T) {
+	_, client := start(t, platformclient.Options{ReadsPerSecond: plenty, ReadBurst: 1})
+	client.ShareAmong(1_000_000)
+	_, err := client.Get(t.Context(), "a")
+	require.NoError(t, err)
+	_, err = client.Get(t.Context(), "b")
+	failure, _ := state.AsFailure(err)
+	require.Greater(t, failure.RetryAfter, 10*time.Minute)
+	client.ShareAmong(1)
+	require.Eventually(t, func() bool {
+		_, err = client.Get(t.Context(), "c")
+		return err == nil
+	}, 10*time.Second, time.Millisecond)
+}
+
 func TestIdenticalReadsShareOneCall(t *testing.T) {
 	server, client := start(t, platformclient.Options{})
 	server.SetSlow(200 * time.Millisecond)
--- a/internal/transport/platformclient/options.go
+++ b/internal/transport/platformclient/options.go
@@ -1,23 +1,29 @@
 package platformclient
 
 import (
+	"cmp"
 	"net/http"
 	"time"
 )
 
 // Defaults of Options.
 const (
-	DefaultTimeout        = 2 * time.Second
-	DefaultResolveTimeout = 10 * time.Second
-	DefaultRetryWait      = 50 * time.Millisecond
-	DefaultReadsPerSecond = 2
-	DefaultReadBurst      = 20
-	// DefaultWritesPerSecond keeps the writes of 1,500 instances, all at their
-	// limit at once, at 300 a second.
-	DefaultWritesPerSecond = 0.2
+	DefaultTimeout         = 2 * time.Second
+	DefaultResolveTimeout  = 10 * time.Second
+	DefaultRetryWait       = 50 * time.Millisecond
+	DefaultReadsPerSecond  = 20
+	DefaultReadBurst       = 20
+	DefaultWritesPerSecond = 10
 	DefaultWriteBurst      = 20
 )
 
+// What all instances together may ask of the platform each second; see
+// Client.ShareAmong.
+const (
+	totalReadsPerSecond  = 1000
+	totalWritesPerSecond = 300
+)
+
 // Options are the settings of a Client. A zero field takes its default.
 type Options struct {
 	// BaseURL is the platform's address, such as http://127.0.0.1:8080.
@@ -42,27 +48,13 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.Timeout == 0 {
-		o.Timeout = DefaultTimeout
-	}
-	if o.ResolveTimeout == 0 {
-		o.ResolveTimeout = DefaultResolveTimeout
-	}
-	if o.RetryWait == 0 {
-		o.RetryWait = DefaultRetryWait
-	}
-	if o.ReadsPerSecond == 0 {
-		o.ReadsPerSecond = DefaultReadsPerSecond
-	}
-	if o.ReadBurst == 0 {
-		o.ReadBurst = DefaultReadBurst
-	}
-	if o.WritesPerSecond == 0 {
-		o.WritesPerSecond = DefaultWritesPerSecond
-	}
-	if o.WriteBurst == 0 {
-		o.WriteBurst = DefaultWriteBurst
-	}
+	o.Timeout = cmp.Or(o.Timeout, DefaultTimeout)
+	o.ResolveTimeout = cmp.Or(o.ResolveTimeout, DefaultResolveTimeout)
+	o.RetryWait = cmp.Or(o.RetryWait, DefaultRetryWait)
+	o.ReadsPerSecond = cmp.Or(o.ReadsPerSecond, DefaultReadsPerSecond)
+	o.ReadBurst = cmp.Or(o.ReadBurst, DefaultReadBurst)
+	o.WritesPerSecond = cmp.Or(o.WritesPerSecond, DefaultWritesPerSecond)
+	o.WriteBurst = cmp.Or(o.WriteBurst, DefaultWriteBurst)
 	if o.Transport == nil {
 		o.Transport = newTransport()
 	}
