--- a/internal/app/modules.go
+++ b/internal/app/modules.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -60,16 +62,30 @@
 	))
 }
 
-func newPlatformClient(settings Settings, log zerolog.Logger) (*platformclient.Client, error) {
-	return platformclient.New(platformclient.Options{BaseURL: settings.PlatformURL}, log)
+func newPlatformClient(settings Settings, network Network, log zerolog.Logger) (*platformclient.Client, error) {
+	options := platformclient.Options{BaseURL: settings.PlatformURL}
+	if network != nil {
+		options.Transport = &http.Transport{DialContext: network.DialContext}
+	}
+	return platformclient.New(options, log)
 }
 
-func newBackendDialer(settings Settings) *backend.Dialer {
-	return &backend.Dialer{User: settings.BackendUser, Password: settings.BackendPassword}
+func newBackendDialer(settings Settings, network Network) *backend.Dialer {
+	dialer := &backend.Dialer{User: settings.BackendUser, Password: settings.BackendPassword}
+	if network != nil {
+		dialer.DialFunc = network.DialContext
+	}
+	return dialer
 }
 
-func newPeerClient(self state.Instance, keys *peerproto.KeyRing, members *membership.Membership, log zerolog.Logger) *peerlink.Client {
-	return peerlink.NewClient(peerlink.Config{Self: self, Keys: keys, Evidence: members, Logger: log})
+func newPeerClient(self state.Instance, keys *peerproto.KeyRing, members *membership.Membership, network Network, log zerolog.Logger) *peerlink.Client {
+	config := peerlink.Config{Self: self, Keys: keys, Evidence: members, Logger: log}
+	if network != nil {
+		config.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return network.DialContext(ctx, "tcp", address)
+		}
+	}
+	return peerlink.NewClient(config)
 }
 
 func newPeerCaller(client *peerlink.Client, members *membership.Membership) peerCaller {
--- a/internal/dev/wire_test.go
+++ b/internal/dev/wire_test.go
@@ -32,9 +32,9 @@
 	os.Exit(code)
 }
 
-func connect(t *testing.T, number int) *pgx.Conn {
+func connect(t *testing.T) *pgx.Conn {
 	t.Helper()
-	conn, err := pgx.Connect(t.Context(), stack.URL(stack.Instances[number]))
+	conn, err := pgx.Connect(t.Context(), stack.URL(stack.Instances[0]))
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = conn.Close(context.Background()) })
 	return conn
@@ -47,12 +47,11 @@
 	return tag
 }
 
-func requireSQLState(t *testing.T, err error, code string) *pgconn.PgError {
+func requireSQLState(t *testing.T, err error, code string) {
 	t.Helper()
 	var pgErr *pgconn.PgError
 	require.True(t, errors.As(err, &pgErr), "want SQLSTATE %s: %v", code, err)
 	require.Equal(t, code, pgErr.Code, pgErr.Message)
-	return pgErr
 }
 
 func TestWrongCredentialsAreRefusedAlike(t *testing.T) {
@@ -69,7 +68,7 @@
 }
 
 func TestPreparedStatementsOutliveTheirBackendConnection(t *testing.T) {
-	conn := connect(t, 0)
+	conn := connect(t)
 	mustExec(t, conn, "CREATE TABLE prepared (id bigint PRIMARY KEY, note text)")
 	_, err := conn.Prepare(t.Context(), "get", "SELECT note FROM prepared WHERE id = $1")
 	require.NoError(t, err)
@@ -82,7 +81,7 @@
 }
 
 func TestUnsupportedStatementsLeaveTheConnectionUsable(t *testing.T) {
-	conn := connect(t, 0)
+	conn := connect(t)
 	for _, sql := range []string{"COPY x FROM STDIN", "LISTEN x", "NOTIFY x"} {
 		_, err := conn.Exec(t.Context(), sql)
 		requireSQLState(t, err, "0A000")
@@ -91,7 +90,7 @@
 }
 
 func TestBatchAnswersInOrder(t *testing.T) {
-	conn := connect(t, 0)
+	conn := connect(t)
 	mustExec(t, conn, "CREATE TABLE batched (id bigint PRIMARY KEY)")
 	var batch pgx.Batch
 	for id := range 20 {
@@ -110,7 +109,7 @@
 }
 
 func TestSettingsFollowTheSessionAndDoNotLeak(t *testing.T) {
-	mine, other := connect(t, 0), connect(t, 0)
+	mine, other := connect(t), connect(t)
 	mustExec(t, mine, "SET application_name = 'mine'")
 	mustExec(t, mine, "BEGIN")
 	mustExec(t, mine, "SET application_name = 'dropped'")
@@ -125,7 +124,7 @@
 }
 
 func TestStalenessBeyondThePlanIsRefused(t *testing.T) {
-	conn := connect(t, 0)
+	conn := connect(t)
 	_, err := conn.Exec(t.Context(), "SET cyclamenpin.max_staleness = '1h'")
 	requireSQLState(t, err, "22023")
 	mustExec(t, conn, "SET cyclamenpin.max_staleness = '5s'")
@@ -135,8 +134,8 @@
 }
 
 func TestCancelReachesOnlyItsStatementThroughAnyInstance(t *testing.T) {
-	conn := connect(t, 0)
-	bystander := connect(t, 0)
+	conn := connect(t)
+	bystander := connect(t)
 	answers := make(chan error, 2)
 	go func() {
 		_, err := conn.Exec(context.Background(), "SELECT pg_sleep(20)")
@@ -173,7 +172,7 @@
 }
 
 func TestLostTransactionAcceptsOnlyItsEnd(t *testing.T) {
-	conn := connect(t, 0)
+	conn := connect(t)
 	mustExec(t, conn, "CREATE TABLE lost (id bigint)")
 	mustExec(t, conn, "BEGIN")
 	mustExec(t, conn, "INSERT INTO lost VALUES (1)")
@@ -191,7 +190,7 @@
 }
 
 func TestLargeResultArrivesWhole(t *testing.T) {
-	conn := connect(t, 0)
+	conn := connect(t)
 	mustExec(t, conn, "CREATE TABLE large (id bigint, note text)")
 	const rows = 5000
 	mustExec(t, conn, "INSERT INTO large WITH RECURSIVE n(i) AS (SELECT 1 UNION ALL SELECT i+1 FROM n WHERE i < 5000) SELECT i, hex(zeroblob(500)) FROM n")
@@ -211,7 +210,7 @@
 }
 
 func TestMalformedInputEndsOnlyItsConnection(t *testing.T) {
-	bystander := connect(t, 0)
+	bystander := connect(t)
 	for _, input := range []string{
 		"\x00\x00\x00\x08\xff\xff\xff\xff",
 		"\x7f\xff\xff\xff" + strings.Repeat("x", 64),
@@ -231,7 +230,7 @@
 }
 
 func TestProxyParametersOverTheExtendedProtocol(t *testing.T) {
-	conn := connect(t, 0)
+	conn := connect(t)
 	mustExec(t, conn, "CREATE TABLE once (id bigint)")
 	for range 2 {
 		_, err := conn.Exec(t.Context(), "SET cyclamenpin.request_id = 'once-1'", pgx.QueryExecModeExec)
--- a/internal/transport/backend/dialer.go
+++ b/internal/transport/backend/dialer.go
@@ -41,6 +41,8 @@
 	ConnectTimeout time.Duration
 	// MaxMessageBytes bounds one message from a database; 0 means 64 MiB.
 	MaxMessageBytes int
+	// DialFunc replaces the dialling of TCP, for tests and other networks.
+	DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 	// KeepAlive configures TCP keepalive; the zero value means probes after
 	// 5 s of silence, every 2 s, at most 3.
 	KeepAlive net.KeepAliveConfig
@@ -100,6 +102,9 @@
 
 // dialTCP opens the TCP connection itself.
 func (d *Dialer) dialTCP(ctx context.Context, network, address string) (net.Conn, error) {
+	if d.DialFunc != nil {
+		return d.DialFunc(ctx, network, address)
+	}
 	keepAlive := d.KeepAlive
 	if keepAlive == (net.KeepAliveConfig{}) {
 		keepAlive = net.KeepAliveConfig{
--- a/internal/transport/pgserver/parameters.go
+++ b/internal/transport/pgserver/parameters.go
@@ -15,7 +15,7 @@
 const (
 	parameterPrefix = "cyclamenpin."
 	// parameterToken is the session token, "group:term/offset".
-	parameterToken = "cyclamenpin.session_token"
+	parameterToken = "cyclamenpin.session_token" //nolint:gosec // the name of a parameter
 	// parameterMaxStaleness is the age of data that reads accept, as a
 	// duration such as 5s; 0 asks for session consistency.
 	parameterMaxStaleness = "cyclamenpin.max_staleness"
