--- a/internal/app/modules.go
+++ b/internal/app/modules.go
@@ -118,7 +118,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return membership.New(membership.Options{Self: self, Seeds: seeds, Lister: platformLister{client: client}, Logger: log}), nil
+	return membership.New(membership.Config{Self: self, Seeds: seeds, Lister: platformLister{client: client}, Logger: log}), nil
 }
 
 // platformLister reads the platform's instance list.
--- a/internal/app/peer_calls.go
+++ b/internal/app/peer_calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 
 	"github.com/rotisserie/eris"
@@ -56,7 +57,7 @@
 
 // Sample implements configuration.Peers.
 func (p peerCaller) Sample(n int) []state.InstanceID {
-	return instanceIDs(p.membership.SamplePeers(n))
+	return instanceIDs(p.membership.SamplePeers(n, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))))
 }
 
 // All implements configuration.Peers.
--- a/internal/deps/deps_test.go
+++ /dev/null
@@ -1,6 +0,0 @@
-package deps
-
-import (
-	_ "github.com/anishathalye/porcupine"
-	_ "go.uber.org/goleak"
-)
