Configuration: tests of forgotten transactions and of what counts as in force

Cause: two broken variants passed: an edit judged by a stale read, because the fake platform answered the repeat from its memory of transactions, and a starting peer counted as in force. Both variants fail now.

--- a/internal/coordination/configuration/follow_test.go
+++ b/internal/coordination/configuration/follow_test.go
@@ -174,6 +174,25 @@
 	})
 }
 
+func TestStartingInstanceDoesNotCountAsInForce(t *testing.T) {
+	network := newNetwork()
+	var followers [3]*Follower
+	for i := range followers {
+		peers := &fakePeers{own: instanceID(i), network: network, random: rand.New(rand.NewPCG(3, uint64(i)))}
+		followers[i] = NewFollower(NewStore(newFakeTables()), peers, nil, FollowerOptions{}, zerolog.Nop())
+		network.join(instanceID(i), followers[i])
+	}
+	network.setCut(instanceID(0), instanceID(2), true)
+	followers[0].start(t.Context())
+	followers[0].Offer(t.Context(), &state.Configuration{Revision: 1}, SourceEdit)
+	require.Equal(t, InForce{
+		Revision: 1, Confirmed: 1, Instances: 3, Highest: 1,
+		Behind: []state.InstanceID{instanceID(1)}, Silent: []state.InstanceID{instanceID(2)},
+	}, followers[0].AskAll(t.Context(), 1))
+	followers[1].start(t.Context())
+	require.Equal(t, 2, followers[0].AskAll(t.Context(), 1).Confirmed)
+}
+
 func TestSameRevisionWithOtherContentsIsCorruption(t *testing.T) {
 	m := newNetwork()
 	follower := NewFollower(NewStore(newFakeTables()), &fakePeers{network: m}, nil, FollowerOptions{}, zerolog.Nop())
--- a/internal/coordination/configuration/property_test.go
+++ b/internal/coordination/configuration/property_test.go
@@ -103,12 +103,13 @@
 }
 
 // loseThenRetryStale loses the answer of an operator's edit and repeats it
-// while reads are stale.
+// while reads are stale and the platform has forgotten the transactions.
 func (m *model) loseThenRetryStale() {
 	stale := maps.Clone(m.tables.records)
 	m.tables.loseCommits = 1
 	m.editBy(0)
 	m.tables.stale = stale
+	clear(m.tables.results)
 	m.editBy(0)
 	m.tables.stale, m.tables.loseCommits = nil, 0
 }
