Keep connections free for plans below their guarantee

A reserve of a quarter was kept for inactive plans only. With all plans active one could borrow all the rest for idle transactions; with some inactive the reserve stood unused beside a guarantee that ignored it. The reserve is now what the other active plans lack of their guarantee, at most a quarter, and a quarter while any plan of the limits is inactive.

The limit of statements in flight follows the mean rest of a running statement in place of the mean length, so that long statements count by their time.

--- a/internal/coordination/admission/concurrency.go
+++ b/internal/coordination/admission/concurrency.go
@@ -7,8 +7,8 @@
 	ceilingFactor = 2
 	// serverQueueTarget is the wait at the backend server that statements in
 	// flight beyond its slots may cause.
-	serverQueueTarget = 10 * time.Millisecond
-	// limitSmoothing is the weight of the newest statement in the average time
+	serverQueueTarget = 8 * time.Millisecond
+	// limitSmoothing is the weight of the newest statement in the averages
 	// from which the limit follows.
 	limitSmoothing = 0.02
 )
@@ -22,6 +22,18 @@
 	slots     int
 	roundTrip time.Duration
 	elapsed   average
+	// squares is the average of the squared times, in square nanoseconds.
+	squares float64
+}
+
+// observe counts the time of a statement that ran to its end.
+func (c *concurrency) observe(elapsed time.Duration) {
+	square := float64(elapsed) * float64(elapsed)
+	if !c.elapsed.known {
+		c.squares = square
+	}
+	c.squares += limitSmoothing * (square - c.squares)
+	c.elapsed.add(elapsed, limitSmoothing)
 }
 
 // limit returns the number of statements that may be in flight.
@@ -29,9 +41,21 @@
 	if !c.elapsed.known {
 		return c.slots
 	}
-	elapsed := max(c.elapsed.value, time.Microsecond)
-	service := max(elapsed-c.roundTrip, time.Microsecond)
-	short := int(serverQueueTarget * time.Duration(c.slots) / elapsed)
-	gap := int((c.roundTrip*time.Duration(c.slots) + service/2) / service)
-	return min(c.slots+max(short, gap), ceilingFactor*c.slots)
+	extra := min(max(c.shortExtra(), c.gapExtra()), float64(c.slots*(ceilingFactor-1)))
+	return c.slots + int(extra)
+}
+
+// shortExtra is how many more statements wait for no longer than the target.
+// Each waits for the rest of a running one, in which long statements count by
+// their time: the mean square over twice the mean.
+func (c *concurrency) shortExtra() float64 {
+	mean := max(float64(c.elapsed.value), 1)
+	rest := max(c.squares/(2*mean), 1)
+	return float64(serverQueueTarget) * float64(c.slots) / rest
+}
+
+// gapExtra is how many more statements fill the network's round trip, rounded.
+func (c *concurrency) gapExtra() float64 {
+	service := max(float64(c.elapsed.value-c.roundTrip), 1)
+	return float64(c.slots)*float64(c.roundTrip)/service + 0.5
 }
--- a/internal/coordination/admission/connections.go
+++ b/internal/coordination/admission/connections.go
@@ -60,23 +60,44 @@
 }
 
 // guarantee is the number of connections that the plan gets before any plan
-// gets more than its own guarantee: its weighted share, among active plans, of
-// what is not reserved.
+// gets more than its own guarantee: its weighted share among active plans, of
+// what is not kept for those that are not active.
 func (g *Gate) guarantee(p *plan) int {
+	shared := g.connections
+	if g.anyInactive() {
+		shared -= g.maxReserve()
+	}
 	weights := max(g.activeWeight, p.weight())
-	shared := float64(g.connections - g.reserve())
-	return max(1, int(shared*p.weight()/weights))
+	return max(1, int(float64(shared)*p.weight()/weights))
 }
 
-// reserve is how many connections plans beyond their guarantee leave free for
-// plans that are not active yet.
-func (g *Gate) reserve() int {
-	if g.connections < 2 || g.knownPlans < 2 {
+func (g *Gate) anyInactive() bool {
+	return g.activePlans < g.knownPlans
+}
+
+func (g *Gate) maxReserve() int {
+	if g.connections < 2 {
 		return 0
 	}
 	return max(1, g.connections/reserveDivisor)
 }
 
+// reserve is how many connections a plan beyond its guarantee leaves free for
+// plans that are below theirs or not active: a borrowed connection does not
+// come back before the end of a transaction.
+func (g *Gate) reserve() int {
+	if g.anyInactive() {
+		return g.maxReserve()
+	}
+	unmet := 0
+	for _, p := range g.plans {
+		if p.active() {
+			unmet += max(0, min(g.guarantee(p), p.limit.MaxConnections)-p.held)
+		}
+	}
+	return min(unmet, g.maxReserve())
+}
+
 // dispatchConnections grants free connections to waiters.
 func (g *Gate) dispatchConnections(now time.Time) {
 	for g.held < g.connections && g.connectionWaiters > 0 {
--- a/internal/coordination/admission/gate.go
+++ b/internal/coordination/admission/gate.go
@@ -29,6 +29,7 @@
 	connectionPlans   []*plan
 	slotPlans         []*plan
 	knownPlans        int
+	activePlans       int // of those known
 	activeWeight      float64
 	held              int
 	running           []*Slot
@@ -81,10 +82,10 @@
 			g.refuseAll(&p.connectionQueue, g.limitReason(p))
 		}
 	}
-	g.activeWeight = 0
+	g.activeWeight, g.activePlans = 0, 0
 	for id, p := range g.plans {
 		if p.active() {
-			g.activeWeight += p.weight()
+			g.countActive(p, 1)
 		} else if !p.known {
 			delete(g.plans, id)
 		}
@@ -141,22 +142,30 @@
 }
 
 // update runs change, which alters what the plan holds or waits for, and keeps
-// activeWeight and the set of plans in step.
+// the count, the weight and the set of plans in step.
 func (g *Gate) update(p *plan, change func()) {
 	before := p.active()
 	change()
 	after := p.active()
 	switch {
 	case after && !before:
-		g.activeWeight += p.weight()
+		g.countActive(p, 1)
 	case before && !after:
-		g.activeWeight -= p.weight()
+		g.countActive(p, -1)
 	}
 	if !after && !p.known {
 		delete(g.plans, p.id)
 	}
 }
 
+// countActive counts a plan that became active, by 1, or inactive, by -1.
+func (g *Gate) countActive(p *plan, change int) {
+	g.activeWeight += float64(change) * p.weight()
+	if p.known {
+		g.activePlans += change
+	}
+}
+
 // enqueue puts a waiter into a queue of its plan.
 func (g *Gate) enqueue(w *waiter, q *queue) {
 	p := w.plan
@@ -255,6 +264,8 @@
 	defer g.mu.Unlock()
 	if !w.settled() {
 		g.giveUp(w, ctx.Err())
+		// One waiter less changes the guarantees of the others.
+		g.dispatch(time.Now())
 	}
 }
 
--- a/internal/coordination/admission/gate_test.go
+++ b/internal/coordination/admission/gate_test.go
@@ -139,6 +139,7 @@
 		spare := g.connections - g.held
 		c.failIf(eligible && below && spare > 0, "plan %s waits below its guarantee", id)
 		c.failIf(eligible && spare > max(1, g.connections/4), "plan %s waits beside %d free connections", id, spare)
+		c.failIf(p.connectionQueue.length > 0 && spare > 0 && g.mayHoldMore(p), "plan %s was not woken", id)
 		c.held[id] = p.held
 		held += p.held
 		running += p.running
@@ -222,6 +223,8 @@
 			for _, act := range s.changes {
 				if act.at+tick/2 == time.Duration(step)*tick/2 {
 					apply(g, s.limits, act)
+					synctest.Wait()
+					c.check(g)
 				}
 			}
 			time.Sleep(tick / 2)
--- a/internal/coordination/admission/options.go
+++ b/internal/coordination/admission/options.go
@@ -21,10 +21,8 @@
 	// guarantee leave free: one in four.
 	reserveDivisor = 4
 
-	// waitMargin is the factor by which a waiter's time must exceed its
-	// expected wait: statements differ, and one that is let in and then not
-	// served has been held for nothing.
-	waitMargin = 2
+	// crowdedMargin is the margin of a plan with its share of the waiters.
+	crowdedMargin = 2
 
 	minRetryAfter = 10 * time.Millisecond
 	maxRetryAfter = 5 * time.Second
--- a/internal/coordination/admission/refusal.go
+++ b/internal/coordination/admission/refusal.go
@@ -50,7 +50,7 @@
 // refuseIfHopeless refuses a waiter that just joined its queue behind ahead
 // others of its plan, if a queue is full or its deadline is not surely met.
 func (g *Gate) refuseIfHopeless(w *waiter, ahead int) {
-	wait := waitMargin * g.expectedWait(w, ahead, w.since)
+	wait := g.margin(w.plan) * g.expectedWait(w, ahead, w.since)
 	full := g.connectionWaiters+g.slotWaiters > g.queueTotal || w.plan.waiting() > g.queuePerPlan
 	allowed := w.deadline.Sub(w.since)
 	if !full && wait <= allowed {
@@ -61,6 +61,18 @@
 	w.err = g.refuse(reason, wait-allowed, nil)
 }
 
+// margin is the factor by which a waiter's time must exceed its expected wait.
+// Statements differ, and one that is let in and then not served was held for
+// nothing; so a plan with its share of all waiters or more needs twice the time.
+// A plan with less would pay for the length of another's statements.
+func (g *Gate) margin(p *plan) time.Duration {
+	share := p.weight() / max(g.activeWeight, p.weight())
+	if float64(p.waiting()) < share*float64(g.connectionWaiters+g.slotWaiters) {
+		return 1
+	}
+	return crowdedMargin
+}
+
 func (g *Gate) expectedWait(w *waiter, ahead int, now time.Time) time.Duration {
 	if w.queue == &w.plan.connectionQueue {
 		return g.connectionWait(w.plan, ahead, now)
--- a/internal/coordination/admission/slots.go
+++ b/internal/coordination/admission/slots.go
@@ -84,7 +84,7 @@
 func (g *Gate) observe(p *plan, elapsed time.Duration) {
 	p.slotTime.add(elapsed, smoothing)
 	g.allSlotTime.add(elapsed, smoothing)
-	g.concurrency.elapsed.add(elapsed, limitSmoothing)
+	g.concurrency.observe(elapsed)
 	g.slotLimit = g.concurrency.limit()
 }
 
