--- a/internal/protocol/statement/classify.go
+++ b/internal/protocol/statement/classify.go
@@ -257,7 +257,13 @@
 // other reads a statement that counts as a write.
 func (c *classifier) other(verb string) Kind {
 	switch {
-	case is(verb, "prepare"), is(verb, "load"):
+	case is(verb, "prepare"):
+		c.advance()
+		if c.isWord("transaction") {
+			return c.refuseTwoPhase()
+		}
+		c.class.Pins = true
+	case is(verb, "load"):
 		c.class.Pins = true
 	case is(verb, "do"):
 		c.class.Pins = c.class.Pins || c.blockPins()
--- a/internal/protocol/statement/classify_test.go
+++ b/internal/protocol/statement/classify_test.go
@@ -15,7 +15,7 @@
 	"WITH a(x) AS (SELECT 1) SELECT count(*) FILTER (WHERE x > 0) OVER (PARTITION BY x) FROM a",
 	"SELECT 'insert into t', $a$ delete from t $a$, E'it\\'s; update'", `SELECT "update" FROM t`,
 	"SELECT 1; SELECT 2;", "SELECT substring(a FOR 3) FROM t AS u(a) ORDER BY (a)",
-	"SELECT 'a''b' /* for update /* nested */ nextval('x') */ -- delete\n", "SELECT a.b$c$d FROM a",
+	"SELECT 'a''b' /* for update /* nested */ nextval('x') */ -- delete\n", "SELECT a.b$c$d FROM a", "SELECT E'a'\n'it\\'s'",
 }
 
 var writes = []string{
@@ -24,7 +24,7 @@
 	"WITH a AS (DELETE FROM t RETURNING *) SELECT * FROM a", "EXPLAIN " + analyseWord + " SELECT 1", "SELECT lo_create(0)",
 	"EXPLAIN (" + analyseWord + ") SELECT 1", "SELECT app.lower('x')", `SELECT "lower"('x')`, "SELECT pg_notify('a', 'b')",
 	"SELECT 1; DELETE FROM t", "SELECT txid_current()", "SELECT dblink('a', 'b')", "SELECT own /* x */ ('a')",
-	"SELECT next(1)", "SELECT over(1)", "CALL p()", "SELECT 'a\\'; DELETE FROM t; --'", "SELECT $a$ unfinished",
+	"SELECT next(1)", "SELECT over(1)", "CALL p()", "SELECT 'a\\''; DELETE FROM t; --'", "SELECT $a$ unfinished",
 	"SELECT E'a'\n'b\\''; DELETE FROM t --'", "MERGE INTO t USING u ON true WHEN MATCHED THEN DO NOTHING",
 }
 
@@ -47,6 +47,7 @@
 		"END;":                                      {Kind: KindCommit, Statements: 1},
 		"abort":                                     {Kind: KindRollback, Statements: 1},
 		"ROLLBACK TO a":                             {Kind: KindSavepoint, Statements: 1},
+		"PREPARE TRANSACTION 'x'":                   {Kind: KindUnsupported, Statements: 1, Unsupported: "two-phase commit"},
 		"COMMIT PREPARED 'x'":                       {Kind: KindUnsupported, Statements: 1, Unsupported: "two-phase commit"},
 		"copy t from stdin":                         {Kind: KindUnsupported, Statements: 1, Unsupported: "COPY"},
 		"SELECT 1; COPY t TO stdout":                {Kind: KindUnsupported, Statements: 2, Unsupported: "COPY"},
--- a/internal/protocol/statement/transaction.go
+++ b/internal/protocol/statement/transaction.go
@@ -14,9 +14,7 @@
 		return KindSavepoint
 	}
 	if c.isWord("prepared") {
-		c.class.Unsupported = "two-phase commit"
-		c.skipStatement()
-		return KindUnsupported
+		return c.refuseTwoPhase()
 	}
 	rollback := is(verb, "rollback") || is(verb, "abort")
 	partial := false
@@ -34,6 +32,14 @@
 	}
 }
 
+// refuseTwoPhase reads a statement of two-phase commit, whose transaction would
+// outlive its connection and its caller.
+func (c *classifier) refuseTwoPhase() Kind {
+	c.class.Unsupported = "two-phase commit"
+	c.skipStatement()
+	return KindUnsupported
+}
+
 // readOnlyModes reads the modes of BEGIN. A serializable transaction counts as
 // one that writes, because a replica cannot serve it.
 func (c *classifier) readOnlyModes() bool {
