--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -19,6 +20,11 @@
 	DefaultMaxSuspicion = 30 * time.Second
 )
 
+// ErrEmptyList says that the platform's list names nobody, not even this
+// instance. It is not believed: every instance would take itself for the owner
+// of every backend server.
+var ErrEmptyList = errors.New("the list of instances is empty")
+
 // forgetAfter is how long evidence about an instance that the list does not
 // name is kept.
 const forgetAfter = 10 * time.Minute
@@ -116,11 +122,14 @@
 	return m.config.ListInterval - spread/2 + time.Duration(m.random.Int64N(int64(spread)+1))
 }
 
-// Refresh reads the list once.
+// Refresh reads the list once. Where it fails, the list before stays in use.
 func (m *Membership) Refresh(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, m.config.ListTimeout)
 	defer cancel()
 	listed, err := m.config.Lister.List(ctx)
+	if err == nil && len(listed) == 0 {
+		err = ErrEmptyList
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.listErr = err
--- a/internal/coordination/membership/membership_test.go
+++ b/internal/coordination/membership/membership_test.go
@@ -85,6 +85,9 @@
 func (m *model) list(listed []state.Instance) {
 	next := make(map[state.InstanceID]state.Instance)
 	for _, one := range listed {
+		if one.ID == "i0" {
+			continue // self
+		}
 		if was, found := m.listed[one.ID]; found && was.Incarnation > one.Incarnation {
 			one = was
 		}
@@ -114,9 +117,9 @@
 				rapid.IntRange(1, size).Draw(t, "instance"),
 				state.Incarnation(rapid.IntRange(1, 3).Draw(t, "incarnation")),
 			)
-			switch rapid.SampledFrom([]string{"list", "down", "failure", "success", "leaving"}).Draw(t, "step") {
+			switch rapid.SampledFrom([]string{"list", "down", "empty", "failure", "success", "leaving"}).Draw(t, "step") {
 			case "list":
-				lister.instances, lister.err = nil, nil
+				lister.instances, lister.err = []state.Instance{m.Self()}, nil
 				for number := 1; number <= size; number++ {
 					if rapid.Bool().Draw(t, "present") {
 						entry := instance(number, state.Incarnation(rapid.IntRange(1, 3).Draw(t, "listed")))
@@ -129,6 +132,9 @@
 			case "down":
 				lister.err = errDown
 				require.ErrorIs(t, m.Refresh(t.Context()), errDown)
+			case "empty":
+				lister.instances, lister.err = nil, nil
+				require.ErrorIs(t, m.Refresh(t.Context()), ErrEmptyList)
 			case "failure":
 				m.ReportFailure(one.ID, one.Incarnation, errDown)
 				want.report(one.ID, one.Incarnation, want.failed, true)
@@ -239,7 +245,7 @@
 
 // remap returns the share of databases whose owner changes when the instances
 // for which gone is true go away, and checks that only theirs move.
-func remap(t *testing.T, instances []state.Instance, gone func(state.Instance) bool) float64 {
+func remap(t *testing.T, before []state.InstanceID, instances []state.Instance, gone func(state.Instance) bool) float64 {
 	var left []state.Instance
 	lost := make(map[state.InstanceID]bool)
 	for _, one := range instances {
@@ -249,7 +255,7 @@
 			left = append(left, one)
 		}
 	}
-	before, after := ownersOf(instances), ownersOf(left)
+	after := ownersOf(left)
 	moved := 0
 	for number := range before {
 		if before[number] == after[number] {
@@ -266,14 +272,15 @@
 func TestRemapMovesOnlyWhatTheLostInstancesOwned(t *testing.T) {
 	const size, losses = 1_500, 50
 	instances := fleet(size)
+	before := ownersOf(instances)
 	var total float64
 	for number := range losses {
 		lost := instances[number*size/losses].ID
-		total += remap(t, instances, func(one state.Instance) bool { return one.ID == lost })
+		total += remap(t, before, instances, func(one state.Instance) bool { return one.ID == lost })
 	}
 	t.Logf("one of %d lost: mean share moved %.6f, 1/n is %.6f", size, total/losses, 1.0/size)
 	require.InEpsilon(t, 1.0/size, total/losses, 0.25)
-	share := remap(t, instances, func(one state.Instance) bool { return one.DataCentre == "dc1" })
+	share := remap(t, before, instances, func(one state.Instance) bool { return one.DataCentre == "dc1" })
 	t.Logf("one data centre of %d lost: share moved %.4f", dataCentres, share)
 	require.InDelta(t, 1.0/dataCentres, share, 0.001)
 }
