Request ids of whole transactions; gates learn the round trip; platform budget shared

Cause: a request id on BEGIN was recorded in a transaction of the proxy's own, which was then committed at once, so that the caller's transaction ended before it began. A lone BEGIN now leaves the id to the next unit, a batch that begins with BEGIN keeps the transaction open, and a string of statements with transaction control is refused. Test: TestRequestIDOfAWholeTransaction.

--- a/internal/app/group_runner.go
+++ b/internal/app/group_runner.go
@@ -108,6 +108,7 @@
 // Update implements ownership.Runner.
 func (r *groupRunner) Update(group state.Group) {
 	r.failover.SetGroup(group)
+	r.measureRoundTrips()
 	for _, database := range group.Databases {
 		if gate, found := r.gates[database.ID]; found {
 			gate.SetLeaving(database.Leaving)
@@ -115,6 +116,15 @@
 	}
 }
 
+// measureRoundTrips tells the gates how far away their backend servers are.
+func (r *groupRunner) measureRoundTrips() {
+	for _, database := range r.watcher.View().Databases {
+		if gate, found := r.gates[database.Database.ID]; found && database.Heard {
+			gate.SetRoundTrip(database.HeardAt.Sub(database.SentAt))
+		}
+	}
+}
+
 // Barrier implements ownership.Runner.
 func (r *groupRunner) Barrier(ctx context.Context) (state.Position, error) {
 	return r.watcher.Barrier(ctx)
--- a/internal/app/instance.go
+++ b/internal/app/instance.go
@@ -129,6 +129,7 @@
 	i.cancel = cancel
 	i.background.Go(func() { i.followLimits(ctx) })
 	i.background.Go(func() { i.membership.Run(ctx) })
+	i.background.Go(func() { i.sharePlatform(ctx) })
 	i.background.Go(func() { i.groups.Run(ctx) })
 	i.background.Go(func() { i.follower.Run(ctx) })
 	i.background.Go(func() { i.ownership.Run(ctx) })
@@ -201,6 +202,25 @@
 	}
 }
 
+// sharePlatformInterval is the time between two looks at the number of
+// instances.
+const sharePlatformInterval = 5 * time.Second
+
+// sharePlatform keeps this instance's budget of calls to the platform at its
+// share among all instances.
+func (i *Instance) sharePlatform(ctx context.Context) {
+	ticker := time.NewTicker(sharePlatformInterval)
+	defer ticker.Stop()
+	for {
+		i.platform.ShareAmong(len(i.membership.Peers()) + 1)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // announceInterval is the pause between attempts to announce the instance.
 const announceInterval = 2 * time.Second
 
--- a/internal/coordination/execution/at_most_once.go
+++ b/internal/coordination/execution/at_most_once.go
@@ -42,7 +42,7 @@
 		if _, err := s.runInternal(ctx, "BEGIN"); err != nil {
 			return false, s.fail(err, "begin request")
 		}
-		s.unit.once = true
+		s.unit.once = !s.unit.unit.Begins
 	}
 	insert := fmt.Sprintf(
 		"INSERT INTO cyclamenpin_requests (plan, request_id, command_tag, returned_rows, created_at_ms) VALUES (%s, %s, '', false, %d) ON CONFLICT DO NOTHING",
--- a/internal/coordination/execution/stream.go
+++ b/internal/coordination/execution/stream.go
@@ -62,6 +62,9 @@
 	Access Access `msgpack:"a"`
 	// RequestID, when set, gives the unit at-most-once execution.
 	RequestID string `msgpack:"r"`
+	// Begins is set when a unit with a RequestID begins the transaction block in
+	// which the id is to be recorded, and leaves it open.
+	Begins bool `msgpack:"b"`
 	// Extended is set when Messages are of the extended query protocol.
 	Extended bool `msgpack:"x"`
 	// ChangesSettings is set when the unit changes session parameters.
--- a/internal/dev/wire_test.go
+++ b/internal/dev/wire_test.go
@@ -246,3 +246,25 @@
 	token := conn.PgConn().ParameterStatus("cyclamenpin.session_token")
 	require.True(t, strings.HasPrefix(token, "orders:"), token)
 }
+
+func TestRequestIDOfAWholeTransaction(t *testing.T) {
+	conn := connect(t)
+	mustExec(t, conn, "CREATE TABLE handovers (id bigint)")
+	for attempt := range 3 {
+		mustExec(t, conn, "/* cyclamenpin:request_id=handover-1 */ BEGIN")
+		_, first := conn.Exec(t.Context(), "INSERT INTO handovers VALUES ($1)", 1)
+		_, second := conn.Exec(t.Context(), "INSERT INTO handovers VALUES ($1)", 2)
+		if attempt == 0 {
+			require.NoError(t, errors.Join(first, second))
+		} else {
+			requireSQLState(t, first, "Y1001")
+			requireSQLState(t, second, "25P02")
+		}
+		mustExec(t, conn, "COMMIT")
+	}
+	var count int
+	require.NoError(t, conn.QueryRow(t.Context(), "SELECT count(*) FROM handovers").Scan(&count))
+	require.Equal(t, 2, count)
+	_, err := conn.Exec(t.Context(), "/* cyclamenpin:request_id=x */ BEGIN; INSERT INTO handovers VALUES (3); COMMIT")
+	requireSQLState(t, err, "0A000")
+}
--- a/internal/transport/pgserver/simple.go
+++ b/internal/transport/pgserver/simple.go
@@ -112,7 +112,7 @@
 // not set them, and takes over what it changed.
 func (c *conn) run(w *work) error {
 	c.applySessionParameters(w)
-	if response := c.checkAge(w); response != nil {
+	if response := c.check(w); response != nil {
 		return c.answerError(response)
 	}
 	before := c.session.Status()
@@ -142,12 +142,48 @@
 	}
 	if w.unit.RequestID != "" {
 		w.unit.Access = execution.AccessWrite
+		c.placeRequestID(w)
 	}
 	if w.freshness.MaxAge == 0 {
 		w.freshness.MaxAge = c.maxAge
 	}
 }
 
+// placeRequestID has the id of a whole transaction recorded inside it: a lone
+// BEGIN leaves it to the next unit.
+func (c *conn) placeRequestID(w *work) {
+	begins := countKind(w.classes, statement.KindBegin)
+	switch {
+	case begins == 0:
+	case begins == len(w.classes):
+		c.requestID = w.unit.RequestID
+		w.unit.RequestID = ""
+	default:
+		w.unit.Begins = true
+	}
+}
+
+func countKind(classes []statement.Class, kind statement.Kind) int {
+	count := 0
+	for _, class := range classes {
+		if class.Kind == kind {
+			count++
+		}
+	}
+	return count
+}
+
+// check refuses what the plan may not have and what cannot be done safely.
+func (c *conn) check(w *work) *pgproto3.ErrorResponse {
+	for _, class := range w.classes {
+		if w.unit.RequestID != "" && class.ControlsTransaction {
+			return outcome.NewError(outcome.SQLStateFeatureNotSupported,
+				"a request id with transaction control inside one string of statements is not supported by this proxy")
+		}
+	}
+	return c.checkAge(w)
+}
+
 // checkAge refuses an age beyond what the plan may accept.
 func (c *conn) checkAge(w *work) *pgproto3.ErrorResponse {
 	allowed := c.planLimit().MaxStaleness()
@@ -184,19 +220,9 @@
 }
 
 func (c *conn) commits(w *work) bool {
-	for _, class := range w.classes {
-		if class.Kind == statement.KindCommit {
-			return true
-		}
-	}
-	return false
+	return countKind(w.classes, statement.KindCommit) > 0
 }
 
 func (c *conn) endsTransactionBlock(w *work) bool {
-	for _, class := range w.classes {
-		if endsTransaction(class.Kind) {
-			return true
-		}
-	}
-	return false
+	return c.commits(w) || countKind(w.classes, statement.KindRollback) > 0
 }
