--- a/internal/protocol/peerproto/frame_test.go
+++ b/internal/protocol/peerproto/frame_test.go
@@ -79,6 +79,14 @@
 	require.Equal(t, state.OutcomeUnknown, decoded.Outcome)
 }
 
+func TestBodiesThatAreLargerInsideThanOutsideAreRefused(t *testing.T) {
+	elements := append([]byte("\x81\xa7request\x81\xa8settings\xdd\x00\x02\x00\x00"), make([]byte, 1<<17)...)
+	nested := append(bytes.Repeat([]byte{0x91}, 1<<20), 0)
+	for _, body := range [][]byte{elements, nested} {
+		require.ErrorIs(t, Unmarshal(body, &Open{}), ErrMalformed)
+	}
+}
+
 // decodeTargets are the bodies that a peer may send.
 func decodeTargets() []any {
 	return []any{
@@ -101,6 +109,7 @@
 	}
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff})
 	f.Add([]byte{0, 0, 0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11})
+	f.Add([]byte("\x00\x10\x00\x0a\x10\x00\x00\x00\x00\x00\x00\x00\x00\x01cut short"))
 	nested := bytes.Repeat([]byte{0x91}, 1<<12)
 	f.Add(AppendFrame(nil, Frame{Kind: KindOpen, Body: nested}))
 	// An Open whose list of settings states 4 G elements.
--- a/internal/protocol/peerproto/handshake_test.go
+++ b/internal/protocol/peerproto/handshake_test.go
@@ -112,6 +112,24 @@
 	require.Equal(t, "superseded", refused.Message)
 }
 
+func TestServersProofIsNoClientsProof(t *testing.T) {
+	near, far := net.Pipe()
+	done := make(chan error, 1)
+	go func() {
+		_, err := Accept(far, party("s", SupportedVersions(), key("a")), nil)
+		far.Close()
+		done <- err
+	}()
+	hello := Hello{Magic: Magic, Versions: SupportedVersions(), Nonce: newNonce()}
+	require.NoError(t, writeBody(near, KindHello, &hello))
+	var challenge Challenge
+	reader := NewFrameReader(near, MaxHandshakeFrame)
+	require.NoError(t, readBody(reader, KindChallenge, &challenge, SupportedVersions()))
+	require.NoError(t, writeBody(near, KindProof, &Proof{Proof: challenge.Proof}))
+	near.Close()
+	require.ErrorIs(t, <-done, ErrAuthentication)
+}
+
 func TestKeyRingRefusesWeakLists(t *testing.T) {
 	ring, err := NewKeyRing(key("a"))
 	require.NoError(t, err)
--- a/internal/transport/peerlink/peerlink_test.go
+++ b/internal/transport/peerlink/peerlink_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -72,11 +76,13 @@
 }
 
 // runUnit runs one unit to its end, and cancels it after a while if asked to.
-func runUnit(stream execution.Stream, name string, timeout, cancelAfter time.Duration) *outcome {
+func runUnit(
+	stream execution.Stream, name string, timeout, cancelAfter time.Duration, prepare ...execution.PreparedStatement,
+) *outcome {
 	result := &outcome{name: name}
 	ctx, stop := context.WithTimeout(context.Background(), timeout)
 	defer stop()
-	if err := stream.Send(ctx, execution.Unit{Messages: []byte(name)}); err != nil {
+	if err := stream.Send(ctx, execution.Unit{Messages: []byte(name), Prepare: prepare}); err != nil {
 		result.failure, _ = state.AsFailure(err)
 		return result
 	}
@@ -114,6 +120,7 @@
 type caller struct {
 	start, timeout, cancelAfter time.Duration
 	units                       []int // events of each unit's answer
+	unitBytes                   int
 }
 
 func drawMillis(t *rapid.T, label string, limit int) time.Duration {
@@ -131,9 +138,10 @@
 		return
 	}
 	defer stream.Close()
+	large := execution.PreparedStatement{Message: make([]byte, c.unitBytes)}
 	for unit, events := range c.units {
 		name := fmt.Sprintf("%d/%d/%s", number, unit, strings.Repeat("e", events))
-		result := runUnit(stream, name, c.timeout, c.cancelAfter)
+		result := runUnit(stream, name, c.timeout, c.cancelAfter, large)
 		report(result)
 		if result.failure != nil {
 			return
@@ -142,6 +150,7 @@
 }
 
 func TestEveryCallerGetsItsWholeAnswerOrAnHonestFailure(t *testing.T) {
+	seen := make(map[string]int) // how often each kind of outcome came up
 	check := func(t *rapid.T) {
 		p := newPair()
 		p.backend.pause = drawMillis(t, "pause", 20)
@@ -152,6 +161,7 @@
 				start: drawMillis(t, "start", 1_000), timeout: 1 + drawMillis(t, "timeout", 4_000),
 				cancelAfter: drawMillis(t, "cancel", 30),
 				units:       rapid.SliceOfN(rapid.IntRange(1, 6), 1, 4).Draw(t, "units"),
+				unitBytes:   rapid.SampledFrom([]int{0, 2 * wireBytes}).Draw(t, "unit bytes"),
 			})
 		}
 		var mu sync.Mutex
@@ -187,12 +197,15 @@
 		p.network.thaw() // what was held back on the way arrives now
 		time.Sleep(time.Minute)
 		p.close()
-		checkOutcomes(t, p.backend, outcomes)
+		checkOutcomes(t, p.backend, outcomes, seen)
 	}
 	synctest.Test(t, func(t *testing.T) { rapid.Check(struct{ rapid.TB }{t}, check) })
+	t.Log(seen)
+	require.NotZero(t, seen["done"])
+	require.NotZero(t, seen["unknown"])
 }
 
-func checkOutcomes(t *rapid.T, b *backend, outcomes []*outcome) {
+func checkOutcomes(t *rapid.T, b *backend, outcomes []*outcome, seen map[string]int) {
 	told := make(map[string]*outcome)
 	for _, o := range outcomes {
 		told[o.name] = o
@@ -219,6 +232,16 @@
 	for name := range b.cancelled {
 		require.True(t, told[name].cancelled, "%s was cancelled in place of another", name)
 	}
+	for _, o := range outcomes {
+		switch {
+		case strings.HasSuffix(o.name, "/open"):
+			seen["open refused"]++
+		case o.failure == nil:
+			seen["done"]++
+		default:
+			seen[o.failure.Outcome.String()]++
+		}
+	}
 	require.Zero(t, b.open, "streams left open on the backend")
 }
 
@@ -253,6 +276,47 @@
 	})
 }
 
+// Units that wait behind a writer that cannot go on are withdrawn, both when
+// their caller gives up and when the link ends, and never run afterwards.
+func TestUnitsStillQueuedAreNotRunAlsoWhenTheLinkWakes(t *testing.T) {
+	for _, timeout := range []time.Duration{100 * time.Millisecond, time.Hour} {
+		bubble(t, func(t *testing.T, p *pair) {
+			const callers = 6
+			var streams []execution.Stream
+			for range callers {
+				streams = append(streams, openStream(t, p))
+			}
+			p.network.freeze()
+			outcomes := make(chan *outcome, callers)
+			for number, stream := range streams {
+				large := execution.PreparedStatement{Message: make([]byte, 4*wireBytes)}
+				go func() { outcomes <- runUnit(stream, fmt.Sprint(number, "/e"), timeout, 0, large) }()
+			}
+			told := make(map[state.Outcome]int)
+			var all []*outcome
+			for range callers {
+				one := <-outcomes
+				all = append(all, one)
+				told[one.failure.Outcome]++
+			}
+			require.NotZero(t, told[state.OutcomeNotRun])
+			require.NotZero(t, told[state.OutcomeUnknown])
+			p.network.thaw()
+			time.Sleep(time.Minute)
+			ran := 0
+			for _, one := range all {
+				var times int
+				p.backend.do(func() { times = p.backend.executed[one.name] })
+				ran += times
+				if one.failure.Outcome == state.OutcomeNotRun {
+					require.Zero(t, times, one.name)
+				}
+			}
+			require.NotZero(t, ran, "the test must let a unit run that was given up on")
+		})
+	}
+}
+
 func TestSlowAnswerIsNoSilence(t *testing.T) {
 	bubble(t, func(t *testing.T, p *pair) {
 		p.backend.pause = time.Minute
@@ -308,6 +372,20 @@
 	})
 }
 
+func TestLateCancelHarmsNoLaterUnit(t *testing.T) {
+	bubble(t, func(t *testing.T, p *pair) {
+		p.backend.pause = time.Second
+		stream := openStream(t, p).(*clientStream)
+		defer stream.Close()
+		require.Nil(t, runUnit(stream, "first/e", time.Hour, 0).failure)
+		time.AfterFunc(time.Millisecond, func() {
+			stream.link.send(peerproto.KindCancel, stream.id, &peerproto.Cancel{Number: 1})
+		})
+		require.Nil(t, runUnit(stream, "second/eee", time.Hour, 0).failure)
+		p.backend.do(func() { require.Empty(t, p.backend.cancelled) })
+	})
+}
+
 func TestUnitAboveTheFrameLimitIsNotRunAndHarmsNobody(t *testing.T) {
 	bubble(t, func(t *testing.T, p *pair) {
 		stream := openStream(t, p)
@@ -374,6 +452,31 @@
 	})
 }
 
+func TestLoopbackWithTLS(t *testing.T) {
+	secured := httptest.NewTLSServer(nil)
+	defer secured.Close()
+	config := testConfig(owner)
+	config.ServerTLS = &tls.Config{Certificates: secured.TLS.Certificates, MinVersion: tls.VersionTLS13}
+	server := NewServer(config, newBackend())
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	config = testConfig(state.Instance{ID: "entry", Incarnation: 1})
+	config.ClientTLS = secured.Client().Transport.(*http.Transport).TLSClientConfig.Clone()
+	config.ClientTLS.ServerName = "example.com"
+	client := NewClient(config)
+	peer := owner
+	peer.PeerAddress = listener.Addr().String()
+	stream, err := client.Open(t.Context(), peer, execution.OpenRequest{})
+	require.NoError(t, err)
+	require.Nil(t, runUnit(stream, "u/eee", time.Minute, 0).failure)
+	stream.Close()
+	client.Close()
+	require.NoError(t, server.Shutdown(t.Context()))
+	require.NoError(t, <-served)
+}
+
 func TestOutboxTakesTurnsAndKeepsOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		box := newOutbox()
