Large messages go out in parts; idle peer links hold no write buffer

A backend message above the link's frame limit ended its stream as unknown. It now goes out in parts of 1 MiB; an answer that ends inside a message ends the client's connection, since nothing can follow it. 64 KiB a link of write buffer, 96 MiB at 1,500 links, is now held only while writing.

--- a/internal/coordination/execution/owner_stream.go
+++ b/internal/coordination/execution/owner_stream.go
@@ -19,8 +19,12 @@
 // write is acknowledged.
 const maxHeldBytes = 1 << 20
 
-// eventBytes is the size from which on a batch of messages goes out.
-const eventBytes = 32 << 10
+const (
+	// eventBytes is the size from which on a batch of messages goes out.
+	eventBytes = 32 << 10
+	// maxEventBytes bounds one event; a larger message goes out in parts.
+	maxEventBytes = 1 << 20
+)
 
 // ownerStream is the Stream on a backend connection of this instance.
 type ownerStream struct {
@@ -37,6 +41,8 @@
 	// broken is set when the connection must not be used again.
 	broken bool
 	buffer []byte
+	// rest is the part of buffer that is yet to go out.
+	rest []byte
 
 	// replay is the recorded answer of a request that had run before.
 	replay *Event
@@ -174,6 +180,9 @@
 
 // Receive implements Stream.
 func (s *ownerStream) Receive(ctx context.Context) (Event, error) {
+	if len(s.rest) > 0 {
+		return s.nextPart(), nil
+	}
 	s.buffer = s.buffer[:0]
 	if s.replay != nil {
 		event := *s.replay
@@ -196,11 +205,20 @@
 		}
 		full := len(s.buffer) >= eventBytes
 		if len(s.buffer) > 0 && (full || !s.conn.backend.Buffered()) {
-			return Event{Messages: s.buffer}, nil
+			s.rest = s.buffer
+			return s.nextPart(), nil
 		}
 	}
 }
 
+// nextPart returns the next part of the buffered messages.
+func (s *ownerStream) nextPart() Event {
+	size := min(len(s.rest), maxEventBytes)
+	event := Event{Messages: s.rest[:size], Partial: size < len(s.rest)}
+	s.rest = s.rest[size:]
+	return event
+}
+
 // handle takes one message into the buffer or the held messages, or swallows
 // it. done is true for ReadyForQuery.
 func (s *ownerStream) handle(message Message) (done bool, err error) {
--- a/internal/coordination/execution/owner_test.go
+++ b/internal/coordination/execution/owner_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -138,6 +139,26 @@
 	require.Equal(t, "parsed ready(I) ", answer, "the internal Close must not show")
 }
 
+func TestLargeMessageComesInPartsThatSaySo(t *testing.T) {
+	f := newFixture()
+	stream := f.open(t, AccessRead)
+	sql := "read " + strings.Repeat("x", 3*maxEventBytes)
+	require.NoError(t, stream.Send(context.Background(), query(sql)))
+	var answer []byte
+	for partial := false; ; {
+		event, err := stream.Receive(context.Background())
+		require.NoError(t, err)
+		require.LessOrEqual(t, len(event.Messages), maxEventBytes)
+		answer = append(answer, event.Messages...)
+		if event.Done {
+			require.False(t, partial)
+			break
+		}
+		partial = event.Partial
+	}
+	require.Equal(t, "row("+sql+" on 1) done(SELECT 1) ready(I) ", describe(answer))
+}
+
 func TestCancelledConnectionIsNotReused(t *testing.T) {
 	f := newFixture()
 	stream := f.open(t, AccessRead)
--- a/internal/coordination/execution/stream.go
+++ b/internal/coordination/execution/stream.go
@@ -76,8 +76,12 @@
 
 // Event is one step of the answer to a unit.
 type Event struct {
-	// Messages are whole backend messages to pass on to the caller.
+	// Messages are backend messages to pass on to the caller.
 	Messages []byte `msgpack:"m"`
+	// Partial is set when Messages end in the middle of a message, whose rest
+	// comes with the next event. If none comes, the caller's connection can't
+	// go on.
+	Partial bool `msgpack:"pt"`
 	// Done is set on the unit's last event; its messages end with the
 	// ReadyForQuery.
 	Done bool `msgpack:"d"`
--- a/internal/transport/peerlink/link.go
+++ b/internal/transport/peerlink/link.go
@@ -164,14 +164,17 @@
 
 func (l *link) write() {
 	defer l.goroutine.Done()
-	writer := bufio.NewWriterSize(l.conn, writeBufferBytes)
+	// The buffer is held only while there is something to write, because most
+	// of the links between many instances are idle.
+	var writer *bufio.Writer
 	for {
 		frame := l.outbox.take()
 		if frame == nil {
-			if err := writer.Flush(); err != nil {
+			if err := flushAndRelease(writer); err != nil {
 				l.fail(eris.Wrap(err, "write link"))
 				return
 			}
+			writer = nil
 			l.outbox.flushed()
 			select {
 			case <-l.outbox.wake:
@@ -180,6 +183,10 @@
 				return
 			}
 		}
+		if writer == nil {
+			writer = writeBuffers.Get().(*bufio.Writer)
+			writer.Reset(l.conn)
+		}
 		if _, err := writer.Write(frame.encoded); err != nil {
 			l.fail(eris.Wrap(err, "write link"))
 			return
@@ -188,6 +195,22 @@
 	}
 }
 
+// writeBuffers holds the buffers of links that write nothing now.
+var writeBuffers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeBufferBytes) }}
+
+// flushAndRelease writes out what a buffer holds and gives it back.
+func flushAndRelease(writer *bufio.Writer) error {
+	if writer == nil {
+		return nil
+	}
+	if err := writer.Flush(); err != nil {
+		return err
+	}
+	writer.Reset(nil)
+	writeBuffers.Put(writer)
+	return nil
+}
+
 // lostReason maps the cause of a link's end to the reason of its failures.
 func lostReason(cause error) state.Reason {
 	if errors.Is(cause, errSilent) {
--- a/internal/transport/pgserver/simple.go
+++ b/internal/transport/pgserver/simple.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/rotisserie/eris"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/execution"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/session"
@@ -116,8 +117,9 @@
 		return c.answerError(response)
 	}
 	before := c.session.Status()
-	errored := false
+	errored, partial := false, false
 	err := c.session.Run(c.ctx, w.unit, w.freshness, func(event execution.Event) error {
+		partial = event.Partial
 		if event.Done {
 			errored = event.Errored
 			c.afterUnit(w, before, errored)
@@ -127,6 +129,9 @@
 	if err == nil {
 		return nil
 	}
+	if partial {
+		return eris.Wrap(err, "answer ended in the middle of a message")
+	}
 	if before != session.StatusIdle && c.endsTransactionBlock(w) {
 		c.endLostTransaction()
 	}
