TLS towards clients and between instances

The wire tests now run against instances that are under TLS on both sides. Bytes that a client sent in the clear behind its SSLRequest are dropped with the old reader, so they cannot count as sent through TLS.

--- a/internal/app/modules.go
+++ b/internal/app/modules.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"time"
@@ -58,7 +59,7 @@
 // transportModule provides the clients and servers of the network.
 func transportModule() fx.Option {
 	return fx.Module("transport", fx.Provide(
-		newPlatformClient, newBackendDialer, newPeerClient, newPeerCaller, newPeerServer, newClientServer,
+		newPlatformClient, newBackendDialer, newLinkEncryption, newPeerClient, newPeerCaller, newPeerServer, newClientServer,
 	))
 }
 
@@ -78,8 +79,8 @@
 	return dialer
 }
 
-func newPeerClient(self state.Instance, keys *peerproto.KeyRing, members *membership.Membership, network Network, log zerolog.Logger) *peerlink.Client {
-	config := peerlink.Config{Self: self, Keys: keys, Evidence: members, Logger: log}
+func newPeerClient(self state.Instance, keys *peerproto.KeyRing, members *membership.Membership, network Network, encryption linkEncryption, log zerolog.Logger) *peerlink.Client {
+	config := peerlink.Config{Self: self, Keys: keys, Evidence: members, ClientTLS: encryption.config, Logger: log}
 	if network != nil {
 		config.Dial = func(ctx context.Context, address string) (net.Conn, error) {
 			return network.DialContext(ctx, "tcp", address)
@@ -88,21 +89,36 @@
 	return peerlink.NewClient(config)
 }
 
+// linkEncryption is the encryption of links between instances.
+type linkEncryption struct {
+	config *tls.Config // nil for none
+}
+
+func newLinkEncryption(settings Settings) (linkEncryption, error) {
+	config, err := peerTLS(settings)
+	return linkEncryption{config: config}, err
+}
+
 func newPeerCaller(client *peerlink.Client, members *membership.Membership) peerCaller {
 	return peerCaller{client: client, membership: members}
 }
 
-func newPeerServer(self state.Instance, keys *peerproto.KeyRing, handler *peerHandler, log zerolog.Logger) *peerlink.Server {
-	return peerlink.NewServer(peerlink.Config{Self: self, Keys: keys, Logger: log}, handler)
+func newPeerServer(self state.Instance, keys *peerproto.KeyRing, handler *peerHandler, encryption linkEncryption, log zerolog.Logger) *peerlink.Server {
+	return peerlink.NewServer(peerlink.Config{Self: self, Keys: keys, ServerTLS: encryption.config, Logger: log}, handler)
 }
 
-func newClientServer(settings Settings, follower *configuration.Follower, sessions *sessionFactory, caller peerCaller, log zerolog.Logger) *pgserver.Server {
+func newClientServer(settings Settings, follower *configuration.Follower, sessions *sessionFactory, caller peerCaller, log zerolog.Logger) (*pgserver.Server, error) {
+	encryption, err := clientTLS(settings)
+	if err != nil {
+		return nil, err
+	}
 	options := pgserver.DefaultOptions()
+	options.TLS = encryption
 	options.Instance = settings.InstanceID
 	options.MaxClients = settings.MaxClients
 	options.QueueTimeout = settings.QueueTimeout
 	options.IdleInTransaction = settings.IdleInTransaction
-	return pgserver.New(options, follower, sessions, caller, log)
+	return pgserver.New(options, follower, sessions, caller, log), nil
 }
 
 // coordinationModule provides the parts that decide.
--- a/internal/app/settings.go
+++ b/internal/app/settings.go
@@ -36,6 +36,13 @@
 	// serve until the platform's list has been read.
 	Seeds []string
 
+	// ClientTLS encrypts the connections of clients that ask for it.
+	ClientTLS TLSFiles
+	// PeerTLS encrypts the links between instances; PeerTLSAuthority is the
+	// file of the certificates that must have signed every peer's.
+	PeerTLS          TLSFiles
+	PeerTLSAuthority string
+
 	BackendUser     string
 	BackendPassword string
 
@@ -74,6 +81,11 @@
 	}
 	v.url("platform", s.PlatformURL)
 	v.peerKeys(s.PeerKeys)
+	v.tlsFiles("client-tls", s.ClientTLS)
+	v.tlsFiles("peer-tls", s.PeerTLS)
+	if s.PeerTLS.Enabled() != (s.PeerTLSAuthority != "") {
+		v.add("peer-tls-authority", "goes together with peer-tls-cert")
+	}
 	v.notEmpty("backend-user", s.BackendUser)
 	v.positive("max-clients", int64(s.MaxClients))
 	v.positive("queue-timeout", int64(s.QueueTimeout))
@@ -170,6 +182,12 @@
 	}
 }
 
+func (v *validation) tlsFiles(setting string, files TLSFiles) {
+	if (files.Certificate == "") != (files.Key == "") {
+		v.add(setting+"-cert", "goes together with "+setting+"-key")
+	}
+}
+
 func (v *validation) err() error {
 	if len(v.problems) == 0 {
 		return nil
--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -34,7 +34,7 @@
 		FlagSet:    flags,
 		Options:    []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
 		Exec: func(ctx context.Context, _ []string) error {
-			stack, err := dev.Start(ctx, stderr, *logLevel)
+			stack, err := dev.Start(ctx, dev.Options{Log: stderr, LogLevel: *logLevel})
 			if err != nil {
 				return err
 			}
--- a/internal/dev/stack.go
+++ b/internal/dev/stack.go
@@ -63,20 +63,29 @@
 	Instances   []*app.Instance
 	platformURL string
 	platformAPI *http.Server
-	log         io.Writer
+	options     Options
 }
 
-// Start starts the installation. Logs of the instances go to log.
-func Start(ctx context.Context, log io.Writer, logLevel string) (*Stack, error) {
-	stack := &Stack{Platform: platform.NewServer(), log: log}
-	if err := stack.start(ctx, logLevel); err != nil {
+// Options say how the installation differs from the default.
+type Options struct {
+	// Log takes the logs of the instances, from LogLevel on.
+	Log      io.Writer
+	LogLevel string
+	// Configure, when set, changes the settings of each instance.
+	Configure func(*app.Settings)
+}
+
+// Start starts the installation.
+func Start(ctx context.Context, options Options) (*Stack, error) {
+	stack := &Stack{Platform: platform.NewServer(), options: options}
+	if err := stack.start(ctx); err != nil {
 		stack.Close()
 		return nil, err
 	}
 	return stack, nil
 }
 
-func (s *Stack) start(ctx context.Context, logLevel string) error {
+func (s *Stack) start(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startupTimeout)
 	defer cancel()
 	if err := s.startPlatform(); err != nil {
@@ -89,7 +98,7 @@
 		return err
 	}
 	for number, site := range []state.DataCentre{firstSite, secondSite} {
-		instance, err := s.startInstance(ctx, number+1, site, logLevel)
+		instance, err := s.startInstance(ctx, number+1, site)
 		if err != nil {
 			return err
 		}
@@ -167,15 +176,18 @@
 	return eris.Wrap(err, "make the first edit")
 }
 
-func (s *Stack) startInstance(ctx context.Context, number int, site state.DataCentre, logLevel string) (*app.Instance, error) {
+func (s *Stack) startInstance(ctx context.Context, number int, site state.DataCentre) (*app.Instance, error) {
 	settings := app.Settings{
 		InstanceID: state.InstanceID(fmt.Sprintf("dev-%d", number)), DataCentre: site,
 		ClientListen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", AdminListen: "127.0.0.1:0",
 		PlatformURL: s.platformURL, PeerKeys: []string{instanceKeys}, BackendUser: "cyclamenpin",
 		MaxClients: 1000, QueueTimeout: queueTimeout, PrimaryWait: primaryWait,
-		IdleInTransaction: time.Minute, DrainTimeout: drainTimeout, LogLevel: logLevel,
+		IdleInTransaction: time.Minute, DrainTimeout: drainTimeout, LogLevel: s.options.LogLevel,
+	}
+	if s.options.Configure != nil {
+		s.options.Configure(&settings)
 	}
-	return app.Start(ctx, settings, app.NewLogger(settings, zerolog.SyncWriter(s.log)))
+	return app.Start(ctx, settings, app.NewLogger(settings, zerolog.SyncWriter(s.options.Log)))
 }
 
 // awaitReady waits until all instances can serve clients.
--- a/internal/dev/wire_test.go
+++ b/internal/dev/wire_test.go
@@ -2,11 +2,19 @@
 
 import (
 	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
 	"errors"
 	"fmt"
 	"io"
+	"math/big"
 	"net"
 	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -15,23 +23,97 @@
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/stretchr/testify/require"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/app"
 )
 
 // stack is the installation that all tests of this file share.
 var stack *Stack
 
 func TestMain(m *testing.M) {
-	var err error
-	stack, err = Start(context.Background(), io.Discard, "error")
+	code, err := runWithStack(m)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
+		code = 1
 	}
-	code := m.Run()
-	stack.Close()
 	os.Exit(code)
 }
 
+// runWithStack runs the tests against an installation under TLS throughout.
+func runWithStack(m *testing.M) (int, error) {
+	directory, err := os.MkdirTemp("", "cyclamenpin")
+	if err != nil {
+		return 0, err
+	}
+	defer os.RemoveAll(directory)
+	files, err := selfSigned(directory)
+	if err != nil {
+		return 0, err
+	}
+	stack, err = Start(context.Background(), Options{Log: io.Discard, LogLevel: "error", Configure: func(settings *app.Settings) {
+		settings.ClientTLS = files
+		settings.PeerTLS = files
+		settings.PeerTLSAuthority = files.Certificate
+	}})
+	if err != nil {
+		return 0, err
+	}
+	defer stack.Close()
+	return m.Run(), nil
+}
+
+// selfSigned writes a certificate that signs itself, and its key.
+func selfSigned(directory string) (app.TLSFiles, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return app.TLSFiles{}, err
+	}
+	template := x509.Certificate{
+		SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IsCA: true, BasicConstraintsValid: true,
+		KeyUsage: x509.KeyUsageCertSign | x509.KeyUsageDigitalSignature,
+	}
+	certificate, err := x509.CreateCertificate(rand.Reader, &template, &template, &key.PublicKey, key)
+	if err != nil {
+		return app.TLSFiles{}, err
+	}
+	encodedKey, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return app.TLSFiles{}, err
+	}
+	files := app.TLSFiles{Certificate: filepath.Join(directory, "cert.pem"), Key: filepath.Join(directory, "key.pem")}
+	return files, errors.Join(
+		writePEM(files.Certificate, "CERTIFICATE", certificate),
+		writePEM(files.Key, "PRIVATE KEY", encodedKey),
+	)
+}
+
+func writePEM(path, kind string, document []byte) error {
+	return os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: document}), 0o600)
+}
+
+func TestClientsChooseWhetherToEncrypt(t *testing.T) {
+	for mode, encrypted := range map[string]bool{"disable": false, "prefer": true, "require": true} {
+		conn, err := pgx.Connect(t.Context(), stack.URL(stack.Instances[0])+"?sslmode="+mode)
+		require.NoError(t, err)
+		_, isTLS := conn.PgConn().Conn().(*tls.Conn)
+		require.Equal(t, encrypted, isTLS, mode)
+		mustExec(t, conn, "SELECT 1")
+		require.NoError(t, conn.Close(t.Context()))
+	}
+}
+
+func TestPlainPeerIsRefusedUnderTLS(t *testing.T) {
+	address := stack.Instances[0].Self().PeerAddress
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = conn.Write([]byte("not a TLS handshake, but long enough to be taken for one"))
+	require.NoError(t, err)
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(15*time.Second)))
+	_, err = io.ReadAll(conn)
+	require.NotErrorIs(t, err, os.ErrDeadlineExceeded)
+}
+
 func connect(t *testing.T) *pgx.Conn {
 	t.Helper()
 	conn, err := pgx.Connect(t.Context(), stack.URL(stack.Instances[0]))
--- a/internal/transport/pgserver/conn.go
+++ b/internal/transport/pgserver/conn.go
@@ -29,6 +29,8 @@
 	backend *pgproto3.Backend
 	session *session.Session
 	key     CancelKey
+	// encrypted is set once the connection is under TLS.
+	encrypted bool
 
 	statements map[string]*preparedStatement
 	batch      batch
@@ -42,7 +44,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
-	// mu guards what other goroutines see. It is a leaf lock.
+	// mu guards what other goroutines see, and changes of net. It is a leaf
+	// lock.
 	mu      sync.Mutex
 	plan    state.PlanID
 	group   state.GroupID
@@ -61,18 +64,23 @@
 
 func newConn(server *Server, netConn net.Conn) *conn {
 	ctx, cancel := context.WithCancel(context.Background())
-	backend := pgproto3.NewBackend(netConn, netConn)
-	backend.SetMaxBodyLen(server.options.MaxMessageBytes)
-	return &conn{
-		server: server, net: netConn, backend: backend,
-		statements: map[string]*preparedStatement{}, ctx: ctx, cancel: cancel,
-	}
+	c := &conn{server: server, statements: map[string]*preparedStatement{}, ctx: ctx, cancel: cancel}
+	c.useConnection(netConn)
+	return c
+}
+
+// useConnection reads and writes over netConn from now on.
+func (c *conn) useConnection(netConn net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.net = netConn
+	c.backend = pgproto3.NewBackend(netConn, netConn)
+	c.backend.SetMaxBodyLen(c.server.options.MaxMessageBytes)
 }
 
 // serve runs the connection to its end.
 func (c *conn) serve() {
-	defer c.net.Close()
-	defer c.cancel()
+	defer c.abort()
 	err := c.startup()
 	if err == nil {
 		err = c.requests()
@@ -150,11 +158,11 @@
 func (c *conn) sayGoodbye() error {
 	c.net.SetDeadline(time.Now().Add(goodbyeTimeout))
 	err := c.refuse(outcome.NewError(outcome.SQLStateAdminShutdown, "the session is ended; connect again"))
-	if tcp, ok := c.net.(*net.TCPConn); ok {
+	if half, ok := c.net.(interface{ CloseWrite() error }); ok {
 		// Closing with unread data would reset the connection and could
 		// destroy the message on its way.
-		_ = tcp.CloseWrite()
-		_, _ = io.Copy(io.Discard, io.LimitReader(tcp, maxGoodbyeBytes))
+		_ = half.CloseWrite()
+		_, _ = io.Copy(io.Discard, io.LimitReader(c.net, maxGoodbyeBytes))
 	}
 	return err
 }
@@ -204,6 +212,8 @@
 // abort ends the connection whatever it does.
 func (c *conn) abort() {
 	c.cancel()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.net.Close()
 }
 
--- a/internal/transport/pgserver/server.go
+++ b/internal/transport/pgserver/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"sync"
@@ -47,6 +48,8 @@
 	IdleInTransaction time.Duration
 	// WriteTimeout bounds how long a client may take none of its answer.
 	WriteTimeout time.Duration
+	// TLS encrypts the connections of clients that ask for it; nil refuses.
+	TLS *tls.Config
 	// ServerVersion is the version that clients are told.
 	ServerVersion string
 }
--- a/internal/transport/pgserver/startup.go
+++ b/internal/transport/pgserver/startup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"time"
 
@@ -59,8 +60,12 @@
 		switch message := message.(type) {
 		case *pgproto3.StartupMessage:
 			return message, nil
-		case *pgproto3.SSLRequest, *pgproto3.GSSEncRequest:
-			if _, err := c.net.Write([]byte{'N'}); err != nil {
+		case *pgproto3.SSLRequest:
+			if err := c.answerSSLRequest(); err != nil {
+				return nil, err
+			}
+		case *pgproto3.GSSEncRequest:
+			if _, err := c.net.Write([]byte{encryptionRefused}); err != nil {
 				return nil, eris.Wrap(err, "answer encryption request")
 			}
 		case *pgproto3.CancelRequest:
@@ -71,6 +76,33 @@
 	return nil, eris.New("receive startup message: too many requests before it")
 }
 
+// Answers to a request for encryption.
+const (
+	encryptionRefused  = 'N'
+	encryptionAccepted = 'S'
+)
+
+// answerSSLRequest goes over to TLS where it is configured. Nothing that the
+// client sent in the clear after its request counts as sent through TLS: the
+// bytes buffered so far are dropped with the old reader.
+func (c *conn) answerSSLRequest() error {
+	config := c.server.options.TLS
+	if config == nil || c.encrypted {
+		_, err := c.net.Write([]byte{encryptionRefused})
+		return eris.Wrap(err, "answer encryption request")
+	}
+	if _, err := c.net.Write([]byte{encryptionAccepted}); err != nil {
+		return eris.Wrap(err, "answer encryption request")
+	}
+	encrypted := tls.Server(c.net, config)
+	if err := encrypted.HandshakeContext(c.ctx); err != nil {
+		return eris.Wrap(err, "encrypt client connection")
+	}
+	c.useConnection(encrypted)
+	c.encrypted = true
+	return nil
+}
+
 func (c *conn) serveCancel(message *pgproto3.CancelRequest) {
 	ctx, stop := context.WithTimeout(context.Background(), c.server.options.StartupTimeout)
 	defer stop()
