--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -40,8 +40,8 @@
 func TestEveryMetricIsDocumented(t *testing.T) {
 	product := sources(t, func(path string) bool { return !isTest(path) })
 	page := read(t, "OPERATIONS.md")
-	for _, match := range regexp.MustCompile("`(cyclamenpin_[a-z_]+(?:_total|_seconds|_bytes|_count))").FindAllStringSubmatch(product, -1) {
-		require.True(t, strings.Contains(page, "`"+match[1]), "%s: docs/OPERATIONS.md lacks the metric", match[1])
+	for _, match := range regexp.MustCompile("Create(?:Counter|Histogram|Gauge)\\((?:fmt\\.Sprintf\\()?`(cyclamenpin_[a-z_]+)|NewGauge\\(`(cyclamenpin_[a-z_]+)").FindAllStringSubmatch(product, -1) {
+		require.True(t, strings.Contains(page, "`"+match[1]+match[2]), "%s: docs/OPERATIONS.md lacks the metric", match[1]+match[2])
 	}
 }
 
--- a/internal/app/instance.go
+++ b/internal/app/instance.go
@@ -157,6 +157,7 @@
 	handler := admin.NewHandler(admin.Endpoints{
 		Dump:          func() any { return i.Dump() },
 		Ready:         i.ready,
+		Metrics:       i.newMetrics(),
 		Configuration: i.configurationHandler(),
 	}, admin.RequireToken(i.settings.AdminToken, loopback))
 	return &http.Server{Handler: handler, ReadHeaderTimeout: adminTimeout}
--- a/internal/coordination/ownership/manager.go
+++ b/internal/coordination/ownership/manager.go
@@ -258,6 +258,13 @@
 	}
 }
 
+// Watched returns the number of groups that are watched now.
+func (m *Manager) Watched() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.running)
+}
+
 // GroupSnapshot is a watched group's part of the state dump.
 type GroupSnapshot struct {
 	Group state.GroupID `json:"group"`
--- a/internal/transport/admin/server.go
+++ b/internal/transport/admin/server.go
@@ -13,6 +13,9 @@
 	Dump func() any
 	// Ready returns nil while the instance can serve clients.
 	Ready func() error
+	// Metrics are those of this instance alone; they go out with those of the
+	// process.
+	Metrics *metrics.Set
 	// Configuration serves the operators' calls.
 	Configuration http.Handler
 }
@@ -25,7 +28,9 @@
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
 		serveReadiness(w, endpoints.Ready())
 	})
-	mux.HandleFunc("GET /metrics", serveMetrics)
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		serveMetrics(w, endpoints.Metrics)
+	})
 	mux.Handle("GET /dump", guard(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		serveDump(w, endpoints.Dump())
 	})))
@@ -47,8 +52,11 @@
 	_, _ = w.Write([]byte("ready\n"))
 }
 
-func serveMetrics(w http.ResponseWriter, _ *http.Request) {
+func serveMetrics(w http.ResponseWriter, instance *metrics.Set) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	if instance != nil {
+		instance.WritePrometheus(w)
+	}
 	metrics.WritePrometheus(w, true)
 }
 
--- a/internal/transport/pgserver/conn.go
+++ b/internal/transport/pgserver/conn.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"os"
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/rotisserie/eris"
 
@@ -328,5 +330,11 @@
 	if !ok {
 		return err
 	}
+	countFailure(failure)
 	return c.answerError(outcome.Response(failure))
 }
+
+// countFailure counts a request that got no ordinary answer.
+func countFailure(failure *state.Failure) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`cyclamenpin_failures_total{outcome=%q,reason=%q}`, failure.Outcome, failure.Reason)).Inc()
+}
