--- a/internal/coordination/failover/failover_test.go
+++ b/internal/coordination/failover/failover_test.go
@@ -290,10 +290,13 @@
 // missing from a later term, that barriers and proven ages tell the truth, and
 // that writes go on 15 s after the last fault.
 //
-// It was seen to fail on variants that acknowledge after one database, promote
-// the first fenced, skip the fence, promote a second candidate in a term, count
-// a log of an earlier term, take a barrier from the primary alone, and date a
-// sample by the answer's arrival.
+// It was seen to fail on variants that acknowledge after one database, or by a
+// log of a later term; promote the first fenced, fence one database only, or
+// promote a second candidate in a term; take a barrier from the primary alone
+// or from earlier answers; and date a sample by the answer's arrival or without
+// a majority. It was not seen to fail where attempts share a promoter's name,
+// or where a log of an earlier term counts; the latter fails
+// TestDatabasePastTheForkDoesNotServe of the replication package.
 func TestSchedulesOfFaults(t *testing.T) {
 	acks, promotions := 0, 0
 	rapid.Check(t, func(rt *rapid.T) {
