--- a/internal/app/group_runner.go
+++ b/internal/app/group_runner.go
@@ -121,7 +121,7 @@
 }
 
 // Primary implements execution.Replication.
-func (r *groupRunner) Primary() (state.DatabaseID, bool) {
+func (r *groupRunner) Primary() (state.DatabaseID, state.Term, bool) {
 	return r.watcher.Primary()
 }
 
--- a/internal/coordination/execution/at_most_once.go
+++ b/internal/coordination/execution/at_most_once.go
@@ -26,8 +26,12 @@
 	PRIMARY KEY (plan, request_id)
 )`
 
-// SQLSTATE of the table that a backend server lacks.
-const sqlStateUndefinedTable = "42P01"
+// SQLSTATEs of a table that a backend server lacks, and of a write that it
+// refuses because it is no longer the primary.
+const (
+	sqlStateUndefinedTable = "42P01"
+	sqlStateReadOnly       = "25006"
+)
 
 // SQLStateAlreadyRun is the SQLSTATE of the answer to a request whose id is
 // recorded and whose first answer cannot be given again in full. Class Y is
@@ -66,8 +70,11 @@
 	if errors.As(cause, &refused) {
 		failure.Reason = state.ReasonUnsupported
 		failure.Message = "the request id could not be recorded: " + refused.text
-		if refused.sqlState == sqlStateUndefinedTable {
+		switch refused.sqlState {
+		case sqlStateUndefinedTable:
 			failure.Message = "the group has no table cyclamenpin_requests; see docs/OPERATIONS.md"
+		case sqlStateReadOnly:
+			failure.Reason = state.ReasonSuperseded
 		}
 		_, _ = s.runInternal(ctx, "ROLLBACK")
 	}
@@ -77,31 +84,64 @@
 
 // replayRecorded answers a repeated request from what was recorded: by the
 // same command tag where that was the whole answer, else by an error.
+//
+// That this primary recorded the request does not mean that a majority holds
+// the record: the primary may have been superseded since. So the record is
+// written once more, behind the first in the log, and the answer waits for the
+// acknowledgement of that. From here on the request may have run before, and a
+// failure says so.
 func (s *ownerStream) replayRecorded(ctx context.Context, inTransaction bool) error {
 	running := s.unit
-	query := fmt.Sprintf(
-		"SELECT CASE WHEN returned_rows THEN '+' ELSE '-' END || command_tag FROM cyclamenpin_requests WHERE plan = %s AND request_id = %s",
-		quoteLiteral(string(s.request.Plan)), quoteLiteral(running.unit.RequestID))
-	answer, err := s.runInternal(ctx, query)
+	answer, err := s.runInternal(ctx, fmt.Sprintf(
+		"SELECT CASE WHEN returned_rows THEN '+' ELSE '-' END || command_tag FROM cyclamenpin_requests WHERE %s", s.recordCondition()))
 	if err != nil {
-		return s.fail(err, "read recorded request")
+		return s.failRepeated(err, "read recorded request")
 	}
-	if err := s.endRepeated(ctx, inTransaction); err != nil {
-		return s.fail(err, "end repeated request")
+	if err := s.rewriteRecord(ctx, inTransaction); err != nil {
+		return s.failRepeated(err, "confirm recorded request")
 	}
 	running.silence.stop()
 	running.slot.Release(true)
 	s.unit = nil
-	s.replay = &Event{Messages: recordedAnswer(answer.firstColumn, running.unit, s.txStatus), Done: true, TxStatus: s.txStatus}
+	if err := s.acknowledge(ctx, s.conn.position); err != nil {
+		s.broken = true
+		return err
+	}
+	s.replay = &Event{
+		Messages: recordedAnswer(answer.firstColumn, running.unit, s.txStatus), Done: true, TxStatus: s.txStatus,
+		Position: s.conn.position, Holders: s.group.replication.Holders(s.conn.position),
+	}
 	return nil
 }
 
-// endRepeated ends the proxy's own transaction, or makes the caller's fail, so
-// that nothing more of a repeated transaction runs.
-func (s *ownerStream) endRepeated(ctx context.Context, inTransaction bool) error {
+// recordCondition selects the record of the running unit.
+func (s *ownerStream) recordCondition() string {
+	return fmt.Sprintf("plan = %s AND request_id = %s",
+		quoteLiteral(string(s.request.Plan)), quoteLiteral(s.unit.unit.RequestID))
+}
+
+// rewriteRecord commits the record once more. A transaction of the caller's is
+// rolled back for it and made to fail, so that nothing more of it runs.
+func (s *ownerStream) rewriteRecord(ctx context.Context, inTransaction bool) error {
+	script := []string{
+		fmt.Sprintf("UPDATE cyclamenpin_requests SET created_at_ms = %d WHERE %s", time.Now().UnixMilli(), s.recordCondition()),
+		"COMMIT",
+	}
+	if inTransaction {
+		script = append([]string{"ROLLBACK", "BEGIN"}, script...)
+		script = append(script, "BEGIN")
+	}
+	for _, sql := range script {
+		answer, err := s.runInternal(ctx, sql)
+		if err != nil {
+			return err
+		}
+		if answer.commandTag == "UPDATE 0" {
+			return eris.New("the record was deleted meanwhile")
+		}
+	}
 	if !inTransaction {
-		_, err := s.runInternal(ctx, "ROLLBACK")
-		return err
+		return nil
 	}
 	var refused *refusedError
 	if _, err := s.runInternal(ctx, "cyclamenpin_repeated_request"); !errors.As(err, &refused) {
@@ -110,6 +150,12 @@
 	return nil
 }
 
+// failRepeated ends a unit that had run before, for all that is known.
+func (s *ownerStream) failRepeated(cause error, step string) error {
+	s.endUnit()
+	return state.Unknown(state.ReasonConnectionLost, step, string(s.server.Database.ID), cause)
+}
+
 // recordedAnswer encodes the answer to a repeated request. recorded is a sign
 // that tells whether the first answer had rows, and its command tag.
 func recordedAnswer(recorded string, unit Unit, txStatus byte) []byte {
--- a/internal/coordination/execution/backend.go
+++ b/internal/coordination/execution/backend.go
@@ -74,8 +74,9 @@
 
 // Replication is what the owner needs to know of a group's replication.
 type Replication interface {
-	// Primary returns the group's primary, or false while none is known.
-	Primary() (state.DatabaseID, bool)
+	// Primary returns the group's primary and its term, or false while none
+	// is known. The group may have a later primary that is not known here.
+	Primary() (state.DatabaseID, state.Term, bool)
 	// WaitAcknowledged returns nil once a majority holds the position.
 	WaitAcknowledged(ctx context.Context, position state.Position) error
 	// WaitHolds returns nil once the database is known to hold the floor.
--- a/internal/coordination/execution/fake_test.go
+++ b/internal/coordination/execution/fake_test.go
@@ -52,13 +52,15 @@
 	status   byte
 	pending  []string // writes of the open transaction
 	inserted string   // request id of the open transaction
-	prepared map[string]string
-	bound    string
-	settings map[string]string
-	skipping bool
-	cut      bool
-	closed   bool
-	last     string
+	// confirmed is set when the open transaction wrote a record once more.
+	confirmed bool
+	prepared  map[string]string
+	bound     string
+	settings  map[string]string
+	skipping  bool
+	cut       bool
+	closed    bool
+	last      string
 }
 
 func (b *fakeBackend) Write(_ context.Context, messages []byte) error {
@@ -158,6 +160,9 @@
 		b.insertRequest(sql)
 	case strings.HasPrefix(sql, "SELECT CASE"):
 		b.sendRow(b.database.ledger[ledgerKey(sql)])
+	case strings.HasPrefix(sql, "UPDATE cyclamenpin_requests SET created_at_ms"):
+		b.confirmed = true
+		b.send(&pgproto3.CommandComplete{CommandTag: []byte("UPDATE 1")})
 	case strings.HasPrefix(sql, "UPDATE cyclamenpin_requests"):
 		b.inserted = ledgerKey(sql) + "\x00-" + strings.Split(sql, "'")[1]
 		b.send(&pgproto3.CommandComplete{CommandTag: []byte("UPDATE 1")})
@@ -205,7 +210,8 @@
 
 func (b *fakeBackend) commit() {
 	d := b.database
-	if len(b.pending) > 0 || b.inserted != "" {
+	if len(b.pending) > 0 || b.inserted != "" || b.confirmed {
+		b.confirmed = false
 		d.executed = append(d.executed, b.pending...)
 		d.position.Offset++
 		b.send(&pgproto3.ParameterStatus{Name: positionParameter, Value: d.position.String()})
@@ -290,12 +296,15 @@
 // fakeReplication acknowledges what acknowledge allows.
 type fakeReplication struct {
 	primary     state.DatabaseID
+	term        state.Term
 	acknowledge func(state.Position) error
 	held        state.Position
 	age         time.Duration
 }
 
-func (r *fakeReplication) Primary() (state.DatabaseID, bool) { return r.primary, r.primary != "" }
+func (r *fakeReplication) Primary() (state.DatabaseID, state.Term, bool) {
+	return r.primary, r.term, r.primary != ""
+}
 
 func (r *fakeReplication) WaitAcknowledged(_ context.Context, position state.Position) error {
 	if r.acknowledge == nil {
--- a/internal/coordination/execution/owner.go
+++ b/internal/coordination/execution/owner.go
@@ -174,7 +174,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := o.mayServe(ctx, group, request); err != nil {
+	if _, err := o.mayServe(ctx, group, request); err != nil {
 		return nil, err
 	}
 	lease, err := server.Gate.AcquireConnection(ctx, request.Plan, request.QueueTimeout)
@@ -203,17 +203,25 @@
 	return conn, nil
 }
 
-// mayServe checks that the database may run the request now.
-func (o *Owner) mayServe(ctx context.Context, group *ownedGroup, request OpenRequest) error {
+// mayServe checks that the database may run the request now. Where the request
+// states an age, freshUntil is when what is proven now will be older.
+func (o *Owner) mayServe(ctx context.Context, group *ownedGroup, request OpenRequest) (freshUntil time.Time, err error) {
 	if request.Access == AccessWrite {
-		return o.mustBePrimary(group, request.Database)
+		return time.Time{}, o.mustBePrimary(group, request.Database, request.Floor.Term)
 	}
 	if request.MaxAge > 0 {
+		// The time is taken first, so that a pause in between counts as age.
+		now := time.Now()
 		age, known := group.replication.ProvenAge(request.Database)
 		if !known || age > request.MaxAge {
-			return o.notRun(state.ReasonTooStale, "prove age", string(request.Database), nil)
+			return time.Time{}, o.notRun(state.ReasonTooStale, "prove age", string(request.Database), nil)
 		}
+		freshUntil = now.Add(request.MaxAge - age)
 	}
+	return freshUntil, o.mustHold(ctx, group, request)
+}
+
+func (o *Owner) mustHold(ctx context.Context, group *ownedGroup, request OpenRequest) error {
 	if request.Floor.IsZero() {
 		return nil
 	}
@@ -225,9 +233,13 @@
 	return nil
 }
 
-func (o *Owner) mustBePrimary(group *ownedGroup, database state.DatabaseID) error {
-	primary, known := group.replication.Primary()
-	if !known {
+// mustBePrimary checks that the database is the primary, of no term before
+// that of the request's floor: a superseded primary's transactions could not
+// commit, but could read what is old. The primary of a term holds all that was
+// acknowledged in the terms before and all that itself acknowledged.
+func (o *Owner) mustBePrimary(group *ownedGroup, database state.DatabaseID, floorTerm state.Term) error {
+	primary, term, known := group.replication.Primary()
+	if !known || term < floorTerm {
 		return o.notRun(state.ReasonNoPrimary, "find primary", string(database), nil)
 	}
 	if primary != database {
--- a/internal/coordination/execution/owner_stream.go
+++ b/internal/coordination/execution/owner_stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"time"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 )
@@ -66,6 +67,10 @@
 	positionBefore  state.Position
 	// onBackend is set once bytes of the unit may have reached the backend.
 	onBackend bool
+	// freshUntil, when not zero, is when the data would be older than the unit
+	// accepts. The first message of the answer must arrive by then.
+	freshUntil time.Time
+	answered   bool
 	// once is set when the unit runs inside a transaction of the proxy's own
 	// that records its request id.
 	once bool
@@ -82,7 +87,8 @@
 	if err != nil {
 		return s.owner.asNotRun(err, "acquire slot", string(s.server.Database.ID))
 	}
-	if err := s.recheck(ctx, unit, inTransaction); err != nil {
+	freshUntil, err := s.recheck(ctx, unit, inTransaction)
+	if err != nil {
 		slot.Release(false)
 		return err
 	}
@@ -91,7 +97,7 @@
 		return s.settingsFailed(err)
 	}
 	s.unit = &runningUnit{
-		unit: unit, slot: slot, positionBefore: s.conn.position,
+		unit: unit, slot: slot, positionBefore: s.conn.position, freshUntil: freshUntil,
 		silence: startSilenceWatch(s.conn.backend, s.server.Probe, s.owner.options.SilenceTimeout),
 	}
 	if unit.RequestID != "" {
@@ -118,13 +124,14 @@
 	return failure
 }
 
-// recheck repeats what Open checked, since time has passed in the queue.
-func (s *ownerStream) recheck(ctx context.Context, unit Unit, inTransaction bool) error {
+// recheck repeats what Open checked, for this unit: time has passed in the
+// queue, and a stream that is kept may serve units of other needs.
+func (s *ownerStream) recheck(ctx context.Context, unit Unit, inTransaction bool) (freshUntil time.Time, err error) {
 	if inTransaction {
-		return nil
+		return time.Time{}, nil
 	}
 	request := s.request
-	request.Access = unit.Access
+	request.Access, request.Floor, request.MaxAge = unit.Access, unit.Floor, unit.MaxAge
 	return s.owner.mayServe(ctx, s.group, request)
 }
 
@@ -187,6 +194,9 @@
 			return Event{}, s.fail(err, "receive from backend server")
 		}
 		s.unit.silence.progress()
+		if err := s.checkFresh(); err != nil {
+			return Event{}, err
+		}
 		done, err := s.handle(message)
 		if err != nil {
 			return Event{}, err
@@ -201,6 +211,22 @@
 	}
 }
 
+// checkFresh refuses a read's answer that begins when the data may be older
+// than the read accepts, because this process or the path was held up after
+// the check. Nothing of the answer has gone out, and a read leaves no effect.
+func (s *ownerStream) checkFresh() error {
+	running := s.unit
+	if running.answered {
+		return nil
+	}
+	running.answered = true
+	if running.freshUntil.IsZero() || !time.Now().After(running.freshUntil) {
+		return nil
+	}
+	s.endUnit()
+	return s.owner.notRun(state.ReasonTooStale, "await answer", string(s.server.Database.ID), nil)
+}
+
 // handle takes one message into the buffer or the held messages, or swallows
 // it. done is true for ReadyForQuery.
 func (s *ownerStream) handle(message Message) (done bool, err error) {
--- a/internal/coordination/ownership/manager.go
+++ b/internal/coordination/ownership/manager.go
@@ -62,7 +62,8 @@
 }
 
 // Manager starts and stops the runners of groups. Its mutex guards the table of
-// runners and is taken before any lock of a runner or of the owner.
+// runners and is taken before any lock of a runner or of the owner. It is not
+// held while a runner is closed, which waits for requests in flight.
 type Manager struct {
 	topology   Topology
 	membership Membership
@@ -109,35 +110,46 @@
 // Reconcile starts runners of groups that are owned now, updates those whose
 // record changed, and stops those that are neither owned nor used.
 func (m *Manager) Reconcile() {
-	groups := m.topology.All()
+	for _, stopped := range m.reconcileAll(m.topology.All()) {
+		stopped.Close()
+	}
+}
+
+// reconcileAll returns the runners that were taken out of service and are yet
+// to be closed.
+func (m *Manager) reconcileAll(groups []state.Group) (stopped []Runner) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.closed {
-		return
+		return nil
 	}
 	present := map[state.GroupID]bool{}
 	for _, group := range groups {
 		present[group.ID] = true
-		m.reconcileGroup(group)
+		if runner := m.reconcileGroup(group); runner != nil {
+			stopped = append(stopped, runner)
+		}
 	}
 	for id, e := range m.running {
 		if !present[id] {
-			m.stop(id, e)
+			stopped = append(stopped, m.stop(id, e))
 		}
 	}
+	return stopped
 }
 
-// reconcileGroup brings one group up to date. The caller holds m.mu.
-func (m *Manager) reconcileGroup(group state.Group) {
+// reconcileGroup brings one group up to date, and returns the runner that it
+// stopped, if any. The caller holds m.mu.
+func (m *Manager) reconcileGroup(group state.Group) (stopped Runner) {
 	owned := m.owns(group)
 	e, running := m.running[group.ID]
 	switch {
 	case !running && owned:
 		e = m.start(group)
 	case !running:
-		return
+		return nil
 	case !sameDatabases(e.group, group):
-		m.stop(group.ID, e)
+		stopped = m.stop(group.ID, e)
 		e = m.start(group)
 	default:
 		e.group = group
@@ -146,11 +158,12 @@
 	e.owned = owned
 	if owned {
 		e.lastUsed = time.Now()
-		return
+		return stopped
 	}
 	if time.Since(e.lastUsed) > m.options.KeepUnowned {
-		m.stop(group.ID, e)
+		return m.stop(group.ID, e)
 	}
+	return stopped
 }
 
 // owns reports whether this instance is the first owner of a database of the
@@ -175,20 +188,25 @@
 	return e
 }
 
-// stop stops a group's runner. The caller holds m.mu.
-func (m *Manager) stop(id state.GroupID, e *entry) {
+// stop takes a group's runner out of service. The caller holds m.mu, and closes
+// the runner once it has released it.
+func (m *Manager) stop(id state.GroupID, e *entry) Runner {
 	delete(m.running, id)
 	m.owner.RemoveGroup(id)
-	e.runner.Close()
 	m.log.Info().Str("step", "stop group").Str("group", string(id)).Msg("no longer watching group")
+	return e.runner
 }
 
 func (m *Manager) close() {
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	m.closed = true
+	var stopped []Runner
 	for id, e := range m.running {
-		m.stop(id, e)
+		stopped = append(stopped, m.stop(id, e))
+	}
+	m.mu.Unlock()
+	for _, runner := range stopped {
+		runner.Close()
 	}
 }
 
--- a/internal/coordination/replication/lookup.go
+++ b/internal/coordination/replication/lookup.go
@@ -2,15 +2,15 @@
 
 import "github.com/cyclamenpin/cyclamenpin/internal/state"
 
-// Primary returns the database known to be the group's primary, or false
-// while none is.
-func (w *Watcher) Primary() (state.DatabaseID, bool) {
+// Primary returns the database known to be the group's primary and its term,
+// or false while none is.
+func (w *Watcher) Primary() (state.DatabaseID, state.Term, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.primary == nil {
-		return "", false
+		return "", 0, false
 	}
-	return w.primary.database.ID, true
+	return w.primary.database.ID, w.primaryTerm, true
 }
 
 // Holders lists the databases that are known to hold an acknowledged position.
--- a/internal/coordination/routing/barrier.go
+++ b/internal/coordination/routing/barrier.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
+	"time"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 )
@@ -69,7 +72,11 @@
 	}
 }
 
-// takeBarrier asks the owners of the group's databases, the primary's first.
+// barrierHedge is how long an owner is waited for before the next is asked too.
+const barrierHedge = 100 * time.Millisecond
+
+// takeBarrier asks the owners of the group's databases, the primary's first. An
+// owner that does not answer soon does not keep the others from being asked.
 func (r *Router) takeBarrier(groupID state.GroupID) (state.Position, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), r.options.BarrierTimeout)
 	defer cancel()
@@ -77,41 +84,74 @@
 	if !found {
 		return state.Position{}, state.NotRun(state.ReasonUnreachable, "find group", string(groupID), r.options.RetryDelay, nil)
 	}
+	owners := r.barrierOwners(group)
+	answers := make(chan barrierAnswer, len(owners))
 	var lastErr error
-	asked := map[state.InstanceID]bool{}
-	for _, owner := range r.barrierOwners(group) {
-		if asked[owner.ID] {
-			continue
+	for asked, open := 0, 0; asked < len(owners) || open > 0; {
+		if asked < len(owners) {
+			go r.askBarrier(ctx, owners[asked], groupID, answers)
+			asked++
+			open++
 		}
-		asked[owner.ID] = true
-		position, err := r.barrierAt(ctx, owner, groupID)
-		if err == nil {
-			return position, nil
+		answer, arrived := awaitAnswer(ctx, answers, asked < len(owners))
+		if !arrived {
+			continue
 		}
-		lastErr = err
-		if ctx.Err() != nil {
-			break
+		open--
+		if answer.err == nil {
+			return answer.position, nil
 		}
+		lastErr = answer.err
 	}
 	return state.Position{}, state.NotRun(state.ReasonNoPrimary, "take barrier", string(groupID), r.options.RetryDelay, lastErr)
 }
 
+type barrierAnswer struct {
+	position state.Position
+	err      error
+}
+
+func (r *Router) askBarrier(ctx context.Context, owner state.Instance, group state.GroupID, answers chan<- barrierAnswer) {
+	position, err := r.barrierAt(ctx, owner, group)
+	answers <- barrierAnswer{position: position, err: err}
+}
+
+// awaitAnswer waits for an answer, or where more owners can be asked, for
+// barrierHedge at most.
+func awaitAnswer(ctx context.Context, answers <-chan barrierAnswer, more bool) (answer barrierAnswer, arrived bool) {
+	var hedge <-chan time.Time
+	if more {
+		timer := time.NewTimer(barrierHedge)
+		defer timer.Stop()
+		hedge = timer.C
+	}
+	select {
+	case answer = <-answers:
+		return answer, true
+	case <-hedge:
+		return answer, false
+	case <-ctx.Done():
+		return barrierAnswer{err: ctx.Err()}, true
+	}
+}
+
 func (r *Router) barrierAt(ctx context.Context, owner state.Instance, group state.GroupID) (state.Position, error) {
 	if owner.ID == r.membership.Self().ID {
 		return r.local.Barrier(ctx, group)
 	}
 	position, err := r.peers.Barrier(ctx, owner, group)
-	if err != nil && ownerUnreachable(err) {
+	if err != nil && ownerUnreachable(err) && !errors.Is(ctx.Err(), context.Canceled) {
 		r.membership.ReportFailure(owner.ID, owner.Incarnation, err)
 	}
 	return position, err
 }
 
 // barrierOwners lists the instances that watch the group: the first owner of
-// each database, that of the presumed primary first.
+// each database, that of the presumed primary first, each once.
 func (r *Router) barrierOwners(group state.Group) []state.Instance {
 	primary := r.primaryOf(group)
 	var owners []state.Instance
+	listed := map[state.InstanceID]bool{}
 	for _, database := range group.Databases {
 		candidates := r.membership.Owners(database)
 		if len(candidates) == 0 {
@@ -123,5 +163,9 @@
 		}
 		owners = append(owners, candidates[0])
 	}
-	return owners
+	return slices.DeleteFunc(owners, func(owner state.Instance) bool {
+		again := listed[owner.ID]
+		listed[owner.ID] = true
+		return again
+	})
 }
--- a/internal/coordination/routing/write.go
+++ b/internal/coordination/routing/write.go
@@ -9,18 +9,39 @@
 )
 
 // openWrite opens a stream on the primary. While the primary is unknown or
-// being changed it goes round the group's databases, for PrimaryWait at most
-// and with a bounded number of other writes.
+// being changed it goes round the group's databases.
 func (r *Router) openWrite(ctx context.Context, group state.Group, request Request) (*Stream, error) {
-	stream, err := r.tryPrimary(ctx, group, request)
+	var stream *Stream
+	err := r.awaitPrimary(ctx, func() (err error) {
+		stream, err = r.tryPrimary(ctx, group, request)
+		return err
+	})
+	return stream, err
+}
+
+// WriteBarrier returns a floor as Barrier does. While the primary is unknown or
+// being changed it waits as a write does.
+func (r *Router) WriteBarrier(ctx context.Context, group state.GroupID) (state.Position, error) {
+	var position state.Position
+	err := r.awaitPrimary(ctx, func() (err error) {
+		position, err = r.Barrier(ctx, group)
+		return err
+	})
+	return position, err
+}
+
+// awaitPrimary repeats try while it fails for want of a primary, for
+// PrimaryWait at most and with a bounded number of other writes.
+func (r *Router) awaitPrimary(ctx context.Context, try func() error) error {
+	err := try()
 	if err == nil || !waitsForPrimary(err) {
-		return stream, err
+		return err
 	}
 	select {
 	case r.waiters <- struct{}{}:
 		defer func() { <-r.waiters }()
 	default:
-		return nil, err
+		return err
 	}
 	deadline := time.NewTimer(r.options.PrimaryWait)
 	defer deadline.Stop()
@@ -30,14 +51,14 @@
 		case <-pause.C:
 		case <-deadline.C:
 			pause.Stop()
-			return nil, err
+			return err
 		case <-ctx.Done():
 			pause.Stop()
-			return nil, err
+			return err
 		}
-		stream, err = r.tryPrimary(ctx, group, request)
+		err = try()
 		if err == nil || !waitsForPrimary(err) {
-			return stream, err
+			return err
 		}
 	}
 }
--- a/internal/coordination/session/session.go
+++ b/internal/coordination/session/session.go
@@ -27,7 +27,11 @@
 // Router opens streams and takes barriers.
 type Router interface {
 	Open(ctx context.Context, request routing.Request) (*routing.Stream, error)
+	// Barrier returns a floor that covers all that was acknowledged before.
 	Barrier(ctx context.Context, group state.GroupID) (state.Position, error)
+	// WriteBarrier is a Barrier that waits, as a write does, while the group
+	// has no primary.
+	WriteBarrier(ctx context.Context, group state.GroupID) (state.Position, error)
 	NoteHolders(position state.Position, databases ...state.DatabaseID)
 }
 
@@ -124,20 +128,32 @@
 	MaxAge time.Duration
 	// Any is set for units that look at no data, such as SET.
 	Any bool
+	// hurried is set for a read that accepts an age which nothing proved, so
+	// that it is refused soon where it cannot be proven fresh either.
+	hurried bool
 }
 
 // Run runs one unit and hands the events of its answer to deliver, in order.
 // An error is a *state.Failure, or the error of deliver.
 func (s *Session) Run(ctx context.Context, unit execution.Unit, freshness Freshness, deliver func(execution.Event) error) error {
-	if stream := s.current.get(); stream != nil {
-		return s.runOn(ctx, stream, unit, deliver)
+	stream := s.current.get()
+	if stream == nil {
+		return s.runFresh(ctx, unit, freshness, deliver)
+	}
+	if s.status == StatusIdle {
+		floor, err := s.requiredFloor(ctx, unit.Access, freshness)
+		if err != nil {
+			return err
+		}
+		unit.Floor, unit.MaxAge = floor, freshness.MaxAge
 	}
-	return s.runFresh(ctx, unit, freshness, deliver)
+	return s.runOn(ctx, stream, unit, deliver)
 }
 
 // runFresh runs a unit that begins outside a transaction. It is tried again
 // when it surely did not run, or when it is a read of which nothing was
-// delivered.
+// delivered. A read whose age no database proves is tried once more as one that
+// accepts none.
 func (s *Session) runFresh(ctx context.Context, unit execution.Unit, freshness Freshness, deliver func(execution.Event) error) error {
 	request := routing.Request{
 		Plan: s.identity.Plan, Group: s.identity.Group, Access: unit.Access,
@@ -151,6 +167,12 @@
 			}
 			return nil
 		}
+		if !delivered && freshness.MaxAge > 0 && isTooStale(err) {
+			freshness.MaxAge = 0
+			freshness.hurried = true
+			request.MaxAge = 0
+			continue
+		}
 		again := !delivered && mayRepeat(unit, err) && attempt < maxAttempts && ctx.Err() == nil
 		if !again || !s.budget.Take() {
 			return err
@@ -158,6 +180,11 @@
 	}
 }
 
+func isTooStale(err error) bool {
+	failure, ok := state.AsFailure(err)
+	return ok && failure.Outcome == state.OutcomeNotRun && failure.Reason == state.ReasonTooStale
+}
+
 // mayRepeat reports whether a unit that failed with err may be sent again.
 func mayRepeat(unit execution.Unit, err error) bool {
 	failure, ok := state.AsFailure(err)
@@ -176,9 +203,11 @@
 }
 
 func (s *Session) attempt(ctx context.Context, request *routing.Request, freshness Freshness, unit execution.Unit, deliver func(execution.Event) error) (delivered bool, err error) {
-	if err := s.setFloor(ctx, request, freshness, unit); err != nil {
+	request.Floor, err = s.requiredFloor(ctx, unit.Access, freshness)
+	if err != nil {
 		return false, err
 	}
+	unit.Floor, unit.MaxAge = request.Floor, request.MaxAge
 	stream, err := s.router.Open(ctx, *request)
 	if err != nil {
 		return false, err
@@ -195,23 +224,41 @@
 	return delivered, err
 }
 
-// setFloor decides what a read must see. A read that accepts an age needs only
-// the session's own writes; any other read needs a barrier first, unless the
-// session brought a token or took one before.
-func (s *Session) setFloor(ctx context.Context, request *routing.Request, freshness Freshness, unit execution.Unit) error {
-	if unit.Access != execution.AccessRead || freshness.Any {
-		return nil
+// hurriedBarrierTimeout bounds the barrier of a read whose age was not proven.
+const hurriedBarrierTimeout = 250 * time.Millisecond
+
+// requiredFloor decides what a unit outside a transaction must see. A read that
+// accepts an age needs only the session's own writes. Any other unit needs a
+// barrier first, unless the session brought a token or took one before; so do
+// writes, which may read as well, and may read nothing but what is old where
+// they run on a superseded primary and end up changing nothing.
+func (s *Session) requiredFloor(ctx context.Context, access execution.Access, freshness Freshness) (state.Position, error) {
+	read := access == execution.AccessRead
+	if read && freshness.Any {
+		return state.Position{}, nil
 	}
-	needsBarrier := request.MaxAge == 0 && (!s.barrierTaken || s.identity.Scope == state.ScopePlan)
-	if needsBarrier {
-		position, err := s.router.Barrier(ctx, s.identity.Group)
-		if err != nil {
-			return err
-		}
-		s.RaiseFloor(position)
+	acceptsAge := read && freshness.MaxAge > 0
+	if acceptsAge || (s.barrierTaken && s.identity.Scope != state.ScopePlan) {
+		return s.floor, nil
 	}
-	request.Floor = s.floor
-	return nil
+	position, err := s.takeBarrier(ctx, read, freshness.hurried)
+	if err != nil {
+		return state.Position{}, err
+	}
+	s.RaiseFloor(position)
+	return s.floor, nil
+}
+
+func (s *Session) takeBarrier(ctx context.Context, read, hurried bool) (state.Position, error) {
+	if !read {
+		return s.router.WriteBarrier(ctx, s.identity.Group)
+	}
+	if hurried {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, hurriedBarrierTimeout)
+		defer cancel()
+	}
+	return s.router.Barrier(ctx, s.identity.Group)
 }
 
 // runOn runs a unit on a stream that is held.
