Failure tests with the built binary as separate processes; seeds are peers of any incarnation

An instance that started while the platform was down never got ready: it dialled each seed as incarnation 0, and the handshake refused every answer ("dialled instance i2 incarnation 0, but incarnation N answered"). Ruled out: the exchange of lists and groups, which worked as soon as the platform's list had been read. An identity with incarnation zero now names any run of the instance.

Two of the tests still fail on some runs, TestSilentConnectionIsFound and TestRollingReplacement; the cause is being looked for.

--- a/internal/protocol/peerproto/handshake.go
+++ b/internal/protocol/peerproto/handshake.go
@@ -131,7 +131,8 @@
 }
 
 // Dial runs the dialling side of the handshake on conn. Where want is not
-// zero, an *IdentityError is returned unless want's id and incarnation answer.
+// zero, an *IdentityError is returned unless want's id answers, and its
+// incarnation where that is not zero.
 func Dial(conn io.ReadWriter, self Party, want Identity) (Agreement, error) {
 	keys := self.Keys.snapshot()
 	if len(keys) == 0 {
@@ -169,6 +170,15 @@
 	return Agreement{Peer: terms.Identity, Version: terms.Version, PeerLeaving: welcome.Leaving}, nil
 }
 
+// matches reports whether got is whom i names: an empty id names anyone, and
+// the incarnation zero, as of a seed, any run of the instance.
+func (i Identity) matches(got Identity) bool {
+	if i.ID == "" {
+		return true
+	}
+	return got.ID == i.ID && (i.Incarnation == 0 || got.Incarnation == i.Incarnation)
+}
+
 // checkTerms decodes authenticated terms and compares them with what this side
 // would have chosen and whom it dialled.
 func checkTerms(encoded []byte, self Party, want Identity) (Terms, error) {
@@ -184,7 +194,7 @@
 		return Terms{}, eris.Wrapf(ErrNotAPeer, "peer chose version %d in place of %d", terms.Version, version)
 	}
 	got := terms.Identity
-	if want.ID != "" && (got.ID != want.ID || got.Incarnation != want.Incarnation) {
+	if !want.matches(got) {
 		return Terms{}, &IdentityError{Want: want, Got: got}
 	}
 	return terms, nil
--- a/internal/protocol/peerproto/handshake_test.go
+++ b/internal/protocol/peerproto/handshake_test.go
@@ -101,6 +101,17 @@
 	require.Equal(t, state.Incarnation(7), identity.Got.Incarnation)
 }
 
+func TestHandshakeWithASeedTakesAnyIncarnation(t *testing.T) {
+	server := party("s", SupportedVersions(), key("a"))
+	client := party("c", SupportedVersions(), key("a"))
+	agreement, _, err, _ := shake(client, server, Identity{ID: "s"}, nil)
+	require.NoError(t, err)
+	require.Equal(t, state.Incarnation(7), agreement.Peer.Incarnation)
+	_, _, err, _ = shake(client, server, Identity{ID: "other"}, nil)
+	var identity *IdentityError
+	require.ErrorAs(t, err, &identity)
+}
+
 func TestGateRefusalReachesTheDialler(t *testing.T) {
 	server := party("s", SupportedVersions(), key("a"))
 	client := party("c", SupportedVersions(), key("a"))
--- /dev/null
+++ b/test/processes/process_test.go
@@ -0,0 +1,182 @@
+package processes
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	// startBound is how long a process may take to report its addresses.
+	startBound = 30 * time.Second
+	// drainBound is the default bound of a graceful stop, and some margin for
+	// the end of the process itself.
+	drainBound = 40 * time.Second
+	// pollInterval is the pause between looks at a condition.
+	pollInterval = 20 * time.Millisecond
+	// keptLines is how many lines of a process's output a failed test prints.
+	keptLines = 60
+)
+
+// binary is the path of the program under test. CYCLAMENPIN_BINARY names
+// another one, such as a deliberately broken variant.
+var binary string
+
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	if binary = os.Getenv("CYCLAMENPIN_BINARY"); binary != "" {
+		return m.Run()
+	}
+	folder, err := os.MkdirTemp("", "cyclamenpin-processes")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(folder)
+	binary = filepath.Join(folder, "cyclamenpin")
+	build := exec.Command("go", "build", "-o", binary, "github.com/cyclamenpin/cyclamenpin/cmd/cyclamenpin")
+	build.Stdout, build.Stderr = os.Stderr, os.Stderr
+	if err := build.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "build the program:", err)
+		return 1
+	}
+	return m.Run()
+}
+
+// process is one running program of the test. It is ended by its own id.
+type process struct {
+	name   string
+	cmd    *exec.Cmd
+	exited chan struct{} // closed once the process has been waited for
+
+	mu    sync.Mutex // protects lines
+	lines []string   // the last lines of its output
+}
+
+// startProcess starts the program. Each line of its output is also handed to
+// onLine. The process ends with the test at the latest.
+func startProcess(t *testing.T, name string, onLine func(string), arguments ...string) *process {
+	t.Helper()
+	p := &process{name: name, cmd: exec.Command(binary, arguments...), exited: make(chan struct{})}
+	reader, writer := io.Pipe()
+	p.cmd.Stdout, p.cmd.Stderr = writer, writer
+	require.NoError(t, p.cmd.Start(), name)
+	t.Cleanup(func() { p.end(t) })
+	go p.collect(reader, onLine)
+	go func() {
+		_ = p.cmd.Wait()
+		_ = writer.Close()
+		close(p.exited)
+	}()
+	return p
+}
+
+func (p *process) collect(output io.Reader, onLine func(string)) {
+	scanner := bufio.NewScanner(output)
+	scanner.Buffer(nil, 1<<20)
+	for scanner.Scan() {
+		p.mu.Lock()
+		p.lines = append(p.lines, scanner.Text())
+		if len(p.lines) > keptLines {
+			p.lines = p.lines[1:]
+		}
+		p.mu.Unlock()
+		onLine(scanner.Text())
+	}
+	_, _ = io.Copy(io.Discard, output)
+}
+
+// end kills the process and prints the end of its output if the test failed.
+func (p *process) end(t *testing.T) {
+	p.kill()
+	if t.Failed() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		t.Logf("output of %s:\n%s", p.name, strings.Join(p.lines, "\n"))
+	}
+}
+
+// kill ends the process with SIGKILL, also while it is stopped.
+func (p *process) kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.exited
+}
+
+func (p *process) pause(t *testing.T) {
+	t.Helper()
+	require.NoError(t, p.cmd.Process.Signal(syscall.SIGSTOP))
+}
+
+func (p *process) resume(t *testing.T) {
+	t.Helper()
+	require.NoError(t, p.cmd.Process.Signal(syscall.SIGCONT))
+}
+
+// stop asks the process to end and requires that it ends well.
+func (p *process) stop(t *testing.T) {
+	t.Helper()
+	require.NoError(t, p.cmd.Process.Signal(syscall.SIGTERM))
+	select {
+	case <-p.exited:
+	case <-time.After(drainBound):
+		require.Fail(t, "not stopped in time", p.name)
+	}
+	require.Zero(t, p.cmd.ProcessState.ExitCode(), p.name)
+}
+
+// command runs a subcommand to its end and returns its exit code and output.
+func command(t *testing.T, arguments ...string) (int, string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), drainBound)
+	defer cancel()
+	output, err := exec.CommandContext(ctx, binary, arguments...).CombinedOutput()
+	var exit *exec.ExitError
+	if err != nil && !errors.As(err, &exit) {
+		require.NoError(t, err)
+	}
+	if exit != nil {
+		return exit.ExitCode(), string(output)
+	}
+	return 0, string(output)
+}
+
+// mustCommand runs a subcommand that must succeed.
+func mustCommand(t *testing.T, arguments ...string) string {
+	t.Helper()
+	code, output := command(t, arguments...)
+	require.Zero(t, code, "%v: %s", arguments, output)
+	return output
+}
+
+// eventually waits for a condition. Arguments of the message that are pointers
+// to strings are read when it has failed.
+func eventually(t *testing.T, bound time.Duration, condition func() bool, message string, arguments ...any) {
+	t.Helper()
+	deadline := time.Now().Add(bound)
+	for !condition() {
+		if time.Now().After(deadline) {
+			for number, argument := range arguments {
+				if text, ok := argument.(*string); ok {
+					arguments[number] = *text
+				}
+			}
+			require.Failf(t, "condition not met within "+bound.String(), message, arguments...)
+		}
+		time.Sleep(pollInterval)
+	}
+}
--- /dev/null
+++ b/test/processes/silence_test.go
@@ -0,0 +1,39 @@
+package processes
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// silenceBound is how soon a silent connection is found and its request
+// answered. docs/OPERATIONS.md states 4 s for the connection; the rest is for
+// the wait for a new one.
+const silenceBound = 15 * time.Second
+
+func TestSilentConnectionIsFound(t *testing.T) {
+	c := startCluster(t)
+	load := startWorkload(c, 1)
+	load.awaitAcknowledged(t, 30, primaryBound)
+	primary := c.databases[0]
+	owner := c.owner(primary)
+	s := mustConnect(t, c.otherThan(owner), "")
+	c.turn(primary, "/statement-time?for=500ms", "")
+	answers := request(s, insert("silent-1", "silent"))
+	eventually(t, primaryBound, func() bool { return c.slotsHeld(owner, primary) > 0 }, "no write is in the middle")
+	started := time.Now()
+	c.turn(primary, "/silence", "")
+	c.turn(primary, "/statement-time?for=1ms", "")
+	a := mustAnswer(t, answers)
+	require.Less(t, time.Since(started), silenceBound)
+	t.Logf("the write in the middle: %s %v", a.outcome, a.err)
+	load.history.record("silent-1", a.outcome, 1)
+	_, term := c.primary()
+	require.EqualValues(t, 1, term, "the server was blamed for its connections")
+
+	// Requests that follow succeed, in the same session too.
+	eventually(t, silenceBound, func() bool { a, _ := s.exec("SELECT 1"); return a.outcome == done }, "no answer after silence")
+	load.awaitAcknowledged(t, 30, silenceBound)
+	load.stop(t)
+}
