peerlink: ids of streams and calls reach the peer in their order

A link was ended with "peer broke the protocol" under load, and every stream on it was cut: requests ended as unknown (connection_lost at "peer receive") without any fault. Cause: the id of a stream or call was taken under the link's mutex, but its first frame was posted after it, so of two callers the later id could reach the outbox first; the peer refuses ids that do not go up. Ruled out: the outbox's turns, which keep the order of first frames, and the drain of the peer server, whose logs show the link end before any stop. Choice of the id and post of its frame are now one step.

--- a/internal/transport/peerlink/clientlink.go
+++ b/internal/transport/peerlink/clientlink.go
@@ -30,6 +30,11 @@
 	*link
 	client *Client
 
+	// opening is held from the choice of an id until its first frame is
+	// posted: the peer ends a link on which the ids do not go up. It is taken
+	// before mu.
+	opening sync.Mutex
+
 	mu       sync.Mutex
 	streams  map[uint64]*clientStream
 	calls    map[uint64]*pendingCall
@@ -51,16 +56,10 @@
 // open asks the peer for a stream and waits for its answer. Every error is not
 // run, because no unit is sent before the stream is held.
 func (c *clientLink) open(ctx context.Context, request execution.OpenRequest) (*clientStream, *state.Failure) {
-	stream, failure := c.addStream()
+	stream, failure := c.startStream(request)
 	if failure != nil {
 		return nil, failure
 	}
-	frame, err := newOutgoing(peerproto.KindOpen, stream.id, &peerproto.Open{Request: request}, c.config.MaxFrame)
-	if err != nil {
-		stream.Close()
-		return nil, state.NotRun(state.ReasonUnsupported, stepOpen, c.name(), 0, err)
-	}
-	c.post(frame) // where it fails, the end of the link ends the stream
 	for {
 		opened, failure := stream.status()
 		if failure != nil {
@@ -77,6 +76,23 @@
 	}
 }
 
+// startStream adds a stream and posts its first frame.
+func (c *clientLink) startStream(request execution.OpenRequest) (*clientStream, *state.Failure) {
+	c.opening.Lock()
+	defer c.opening.Unlock()
+	stream, failure := c.addStream()
+	if failure != nil {
+		return nil, failure
+	}
+	frame, err := newOutgoing(peerproto.KindOpen, stream.id, &peerproto.Open{Request: request}, c.config.MaxFrame)
+	if err != nil {
+		stream.Close()
+		return nil, state.NotRun(state.ReasonUnsupported, stepOpen, c.name(), 0, err)
+	}
+	c.post(frame) // where it fails, the end of the link ends the stream
+	return stream, nil
+}
+
 // notRunOpen holds a peer's answer to an Open to what is proved of it.
 func notRunOpen(failure *state.Failure) *state.Failure {
 	proved := *failure
@@ -267,11 +283,10 @@
 	if deadline, found := ctx.Deadline(); found {
 		request.Timeout = max(time.Until(deadline), time.Nanosecond)
 	}
-	id, call, failure := c.addCall(request)
+	id, call, failure := c.startCall(request)
 	if failure != nil {
 		return nil, failure
 	}
-	c.post(call.frame) // where it fails, the end of the link answers the call
 	select {
 	case answer := <-call.answer:
 		return answer.body, answer.failure
@@ -280,6 +295,17 @@
 	}
 }
 
+// startCall adds a call and posts its frame.
+func (c *clientLink) startCall(request *peerproto.Call) (uint64, *pendingCall, *state.Failure) {
+	c.opening.Lock()
+	defer c.opening.Unlock()
+	id, call, failure := c.addCall(request)
+	if failure == nil {
+		c.post(call.frame) // where it fails, the end of the link answers the call
+	}
+	return id, call, failure
+}
+
 func (c *clientLink) abandonCall(id uint64, call *pendingCall, cause error) ([]byte, *state.Failure) {
 	c.mu.Lock()
 	_, waiting := c.calls[id]
--- a/internal/transport/peerlink/peerlink_test.go
+++ b/internal/transport/peerlink/peerlink_test.go
@@ -519,3 +519,30 @@
 		}
 	})
 }
+
+// The peer ends a link whose ids do not go up, and with it all streams.
+func TestOpensAtOnceReachThePeerInTheOrderOfTheirIDs(t *testing.T) {
+	p := newPair()
+	defer p.close()
+	const callers, opensEach = 16, 300
+	var running sync.WaitGroup
+	failures := make(chan error, callers)
+	for range callers {
+		running.Go(func() {
+			for range opensEach {
+				stream, err := p.client.Open(context.Background(), owner, execution.OpenRequest{})
+				if err != nil {
+					failures <- err
+					return
+				}
+				stream.Close()
+			}
+		})
+	}
+	running.Wait()
+	close(failures)
+	for err := range failures {
+		require.NoError(t, err)
+	}
+	require.Equal(t, 1, p.network.dials())
+}
--- a/test/processes/client_test.go
+++ b/test/processes/client_test.go
@@ -70,6 +70,15 @@
 	return a
 }
 
+// describe returns an error with its detail, which names step and peer.
+func describe(err error) string {
+	var pgErr *pgconn.PgError
+	if errors.As(err, &pgErr) {
+		return pgErr.Error() + " " + pgErr.Detail
+	}
+	return fmt.Sprint(err)
+}
+
 // session is one client session. It is for one goroutine.
 type session struct {
 	conn *pgconn.PgConn
--- a/test/processes/workload_test.go
+++ b/test/processes/workload_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -27,8 +28,12 @@
 	operations map[string]operation
 	attempts   map[string]int // answers and other events, by kind and SQLSTATE
 	violations []string
+	unknowns   []string // texts of the first unknown outcomes, for the log
 }
 
+// keptUnknowns is how many texts of unknown outcomes are kept.
+const keptUnknowns = 20
+
 func newHistory() *history {
 	return &history{operations: map[string]operation{}, attempts: map[string]int{}}
 }
@@ -46,6 +51,11 @@
 // attempt counts an answer.
 func (h *history) attempt(a answer) {
 	h.count(string(a.outcome) + " " + a.code)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if a.outcome == unknown && len(h.unknowns) < keptUnknowns {
+		h.unknowns = append(h.unknowns, fmt.Sprintf("%s %v", time.Now().Format(time.TimeOnly), describe(a.err)))
+	}
 }
 
 func (h *history) count(kind string) {
@@ -68,6 +78,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	t.Logf("%d writes; answers: %v", len(h.operations), h.attempts)
+	t.Logf("unknown outcomes:\n%s", strings.Join(h.unknowns, "\n"))
 	for id, operation := range h.operations {
 		seen := rows[id]
 		delete(rows, id)
