--- a/internal/standin/network/line.go
+++ b/internal/standin/network/line.go
@@ -62,7 +62,7 @@
 // with os.ErrDeadlineExceeded once expired is closed.
 func (l *line) receive(p []byte, expired <-chan struct{}) (int, error) {
 	for {
-		count, err, wait := l.take(p)
+		count, wait, err := l.take(p)
 		if count > 0 || err != nil {
 			return count, err
 		}
@@ -73,31 +73,31 @@
 }
 
 // take copies what has arrived, or says what to wait for.
-func (l *line) take(p []byte) (int, error, arrival) { //nolint:revive // the error belongs to the count
+func (l *line) take(p []byte) (int, arrival, error) {
 	open, changed := l.network.passable(l.way)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
 	case l.closed:
-		return 0, net.ErrClosed, arrival{}
+		return 0, arrival{}, net.ErrClosed
 	case len(l.chunks) == 0:
-		return 0, nil, arrival{news: l.news}
+		return 0, arrival{news: l.news}, nil
 	case !open:
-		return 0, nil, arrival{news: l.news, changed: changed}
+		return 0, arrival{news: l.news, changed: changed}, nil
 	}
 	first := &l.chunks[0]
 	if remaining := time.Until(first.due); remaining > 0 {
-		return 0, nil, arrival{news: l.news, changed: changed, after: remaining}
+		return 0, arrival{news: l.news, changed: changed, after: remaining}, nil
 	}
 	if first.err != nil {
-		return 0, first.err, arrival{}
+		return 0, arrival{}, first.err
 	}
 	count := copy(p, first.data)
 	first.data = first.data[count:]
 	if len(first.data) == 0 {
 		l.chunks = l.chunks[1:]
 	}
-	return count, nil, arrival{}
+	return count, arrival{}, nil
 }
 
 // arrival is what a reader waits for: a change of the line or of the network,
