execution: Close waits for the Send or Receive in progress

Cause: when a peer's stream ends, peerlink closes the owner's stream from another goroutine, as the contract of Stream allows, and ownerStream.Close ended the unit under the Receive that was using it. Worse, between two waits (queue, acknowledgement) the connection was put back into the pool while the unit still used it, so that another caller could have been given it. Ruled out: a unit lost by finish (the unit was set at Send), a second Receive (peerlink has one goroutine a stream). Now Close closes the backend connection, waits for the call in progress and discards the connection. TestCloseDuringAUnitKeepsItsConnectionFromOthers fails on the code before (one idle connection during the unit).

--- a/internal/coordination/execution/owner.go
+++ b/internal/coordination/execution/owner.go
@@ -186,10 +186,13 @@
 		lease.Release()
 		return nil, err
 	}
-	return &ownerStream{
+	stream := &ownerStream{
+		using: make(chan struct{}, 1),
 		owner: o, group: group, server: server, request: request,
 		lease: lease, conn: conn, txStatus: txIdle,
-	}, nil
+	}
+	stream.leave()
+	return stream, nil
 }
 
 // connect takes a connection from the pool or opens one.
--- a/internal/coordination/execution/owner_stream.go
+++ b/internal/coordination/execution/owner_stream.go
@@ -22,8 +22,16 @@
 // eventBytes is the size from which on a batch of messages goes out.
 const eventBytes = 32 << 10
 
+// errStreamClosed is the cause of a failure to use a stream after Close.
+var errStreamClosed = errors.New("stream is closed")
+
 // ownerStream is the Stream on a backend connection of this instance.
 type ownerStream struct {
+	// using holds a token while nobody sends, receives or closes. It guards
+	// all fields but those of cancelMu, and is taken before cancelMu.
+	using  chan struct{}
+	closed bool
+
 	owner   *Owner
 	group   *ownedGroup
 	server  *server
@@ -48,7 +56,6 @@
 	// cancelling counts cancel requests on their way; a unit is sent only
 	// when there are none, so that none can hit a later unit.
 	cancelling sync.WaitGroup
-	closeOnce  sync.Once
 }
 
 // runningUnit is the unit that was sent and whose answer is being received.
@@ -75,8 +82,30 @@
 	commandTag  string
 }
 
+// enter takes the stream for one call. It returns false after Close.
+func (s *ownerStream) enter() bool {
+	<-s.using
+	if s.closed {
+		s.leave()
+		return false
+	}
+	return true
+}
+
+func (s *ownerStream) leave() {
+	s.using <- struct{}{}
+}
+
 // Send implements Stream.
 func (s *ownerStream) Send(ctx context.Context, unit Unit) error {
+	if !s.enter() {
+		return s.owner.notRun(state.ReasonConnectionLost, "send to backend server", string(s.server.Database.ID), errStreamClosed)
+	}
+	defer s.leave()
+	return s.send(ctx, unit)
+}
+
+func (s *ownerStream) send(ctx context.Context, unit Unit) error {
 	inTransaction := s.txStatus != txIdle
 	slot, err := s.server.Gate.AcquireSlot(ctx, s.request.Plan, inTransaction, s.request.QueueTimeout)
 	if err != nil {
@@ -174,6 +203,14 @@
 
 // Receive implements Stream.
 func (s *ownerStream) Receive(ctx context.Context) (Event, error) {
+	if !s.enter() {
+		return Event{}, state.Unknown(state.ReasonConnectionLost, "receive from backend server", string(s.server.Database.ID), errStreamClosed)
+	}
+	defer s.leave()
+	return s.receive(ctx)
+}
+
+func (s *ownerStream) receive(ctx context.Context) (Event, error) {
 	s.buffer = s.buffer[:0]
 	if s.replay != nil {
 		event := *s.replay
@@ -372,9 +409,23 @@
 	return s.conn.backend.Cancel(ctx)
 }
 
-// Close implements Stream.
+// Close implements Stream. A Send or Receive in progress ends first: closing
+// the backend connection ends a wait for the backend server, and the end of
+// its own context any other wait. Its connection is not used again.
 func (s *ownerStream) Close() {
-	s.closeOnce.Do(s.close)
+	select {
+	case <-s.using:
+	default:
+		s.conn.backend.Close()
+		<-s.using
+		s.broken = true
+	}
+	defer s.leave()
+	if s.closed {
+		return
+	}
+	s.closed = true
+	s.close()
 }
 
 func (s *ownerStream) close() {
--- a/internal/coordination/execution/owner_test.go
+++ b/internal/coordination/execution/owner_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -153,6 +154,35 @@
 	require.Equal(t, 2, f.database.opened)
 }
 
+// A peer's stream is closed from another goroutine when the peer goes away,
+// whatever the stream is doing then.
+func TestCloseDuringAUnitKeepsItsConnectionFromOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture()
+		stream := f.open(t, AccessWrite)
+		closed := make(chan struct{})
+		f.replication.acknowledge = func(state.Position) error {
+			go func() {
+				stream.Close()
+				close(closed)
+			}()
+			synctest.Wait()
+			_, idle := f.owner.groups["group"].servers[testDatabase].pool.counts()
+			require.Zero(t, idle, "the connection was given back while a unit was using it")
+			return nil
+		}
+		_, _, err := runUnit(stream, query("write a"))
+		require.NoError(t, err)
+		<-closed
+		open, _ := f.owner.groups["group"].servers[testDatabase].pool.counts()
+		require.Zero(t, open, "the connection may be in any state")
+		require.Zero(t, f.gate.connections+f.gate.slots)
+		requireOutcome(t, stream.Send(context.Background(), query("write b")), state.OutcomeNotRun)
+		_, err = stream.Receive(context.Background())
+		requireOutcome(t, err, state.OutcomeUnknown)
+	})
+}
+
 // The model: sessions run units, some with request ids and repeats, on
 // connections that are cut at random. Each answer must be that of its own
 // unit, a unit with an id takes effect at most once, a unit that was answered
--- a/internal/measure/today/deployment.go
+++ b/internal/measure/today/deployment.go
@@ -49,6 +49,12 @@
 	}
 }
 
+// bare reports whether the deployment has no latency, and so needs no
+// stand-in for the network.
+func (d Deployment) bare() bool {
+	return d.BetweenRegions == 0
+}
+
 // clientsOf is the place of the clients near a data centre.
 func clientsOf(dataCentre state.DataCentre) network.Place {
 	return network.Place("clients of " + dataCentre)
--- a/internal/measure/today/installation.go
+++ b/internal/measure/today/installation.go
@@ -27,7 +27,7 @@
 	password        = "measure"
 	peerKey         = "a key for measuring only"
 	editID          = "measure-1"
-	queueTimeout    = 500 * time.Millisecond
+	queueTimeout    = 400 * time.Millisecond
 	primaryWait     = 15 * time.Second
 	drainTimeout    = 2 * time.Second
 	startTimeout    = 20 * time.Second
@@ -174,7 +174,7 @@
 			MaxClients: maxClients, QueueTimeout: queueTimeout, PrimaryWait: primaryWait,
 			IdleInTransaction: time.Minute, DrainTimeout: drainTimeout, LogLevel: "error",
 		}
-		instance, err := app.StartOn(ctx, settings, in.network.From(network.Place(dataCentre)), zerolog.Nop())
+		instance, err := app.StartOn(ctx, settings, in.networkOf(dataCentre), zerolog.Nop())
 		if err != nil {
 			return err
 		}
@@ -184,6 +184,14 @@
 	return in.awaitReady(ctx)
 }
 
+// networkOf returns the network of an instance, nil for the operating system's.
+func (in *installation) networkOf(dataCentre state.DataCentre) app.Network {
+	if in.deployment.bare() {
+		return nil
+	}
+	return in.network.From(network.Place(dataCentre))
+}
+
 // awaitReady waits until all instances serve and know each other.
 func (in *installation) awaitReady(ctx context.Context) error {
 	for _, instance := range in.instances {
@@ -238,7 +246,9 @@
 		return nil, eris.Wrap(err, "read connection string")
 	}
 	config.DefaultQueryExecMode = pgx.QueryExecModeSimpleProtocol
-	config.DialFunc = in.network.From(clientsOf(in.deployment.DataCentres[site])).DialContext
+	if !in.deployment.bare() {
+		config.DialFunc = in.network.From(clientsOf(in.deployment.DataCentres[site])).DialContext
+	}
 	conn, err := pgx.ConnectConfig(ctx, config)
 	return conn, eris.Wrap(err, "connect")
 }
--- a/internal/measure/today/pools.go
+++ b/internal/measure/today/pools.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/jackc/pgx/v5"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/standin/database"
 )
@@ -29,22 +30,35 @@
 	for _, group := range in.groups {
 		for _, server := range group.Servers() {
 			for instance := range instances {
-				pool := make(chan *pgx.Conn, share)
-				p.pools[poolKey{instance, server}] = pool
-				for range share {
-					conn, err := in.connectStraight(ctx, in.sites[instance], server)
-					if err != nil {
-						p.close()
-						return nil, err
-					}
-					pool <- conn
-				}
+				p.pools[poolKey{instance, server}] = make(chan *pgx.Conn, share)
 			}
 		}
 	}
+	if err := p.fill(ctx); err != nil {
+		p.close()
+		return nil, err
+	}
 	return p, nil
 }
 
+// fill opens the connections of all pools side by side.
+func (p *straightPools) fill(ctx context.Context) error {
+	opening, ctx := errgroup.WithContext(ctx)
+	for key, pool := range p.pools {
+		opening.Go(func() error {
+			for range cap(pool) {
+				conn, err := p.in.connectStraight(ctx, p.in.sites[key.instance], key.server)
+				if err != nil {
+					return err
+				}
+				pool <- conn
+			}
+			return nil
+		})
+	}
+	return opening.Wait()
+}
+
 // with uses a connection of an instance to a database.
 func (p *straightPools) with(ctx context.Context, instance int, server *database.Server, use func(*pgx.Conn) error) error {
 	pool := p.pools[poolKey{instance, server}]
