--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -61,6 +61,7 @@
 			PlansCommand(stdout, stderr),
 			LimitsCommand(stdout, stderr),
 			dumpCommand(stdout, stderr),
+			measureCommand(stdout, stderr),
 			standinCommand(stdout, stderr),
 			versionCommand(stdout),
 		},
--- /dev/null
+++ b/internal/measure/capacity/groups.go
@@ -0,0 +1,86 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/configuration"
+)
+
+// measureGroups measures a poll of all group records.
+func measureGroups(ctx context.Context, report *Report) error {
+	bytes := Series{Section: "groups", Name: "poll of unchanged records", Unit: "bytes", Per: "groups", Target: targetGroups}
+	processor := Series{Section: "groups", Name: "poll of unchanged records, stand-in included", Unit: "us", Per: "groups", Target: targetGroups}
+	memory := Series{Section: "groups", Name: "memory of the records", Unit: "bytes", Per: "groups", Target: targetGroups}
+	for _, size := range []int{60, 200, targetGroups} {
+		service, err := startPlatform()
+		if err != nil {
+			return err
+		}
+		if err := putGroups(service, size); err != nil {
+			return err
+		}
+		pollBytes, pollTime, err := service.cost(func() error { return scanGroups(ctx, service) })
+		if err != nil {
+			return err
+		}
+		held, err := followGroups(ctx, service, size)
+		if err != nil {
+			return err
+		}
+		service.close()
+		bytes.Points = append(bytes.Points, Point{float64(size), pollBytes})
+		processor.Points = append(processor.Points, Point{float64(size), pollTime})
+		memory.Points = append(memory.Points, Point{float64(size), held})
+	}
+	return addAll(report, bytes, processor, memory)
+}
+
+func putGroups(service *platformService, count int) error {
+	for _, group := range groups(count) {
+		record, err := json.Marshal(group)
+		if err != nil {
+			return eris.Wrap(err, "encode group")
+		}
+		service.server.Put(configuration.GroupKey(group.ID), record)
+	}
+	return nil
+}
+
+// scanGroups does what a poll does: it reads all records and decodes them.
+func scanGroups(ctx context.Context, service *platformService) error {
+	records, err := service.client.Scan(ctx, configuration.GroupKey(""))
+	if err != nil {
+		return err
+	}
+	for _, record := range records {
+		var group configuration.GroupRecord
+		if err := json.Unmarshal(record.Value, &group.Group); err != nil {
+			return eris.Wrap(err, "decode group")
+		}
+	}
+	return nil
+}
+
+// followGroups returns the memory of the records once all are known.
+func followGroups(ctx context.Context, service *platformService, count int) (float64, error) {
+	before := liveBytes()
+	ctx, cancel := context.WithCancel(ctx)
+	followed := configuration.NewGroups(service.client, configuration.FollowerOptions{}, zerolog.Nop())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		followed.Run(ctx)
+	}()
+	for len(followed.IDs()) < count && ctx.Err() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	held := liveBytes() - before
+	cancel()
+	<-done
+	return held, nil
+}
--- /dev/null
+++ b/internal/measure/capacity/membership.go
@@ -0,0 +1,87 @@
+package capacity
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/membership"
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+const callTime = 300 * time.Millisecond
+
+// fixedList is a platform's list that does not change.
+type fixedList []state.Instance
+
+// List implements membership.Lister.
+func (l fixedList) List(context.Context) ([]state.Instance, error) {
+	return l, nil
+}
+
+// knownMembership returns a membership that has read a list.
+func knownMembership(ctx context.Context, list []state.Instance) (*membership.Membership, error) {
+	members := membership.New(membership.Config{Self: list[0], Lister: fixedList(list), Logger: zerolog.Nop()})
+	return members, members.Refresh(ctx)
+}
+
+// measureMembership measures reads of the list of instances, and the choice of
+// owners from it.
+func measureMembership(ctx context.Context, report *Report) error {
+	read := Series{Section: "membership", Name: "read of an unchanged list", Unit: "bytes", Per: "instances", Target: targetInstances}
+	readTime := Series{Section: "membership", Name: "read of an unchanged list, stand-in included", Unit: "us", Per: "instances", Target: targetInstances}
+	refresh := Series{Section: "membership", Name: "refresh and rebuild of the view", Unit: "us", Per: "instances", Target: targetInstances}
+	owners := Series{Section: "membership", Name: "Owners of one of 1,800 databases", Unit: "us", Per: "instances", Target: targetInstances}
+	for _, size := range []int{100, 500, targetInstances} {
+		bytes, processor, err := listCost(ctx, size)
+		if err != nil {
+			return err
+		}
+		read.Points = append(read.Points, Point{float64(size), bytes})
+		readTime.Points = append(readTime.Points, Point{float64(size), processor})
+		members, err := knownMembership(ctx, instances(size))
+		if err != nil {
+			return err
+		}
+		databases := groups(targetGroups)
+		refresh.Points = append(refresh.Points, Point{float64(size), perCall(callTime, func() {
+			_ = members.Refresh(ctx) // a fixed list does not fail
+			members.Owners(databases[0].Databases[0])
+		})})
+		next := 0
+		owners.Points = append(owners.Points, Point{float64(size), perCall(callTime, func() {
+			group := databases[next%targetGroups]
+			members.Owners(group.Databases[next%targetGroupSize])
+			next++
+		})})
+	}
+	return addAll(report, read, readTime, refresh, owners)
+}
+
+// listCost measures one read of a list of size instances.
+func listCost(ctx context.Context, size int) (bytes, processor float64, err error) {
+	service, err := startPlatform()
+	if err != nil {
+		return 0, 0, err
+	}
+	defer service.close()
+	for _, instance := range instances(size) {
+		if err := service.client.Announce(ctx, instance); err != nil {
+			return 0, 0, err
+		}
+	}
+	return service.cost(func() error {
+		_, err := service.client.Instances(ctx)
+		return err
+	})
+}
+
+func addAll(report *Report, all ...Series) error {
+	for _, series := range all {
+		if err := report.add(series); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/measure/capacity/statements.go
@@ -0,0 +1,156 @@
+package capacity
+
+import (
+	"context"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jackc/pgx/v5/pgconn"
+	"golang.org/x/sync/errgroup"
+)
+
+// The statements that are measured.
+const (
+	readSQL  = "SELECT 1"
+	writeSQL = "INSERT INTO written (id, note) VALUES (1, 'a note')"
+)
+
+// statementClients is how many clients send statements at once where the
+// number is not what varies.
+const statementClients = 8
+
+// path is one way from client to database.
+type path struct {
+	name    string
+	connect func(ctx context.Context) (*pgconn.PgConn, error)
+}
+
+// measureStatements measures statements sent straight to the stand-in, through
+// an instance that owns the database, and through one that does not. The
+// first is the share of client and stand-in in the other two.
+func measureStatements(ctx context.Context, report *Report) error {
+	i, err := startInstallation(ctx, true)
+	if err != nil {
+		return err
+	}
+	defer i.close()
+	paths := []path{
+		{"straight to the stand-in", i.connectDirectly},
+		{"through the owner", func(ctx context.Context) (*pgconn.PgConn, error) { return i.connect(ctx, i.owner) }},
+		{"through an entry and the owner", func(ctx context.Context) (*pgconn.PgConn, error) { return i.connect(ctx, i.entry) }},
+	}
+	for _, kind := range []struct{ name, sql string }{{"read", readSQL}, {"write", writeSQL}} {
+		for _, path := range paths {
+			if err := i.measurePath(ctx, report, kind.name+" "+path.name, kind.sql, path); err != nil {
+				return err
+			}
+		}
+	}
+	return i.measureRounds(ctx, report, paths[1])
+}
+
+// measurePath measures blocks of statements on one path.
+func (i *installation) measurePath(ctx context.Context, report *Report, name, sql string, on path) error {
+	processor := Series{Section: "statements", Name: name + ", client and stand-in included", Unit: "us", Per: "statements", Target: targetStatements}
+	toDatabase := Series{Section: "statements", Name: name + ", owner to databases", Unit: "bytes", Per: "statements", Target: targetStatements}
+	toPeer := Series{Section: "statements", Name: name + ", entry to owner", Unit: "bytes", Per: "statements", Target: targetStatements}
+	clients, err := connectAll(ctx, statementClients, on)
+	if err != nil {
+		return err
+	}
+	defer closeAll(clients)
+	if err := execute(ctx, clients, statementClients, sql); err != nil {
+		return err
+	}
+	databases := i.databaseAddresses()
+	for _, count := range []int{500, 1500, 4000} {
+		timeBefore := processorTime()
+		databaseBefore := i.owner.traffic.bytes(databases...)
+		peerBefore := i.entry.traffic.bytes() - i.entry.traffic.bytes(i.platformAddress())
+		if err := execute(ctx, clients, count, sql); err != nil {
+			return err
+		}
+		size := float64(count)
+		processor.Points = append(processor.Points, Point{size, microseconds(processorTime() - timeBefore)})
+		toDatabase.Points = append(toDatabase.Points, Point{size, i.owner.traffic.bytes(databases...) - databaseBefore})
+		toPeer.Points = append(toPeer.Points, Point{size, i.entry.traffic.bytes() - i.entry.traffic.bytes(i.platformAddress()) - peerBefore})
+	}
+	return addAll(report, processor, toDatabase, toPeer)
+}
+
+func (i *installation) platformAddress() string {
+	const scheme = "http://"
+	return i.platform.url[len(scheme):]
+}
+
+// measureRounds measures how many status requests a write needs as more
+// clients write at once.
+func (i *installation) measureRounds(ctx context.Context, report *Report, through path) error {
+	series := func(name, unit string) Series {
+		return Series{Section: "rounds", Name: name, Unit: unit, Per: "writers at once", Target: targetConcurrentUsers}
+	}
+	requests := series("status requests for each write", "requests")
+	processor := series("processor for each write, client and stand-in included", "us")
+	rate := series("writes", "1/s")
+	counter := metrics.GetOrCreateCounter(statusRequestsName)
+	for _, writers := range []int{1, 8, targetConcurrentUsers} {
+		clients, err := connectAll(ctx, writers, through)
+		if err != nil {
+			return err
+		}
+		const writes = 2000
+		requestsBefore, timeBefore, started := counter.Get(), processorTime(), time.Now()
+		err = execute(ctx, clients, writes, writeSQL)
+		closeAll(clients)
+		if err != nil {
+			return err
+		}
+		size := float64(writers)
+		requests.Points = append(requests.Points, Point{size, float64(counter.Get()-requestsBefore) / writes})
+		processor.Points = append(processor.Points, Point{size, microseconds(processorTime()-timeBefore) / writes})
+		rate.Points = append(rate.Points, Point{size, writes / time.Since(started).Seconds()})
+	}
+	return addAll(report, requests, processor, rate)
+}
+
+// statusRequestsName is the counter of package replication.
+const statusRequestsName = `cyclamenpin_replication_requests_total{kind="status"}`
+
+func connectAll(ctx context.Context, count int, on path) ([]*pgconn.PgConn, error) {
+	clients := make([]*pgconn.PgConn, 0, count)
+	for range count {
+		client, err := on.connect(ctx)
+		if err != nil {
+			closeAll(clients)
+			return nil, err
+		}
+		clients = append(clients, client)
+	}
+	return clients, nil
+}
+
+func closeAll(clients []*pgconn.PgConn) {
+	for _, client := range clients {
+		_ = client.Close(context.Background())
+	}
+}
+
+// execute runs count statements, spread over the clients.
+func execute(ctx context.Context, clients []*pgconn.PgConn, count int, sql string) error {
+	var running errgroup.Group
+	for number, client := range clients {
+		share := count / len(clients)
+		if number < count%len(clients) {
+			share++
+		}
+		running.Go(func() error {
+			for range share {
+				if _, err := client.Exec(ctx, sql).ReadAll(); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+	}
+	return running.Wait()
+}
