--- a/internal/coordination/execution/stream.go
+++ b/internal/coordination/execution/stream.go
@@ -62,6 +62,9 @@
 	Access Access `msgpack:"a"`
 	// RequestID, when set, gives the unit at-most-once execution.
 	RequestID string `msgpack:"r"`
+	// Begins is set when a unit with a RequestID begins the transaction block in
+	// which the id is to be recorded, and leaves it open.
+	Begins bool `msgpack:"b"`
 	// Extended is set when Messages are of the extended query protocol.
 	Extended bool `msgpack:"x"`
 	// ChangesSettings is set when the unit changes session parameters.
@@ -73,8 +76,12 @@
 
 // Event is one step of the answer to a unit.
 type Event struct {
-	// Messages are whole backend messages to pass on to the caller.
+	// Messages are backend messages to pass on to the caller.
 	Messages []byte `msgpack:"m"`
+	// Partial is set when Messages end in the middle of a message, whose rest
+	// comes with the next event. If none comes, the caller's connection can't
+	// go on.
+	Partial bool `msgpack:"pt"`
 	// Done is set on the unit's last event; its messages end with the
 	// ReadyForQuery.
 	Done bool `msgpack:"d"`
