execution: Close beside a running Send or Receive no longer crashes the owner

Now Close only closes the backend connection while a Send or Receive runs, and that gives back what the stream holds. TestCloseEndsAReceiveThatWaitsAndGivesAllBack fails on the code before.

--- a/internal/coordination/execution/owner_stream.go
+++ b/internal/coordination/execution/owner_stream.go
@@ -54,7 +54,7 @@
 	// cancelling counts cancel requests on their way; a unit is sent only
 	// when there are none, so that none can hit a later unit.
 	cancelling sync.WaitGroup
-	closeOnce  sync.Once
+	use        streamUse
 }
 
 // runningUnit is the unit that was sent and whose answer is being received.
@@ -83,6 +83,14 @@
 
 // Send implements Stream.
 func (s *ownerStream) Send(ctx context.Context, unit Unit) error {
+	if !s.use.begin() {
+		return s.owner.notRun(state.ReasonConnectionLost, "send on a closed stream", string(s.server.Database.ID), nil)
+	}
+	defer s.endUse()
+	return s.send(ctx, unit)
+}
+
+func (s *ownerStream) send(ctx context.Context, unit Unit) error {
 	inTransaction := s.txStatus != txIdle
 	slot, err := s.server.Gate.AcquireSlot(ctx, s.request.Plan, inTransaction, s.request.QueueTimeout)
 	if err != nil {
@@ -180,6 +188,14 @@
 
 // Receive implements Stream.
 func (s *ownerStream) Receive(ctx context.Context) (Event, error) {
+	if !s.use.begin() {
+		return Event{}, state.Unknown(state.ReasonConnectionLost, "receive on a closed stream", string(s.server.Database.ID), nil)
+	}
+	defer s.endUse()
+	return s.receive(ctx)
+}
+
+func (s *ownerStream) receive(ctx context.Context) (Event, error) {
 	if len(s.rest) > 0 {
 		return s.nextPart(), nil
 	}
@@ -389,23 +405,3 @@
 	defer s.cancelling.Done()
 	return s.conn.backend.Cancel(ctx)
 }
-
-// Close implements Stream.
-func (s *ownerStream) Close() {
-	s.closeOnce.Do(s.close)
-}
-
-func (s *ownerStream) close() {
-	if s.unit != nil {
-		s.endUnit()
-	}
-	s.cancelMu.Lock()
-	cancelUsed := s.cancelUsed
-	s.cancelMu.Unlock()
-	if s.broken || cancelUsed || s.pinned || s.txStatus != txIdle {
-		s.server.pool.discard(s.conn)
-	} else {
-		s.server.pool.put(s.conn)
-	}
-	s.lease.Release()
-}
