--- a/internal/transport/pgserver/conn.go
+++ b/internal/transport/pgserver/conn.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"os"
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/rotisserie/eris"
 
@@ -29,6 +31,8 @@
 	backend *pgproto3.Backend
 	session *session.Session
 	key     CancelKey
+	// encrypted is set once the connection is under TLS.
+	encrypted bool
 
 	statements map[string]*preparedStatement
 	batch      batch
@@ -42,7 +46,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
-	// mu guards what other goroutines see. It is a leaf lock.
+	// mu guards what other goroutines see, and changes of net. It is a leaf
+	// lock.
 	mu      sync.Mutex
 	plan    state.PlanID
 	group   state.GroupID
@@ -61,18 +66,23 @@
 
 func newConn(server *Server, netConn net.Conn) *conn {
 	ctx, cancel := context.WithCancel(context.Background())
-	backend := pgproto3.NewBackend(netConn, netConn)
-	backend.SetMaxBodyLen(server.options.MaxMessageBytes)
-	return &conn{
-		server: server, net: netConn, backend: backend,
-		statements: map[string]*preparedStatement{}, ctx: ctx, cancel: cancel,
-	}
+	c := &conn{server: server, statements: map[string]*preparedStatement{}, ctx: ctx, cancel: cancel}
+	c.useConnection(netConn)
+	return c
+}
+
+// useConnection reads and writes over netConn from now on.
+func (c *conn) useConnection(netConn net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.net = netConn
+	c.backend = pgproto3.NewBackend(netConn, netConn)
+	c.backend.SetMaxBodyLen(c.server.options.MaxMessageBytes)
 }
 
 // serve runs the connection to its end.
 func (c *conn) serve() {
-	defer c.net.Close()
-	defer c.cancel()
+	defer c.abort()
 	err := c.startup()
 	if err == nil {
 		err = c.requests()
@@ -150,11 +160,11 @@
 func (c *conn) sayGoodbye() error {
 	c.net.SetDeadline(time.Now().Add(goodbyeTimeout))
 	err := c.refuse(outcome.NewError(outcome.SQLStateAdminShutdown, "the session is ended; connect again"))
-	if tcp, ok := c.net.(*net.TCPConn); ok {
+	if half, ok := c.net.(interface{ CloseWrite() error }); ok {
 		// Closing with unread data would reset the connection and could
 		// destroy the message on its way.
-		_ = tcp.CloseWrite()
-		_, _ = io.Copy(io.Discard, io.LimitReader(tcp, maxGoodbyeBytes))
+		_ = half.CloseWrite()
+		_, _ = io.Copy(io.Discard, io.LimitReader(c.net, maxGoodbyeBytes))
 	}
 	return err
 }
@@ -204,6 +214,8 @@
 // abort ends the connection whatever it does.
 func (c *conn) abort() {
 	c.cancel()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.net.Close()
 }
 
@@ -318,5 +330,11 @@
 	if !ok {
 		return err
 	}
+	countFailure(failure)
 	return c.answerError(outcome.Response(failure))
 }
+
+// countFailure counts a request that got no ordinary answer.
+func countFailure(failure *state.Failure) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`cyclamenpin_failures_total{outcome=%q,reason=%q}`, failure.Outcome, failure.Reason)).Inc()
+}
