--- a/internal/measure/capacity/statements.go
+++ b/internal/measure/capacity/statements.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -146,7 +148,7 @@
 		running.Go(func() error {
 			for range share {
 				if _, err := client.Exec(ctx, sql).ReadAll(); err != nil {
-					return err
+					return withDetail(err)
 				}
 			}
 			return nil
@@ -154,3 +156,13 @@
 	}
 	return running.Wait()
 }
+
+// withDetail adds the detail of a PostgreSQL error, which says where a request
+// failed.
+func withDetail(err error) error {
+	var pgErr *pgconn.PgError
+	if errors.As(err, &pgErr) {
+		return eris.Wrap(err, pgErr.Detail)
+	}
+	return err
+}
--- a/internal/transport/peerlink/peerlink_test.go
+++ b/internal/transport/peerlink/peerlink_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
+	"golang.org/x/sync/errgroup"
 	"pgregory.net/rapid"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/execution"
@@ -519,3 +520,30 @@
 		}
 	})
 }
+
+// The server takes ids in rising order only, so frames that begin something
+// must be queued in the order of their ids.
+func TestManyOpensAndCallsAtOnceShareOneLink(t *testing.T) {
+	bubble(t, func(t *testing.T, p *pair) {
+		const callers, rounds = 32, 50
+		require.NoError(t, p.client.Call(t.Context(), owner, "m", "first", nil))
+		var running errgroup.Group
+		for range callers {
+			running.Go(func() error {
+				for range rounds {
+					stream, err := p.client.Open(t.Context(), owner, execution.OpenRequest{})
+					if err != nil {
+						return err
+					}
+					stream.Close()
+					if err := p.client.Call(t.Context(), owner, "m", "again", nil); err != nil {
+						return err
+					}
+				}
+				return nil
+			})
+		}
+		require.NoError(t, running.Wait())
+		require.Equal(t, 1, p.network.dials())
+	})
+}
