A silent connection is ended at the backend server too

A write waited for as long as a silent connection's transaction kept its locks: the owner closed its own end after 2 s, which the server, for which the path is silent too, does not learn. Ruled out by a direct connection to the database, whose insert waited just as long (10.0 s, the stand-in's own timeout of idle transactions): queue, pool and admission of the owner.

The owner now asks for pg_terminate_backend on a new connection when it finds a connection silent.

--- a/internal/app/group_runner.go
+++ b/internal/app/group_runner.go
@@ -93,10 +93,11 @@
 	r.factory.limits.attach(group.ID, gate)
 	r.gates[database.ID] = gate
 	r.parts = append(r.parts, execution.ServerParts{
-		Database: database,
-		Gate:     gateAdapter{gate: gate},
-		Pacer:    admission.NewPacer(database.ID, concurrentOpens),
-		Probe:    control.Running,
+		Database:  database,
+		Gate:      gateAdapter{gate: gate},
+		Pacer:     admission.NewPacer(database.ID, concurrentOpens),
+		Probe:     control.Running,
+		Terminate: control.Terminate,
 	})
 }
 
--- a/internal/coordination/execution/owner.go
+++ b/internal/coordination/execution/owner.go
@@ -45,6 +45,10 @@
 	// Probe tells a silent connection from a long statement. Without it,
 	// silence is not noticed.
 	Probe ActivityProbe
+	// Terminate ends a connection that was found silent on the server's side
+	// too. Without it, the server keeps the connection's locks until it gives
+	// the connection up by itself.
+	Terminate Terminator
 }
 
 // Owner runs requests on the backend servers of groups. It is the Executor of
--- a/internal/coordination/execution/owner_stream.go
+++ b/internal/coordination/execution/owner_stream.go
@@ -133,7 +133,7 @@
 	}
 	s.unit = &runningUnit{
 		unit: unit, slot: slot, positionBefore: s.conn.position, freshUntil: freshUntil,
-		silence: startSilenceWatch(s.conn.backend, s.server.Probe, s.owner.options.SilenceTimeout),
+		silence: startSilenceWatch(s.conn.backend, s.server.Probe, s.server.Terminate, s.owner.options.SilenceTimeout),
 	}
 	if unit.RequestID != "" {
 		proceed, err := s.beginOnce(ctx, inTransaction)
--- a/internal/coordination/execution/silence.go
+++ b/internal/coordination/execution/silence.go
@@ -19,9 +19,11 @@
 // says no, or gives no answer, twice in a row, the watch closes the
 // connection, which ends the wait for its messages.
 type silenceWatch struct {
-	backend  Backend
-	probe    ActivityProbe
-	interval time.Duration
+	backend Backend
+	probe   ActivityProbe
+	// terminate may be nil.
+	terminate Terminator
+	interval  time.Duration
 
 	// awaiting is set while a message is awaited: silence counts only then.
 	// A caller that is slow to take its answer is no silence.
@@ -42,9 +44,13 @@
 // connection with the given process id runs a statement.
 type ActivityProbe func(ctx context.Context, processID uint32) (running bool, err error)
 
+// Terminator asks a backend server, on a new connection, to end the connection
+// with the given process id and to free what its transaction has locked.
+type Terminator func(ctx context.Context, processID uint32) error
+
 // startSilenceWatch begins to watch; it does nothing where probe is nil.
-func startSilenceWatch(backend Backend, probe ActivityProbe, interval time.Duration) *silenceWatch {
-	w := &silenceWatch{backend: backend, probe: probe, interval: interval}
+func startSilenceWatch(backend Backend, probe ActivityProbe, terminate Terminator, interval time.Duration) *silenceWatch {
+	w := &silenceWatch{backend: backend, probe: probe, terminate: terminate, interval: interval}
 	if probe == nil {
 		return w
 	}
@@ -92,7 +98,11 @@
 		return
 	}
 	running, err := w.probe(ctx, w.backend.PID())
-	w.endLook(running && err == nil)
+	if w.endLook(running && err == nil) && w.terminate != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), w.interval)
+		defer cancel()
+		_ = w.terminate(ctx, w.backend.PID()) // else the server gives it up by itself, later
+	}
 }
 
 // beginLook reports whether a probe is called for.
@@ -113,14 +123,14 @@
 }
 
 // endLook takes the result of a probe. A message that came meanwhile clears
-// the connection.
-func (w *silenceWatch) endLook(running bool) {
+// the connection. It reports whether the connection was found silent now.
+func (w *silenceWatch) endLook(running bool) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.cancel()
 	w.cancel = nil
 	if w.stopped {
-		return
+		return false
 	}
 	if running || !w.quiet() {
 		w.suspect = 0
@@ -130,9 +140,10 @@
 	if w.suspect >= silentProbes {
 		w.silent = true
 		w.backend.Close()
-		return
+		return true
 	}
 	w.timer.Reset(w.interval)
+	return false
 }
 
 // reasonOf says why the connection failed.
--- a/internal/coordination/execution/silence_test.go
+++ b/internal/coordination/execution/silence_test.go
@@ -43,12 +43,19 @@
 		synctest.Test(t, func(t *testing.T) {
 			backend := &silentBackend{closed: make(chan struct{})}
 			started := time.Now()
-			watch := startSilenceWatch(backend, probe, time.Second)
+			var terminated []uint32
+			terminate := func(_ context.Context, pid uint32) error {
+				terminated = append(terminated, pid)
+				return nil
+			}
+			watch := startSilenceWatch(backend, probe, terminate, time.Second)
 			watch.await()
 			_, err := backend.Receive(context.Background())
 			require.Error(t, err)
 			require.True(t, watch.stop(), name)
 			require.LessOrEqual(t, time.Since(started), 4*time.Second, name)
+			synctest.Wait()
+			require.Equal(t, []uint32{backend.PID()}, terminated, name)
 		})
 	}
 }
@@ -60,7 +67,7 @@
 		watch := startSilenceWatch(backend, func(context.Context, uint32) (bool, error) {
 			looks++
 			return looks%2 == 0, nil // every other answer races with an end of the statement
-		}, time.Second)
+		}, nil, time.Second)
 		watch.await()
 		time.Sleep(time.Hour)
 		require.False(t, watch.stop())
@@ -72,7 +79,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		backend := &silentBackend{closed: make(chan struct{})}
 		probe := func(context.Context, uint32) (bool, error) { return false, nil }
-		watch := startSilenceWatch(backend, probe, time.Second)
+		watch := startSilenceWatch(backend, probe, nil, time.Second)
 		watch.await()
 		watch.progress()
 		time.Sleep(time.Minute)
--- a/internal/measure/today/failover.go
+++ b/internal/measure/today/failover.go
@@ -318,4 +318,3 @@
 	}
 	return lost
 }
-
--- a/internal/standin/database/database_test.go
+++ b/internal/standin/database/database_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -274,6 +275,20 @@
 	require.Equal(t, [][]any{{int64(1)}, {int64(3)}}, dump(t, replica))
 }
 
+func TestTerminatedConnectionFreesItsLocks(t *testing.T) {
+	server := startOne(t, Options{})
+	holder, other := connect(t, server), connect(t, server)
+	execAll(t, other, "create table t (id bigint primary key)")
+	execAll(t, holder, "begin", "insert into t values (1)")
+	server.SilenceOpenConnections()
+	fresh := connect(t, server)
+	var ended string
+	statement := fmt.Sprintf("select pg_terminate_backend(%d)", holder.PgConn().PID())
+	require.NoError(t, fresh.QueryRow(testContext(t), statement, pgx.QueryExecModeSimpleProtocol).Scan(&ended))
+	require.Equal(t, "t", ended)
+	execAll(t, fresh, "insert into t values (1)")
+}
+
 func TestFrozenAndSilenced(t *testing.T) {
 	ctx := testContext(t)
 	group, err := StartGroup(context.Background(), GroupOptions{ID: "g"})
--- a/internal/standin/database/execute.go
+++ b/internal/standin/database/execute.go
@@ -31,6 +31,8 @@
 		return s.setConfig(statement)
 	case kindActivity:
 		return s.activity(statement)
+	case kindTerminate:
+		return s.terminate(statement)
 	case kindEmpty:
 		return &result{}, nil
 	default:
--- a/internal/standin/database/functions.go
+++ b/internal/standin/database/functions.go
@@ -10,6 +10,7 @@
 var (
 	setConfigPattern = regexp.MustCompile(`(?is)^select\s+set_config\s*\(\s*('(?:[^']|'')*')\s*,\s*('(?:[^']|'')*')\s*,\s*(true|false)\s*\)$`)
 	activityPattern  = regexp.MustCompile(`(?is)^select\s+state\s+from\s+pg_stat_activity\s+where\s+pid\s*=\s*(\d+)$`)
+	terminatePattern = regexp.MustCompile(`(?is)^select\s+pg_terminate_backend\s*\(\s*(\d+)\s*\)$`)
 )
 
 // The states of a connection in pg_stat_activity.
@@ -35,13 +36,10 @@
 // activity answers what a connection does, in the part of pg_stat_activity
 // that the proxy asks for. It takes no slot.
 func (s *session) activity(statement string) (*result, error) {
-	pid, err := strconv.ParseUint(activityPattern.FindStringSubmatch(statement)[1], 10, 32)
+	other, err := s.sessionOf(activityPattern.FindStringSubmatch(statement)[1])
 	if err != nil {
-		return nil, &sqlError{codeInvalidTextValue, "invalid pid"}
+		return nil, err
 	}
-	s.run.mu.Lock()
-	other := s.run.sessions[uint32(pid)]
-	s.run.mu.Unlock()
 	answer := &result{columns: []column{{name: "state", oid: pgtype.TextOID}}, tag: "SELECT 0"}
 	if other != nil {
 		answer.rows, answer.tag = [][]any{{other.activityState()}}, "SELECT 1"
@@ -49,6 +47,33 @@
 	return answer, nil
 }
 
+// sessionOf returns the session of a process id, or nil where there is none.
+func (s *session) sessionOf(pid string) (*session, error) {
+	number, err := strconv.ParseUint(pid, 10, 32)
+	if err != nil {
+		return nil, &sqlError{codeInvalidTextValue, "invalid pid"}
+	}
+	s.run.mu.Lock()
+	defer s.run.mu.Unlock()
+	return s.run.sessions[uint32(number)], nil
+}
+
+// terminate ends another connection and the transaction that it has open. It
+// takes no slot.
+func (s *session) terminate(statement string) (*result, error) {
+	other, err := s.sessionOf(terminatePattern.FindStringSubmatch(statement)[1])
+	if err != nil {
+		return nil, err
+	}
+	found := "f"
+	if other != nil {
+		found = "t"
+		other.cancelStatement()
+		other.connection.drop()
+	}
+	return textResult([]string{"pg_terminate_backend"}, []any{found}, "SELECT 1"), nil
+}
+
 func (s *session) activityState() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/standin/database/sqltext.go
+++ b/internal/standin/database/sqltext.go
@@ -15,6 +15,7 @@
 	kindSleep
 	kindSetConfig
 	kindActivity
+	kindTerminate
 	kindBegin
 	kindCommit
 	kindRollback
@@ -79,6 +80,8 @@
 		return kindSetConfig
 	case activityPattern.MatchString(sql):
 		return kindActivity
+	case terminatePattern.MatchString(sql):
+		return kindTerminate
 	case sleepPattern.MatchString(sql):
 		return kindSleep
 	case lockClausePattern.MatchString(sql):
--- a/internal/transport/backend/activity.go
+++ b/internal/transport/backend/activity.go
@@ -4,25 +4,24 @@
 	"context"
 	"fmt"
 
+	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/rotisserie/eris"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 )
 
-const stepActivity = "ask for activity"
+const (
+	stepActivity  = "ask for activity"
+	stepTerminate = "end connection"
+)
 
 // Running asks the database, over a new connection, whether the process of
 // another connection runs a statement. An error means that the database gave
 // no answer.
 func (c *Control) Running(ctx context.Context, pid uint32) (bool, error) {
-	connection, err := c.dialer.connect(ctx, c.database.Address, "")
-	if err != nil {
-		return false, c.unreachable(stepActivity, err)
-	}
-	defer closeConnection(connection)
-	results, err := connection.Exec(ctx, fmt.Sprintf("SELECT state FROM pg_stat_activity WHERE pid = %d", pid)).ReadAll()
+	results, err := c.runOnNewConnection(ctx, stepActivity, fmt.Sprintf("SELECT state FROM pg_stat_activity WHERE pid = %d", pid))
 	if err != nil {
-		return false, c.callError(stepActivity, err)
+		return false, err
 	}
 	if len(results) != 1 {
 		err := eris.Errorf("activity: want one result, got %d", len(results))
@@ -31,3 +30,24 @@
 	rows := results[0].Rows
 	return len(rows) == 1 && string(rows[0][0]) == "active", nil
 }
+
+// Terminate asks the database, over a new connection, to end another
+// connection, and with it the locks of its transaction. Errors are
+// *state.Failure.
+func (c *Control) Terminate(ctx context.Context, pid uint32) error {
+	_, err := c.runOnNewConnection(ctx, stepTerminate, fmt.Sprintf("SELECT pg_terminate_backend(%d)", pid))
+	return err
+}
+
+func (c *Control) runOnNewConnection(ctx context.Context, step, statement string) ([]*pgconn.Result, error) {
+	connection, err := c.dialer.connect(ctx, c.database.Address, "")
+	if err != nil {
+		return nil, c.unreachable(step, err)
+	}
+	defer closeConnection(connection)
+	results, err := connection.Exec(ctx, statement).ReadAll()
+	if err != nil {
+		return nil, c.callError(step, err)
+	}
+	return results, nil
+}
--- a/test/processes/silence_test.go
+++ b/test/processes/silence_test.go
@@ -12,6 +12,10 @@
 // the wait for a new one.
 const silenceBound = 15 * time.Second
 
+// databaseIdleBound is after how long the stand-in ends an idle transaction by
+// itself. Locks must be freed before, by the owner.
+const databaseIdleBound = 10 * time.Second
+
 func TestSilentConnectionIsFound(t *testing.T) {
 	c := startCluster(t)
 	load := startWorkload(c, 1)
@@ -37,3 +41,29 @@
 	load.awaitAcknowledged(t, 30, silenceBound)
 	load.stop(t)
 }
+
+// TestLocksOfASilentConnectionAreFreed silences the connection of a transaction
+// that holds what another write waits for.
+func TestLocksOfASilentConnectionAreFreed(t *testing.T) {
+	c := startCluster(t)
+	load := startWorkload(c, 1)
+	load.awaitAcknowledged(t, 30, primaryBound)
+	load.stop(t)
+	primary := c.databases[0]
+	transaction, other := mustConnect(t, c.live()[0], ""), mustConnect(t, c.live()[1], "")
+	transaction.mustExec(t, "BEGIN")
+	transaction.mustExec(t, insert("locking-1", "locks"))
+	c.turn(primary, "/silence", "")
+	started := time.Now()
+	a, _ := transaction.exec(insert("locking-1", "locks"))
+	require.NotEqual(t, done, a.outcome)
+	load.history.record("locking-1", notRun, 2)
+	t.Logf("%s until the silent connection was found", time.Since(started).Round(time.Millisecond))
+	a, _ = other.exec(insert("waiting-1", "locks"))
+	t.Logf("%s until the waiting write was answered: %s %s", time.Since(started).Round(time.Millisecond), a.outcome, describe(a.err))
+	_, term := c.primary()
+	require.EqualValues(t, 1, term, "the server was blamed for its connections")
+	require.Less(t, time.Since(started), databaseIdleBound)
+	load.history.record("waiting-1", a.outcome, 1)
+	load.history.check(t, c)
+}
