membership: the owners of a database are chosen once for each view

Cause: Owners sorted all instances for each call. Now a view keeps the first three owners of each database that was asked for, found in one pass, and a list that brings nothing new keeps the view.

--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -155,12 +156,15 @@
 		instance = newer(known[instance.ID], instance)
 		merged[instance.ID] = newer(merged[instance.ID], instance)
 	}
+	before := m.listed
 	m.listed = sortedInstances(merged)
 	for _, instance := range m.listed {
 		m.about(instance.ID, instance.Incarnation)
 	}
 	m.forget()
-	m.view = nil
+	if !slices.Equal(before, m.listed) {
+		m.view = nil
+	}
 }
 
 // newer returns the instance of the later incarnation, the second when equal.
@@ -207,16 +211,17 @@
 	return m.current().sample(n, random)
 }
 
-// Owners returns the instances that may own the database, most preferred
-// first: by rendezvous hash among those of its data centre, then among the
-// others. Leaving and suspected instances are left out; this instance is never
-// suspected.
+// Owners returns the first three instances that may own the database, most
+// preferred first: by rendezvous hash among those of its data centre, then
+// among the others. Leaving and suspected instances are left out; this
+// instance is never suspected. The slice must not be changed. A second call
+// for a database costs one look-up while the view stays the same.
 func (m *Membership) Owners(database state.Database) []state.Instance {
 	return m.current().owners(database)
 }
 
-// Owner returns the first of Owners without sorting them. It reports false
-// when every instance is leaving.
+// Owner returns the first of Owners. It reports false when every instance is
+// leaving.
 func (m *Membership) Owner(database state.Database) (state.Instance, bool) {
 	return m.current().owner(database)
 }
--- a/internal/coordination/membership/view.go
+++ b/internal/coordination/membership/view.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math/rand/v2"
 	"slices"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -17,12 +18,21 @@
 }
 
 // view is the instances that may own databases at one moment, sorted by id. It
-// is immutable.
+// is immutable, but for what it remembers of its own answers.
 type view struct {
 	self       state.InstanceID
 	candidates []candidate
 	// byDataCentre holds the same candidates by their data centre.
 	byDataCentre map[state.DataCentre][]candidate
+	// known holds the owners that were asked for: ownersKey to a slice of
+	// instances that is not changed.
+	known sync.Map
+}
+
+// ownersKey is what the choice of owners depends on beside the candidates.
+type ownersKey struct {
+	database   state.DatabaseID
+	dataCentre state.DataCentre
 }
 
 func newView(self state.InstanceID, instances []state.Instance) *view {
@@ -51,49 +61,69 @@
 	return x ^ (x >> 31)
 }
 
+// maxOwners is how many owners of a database are told.
+const maxOwners = 3
+
+// owners returns the first owners of a database. The view keeps them, so that
+// only the first call for a database looks at every candidate.
 func (v *view) owners(database state.Database) []state.Instance {
-	hash := xxhash.Sum64String(string(database.ID))
-	order := slices.Clone(v.candidates)
-	slices.SortStableFunc(order, func(a, b candidate) int {
-		aLocal := a.instance.DataCentre == database.DataCentre
-		bLocal := b.instance.DataCentre == database.DataCentre
-		if aLocal != bLocal {
-			return cmp.Compare(localRank(aLocal), localRank(bLocal))
-		}
-		return cmp.Compare(score(b.hash, hash), score(a.hash, hash))
-	})
-	owners := make([]state.Instance, len(order))
-	for i, one := range order {
-		owners[i] = one.instance
+	key := ownersKey{database.ID, database.DataCentre}
+	if known, found := v.known.Load(key); found {
+		return known.([]state.Instance)
 	}
+	owners := v.choose(database)
+	v.known.Store(key, owners)
 	return owners
 }
 
-// localRank orders a database's own data centre before the others.
-func localRank(local bool) int {
-	if local {
-		return 0
+// choose ranks the candidates for a database: those of its data centre, then
+// the others where there are too few.
+func (v *view) choose(database state.Database) []state.Instance {
+	hash := xxhash.Sum64String(string(database.ID))
+	owners := highest(v.byDataCentre[database.DataCentre], hash, maxOwners)
+	if len(owners) == maxOwners {
+		return owners
 	}
-	return 1
+	others := slices.DeleteFunc(slices.Clone(v.candidates), func(one candidate) bool {
+		return one.instance.DataCentre == database.DataCentre
+	})
+	return append(owners, highest(others, hash, maxOwners-len(owners))...)
 }
 
-// owner looks at the database's own data centre only, if any instance is there.
-func (v *view) owner(database state.Database) (state.Instance, bool) {
-	among := v.byDataCentre[database.DataCentre]
-	if len(among) == 0 {
-		among = v.candidates
-	}
-	if len(among) == 0 {
-		return state.Instance{}, false
+// highest returns up to count candidates with the highest scores, the highest
+// first. Equal scores keep the order of the ids.
+func highest(among []candidate, database uint64, count int) []state.Instance {
+	type ranked struct {
+		at    int
+		score uint64
 	}
-	hash := xxhash.Sum64String(string(database.ID))
-	best, highest := 0, score(among[0].hash, hash)
-	for at := 1; at < len(among); at++ {
-		if one := score(among[at].hash, hash); one > highest {
-			best, highest = at, one
+	best := make([]ranked, 0, count+1)
+	for at := range among {
+		next := ranked{at, score(among[at].hash, database)}
+		if len(best) == count && next.score <= best[count-1].score {
+			continue
+		}
+		place := len(best)
+		for place > 0 && next.score > best[place-1].score {
+			place--
 		}
+		best = slices.Insert(best, place, next)
+		best = best[:min(len(best), count)]
+	}
+	instances := make([]state.Instance, len(best))
+	for i, one := range best {
+		instances[i] = among[one.at].instance
+	}
+	return instances
+}
+
+// owner returns the first of owners.
+func (v *view) owner(database state.Database) (state.Instance, bool) {
+	owners := v.owners(database)
+	if len(owners) == 0 {
+		return state.Instance{}, false
 	}
-	return among[best].instance, true
+	return owners[0], true
 }
 
 // sample draws up to n distinct candidates other than self.
--- a/internal/measure/capacity/configuration.go
+++ b/internal/measure/capacity/configuration.go
@@ -79,12 +79,12 @@
 func takeCost(ctx context.Context, current *state.Configuration) float64 {
 	follower := configuration.NewFollower(configuration.NewStore(nil), noPeers{}, nil, configuration.FollowerOptions{}, zerolog.Nop())
 	revision := current.Revision
-	return perCall(callTime, func() {
+	return perCall(func() {
 		next := *current
 		revision++
 		next.Revision = revision
 		follower.HandleExchange(ctx, configuration.Exchange{Digest: configuration.DigestOf(&next), Document: &next})
-	}) - perCall(callTime, func() { configuration.DigestOf(current) })
+	}) - perCall(func() { configuration.DigestOf(current) })
 }
 
 type platformCosts struct {
--- a/internal/measure/capacity/ownership.go
+++ b/internal/measure/capacity/ownership.go
@@ -77,5 +77,5 @@
 	manager := ownership.NewManager(fixedTopology(groups(groupCount)), members, idleFactory{},
 		execution.NewOwner(nil, execution.DefaultOptions()),
 		ownership.Options{ReconcileInterval: time.Second, KeepUnowned: time.Minute}, zerolog.Nop())
-	return perCall(callTime, manager.Reconcile), nil
+	return perCall(manager.Reconcile), nil
 }
