--- a/internal/coordination/execution/owner_stream.go
+++ b/internal/coordination/execution/owner_stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"time"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 )
@@ -26,8 +27,16 @@
 	maxEventBytes = 1 << 20
 )
 
+// errStreamClosed is the cause of a failure to use a stream after Close.
+var errStreamClosed = errors.New("stream is closed")
+
 // ownerStream is the Stream on a backend connection of this instance.
 type ownerStream struct {
+	// using holds a token while nobody sends, receives or closes. It guards
+	// all fields but those of cancelMu, and is taken before cancelMu.
+	using  chan struct{}
+	closed bool
+
 	owner   *Owner
 	group   *ownedGroup
 	server  *server
@@ -54,7 +63,6 @@
 	// cancelling counts cancel requests on their way; a unit is sent only
 	// when there are none, so that none can hit a later unit.
 	cancelling sync.WaitGroup
-	use        streamUse
 }
 
 // runningUnit is the unit that was sent and whose answer is being received.
@@ -72,6 +80,10 @@
 	positionBefore  state.Position
 	// onBackend is set once bytes of the unit may have reached the backend.
 	onBackend bool
+	// freshUntil, when not zero, is when the data would be older than the unit
+	// accepts. The first message of the answer must arrive by then.
+	freshUntil time.Time
+	answered   bool
 	// once is set when the unit runs inside a transaction of the proxy's own
 	// that records its request id.
 	once bool
@@ -81,12 +93,26 @@
 	commandTag  string
 }
 
+// enter takes the stream for one call. It returns false after Close.
+func (s *ownerStream) enter() bool {
+	<-s.using
+	if s.closed {
+		s.leave()
+		return false
+	}
+	return true
+}
+
+func (s *ownerStream) leave() {
+	s.using <- struct{}{}
+}
+
 // Send implements Stream.
 func (s *ownerStream) Send(ctx context.Context, unit Unit) error {
-	if !s.use.begin() {
-		return s.owner.notRun(state.ReasonConnectionLost, "send on a closed stream", string(s.server.Database.ID), nil)
+	if !s.enter() {
+		return s.owner.notRun(state.ReasonConnectionLost, "send to backend server", string(s.server.Database.ID), errStreamClosed)
 	}
-	defer s.endUse()
+	defer s.leave()
 	return s.send(ctx, unit)
 }
 
@@ -96,7 +122,8 @@
 	if err != nil {
 		return s.owner.asNotRun(err, "acquire slot", string(s.server.Database.ID))
 	}
-	if err := s.recheck(ctx, unit, inTransaction); err != nil {
+	freshUntil, err := s.recheck(ctx, unit, inTransaction)
+	if err != nil {
 		slot.Release(false)
 		return err
 	}
@@ -105,7 +132,7 @@
 		return s.settingsFailed(err)
 	}
 	s.unit = &runningUnit{
-		unit: unit, slot: slot, positionBefore: s.conn.position,
+		unit: unit, slot: slot, positionBefore: s.conn.position, freshUntil: freshUntil,
 		silence: startSilenceWatch(s.conn.backend, s.server.Probe, s.owner.options.SilenceTimeout),
 	}
 	if unit.RequestID != "" {
@@ -132,13 +159,14 @@
 	return failure
 }
 
-// recheck repeats what Open checked, since time has passed in the queue.
-func (s *ownerStream) recheck(ctx context.Context, unit Unit, inTransaction bool) error {
+// recheck repeats what Open checked, for this unit: time has passed in the
+// queue, and a stream that is kept may serve units of other needs.
+func (s *ownerStream) recheck(ctx context.Context, unit Unit, inTransaction bool) (freshUntil time.Time, err error) {
 	if inTransaction {
-		return nil
+		return time.Time{}, nil
 	}
 	request := s.request
-	request.Access = unit.Access
+	request.Access, request.Floor, request.MaxAge = unit.Access, unit.Floor, unit.MaxAge
 	return s.owner.mayServe(ctx, s.group, request)
 }
 
@@ -188,10 +216,10 @@
 
 // Receive implements Stream.
 func (s *ownerStream) Receive(ctx context.Context) (Event, error) {
-	if !s.use.begin() {
-		return Event{}, state.Unknown(state.ReasonConnectionLost, "receive on a closed stream", string(s.server.Database.ID), nil)
+	if !s.enter() {
+		return Event{}, state.Unknown(state.ReasonConnectionLost, "receive from backend server", string(s.server.Database.ID), errStreamClosed)
 	}
-	defer s.endUse()
+	defer s.leave()
 	return s.receive(ctx)
 }
 
@@ -212,6 +240,9 @@
 			return Event{}, s.fail(err, "receive from backend server")
 		}
 		s.unit.silence.progress()
+		if err := s.checkFresh(); err != nil {
+			return Event{}, err
+		}
 		done, err := s.handle(message)
 		if err != nil {
 			return Event{}, err
@@ -235,6 +266,22 @@
 	return event
 }
 
+// checkFresh refuses a read's answer that begins when the data may be older
+// than the read accepts, because this process or the path was held up after
+// the check. Nothing of the answer has gone out, and a read leaves no effect.
+func (s *ownerStream) checkFresh() error {
+	running := s.unit
+	if running.answered {
+		return nil
+	}
+	running.answered = true
+	if running.freshUntil.IsZero() || !time.Now().After(running.freshUntil) {
+		return nil
+	}
+	s.endUnit()
+	return s.owner.notRun(state.ReasonTooStale, "await answer", string(s.server.Database.ID), nil)
+}
+
 // handle takes one message into the buffer or the held messages, or swallows
 // it. done is true for ReadyForQuery.
 func (s *ownerStream) handle(message Message) (done bool, err error) {
@@ -405,3 +452,37 @@
 	defer s.cancelling.Done()
 	return s.conn.backend.Cancel(ctx)
 }
+
+// Close implements Stream. A Send or Receive in progress ends first: closing
+// the backend connection ends a wait for the backend server, and the end of
+// its own context any other wait. Its connection is not used again.
+func (s *ownerStream) Close() {
+	select {
+	case <-s.using:
+	default:
+		s.conn.backend.Close()
+		<-s.using
+		s.broken = true
+	}
+	defer s.leave()
+	if s.closed {
+		return
+	}
+	s.closed = true
+	s.close()
+}
+
+func (s *ownerStream) close() {
+	if s.unit != nil {
+		s.endUnit()
+	}
+	s.cancelMu.Lock()
+	cancelUsed := s.cancelUsed
+	s.cancelMu.Unlock()
+	if s.broken || cancelUsed || s.pinned || s.txStatus != txIdle {
+		s.server.pool.discard(s.conn)
+	} else {
+		s.server.pool.put(s.conn)
+	}
+	s.lease.Release()
+}
--- /dev/null
+++ b/internal/measure/today/pools.go
@@ -0,0 +1,80 @@
+package today
+
+import (
+	"context"
+
+	"github.com/jackc/pgx/v5"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/standin/database"
+)
+
+// straightPools are the baselines' connections: each instance has a fixed
+// share of each database's connections and waits for a free one in the order
+// of arrival.
+type straightPools struct {
+	in    *installation
+	pools map[poolKey]chan *pgx.Conn
+}
+
+type poolKey struct {
+	instance int
+	server   *database.Server
+}
+
+// newStraightPools opens all connections of all instances.
+func newStraightPools(ctx context.Context, in *installation) (*straightPools, error) {
+	p := &straightPools{in: in, pools: map[poolKey]chan *pgx.Conn{}}
+	// One more share is left to the status requests of the proxy.
+	share := in.deployment.MaxConnections / (instances + 1)
+	for _, group := range in.groups {
+		for _, server := range group.Servers() {
+			for instance := range instances {
+				p.pools[poolKey{instance, server}] = make(chan *pgx.Conn, share)
+			}
+		}
+	}
+	if err := p.fill(ctx); err != nil {
+		p.close()
+		return nil, err
+	}
+	return p, nil
+}
+
+// fill opens the connections of all pools side by side.
+func (p *straightPools) fill(ctx context.Context) error {
+	opening, ctx := errgroup.WithContext(ctx)
+	for key, pool := range p.pools {
+		opening.Go(func() error {
+			for range cap(pool) {
+				conn, err := p.in.connectStraight(ctx, p.in.sites[key.instance], key.server)
+				if err != nil {
+					return err
+				}
+				pool <- conn
+			}
+			return nil
+		})
+	}
+	return opening.Wait()
+}
+
+// with uses a connection of an instance to a database.
+func (p *straightPools) with(ctx context.Context, instance int, server *database.Server, use func(*pgx.Conn) error) error {
+	pool := p.pools[poolKey{instance, server}]
+	select {
+	case conn := <-pool:
+		defer func() { pool <- conn }()
+		return use(conn)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (p *straightPools) close() {
+	for _, pool := range p.pools {
+		for len(pool) > 0 {
+			_ = (<-pool).Close(context.Background())
+		}
+	}
+}
--- a/internal/transport/peerlink/clientlink.go
+++ b/internal/transport/peerlink/clientlink.go
@@ -30,10 +30,11 @@
 	*link
 	client *Client
 
-	// sending is held from the choice of an id until the frame that begins
-	// the stream or call is queued, so that the peer sees ids go up. It is
-	// taken before mu.
-	sending  sync.Mutex
+	// opening is held from the choice of an id until its first frame is
+	// posted: the peer ends a link on which the ids do not go up. It is taken
+	// before mu.
+	opening sync.Mutex
+
 	mu       sync.Mutex
 	streams  map[uint64]*clientStream
 	calls    map[uint64]*pendingCall
@@ -55,7 +56,7 @@
 // open asks the peer for a stream and waits for its answer. Every error is not
 // run, because no unit is sent before the stream is held.
 func (c *clientLink) open(ctx context.Context, request execution.OpenRequest) (*clientStream, *state.Failure) {
-	stream, failure := c.sendOpen(request)
+	stream, failure := c.startStream(request)
 	if failure != nil {
 		return nil, failure
 	}
@@ -75,10 +76,10 @@
 	}
 }
 
-// sendOpen queues the frame that begins a new stream.
-func (c *clientLink) sendOpen(request execution.OpenRequest) (*clientStream, *state.Failure) {
-	c.sending.Lock()
-	defer c.sending.Unlock()
+// startStream adds a stream and posts its first frame.
+func (c *clientLink) startStream(request execution.OpenRequest) (*clientStream, *state.Failure) {
+	c.opening.Lock()
+	defer c.opening.Unlock()
 	stream, failure := c.addStream()
 	if failure != nil {
 		return nil, failure
@@ -282,7 +283,7 @@
 	if deadline, found := ctx.Deadline(); found {
 		request.Timeout = max(time.Until(deadline), time.Nanosecond)
 	}
-	id, call, failure := c.sendCall(request)
+	id, call, failure := c.startCall(request)
 	if failure != nil {
 		return nil, failure
 	}
@@ -294,6 +295,17 @@
 	}
 }
 
+// startCall adds a call and posts its frame.
+func (c *clientLink) startCall(request *peerproto.Call) (uint64, *pendingCall, *state.Failure) {
+	c.opening.Lock()
+	defer c.opening.Unlock()
+	id, call, failure := c.addCall(request)
+	if failure == nil {
+		c.post(call.frame) // where it fails, the end of the link answers the call
+	}
+	return id, call, failure
+}
+
 func (c *clientLink) abandonCall(id uint64, call *pendingCall, cause error) ([]byte, *state.Failure) {
 	c.mu.Lock()
 	_, waiting := c.calls[id]
@@ -308,18 +320,6 @@
 	return nil, c.callFailure(call, state.ReasonSilent, cause)
 }
 
-// sendCall queues the frame that begins a new call.
-func (c *clientLink) sendCall(request *peerproto.Call) (uint64, *pendingCall, *state.Failure) {
-	c.sending.Lock()
-	defer c.sending.Unlock()
-	id, call, failure := c.addCall(request)
-	if failure != nil {
-		return 0, nil, failure
-	}
-	c.post(call.frame) // where it fails, the end of the link answers the call
-	return id, call, nil
-}
-
 func (c *clientLink) addCall(request *peerproto.Call) (uint64, *pendingCall, *state.Failure) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/transport/peerlink/peerlink_test.go
+++ b/internal/transport/peerlink/peerlink_test.go
@@ -521,6 +521,33 @@
 	})
 }
 
+// The peer ends a link whose ids do not go up, and with it all streams.
+func TestOpensAtOnceReachThePeerInTheOrderOfTheirIDs(t *testing.T) {
+	p := newPair()
+	defer p.close()
+	const callers, opensEach = 16, 300
+	var running sync.WaitGroup
+	failures := make(chan error, callers)
+	for range callers {
+		running.Go(func() {
+			for range opensEach {
+				stream, err := p.client.Open(context.Background(), owner, execution.OpenRequest{})
+				if err != nil {
+					failures <- err
+					return
+				}
+				stream.Close()
+			}
+		})
+	}
+	running.Wait()
+	close(failures)
+	for err := range failures {
+		require.NoError(t, err)
+	}
+	require.Equal(t, 1, p.network.dials())
+}
+
 // The server takes ids in rising order only, so frames that begin something
 // must be queued in the order of their ids.
 func TestManyOpensAndCallsAtOnceShareOneLink(t *testing.T) {
