backend: the status of a database is asked by a prepared statement

An owner asks each database of a watched group four times a second when idle. Prepared once a connection: 133 bytes, 1.59 KB/s a group.

--- a/internal/transport/backend/control.go
+++ b/internal/transport/backend/control.go
@@ -49,6 +49,21 @@
 	// turn holds one token; who takes it owns connection.
 	turn       chan struct{}
 	connection *pgconn.PgConn
+	// prepared is the status statement on connection; nil before the first.
+	prepared *pgconn.StatementDescription
+}
+
+// statusStatement is both the name and the text of what is asked most often.
+const statusStatement = "SELECT * FROM group_status()"
+
+// statusQuery runs a statement on a connection.
+type statusQuery func(ctx context.Context, connection *pgconn.PgConn) ([]*pgconn.Result, error)
+
+// plainly sends a statement as its text.
+func plainly(statement string) statusQuery {
+	return func(ctx context.Context, connection *pgconn.PgConn) ([]*pgconn.Result, error) {
+		return connection.Exec(ctx, statement).ReadAll()
+	}
 }
 
 // NewControl returns a Control that has not dialled yet.
@@ -65,24 +80,38 @@
 
 // Status asks for the database's status.
 func (c *Control) Status(ctx context.Context) (state.DatabaseStatus, error) {
-	return c.call(ctx, stepStatus, "SELECT * FROM group_status()")
+	return c.call(ctx, stepStatus, c.preparedStatus)
+}
+
+// preparedStatus asks by a prepared statement, whose answer carries no names of
+// columns: an owner asks each database several times a second.
+func (c *Control) preparedStatus(ctx context.Context, connection *pgconn.PgConn) ([]*pgconn.Result, error) {
+	if c.prepared == nil {
+		prepared, err := connection.Prepare(ctx, statusStatement, statusStatement, nil)
+		if err != nil {
+			return nil, err
+		}
+		c.prepared = prepared
+	}
+	result := connection.ExecStatement(ctx, c.prepared, nil, nil, nil).Read()
+	return []*pgconn.Result{result}, result.Err
 }
 
 // Fence asks the database to accept a term for a promoter.
 func (c *Control) Fence(ctx context.Context, term state.Term, promoter state.InstanceID) (state.DatabaseStatus, error) {
-	return c.call(ctx, stepFence, fmt.Sprintf("SELECT * FROM group_fence(%d, %s)", term, quote(string(promoter))))
+	return c.call(ctx, stepFence, plainly(fmt.Sprintf("SELECT * FROM group_fence(%d, %s)", term, quote(string(promoter)))))
 }
 
 // Promote asks the database, which the same promoter has fenced, to be the
 // primary of the term.
 func (c *Control) Promote(ctx context.Context, term state.Term, promoter state.InstanceID) (state.DatabaseStatus, error) {
-	return c.call(ctx, stepPromote, fmt.Sprintf("SELECT * FROM group_promote(%d, %s)", term, quote(string(promoter))))
+	return c.call(ctx, stepPromote, plainly(fmt.Sprintf("SELECT * FROM group_promote(%d, %s)", term, quote(string(promoter)))))
 }
 
 // Follow asks the database to be a replica of the primary of the term.
 func (c *Control) Follow(ctx context.Context, term state.Term, primary state.Database) (state.DatabaseStatus, error) {
-	return c.call(ctx, stepFollow, fmt.Sprintf("SELECT * FROM group_follow(%d, %s, %s)",
-		term, quote(string(primary.ID)), quote(primary.Address)))
+	return c.call(ctx, stepFollow, plainly(fmt.Sprintf("SELECT * FROM group_follow(%d, %s, %s)",
+		term, quote(string(primary.ID)), quote(primary.Address))))
 }
 
 // Probe asks for the status over a new connection, which it then closes. It
@@ -93,7 +122,7 @@
 		return state.DatabaseStatus{}, c.unreachable(stepProbe, err)
 	}
 	defer closeConnection(connection)
-	return c.ask(ctx, connection, stepProbe, "SELECT * FROM group_status()")
+	return c.ask(ctx, connection, stepProbe, plainly(statusStatement))
 }
 
 // Close closes the kept connection, after the call that runs now.
@@ -103,8 +132,8 @@
 	c.turn <- struct{}{}
 }
 
-// call runs a statement on the kept connection.
-func (c *Control) call(ctx context.Context, step, statement string) (state.DatabaseStatus, error) {
+// call runs a query on the kept connection.
+func (c *Control) call(ctx context.Context, step string, run statusQuery) (state.DatabaseStatus, error) {
 	select {
 	case <-c.turn:
 	case <-ctx.Done():
@@ -116,9 +145,9 @@
 		if err != nil {
 			return state.DatabaseStatus{}, c.unreachable(step, err)
 		}
-		c.connection = connection
+		c.connection, c.prepared = connection, nil
 	}
-	status, err := c.ask(ctx, c.connection, step, statement)
+	status, err := c.ask(ctx, c.connection, step, run)
 	var refused *RefusedError
 	if err != nil && !errors.As(err, &refused) {
 		c.drop()
@@ -126,9 +155,9 @@
 	return status, err
 }
 
-// ask runs a statement and reads the status that it answers.
-func (c *Control) ask(ctx context.Context, connection *pgconn.PgConn, step, statement string) (state.DatabaseStatus, error) {
-	results, err := connection.Exec(ctx, statement).ReadAll()
+// ask runs a query and reads the status that it answers.
+func (c *Control) ask(ctx context.Context, connection *pgconn.PgConn, step string, run statusQuery) (state.DatabaseStatus, error) {
+	results, err := run(ctx, connection)
 	if err != nil {
 		return state.DatabaseStatus{}, c.callError(step, err)
 	}
