--- a/internal/measure/capacity/configuration.go
+++ b/internal/measure/capacity/configuration.go
@@ -79,12 +79,12 @@
 func takeCost(ctx context.Context, current *state.Configuration) float64 {
 	follower := configuration.NewFollower(configuration.NewStore(nil), noPeers{}, nil, configuration.FollowerOptions{}, zerolog.Nop())
 	revision := current.Revision
-	return perCall(callTime, func() {
+	return perCall(func() {
 		next := *current
 		revision++
 		next.Revision = revision
 		follower.HandleExchange(ctx, configuration.Exchange{Digest: configuration.DigestOf(&next), Document: &next})
-	}) - perCall(callTime, func() { configuration.DigestOf(current) })
+	}) - perCall(func() { configuration.DigestOf(current) })
 }
 
 type platformCosts struct {
@@ -105,15 +105,16 @@
 		return platformCosts{}, err
 	}
 	var costs platformCosts
-	costs.pollBytes, _, err = service.cost(func() error {
+	head, err := service.cost(func() error {
 		_, err := store.Head(ctx)
 		return err
 	})
 	if err != nil {
 		return costs, err
 	}
+	costs.pollBytes = head.bytes
 	number := state.Revision(1)
-	costs.editBytes, costs.editTime, err = service.cost(func() error {
+	edited, err := service.cost(func() error {
 		limit := current.Limits[0]
 		limit.MaxConnections = 5 + int(number%2)
 		next := configuration.Edit{
@@ -124,5 +125,6 @@
 		_, err := store.Edit(ctx, next, nil, groupIDs)
 		return err
 	})
+	costs.editBytes, costs.editTime = edited.bytes, edited.processor
 	return costs, err
 }
