peerlink: a dial that times out closes the connection it dialled

Cause: the variable that the closing function captured was assigned anew for TLS meanwhile; the race detector found it in 1 of 8 runs on one processor (TestEveryCallerGetsItsWholeAnswerOrAnHonestFailure). The accepting side kept the connection apart already.

--- a/internal/transport/peerlink/client.go
+++ b/internal/transport/peerlink/client.go
@@ -224,13 +224,13 @@
 func (c *Client) dial(peer state.Instance) (*clientLink, error) {
 	ctx, cancel := context.WithTimeout(c.ctx, c.config.HandshakeTimeout)
 	defer cancel()
-	conn, err := c.config.Dial(ctx, peer.PeerAddress)
+	dialled, err := c.config.Dial(ctx, peer.PeerAddress)
 	if err != nil {
 		return nil, err
 	}
-	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	stop := context.AfterFunc(ctx, func() { dialled.Close() })
 	defer stop()
-	conn = clientTLS(conn, c.config.ClientTLS)
+	conn := clientTLS(dialled, c.config.ClientTLS)
 	want := peerproto.Identity{ID: peer.ID, Incarnation: peer.Incarnation}
 	agreement, err := peerproto.Dial(conn, c.config.party(), want)
 	if err == nil && !stop() {
