--- a/internal/coordination/properties/properties_test.go
+++ b/internal/coordination/properties/properties_test.go
@@ -290,14 +290,82 @@
 
 // An owner that is cut off together with a superseded primary, and that other
 // instances still reach, may refuse but must not answer from before the change.
+// The superseded primary's log has gone on, unacknowledged, past its
+// successor's.
 func TestOwnerCutOffWithASupersededPrimaryAnswersNothingOld(t *testing.T) {
 	for index := range instanceCount {
 		w := simulate(t, uint64(index), func(w *world) {
 			time.Sleep(500 * time.Millisecond)
-			w.do(func() { w.isolatePrimary(strconv.Itoa(index)) })
+			w.do(func() {
+				primary := w.databases[w.primaryName()]
+				w.isolatePrimary(strconv.Itoa(index))
+				for value := range 2000 {
+					primary.log = append(primary.log, entry{term: primary.term, values: []int{-value - 1}})
+				}
+			})
 			time.Sleep(20 * time.Second)
 		})
 		require.Empty(t, w.history.violations, "instance %d", index)
 		require.Positive(t, w.changes)
 	}
 }
+
+// With the primary and the platform out of reach, reads that a replica may
+// serve go on: those that accept an age as long as it is proven, those of a
+// session whose floor is covered for as long as the cut lasts. Others are
+// refused as not run, and nothing is answered wrongly.
+func TestReplicasServeWhatTheyMayWithoutPrimaryAndPlatform(t *testing.T) {
+	w := simulate(t, 1, func(w *world) {
+		time.Sleep(time.Second)
+		c := &client{world: w, name: "reader", random: rand.New(rand.NewPCG(1, 1)), scope: state.ScopeConnection}
+		c.move(false)
+		require.NoError(t, c.write(false))
+		time.Sleep(time.Second)
+		w.do(func() {
+			w.isolate("a")
+			w.isolate("platform")
+			w.cutBoth("b", "c")
+			for _, name := range []string{"0", "1", "2", "3"} {
+				w.cutBoth(name, "c")
+			}
+		})
+		cut := time.Now()
+		for time.Since(cut) < 30*time.Second {
+			require.NoError(t, c.read(0), "the floor is covered")
+			require.NoError(t, c.read(time.Minute), "the age is proven")
+			other := &client{world: w, name: "newcomer", random: c.random, scope: state.ScopeConnection}
+			other.move(false)
+			asked := time.Now()
+			require.True(t, isNotRun(other.read(0)), "nothing proves what was acknowledged before")
+			require.LessOrEqual(t, time.Since(asked), 2*time.Second)
+			other.session.Close()
+			time.Sleep(time.Second)
+		}
+		c.session.Close()
+	})
+	require.Empty(t, w.history.violations)
+	require.Zero(t, w.changes)
+}
+
+// An instance that is paused between its check of the age and the answer gives
+// out nothing older than the read accepts.
+func TestPausedOwnerGivesOutNothingTooOld(t *testing.T) {
+	w := simulate(t, 1, func(w *world) {
+		for round := range 40 {
+			name := strconv.Itoa(round % instanceCount)
+			w.do(func() {
+				w.cut[[2]string{"a", "b"}] = true
+				w.cut[[2]string{"a", "c"}] = round%2 == 0
+				w.frozen[name] = true
+			})
+			time.Sleep(1200 * time.Millisecond)
+			w.do(func() {
+				clear(w.frozen)
+				clear(w.cut)
+			})
+			time.Sleep(300 * time.Millisecond)
+		}
+	})
+	require.Empty(t, w.history.violations)
+	require.Positive(t, w.history.ages)
+}
--- /dev/null
+++ b/internal/coordination/session/session_test.go
@@ -0,0 +1,214 @@
+package session
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/execution"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/routing"
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// owner is an instance that owns a group of three databases. answer decides
+// what becomes of each unit.
+type owner struct {
+	barrier state.Position
+	taken   int
+	units   []execution.Unit
+	answer  func(unit execution.Unit, attempt int) (execution.Event, error)
+	open    int
+}
+
+func (o *owner) Get(id state.GroupID) (state.Group, bool) {
+	group := state.Group{ID: id, Primary: "a"}
+	for _, name := range []state.DatabaseID{"a", "b", "c"} {
+		group.Databases = append(group.Databases, state.Database{ID: name})
+	}
+	return group, true
+}
+
+func (o *owner) Self() state.Instance { return state.Instance{ID: "0"} }
+
+func (o *owner) Owners(state.Database) []state.Instance                     { return []state.Instance{o.Self()} }
+func (o *owner) ReportFailure(state.InstanceID, state.Incarnation, error)   {}
+func (o *owner) ReportSuccess(state.InstanceID, state.Incarnation)          {}
+func (o *owner) UnitDone(execution.Access, state.GroupID, state.DatabaseID) {}
+func (o *owner) Barrier(context.Context, state.GroupID) (state.Position, error) {
+	o.taken++
+	return o.barrier, nil
+}
+
+func (o *owner) Open(context.Context, execution.OpenRequest) (execution.Stream, error) {
+	o.open++
+	return &stream{owner: o}, nil
+}
+
+type stream struct {
+	owner *owner
+	unit  execution.Unit
+}
+
+func (s *stream) Send(_ context.Context, unit execution.Unit) error {
+	s.owner.units = append(s.owner.units, unit)
+	s.unit = unit
+	return nil
+}
+
+func (s *stream) Receive(context.Context) (execution.Event, error) {
+	return s.owner.answer(s.unit, len(s.owner.units))
+}
+func (s *stream) Cancel(context.Context) error { return nil }
+func (s *stream) Close()                       { s.owner.open-- }
+
+// patience is a retry budget of so many retries.
+type patience int
+
+func (p *patience) Succeeded() {}
+func (p *patience) Take() bool {
+	*p--
+	return *p >= 0
+}
+
+func newSession(o *owner, scope state.SessionScope, retries int) *Session {
+	router := routing.New(o, o, nil, o, routing.DefaultOptions())
+	budget := patience(retries)
+	return New(Identity{Group: "g", Scope: scope, QueueTimeout: time.Second}, router, &budget, o, state.Position{})
+}
+
+func run(s *Session, unit execution.Unit, freshness Freshness) error {
+	return s.Run(context.Background(), unit, freshness, func(execution.Event) error { return nil })
+}
+
+func done(status byte) execution.Event { return execution.Event{Done: true, TxStatus: status} }
+
+// A unit is sent again only if it surely did not run or is a read, never
+// within a transaction, and only within the budget and maxAttempts.
+func TestOnlyWhatMayRunAgainIsSentAgain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		write := rapid.Bool().Draw(t, "write")
+		unknown := rapid.Bool().Draw(t, "unknown")
+		inTransaction := rapid.Bool().Draw(t, "in a transaction")
+		failures := rapid.IntRange(0, 4).Draw(t, "failures")
+		budget := rapid.IntRange(0, 4).Draw(t, "budget")
+		o := &owner{}
+		s := newSession(o, state.ScopeConnection, budget)
+		if inTransaction {
+			o.answer = func(execution.Unit, int) (execution.Event, error) { return done(StatusActive), nil }
+			require.NoError(t, run(s, execution.Unit{}, Freshness{}))
+			o.units = nil
+		}
+		o.answer = func(_ execution.Unit, attempt int) (execution.Event, error) {
+			switch {
+			case attempt > failures:
+				return done(StatusIdle), nil
+			case unknown:
+				return execution.Event{}, state.Unknown(state.ReasonConnectionLost, "test", "", nil)
+			default:
+				return execution.Event{}, state.NotRun(state.ReasonConnectionLost, "test", "", 0, nil)
+			}
+		}
+		unit := execution.Unit{Access: execution.AccessRead}
+		if write {
+			unit.Access = execution.AccessWrite
+		}
+		err := run(s, unit, Freshness{})
+		retries := min(failures, budget, maxAttempts-1)
+		if inTransaction || (write && unknown) {
+			retries = 0
+		}
+		require.Len(t, o.units, retries+1)
+		require.Equal(t, retries < failures, err != nil)
+		require.Equal(t, inTransaction && err != nil, s.Lost())
+		if s.Lost() {
+			require.Equal(t, byte(StatusFailed), s.Status())
+			s.EndLost()
+		}
+		require.Equal(t, byte(StatusIdle), s.Status())
+		s.Close()
+		require.Zero(t, o.open, "a stream was leaked")
+	})
+}
+
+func TestUnitsOnAPinnedStreamCarryTheirOwnNeeds(t *testing.T) {
+	o := &owner{barrier: state.Position{Term: 1, Offset: 5}}
+	o.answer = func(execution.Unit, int) (execution.Event, error) {
+		event := done(StatusIdle)
+		event.Pinned = true
+		return event, nil
+	}
+	s := newSession(o, state.ScopeConnection, 0)
+	require.NoError(t, run(s, execution.Unit{Access: execution.AccessRead, Pins: true}, Freshness{MaxAge: time.Second}))
+	require.Zero(t, o.taken, "a read that accepts an age needs no barrier")
+	require.NoError(t, run(s, execution.Unit{Access: execution.AccessRead}, Freshness{}))
+	s.RaiseFloor(state.Position{Term: 2, Offset: 1})
+	require.NoError(t, run(s, execution.Unit{Access: execution.AccessRead}, Freshness{}))
+	require.Equal(t, time.Second, o.units[0].MaxAge)
+	require.Equal(t, o.barrier, o.units[1].Floor)
+	require.Zero(t, o.units[1].MaxAge)
+	require.Equal(t, state.Position{Term: 2, Offset: 1}, o.units[2].Floor)
+	s.Close()
+	require.Zero(t, o.open)
+}
+
+func TestReadWhoseAgeIsNotProvenRunsAsOneThatAcceptsNone(t *testing.T) {
+	o := &owner{barrier: state.Position{Term: 1, Offset: 5}}
+	o.answer = func(unit execution.Unit, _ int) (execution.Event, error) {
+		if unit.MaxAge > 0 {
+			return execution.Event{}, state.NotRun(state.ReasonTooStale, "test", "", 0, nil)
+		}
+		return done(StatusIdle), nil
+	}
+	s := newSession(o, state.ScopeConnection, 0)
+	require.NoError(t, run(s, execution.Unit{Access: execution.AccessRead}, Freshness{MaxAge: time.Second}))
+	require.Equal(t, 1, o.taken)
+	require.Equal(t, o.barrier, o.units[1].Floor)
+}
+
+// A barrier is taken by the first unit that may read, and for each in plan
+// scope, but not for units that look at no data.
+func TestBarriersTaken(t *testing.T) {
+	for _, c := range []struct {
+		scope state.SessionScope
+		units []Freshness
+		want  int
+	}{
+		{state.ScopeConnection, []Freshness{{}, {}, {}}, 1},
+		{state.ScopePlan, []Freshness{{}, {}, {}}, 3},
+		{state.ScopePlan, []Freshness{{Any: true}, {MaxAge: time.Second}, {}}, 1},
+	} {
+		o := &owner{}
+		o.answer = func(execution.Unit, int) (execution.Event, error) { return done(StatusIdle), nil }
+		s := newSession(o, c.scope, 0)
+		for _, freshness := range c.units {
+			require.NoError(t, run(s, execution.Unit{Access: execution.AccessRead}, freshness))
+		}
+		require.Equal(t, c.want, o.taken)
+	}
+}
+
+func TestParameterChangesOfATransactionCountOnceItCommits(t *testing.T) {
+	for _, committed := range []bool{true, false} {
+		o := &owner{}
+		o.answer = func(execution.Unit, int) (execution.Event, error) { return done(StatusActive), nil }
+		s := newSession(o, state.ScopeConnection, 0)
+		s.ChangeSetting("A", "before")
+		require.NoError(t, run(s, execution.Unit{}, Freshness{}))
+		s.ChangeSetting("a", "inside")
+		s.ChangeSetting("b", "inside")
+		require.Equal(t, []execution.Setting{{Name: "a", Value: "before"}}, s.Settings())
+		s.EndTransactionSettings(committed)
+		want := []execution.Setting{{Name: "a", Value: "before"}}
+		if committed {
+			want = []execution.Setting{{Name: "a", Value: "inside"}, {Name: "b", Value: "inside"}}
+		}
+		require.Equal(t, want, s.Settings())
+		s.Close()
+	}
+}
