--- /dev/null
+++ b/internal/cli/measure_today.go
@@ -0,0 +1,89 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/rotisserie/eris"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/measure/today"
+)
+
+const measureTodayHelp = `Runs an installation of the size of each of today's deployments on loopback,
+with their latencies, and prints the share of reads that replicas serve, the
+failover gap, goodput and fairness under a flood, and the cost of the proxy,
+each beside baselines in the same run. It takes less than four minutes, with
+--quick less than one. With --baseline, a document that --output json wrote,
+each main figure is followed by its ratio to that run's.`
+
+func measureTodayCommand(stdout, stderr io.Writer) *ffcli.Command {
+	flags := flag.NewFlagSet("cyclamenpin measure today", flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	quick := flags.Bool("quick", false, "fewer and shorter samples")
+	only := flags.String("only", "", "measure only these, by commas: "+strings.Join(today.Sections(), ", "))
+	output := flags.String("output", "table", "table or json")
+	save := flags.String("save", "", "file for the JSON document, beside the output")
+	baseline := flags.String("baseline", "", "JSON document of a former run to compare with")
+	return &ffcli.Command{
+		Name:       "today",
+		ShortUsage: "cyclamenpin measure today [flags]",
+		ShortHelp:  "measure both deployments at their sizes of today",
+		LongHelp:   measureTodayHelp,
+		FlagSet:    flags,
+		Options:    []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
+		Exec: func(ctx context.Context, _ []string) error {
+			if *output != "table" && *output != "json" {
+				return usageError("--output: want table or json")
+			}
+			former, err := readFormer(*baseline)
+			if err != nil {
+				return err
+			}
+			options := today.Options{Quick: *quick, Only: splitList(*only), Commit: version(), Progress: stderr}
+			report, err := today.Run(ctx, options)
+			if err != nil {
+				return err
+			}
+			if err := saveReport(*save, report); err != nil {
+				return err
+			}
+			if *output == "json" {
+				return report.WriteJSON(stdout)
+			}
+			return report.WriteTable(stdout, former)
+		},
+	}
+}
+
+// readFormer reads the report of a former run, nil where no file is named.
+func readFormer(path string) (*today.Report, error) {
+	if path == "" {
+		return nil, nil
+	}
+	file, err := os.Open(path) //nolint:gosec // the operator names the file
+	if err != nil {
+		return nil, eris.Wrap(err, "open baseline")
+	}
+	defer file.Close() //nolint:errcheck // it was only read
+	return today.ReadReport(file)
+}
+
+func saveReport(path string, report *today.Report) error {
+	if path == "" {
+		return nil
+	}
+	file, err := os.Create(path) //nolint:gosec // the operator names the file
+	if err != nil {
+		return eris.Wrap(err, "save report")
+	}
+	if err := report.WriteJSON(file); err != nil {
+		_ = file.Close()
+		return err
+	}
+	return eris.Wrap(file.Close(), "save report")
+}
--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -62,6 +62,7 @@
 			LimitsCommand(stdout, stderr),
 			dumpCommand(stdout, stderr),
 			standinCommand(stdout, stderr),
+			measureCommand(stdout, stderr),
 			versionCommand(stdout),
 		},
 		Exec: func(_ context.Context, args []string) error {
--- a/internal/measure/today/failover.go
+++ b/internal/measure/today/failover.go
@@ -33,15 +33,17 @@
 	inflict      func(*database.Server)
 }
 
-func faults() []fault {
+func faults(quick bool) []fault {
 	kill := func(server *database.Server) { server.Kill() }
 	freeze := func(server *database.Server) { server.SetFrozen(true) }
-	return []fault{
-		{name: "killed", inflict: kill},
-		{name: "frozen", inflict: freeze},
+	alone := []fault{{name: "killed", inflict: kill}, {name: "frozen", inflict: freeze}}
+	if quick {
+		return alone
+	}
+	return append(alone, []fault{
 		{name: "killed, platform down", inflict: kill, platformDown: true},
 		{name: "frozen, platform down", inflict: freeze, platformDown: true},
-	}
+	}...)
 }
 
 // Spread is the median and the worst of several samples, in milliseconds.
@@ -80,9 +82,9 @@
 
 // measureFailover takes the gap after each kind of fault. Each round has a new
 // installation, because changes of one group are spaced on purpose.
-func measureFailover(ctx context.Context, deployment Deployment, rounds int) ([]FailoverResult, error) {
+func measureFailover(ctx context.Context, deployment Deployment, rounds int, quick bool) ([]FailoverResult, error) {
 	var results []FailoverResult
-	for _, fault := range faults() {
+	for _, fault := range faults(quick) {
 		samples := &failoverSamples{}
 		for range rounds {
 			if err := samples.round(ctx, deployment, fault); err != nil {
@@ -318,4 +320,3 @@
 	}
 	return lost
 }
-
--- a/internal/measure/today/flood.go
+++ b/internal/measure/today/flood.go
@@ -1,8 +1,10 @@
 package today
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -267,17 +269,16 @@
 
 // maxMinFair divides a capacity: no plan gets more than it asks for, and what
 // one leaves is divided among the others.
-func maxMinFair(rates [floodPlans]float64, capacity float64) [floodPlans]float64 {
-	var fair [floodPlans]float64
-	for left := floodPlans; left > 0; left-- {
-		least := -1
-		for plan, rate := range rates {
-			if fair[plan] == 0 && (least < 0 || rate < rates[least]) {
-				least = plan
-			}
-		}
-		fair[least] = min(rates[least], capacity/float64(left))
-		capacity -= fair[least]
+func maxMinFair(rates [floodPlans]float64, capacity float64) []float64 {
+	order := make([]int, 0, floodPlans)
+	for plan := range rates {
+		order = append(order, plan)
+	}
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(rates[a], rates[b]) })
+	fair := make([]float64, floodPlans)
+	for served, plan := range order {
+		fair[plan] = min(rates[plan], capacity/float64(floodPlans-served))
+		capacity -= fair[plan]
 	}
 	return fair
 }
--- /dev/null
+++ b/internal/measure/today/report.go
@@ -0,0 +1,189 @@
+package today
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"runtime"
+	"text/tabwriter"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+)
+
+// Report is all that one run measured.
+type Report struct {
+	Commit   string           `json:"commit"`
+	Taken    time.Time        `json:"taken"`
+	Cores    int              `json:"cores"`
+	Quick    bool             `json:"quick"`
+	Seconds  float64          `json:"seconds"`
+	Reads    []ReadResult     `json:"reads"`
+	Failover []FailoverResult `json:"failover"`
+	Flood    []FloodResult    `json:"flood"`
+	Cost     []CostResult     `json:"cost"`
+}
+
+// Options say how much to measure.
+type Options struct {
+	// Quick takes fewer and shorter samples.
+	Quick bool
+	// Only names the sections to take; all where empty.
+	Only []string
+	// Commit names the code that is measured.
+	Commit string
+	// Progress gets a line at the start of each section.
+	Progress io.Writer
+}
+
+// Lengths of the samples.
+const (
+	readsTime      = 3 * time.Second
+	readsTimeQuick = time.Second
+	failoverRounds = 2
+	floodTime      = 2500 * time.Millisecond
+	floodTimeQuick = 1500 * time.Millisecond
+	costTime       = time.Second
+	costTimeQuick  = 400 * time.Millisecond
+)
+
+// section is one part of the report.
+type section struct {
+	name string
+	take func(context.Context, Options, *Report) error
+}
+
+func sections() []section {
+	return []section{
+		{"reads", takeReads}, {"failover", takeFailover}, {"flood", takeFlood}, {"cost", takeCost},
+	}
+}
+
+// Sections names the parts that Options.Only may choose.
+func Sections() []string {
+	var names []string
+	for _, section := range sections() {
+		names = append(names, section.name)
+	}
+	return names
+}
+
+// Run takes all measures.
+func Run(ctx context.Context, options Options) (*Report, error) {
+	began := time.Now()
+	report := &Report{Commit: options.Commit, Taken: began.UTC(), Cores: runtime.GOMAXPROCS(0), Quick: options.Quick}
+	wanted := map[string]bool{}
+	for _, name := range options.Only {
+		wanted[name] = true
+	}
+	for _, section := range sections() {
+		if len(wanted) > 0 && !wanted[section.name] {
+			continue
+		}
+		fmt.Fprintf(options.Progress, "measuring %s\n", section.name)
+		if err := section.take(ctx, options, report); err != nil {
+			return nil, eris.Wrapf(err, "measure %s", section.name)
+		}
+	}
+	report.Seconds = time.Since(began).Seconds()
+	return report, nil
+}
+
+// takeReads measures both deployments at once: the load is light.
+func takeReads(ctx context.Context, options Options, report *Report) error {
+	duration := pick(options.Quick, readsTimeQuick, readsTime)
+	results, err := both(ctx, func(ctx context.Context, deployment Deployment) ([]ReadResult, error) {
+		return measureReads(ctx, deployment, duration, options.Quick)
+	})
+	report.Reads = results
+	return err
+}
+
+func takeFailover(ctx context.Context, options Options, report *Report) error {
+	rounds := pick(options.Quick, 1, failoverRounds)
+	results, err := both(ctx, func(ctx context.Context, deployment Deployment) ([]FailoverResult, error) {
+		return measureFailover(ctx, deployment, rounds, options.Quick)
+	})
+	report.Failover = results
+	return err
+}
+
+// takeFlood measures one deployment after the other, because each needs the
+// processors.
+func takeFlood(ctx context.Context, options Options, report *Report) error {
+	duration := pick(options.Quick, floodTimeQuick, floodTime)
+	for _, deployment := range pick(options.Quick, []Deployment{Waitaha()}, []Deployment{Waitaha(), Abay()}) {
+		results, err := measureFlood(ctx, deployment, duration, options.Quick)
+		if err != nil {
+			return err
+		}
+		report.Flood = append(report.Flood, results...)
+	}
+	return nil
+}
+
+func takeCost(ctx context.Context, options Options, report *Report) error {
+	duration := pick(options.Quick, costTimeQuick, costTime)
+	for _, deployment := range []Deployment{withoutLatency(), Waitaha(), Abay()} {
+		results, err := measureCost(ctx, deployment, duration)
+		if err != nil {
+			return err
+		}
+		report.Cost = append(report.Cost, results...)
+	}
+	return nil
+}
+
+// both measures the two deployments at the same time.
+func both[T any](ctx context.Context, measure func(context.Context, Deployment) ([]T, error)) ([]T, error) {
+	deployments := []Deployment{Waitaha(), Abay()}
+	results := make([][]T, len(deployments))
+	running, ctx := errgroup.WithContext(ctx)
+	for i, deployment := range deployments {
+		running.Go(func() (err error) {
+			results[i], err = measure(ctx, deployment)
+			return err
+		})
+	}
+	if err := running.Wait(); err != nil {
+		return nil, err
+	}
+	return append(results[0], results[1]...), nil
+}
+
+func pick[T any](first bool, a, b T) T {
+	if first {
+		return a
+	}
+	return b
+}
+
+// WriteJSON writes the report as a JSON document.
+func (r *Report) WriteJSON(output io.Writer) error {
+	encoder := json.NewEncoder(output)
+	encoder.SetIndent("", "  ")
+	return eris.Wrap(encoder.Encode(r), "write report")
+}
+
+// ReadReport reads what WriteJSON wrote.
+func ReadReport(input io.Reader) (*Report, error) {
+	var report Report
+	if err := json.NewDecoder(input).Decode(&report); err != nil {
+		return nil, eris.Wrap(err, "read report")
+	}
+	return &report, nil
+}
+
+// WriteTable writes the report as Markdown tables. With a former report each
+// of the main figures is followed by its ratio to the former one.
+func (r *Report) WriteTable(output io.Writer, former *Report) error {
+	fmt.Fprintf(output, "commit %s, %s, %d cores, quick: %t, %.0f s\n", r.Commit, r.Taken.Format(time.DateTime), r.Cores, r.Quick, r.Seconds)
+	t := &table{writer: tabwriter.NewWriter(output, 0, 0, 1, ' ', 0), former: newIndex(former)}
+	r.writeReads(t)
+	r.writeFailover(t)
+	r.writeFlood(t)
+	r.writeCost(t)
+	return eris.Wrap(t.writer.Flush(), "write tables")
+}
