--- a/internal/cli/measure.go
+++ b/internal/cli/measure.go
@@ -19,6 +19,7 @@
 		FlagSet:    flags,
 		Subcommands: []*ffcli.Command{
 			measureCapacityCommand(stdout, stderr),
+			measureTodayCommand(stdout, stderr),
 		},
 		Exec: func(context.Context, []string) error {
 			return flag.ErrHelp
--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -63,6 +63,7 @@
 			dumpCommand(stdout, stderr),
 			measureCommand(stdout, stderr),
 			standinCommand(stdout, stderr),
+			measureCommand(stdout, stderr),
 			versionCommand(stdout),
 		},
 		Exec: func(_ context.Context, args []string) error {
--- a/internal/coordination/routing/write.go
+++ b/internal/coordination/routing/write.go
@@ -9,8 +9,12 @@
 )
 
 // openWrite opens a stream on the primary. While the primary is unknown or
-// being changed it goes round the group's databases.
+// being changed it goes round the group's databases. The bound holds for the
+// attempts themselves too: where nothing answers, as in a data centre that is
+// cut off, one round over the databases and their owners can take longer.
 func (r *Router) openWrite(ctx context.Context, group state.Group, request Request) (*Stream, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.options.PrimaryWait+request.QueueTimeout)
+	defer cancel()
 	var stream *Stream
 	err := r.awaitPrimary(ctx, func() (err error) {
 		stream, err = r.tryPrimary(ctx, group, request)
