Processes tests: the operators' race meets at the platform; the pause is longer than every timeout

TestTwoOperatorsRace passed on a program whose edits were not conditional on the current lists, because one process had written before the other read.

--- a/test/processes/edits_test.go
+++ b/test/processes/edits_test.go
@@ -44,11 +44,14 @@
 			"--admin", at.adminURL(), "--output", "json",
 		}, more...)
 	}
-	// Both change one entry from one revision: exactly one is accepted.
+	// Both change one entry from one revision: exactly one is accepted. The slow
+	// platform makes both read before either writes.
+	c.turn(c.platform, "/switches", `{"slow_ms":300}`)
 	base := c.dump(live[0]).Configuration.Revision
 	results := race(t,
 		edit(live[0], 5, "--base", fmt.Sprint(base)),
 		edit(live[2], 6, "--base", fmt.Sprint(base)))
+	c.turn(c.platform, "/switches", `{"slow_ms":0}`)
 	accepted, refused := 0, 1
 	if results[0].code != 0 {
 		accepted, refused = 1, 0
--- a/test/processes/instance_test.go
+++ b/test/processes/instance_test.go
@@ -7,6 +7,10 @@
 	"github.com/stretchr/testify/require"
 )
 
+// pauseLength is how long an instance is frozen: longer than the waits, probes
+// and timeouts with which instances and databases follow a request.
+const pauseLength = 12 * time.Second
+
 // request runs a statement in the background; its answer arrives on the
 // channel.
 func request(s *session, sql string) <-chan answer {
@@ -109,6 +113,7 @@
 	eventually(t, primaryBound, func() bool { return c.slotsHeld(paused, c.databases[0]) > 0 }, "no write is in the middle")
 	c.remove(paused)
 	paused.pause(t)
+	pausedAt := time.Now()
 	resumed := false
 	defer func() {
 		if !resumed {
@@ -123,6 +128,7 @@
 	load.awaitAcknowledged(t, 30, primaryBound-time.Since(killed))
 	next, term := c.primary()
 	late := request(idle, insert("idle-2", "idle"))
+	time.Sleep(pauseLength - time.Since(pausedAt)) // the length of the fault itself
 
 	paused.resume(t)
 	resumed = true
