--- a/internal/coordination/execution/owner.go
+++ b/internal/coordination/execution/owner.go
@@ -26,13 +26,17 @@
 	RetryAfter time.Duration
 }
 
+// replacedInterval is the time between two looks at whether a database that is
+// slow to open a connection is still the primary.
+const replacedInterval = 50 * time.Millisecond
+
 // DefaultOptions returns the bounds of a production instance.
 func DefaultOptions() Options {
 	return Options{
 		DialTimeout:        2 * time.Second,
 		AcknowledgeTimeout: 3 * time.Second,
 		CatchUpTimeout:     30 * time.Millisecond,
-		SilenceTimeout:     1 * time.Second,
+		SilenceTimeout:     500 * time.Millisecond,
 		RetryAfter:         500 * time.Millisecond,
 	}
 }
@@ -181,7 +185,7 @@
 	if err != nil {
 		return nil, err
 	}
-	conn, err := o.connect(ctx, server)
+	conn, err := o.connect(ctx, group, server, request)
 	if err != nil {
 		lease.Release()
 		return nil, err
@@ -195,10 +199,14 @@
 	return stream, nil
 }
 
-// connect takes a connection from the pool or opens one.
-func (o *Owner) connect(ctx context.Context, server *server) (*connection, error) {
+// connect takes a connection from the pool or opens one. A write does not wait
+// for a primary that is no longer the primary: one that froze may never answer.
+func (o *Owner) connect(ctx context.Context, group *ownedGroup, server *server, request OpenRequest) (*connection, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, o.options.DialTimeout)
 	defer cancel()
+	if request.Access == AccessWrite {
+		defer o.cancelWhenReplaced(cancel, group, request.Database)()
+	}
 	conn, err := server.pool.get(dialCtx)
 	if err != nil {
 		return nil, o.notRun(state.ReasonUnreachable, "open backend connection", string(server.Database.ID), err)
@@ -206,6 +214,31 @@
 	return conn, nil
 }
 
+// cancelWhenReplaced calls cancel once another database is the primary. The
+// caller calls stop when it no longer matters.
+func (o *Owner) cancelWhenReplaced(cancel func(), group *ownedGroup, database state.DatabaseID) (stop func()) {
+	done := make(chan struct{})
+	timer := time.AfterFunc(replacedInterval, func() {
+		ticker := time.NewTicker(replacedInterval)
+		defer ticker.Stop()
+		for {
+			if primary, known := group.replication.Primary(); known && primary != database {
+				cancel()
+				return
+			}
+			select {
+			case <-ticker.C:
+			case <-done:
+				return
+			}
+		}
+	})
+	return func() {
+		timer.Stop()
+		close(done)
+	}
+}
+
 // mayServe checks that the database may run the request now.
 func (o *Owner) mayServe(ctx context.Context, group *ownedGroup, request OpenRequest) error {
 	if request.Access == AccessWrite {
--- a/internal/coordination/execution/owner_test.go
+++ b/internal/coordination/execution/owner_test.go
@@ -183,6 +183,42 @@
 	})
 }
 
+// frozenDialer never opens a connection.
+type frozenDialer struct{}
+
+func (frozenDialer) Dial(ctx context.Context, _ state.Database) (Backend, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// replacedPrimary is a group whose primary is replaced after a time.
+type replacedPrimary struct {
+	fakeReplication
+	replaced time.Time
+}
+
+func (r *replacedPrimary) Primary() (state.DatabaseID, bool) {
+	if time.Now().Before(r.replaced) {
+		return testDatabase, true
+	}
+	return "another", true
+}
+
+func TestWriteDoesNotWaitForAFrozenPrimaryThatWasReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const replacedAfter = 300 * time.Millisecond
+		owner := NewOwner(frozenDialer{}, DefaultOptions())
+		replication := &replacedPrimary{replaced: time.Now().Add(replacedAfter)}
+		owner.SetGroup("group", replication, []ServerParts{{
+			Database: state.Database{ID: testDatabase, MaxConnections: 4, Slots: 3}, Gate: &openGate{}, Pacer: openPacer{},
+		}})
+		began := time.Now()
+		_, err := owner.Open(t.Context(), OpenRequest{Plan: "plan", Group: "group", Database: testDatabase, Access: AccessWrite})
+		requireOutcome(t, err, state.OutcomeNotRun)
+		require.LessOrEqual(t, time.Since(began), replacedAfter+replacedInterval)
+	})
+}
+
 // The model: sessions run units, some with request ids and repeats, on
 // connections that are cut at random. Each answer must be that of its own
 // unit, a unit with an id takes effect at most once, a unit that was answered
--- a/internal/coordination/failover/options.go
+++ b/internal/coordination/failover/options.go
@@ -15,7 +15,7 @@
 	refusalsOfDead = 2
 	// frozenAfter is how long a primary may be silent on old and new
 	// connections. It is longer than a status request on each takes to fail.
-	frozenAfter = 3 * time.Second
+	frozenAfter = 2 * time.Second
 	// contactGrace is how long after this owner's last contact with a frozen
 	// primary others may have heard from it before it froze.
 	contactGrace = time.Second
--- a/internal/coordination/replication/watcher.go
+++ b/internal/coordination/replication/watcher.go
@@ -15,7 +15,7 @@
 	DefaultHeartbeatInterval = 250 * time.Millisecond
 	DefaultMinRoundInterval  = time.Millisecond
 	DefaultMaxRoundInterval  = 16 * time.Millisecond
-	DefaultStatusTimeout     = 1500 * time.Millisecond
+	DefaultStatusTimeout     = 900 * time.Millisecond
 )
 
 // Options tunes a Watcher. Zero fields take the defaults.
