--- a/internal/app/instance.go
+++ b/internal/app/instance.go
@@ -36,7 +36,7 @@
 	membership *membership.Membership
 	groups     *configuration.Groups
 	follower   *configuration.Follower
-	store      *configuration.Store
+	store      operatorStore
 	owner      *execution.Owner
 	ownership  *ownership.Manager
 	limits     *limitsInForce
@@ -166,7 +166,7 @@
 // configurationHandler serves the operators' calls on the two lists.
 func (i *Instance) configurationHandler() http.Handler {
 	mux := http.NewServeMux()
-	admin.NewEdits(i.store, i.follower, i.groups.IDs, i.log).Register(mux)
+	admin.NewEdits(i.store.Store, i.follower, i.groups.IDs, i.log).Register(mux)
 	return mux
 }
 
@@ -213,7 +213,9 @@
 	ticker := time.NewTicker(sharePlatformInterval)
 	defer ticker.Stop()
 	for {
-		i.platform.ShareAmong(len(i.membership.Peers()) + 1)
+		instances := len(i.membership.Peers()) + 1
+		i.platform.ShareAmong(instances)
+		i.store.client.ShareAmong(instances)
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -284,6 +286,7 @@
 	i.background.Wait()
 	i.owner.Close()
 	i.platform.Close()
+	i.store.client.Close()
 	i.log.Info().Str("step", "stop").Msg("instance stopped")
 	return errors.Join(clientsErr, peersErr)
 }
--- a/internal/app/modules.go
+++ b/internal/app/modules.go
@@ -63,6 +63,22 @@
 	))
 }
 
+// operatorStore is the configuration's store for operators' calls. It has a
+// budget of calls of its own, so that operators cannot hold up the polls of
+// this instance.
+type operatorStore struct {
+	*configuration.Store
+	client *platformclient.Client
+}
+
+func newOperatorStore(settings Settings, network Network, log zerolog.Logger) (operatorStore, error) {
+	client, err := newPlatformClient(settings, network, log)
+	if err != nil {
+		return operatorStore{}, err
+	}
+	return operatorStore{Store: configuration.NewStore(client), client: client}, nil
+}
+
 func newPlatformClient(settings Settings, network Network, log zerolog.Logger) (*platformclient.Client, error) {
 	options := platformclient.Options{BaseURL: settings.PlatformURL}
 	if network != nil {
@@ -124,7 +140,7 @@
 // coordinationModule provides the parts that decide.
 func coordinationModule() fx.Option {
 	return fx.Module("coordination", fx.Provide(
-		newMembership, newGroups, newStore, newFollower, newOwner, newRunnerFactory, newOwnership, newRouter,
+		newMembership, newGroups, newStore, newOperatorStore, newFollower, newOwner, newRunnerFactory, newOwnership, newRouter,
 		newRetryBudget, newSessionFactory, newPeerHandler,
 	))
 }
--- a/internal/cli/lists_options.go
+++ b/internal/cli/lists_options.go
@@ -93,7 +93,7 @@
 	flags := flag.NewFlagSet(name, flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	flags.StringVar(&options.admin, "admin", options.admin, "URL of an instance's admin server")
-	flags.StringVar(&options.token, "token", "", "bearer token of the admin server (environment: CYCLAMENPIN_ADMIN_TOKEN)")
+	flags.StringVar(&options.token, "admin-token", "", "bearer token of the admin server (environment: CYCLAMENPIN_ADMIN_TOKEN)")
 	flags.StringVar(&options.output, "output", options.output, "form of the output: table or json")
 	flags.DurationVar(&options.timeout, "timeout", options.timeout, "longest time for each request, and for --wait")
 	return flags
--- a/internal/cli/lists_test.go
+++ b/internal/cli/lists_test.go
@@ -75,7 +75,7 @@
 	commands := map[string]*ffcli.Command{
 		"plans": PlansCommand(&stdout, &stderr), "limits": LimitsCommand(&stdout, &stderr),
 	}
-	full := append(arguments[1:], "--admin", s.admin, "--token", testToken)
+	full := append(arguments[1:], "--admin", s.admin, "--admin-token", testToken)
 	err := commands[arguments[0]].ParseAndRun(s.t.Context(), full)
 	text := stderr.String()
 	if err != nil {
