execution: a stream may be closed while it sends or receives

The peer link closes a stream from another goroutine when its link or stream ends, and ownerStream.Close was not made for that: it read and cleared the running unit without a lock, and, while Send waited for a slot, it gave the connection to the pool, so that the unit could then run on a connection that belonged to another stream. Send and Receive now hold a token that Close waits for after it has ended the backend connection; nothing is sent once Close was called. Found by reading. A mutex was ruled out for the token because Close may wait for the queue for a slot, which tests in virtual time could not see.

--- a/internal/coordination/execution/owner.go
+++ b/internal/coordination/execution/owner.go
@@ -186,10 +186,12 @@
 		lease.Release()
 		return nil, err
 	}
-	return &ownerStream{
+	stream := &ownerStream{
 		owner: o, group: group, server: server, request: request,
-		lease: lease, conn: conn, txStatus: txIdle,
-	}, nil
+		lease: lease, conn: conn, txStatus: txIdle, use: make(chan struct{}, 1),
+	}
+	stream.use <- struct{}{}
+	return stream, nil
 }
 
 // connect takes a connection from the pool or opens one.
--- a/internal/coordination/execution/owner_stream.go
+++ b/internal/coordination/execution/owner_stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
@@ -24,6 +25,8 @@
 const eventBytes = 32 << 10
 
 // ownerStream is the Stream on a backend connection of this instance.
+//
+// Lock order: the token of use, then cancelMu, a pool's or a gate's mutex.
 type ownerStream struct {
 	owner   *Owner
 	group   *ownedGroup
@@ -32,6 +35,11 @@
 	lease   Lease
 	conn    *connection
 
+	// closing is set as soon as Close was called; nothing is sent from then on.
+	closing atomic.Bool
+	// use holds a token, which is taken while Send or Receive runs and while the
+	// connection is given back. It guards the fields below, up to cancelMu.
+	use      chan struct{}
 	txStatus byte
 	pinned   bool
 	unit     *runningUnit
@@ -82,11 +90,17 @@
 
 // Send implements Stream.
 func (s *ownerStream) Send(ctx context.Context, unit Unit) error {
+	<-s.use
+	defer func() { s.use <- struct{}{} }()
 	inTransaction := s.txStatus != txIdle
 	slot, err := s.server.Gate.AcquireSlot(ctx, s.request.Plan, inTransaction, s.request.QueueTimeout)
 	if err != nil {
 		return s.owner.asNotRun(err, "acquire slot", string(s.server.Database.ID))
 	}
+	if s.closing.Load() {
+		slot.Release(false)
+		return s.owner.notRun(state.ReasonConnectionLost, "send on closed stream", string(s.server.Database.ID), nil)
+	}
 	freshUntil, err := s.recheck(ctx, unit, inTransaction)
 	if err != nil {
 		slot.Release(false)
@@ -181,6 +195,12 @@
 
 // Receive implements Stream.
 func (s *ownerStream) Receive(ctx context.Context) (Event, error) {
+	<-s.use
+	defer func() { s.use <- struct{}{} }()
+	if s.closing.Load() {
+		s.endUnit()
+		return Event{}, state.Unknown(state.ReasonConnectionLost, "receive on closed stream", string(s.server.Database.ID), nil)
+	}
 	s.buffer = s.buffer[:0]
 	if s.replay != nil {
 		event := *s.replay
@@ -398,12 +418,22 @@
 	return s.conn.backend.Cancel(ctx)
 }
 
-// Close implements Stream.
+// Close implements Stream. A Send or Receive that runs is ended by the end of
+// the backend connection, which is then given to nobody else.
 func (s *ownerStream) Close() {
 	s.closeOnce.Do(s.close)
 }
 
 func (s *ownerStream) close() {
+	s.closing.Store(true)
+	select {
+	case <-s.use:
+	default:
+		s.conn.backend.Close()
+		<-s.use
+		s.broken = true
+	}
+	defer func() { s.use <- struct{}{} }()
 	if s.unit != nil {
 		s.endUnit()
 	}
--- a/internal/coordination/execution/silence_test.go
+++ b/internal/coordination/execution/silence_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +14,7 @@
 // silentBackend never answers until it is closed.
 type silentBackend struct {
 	closed chan struct{}
+	once   sync.Once
 }
 
 func (b *silentBackend) Write(context.Context, []byte) error { return nil }
@@ -29,7 +31,7 @@
 func (b *silentBackend) Buffered() bool               { return false }
 func (b *silentBackend) PID() uint32                  { return 7 }
 func (b *silentBackend) Cancel(context.Context) error { return nil }
-func (b *silentBackend) Close()                       { close(b.closed) }
+func (b *silentBackend) Close()                       { b.once.Do(func() { close(b.closed) }) }
 
 func TestSilentConnectionIsFoundWithinItsBound(t *testing.T) {
 	for name, probe := range map[string]ActivityProbe{
