Tests: the superseded primary as the only replica; end of the manager

The schedule of the cut-off owner missed a variant that compares positions without their terms, because the superseded primary was never the replica of choice. It now is, and the variant is caught.

--- a/internal/coordination/ownership/manager_test.go
+++ b/internal/coordination/ownership/manager_test.go
@@ -93,6 +93,14 @@
 		time.Sleep(i.closing)
 		synctest.Wait()
 		require.EqualValues(t, 1, i.open.Load())
+
+		go m.close()
+		synctest.Wait()
+		_, err = m.Barrier(t.Context(), "h")
+		require.Error(t, err)
+		time.Sleep(i.closing)
+		synctest.Wait()
+		require.Zero(t, i.open.Load())
 	})
 }
 
--- a/internal/coordination/properties/properties_test.go
+++ b/internal/coordination/properties/properties_test.go
@@ -303,7 +303,15 @@
 					primary.log = append(primary.log, entry{term: primary.term, values: []int{-value - 1}})
 				}
 			})
-			time.Sleep(20 * time.Second)
+			time.Sleep(15 * time.Second)
+			w.do(func() { // leaves the superseded primary as the only replica
+				for _, name := range databaseNames {
+					if d := w.databases[name]; d.role == state.RoleReplica {
+						d.stop()
+					}
+				}
+			})
+			time.Sleep(5 * time.Second)
 		})
 		require.Empty(t, w.history.violations, "instance %d", index)
 		require.Positive(t, w.changes)
