--- a/internal/coordination/execution/owner_stream.go
+++ b/internal/coordination/execution/owner_stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
@@ -31,11 +32,14 @@
 var errStreamClosed = errors.New("stream is closed")
 
 // ownerStream is the Stream on a backend connection of this instance.
+//
+// Lock order: the token of using, then cancelMu, a pool's or a gate's mutex.
 type ownerStream struct {
 	// using holds a token while nobody sends, receives or closes. It guards
 	// all fields but those of cancelMu, and is taken before cancelMu.
-	using  chan struct{}
-	closed bool
+	using chan struct{}
+	// closed is set as soon as Close was called; nothing is sent from then on.
+	closed atomic.Bool
 
 	owner   *Owner
 	group   *ownedGroup
@@ -96,7 +100,7 @@
 // enter takes the stream for one call. It returns false after Close.
 func (s *ownerStream) enter() bool {
 	<-s.using
-	if s.closed {
+	if s.closed.Load() {
 		s.leave()
 		return false
 	}
@@ -110,18 +114,27 @@
 // Send implements Stream.
 func (s *ownerStream) Send(ctx context.Context, unit Unit) error {
 	if !s.enter() {
-		return s.owner.notRun(state.ReasonConnectionLost, "send to backend server", string(s.server.Database.ID), errStreamClosed)
+		return s.notSent()
 	}
 	defer s.leave()
 	return s.send(ctx, unit)
 }
 
+// notSent is the failure of a unit on a stream that was closed before it.
+func (s *ownerStream) notSent() error {
+	return s.owner.notRun(state.ReasonConnectionLost, "send to backend server", string(s.server.Database.ID), errStreamClosed)
+}
+
 func (s *ownerStream) send(ctx context.Context, unit Unit) error {
 	inTransaction := s.txStatus != txIdle
 	slot, err := s.server.Gate.AcquireSlot(ctx, s.request.Plan, inTransaction, s.request.QueueTimeout)
 	if err != nil {
 		return s.owner.asNotRun(err, "acquire slot", string(s.server.Database.ID))
 	}
+	if s.closed.Load() {
+		slot.Release(false)
+		return s.notSent()
+	}
 	freshUntil, err := s.recheck(ctx, unit, inTransaction)
 	if err != nil {
 		slot.Release(false)
@@ -213,276 +226,3 @@
 	}
 	return prefix
 }
-
-// Receive implements Stream.
-func (s *ownerStream) Receive(ctx context.Context) (Event, error) {
-	if !s.enter() {
-		return Event{}, state.Unknown(state.ReasonConnectionLost, "receive from backend server", string(s.server.Database.ID), errStreamClosed)
-	}
-	defer s.leave()
-	return s.receive(ctx)
-}
-
-func (s *ownerStream) receive(ctx context.Context) (Event, error) {
-	if len(s.rest) > 0 {
-		return s.nextPart(), nil
-	}
-	s.buffer = s.buffer[:0]
-	if s.replay != nil {
-		event := *s.replay
-		s.replay = nil
-		return event, nil
-	}
-	for {
-		s.unit.silence.await()
-		message, err := s.conn.backend.Receive(ctx)
-		if err != nil {
-			return Event{}, s.fail(err, "receive from backend server")
-		}
-		s.unit.silence.progress()
-		if err := s.checkFresh(); err != nil {
-			return Event{}, err
-		}
-		done, err := s.handle(message)
-		if err != nil {
-			return Event{}, err
-		}
-		if done {
-			return s.finish(ctx, message)
-		}
-		full := len(s.buffer) >= eventBytes
-		if len(s.buffer) > 0 && (full || !s.conn.backend.Buffered()) {
-			s.rest = s.buffer
-			return s.nextPart(), nil
-		}
-	}
-}
-
-// nextPart returns the next part of the buffered messages.
-func (s *ownerStream) nextPart() Event {
-	size := min(len(s.rest), maxEventBytes)
-	event := Event{Messages: s.rest[:size], Partial: size < len(s.rest)}
-	s.rest = s.rest[size:]
-	return event
-}
-
-// checkFresh refuses a read's answer that begins when the data may be older
-// than the read accepts, because this process or the path was held up after
-// the check. Nothing of the answer has gone out, and a read leaves no effect.
-func (s *ownerStream) checkFresh() error {
-	running := s.unit
-	if running.answered {
-		return nil
-	}
-	running.answered = true
-	if running.freshUntil.IsZero() || !time.Now().After(running.freshUntil) {
-		return nil
-	}
-	s.endUnit()
-	return s.owner.notRun(state.ReasonTooStale, "await answer", string(s.server.Database.ID), nil)
-}
-
-// handle takes one message into the buffer or the held messages, or swallows
-// it. done is true for ReadyForQuery.
-func (s *ownerStream) handle(message Message) (done bool, err error) {
-	running := s.unit
-	switch message.Type {
-	case msgParameterStatus:
-		if s.notePosition(message) {
-			return false, nil
-		}
-	case msgParseComplete:
-		if s.noteParsed(running) {
-			return false, nil
-		}
-	case msgCloseComplete:
-		if running.swallowedCloses > 0 {
-			running.swallowedCloses--
-			return false, nil
-		}
-	case msgRowDescription:
-		running.returnsRows = true
-	case msgErrorResponse:
-		running.errored = true
-	case msgCommandComplete:
-		running.holding = true
-		running.commandTag = parseCommandTag(message.Body())
-	case msgReadyForQuery:
-		return true, nil
-	}
-	if !running.holding {
-		s.buffer = append(s.buffer, message.Raw...)
-		return false, nil
-	}
-	running.held = append(running.held, message.Raw...)
-	if len(running.held) > maxHeldBytes {
-		return false, s.tooMuchHeld()
-	}
-	return false, nil
-}
-
-// notePosition reports whether the message tells a log position, and keeps it.
-func (s *ownerStream) notePosition(message Message) bool {
-	name, value, ok := parseParameterStatus(message.Body())
-	if !ok || name != positionParameter {
-		return false
-	}
-	position, err := state.ParsePosition(value)
-	if err == nil {
-		s.conn.position = position
-	}
-	return true
-}
-
-// noteParsed reports whether the ParseComplete belongs to an injected Parse.
-func (s *ownerStream) noteParsed(running *runningUnit) bool {
-	if len(running.awaitedParses) == 0 {
-		return false
-	}
-	s.conn.prepared.add(running.awaitedParses[0])
-	running.awaitedParses = running.awaitedParses[1:]
-	if running.injectedParses > 0 {
-		running.injectedParses--
-		return true
-	}
-	return false
-}
-
-// finish ends the unit at its ReadyForQuery. A write's answer goes out only
-// when a majority holds the write.
-func (s *ownerStream) finish(ctx context.Context, ready Message) (Event, error) {
-	running := s.unit
-	s.setRunning(false)
-	s.txStatus = ready.Body()[0]
-	s.pinned = s.pinned || running.unit.Pins
-	if running.unit.ChangesSettings {
-		s.conn.settingsKnown = false
-	}
-	s.buffer = append(s.buffer, running.held...)
-	s.buffer = append(s.buffer, ready.Raw...)
-	if running.once {
-		if err := s.endOnce(ctx); err != nil {
-			return Event{}, s.fail(err, "commit request id")
-		}
-	}
-	running.silence.stop()
-	running.slot.Release(true)
-	s.unit = nil
-
-	event := Event{
-		Messages: s.buffer, Done: true, Errored: running.errored,
-		TxStatus: s.txStatus, Pinned: s.pinned,
-	}
-	if s.conn.position == running.positionBefore {
-		return event, nil
-	}
-	if err := s.acknowledge(ctx, s.conn.position); err != nil {
-		s.broken = true
-		return Event{}, err
-	}
-	event.Position = s.conn.position
-	event.Holders = s.group.replication.Holders(event.Position)
-	return event, nil
-}
-
-func (s *ownerStream) acknowledge(ctx context.Context, position state.Position) error {
-	waitCtx, cancel := context.WithTimeout(ctx, s.owner.options.AcknowledgeTimeout)
-	defer cancel()
-	err := s.group.replication.WaitAcknowledged(waitCtx, position)
-	if err == nil {
-		return nil
-	}
-	return state.Unknown(state.ReasonUnacknowledged, "acknowledge write", string(s.server.Database.ID), err)
-}
-
-func (s *ownerStream) tooMuchHeld() error {
-	failure := state.Unknown(state.ReasonUnsupported, "hold answer", string(s.server.Database.ID), nil)
-	failure.Message = "the results that follow the first completed statement of one request are too large"
-	s.endUnit()
-	return failure
-}
-
-// fail ends the unit because the connection failed in the middle of it.
-func (s *ownerStream) fail(err error, step string) error {
-	running := s.unit
-	reason := state.ReasonConnectionLost
-	if running != nil {
-		reason = running.silence.reasonOf()
-	}
-	if reason == state.ReasonSilent {
-		s.server.pool.doubt()
-	}
-	s.endUnit()
-	peer := string(s.server.Database.ID)
-	var refused *refusedError
-	if running == nil || !running.onBackend || errors.As(err, &refused) {
-		return s.owner.asNotRun(err, step, peer)
-	}
-	return state.Unknown(reason, step, peer, err)
-}
-
-func (s *ownerStream) endUnit() {
-	s.broken = true
-	if s.unit == nil {
-		return
-	}
-	s.setRunning(false)
-	s.unit.silence.stop()
-	s.unit.slot.Release(false)
-	s.unit = nil
-}
-
-func (s *ownerStream) setRunning(running bool) {
-	s.cancelMu.Lock()
-	s.running = running
-	s.cancelMu.Unlock()
-}
-
-// Cancel implements Stream. The connection is not given to another stream
-// after a cancel request was sent for it.
-func (s *ownerStream) Cancel(ctx context.Context) error {
-	s.cancelMu.Lock()
-	if !s.running {
-		s.cancelMu.Unlock()
-		return nil
-	}
-	s.cancelUsed = true
-	s.cancelling.Add(1)
-	s.cancelMu.Unlock()
-	defer s.cancelling.Done()
-	return s.conn.backend.Cancel(ctx)
-}
-
-// Close implements Stream. A Send or Receive in progress ends first: closing
-// the backend connection ends a wait for the backend server, and the end of
-// its own context any other wait. Its connection is not used again.
-func (s *ownerStream) Close() {
-	select {
-	case <-s.using:
-	default:
-		s.conn.backend.Close()
-		<-s.using
-		s.broken = true
-	}
-	defer s.leave()
-	if s.closed {
-		return
-	}
-	s.closed = true
-	s.close()
-}
-
-func (s *ownerStream) close() {
-	if s.unit != nil {
-		s.endUnit()
-	}
-	s.cancelMu.Lock()
-	cancelUsed := s.cancelUsed
-	s.cancelMu.Unlock()
-	if s.broken || cancelUsed || s.pinned || s.txStatus != txIdle {
-		s.server.pool.discard(s.conn)
-	} else {
-		s.server.pool.put(s.conn)
-	}
-	s.lease.Release()
-}
