peerlink: ids of streams and calls reach the peer in order

Cause: an id was taken under the link's mutex and its frame put into the outbox after it; of two at once, the later id could be put first, and the peer ends a link on which an id is not above the last one, with all that runs on it. Ruled out: silence (another reason), a backend connection (the step is peer receive), credit (no event was above its window). A mutex now covers both steps.

--- a/internal/transport/peerlink/clientlink.go
+++ b/internal/transport/peerlink/clientlink.go
@@ -30,6 +30,10 @@
 	*link
 	client *Client
 
+	// posting is held from taking an id until the frame with it is in the
+	// outbox, since the peer wants ids in order. It is taken before mu.
+	posting sync.Mutex
+
 	mu       sync.Mutex
 	streams  map[uint64]*clientStream
 	calls    map[uint64]*pendingCall
@@ -51,16 +55,10 @@
 // open asks the peer for a stream and waits for its answer. Every error is not
 // run, because no unit is sent before the stream is held.
 func (c *clientLink) open(ctx context.Context, request execution.OpenRequest) (*clientStream, *state.Failure) {
-	stream, failure := c.addStream()
+	stream, failure := c.postOpen(request)
 	if failure != nil {
 		return nil, failure
 	}
-	frame, err := newOutgoing(peerproto.KindOpen, stream.id, &peerproto.Open{Request: request}, c.config.MaxFrame)
-	if err != nil {
-		stream.Close()
-		return nil, state.NotRun(state.ReasonUnsupported, stepOpen, c.name(), 0, err)
-	}
-	c.post(frame) // where it fails, the end of the link ends the stream
 	for {
 		opened, failure := stream.status()
 		if failure != nil {
@@ -77,6 +75,23 @@
 	}
 }
 
+// postOpen adds a stream and asks the peer for it.
+func (c *clientLink) postOpen(request execution.OpenRequest) (*clientStream, *state.Failure) {
+	c.posting.Lock()
+	defer c.posting.Unlock()
+	stream, failure := c.addStream()
+	if failure != nil {
+		return nil, failure
+	}
+	frame, err := newOutgoing(peerproto.KindOpen, stream.id, &peerproto.Open{Request: request}, c.config.MaxFrame)
+	if err != nil {
+		stream.Close()
+		return nil, state.NotRun(state.ReasonUnsupported, stepOpen, c.name(), 0, err)
+	}
+	c.post(frame) // where it fails, the end of the link ends the stream
+	return stream, nil
+}
+
 // notRunOpen holds a peer's answer to an Open to what is proved of it.
 func notRunOpen(failure *state.Failure) *state.Failure {
 	proved := *failure
@@ -267,11 +282,10 @@
 	if deadline, found := ctx.Deadline(); found {
 		request.Timeout = max(time.Until(deadline), time.Nanosecond)
 	}
-	id, call, failure := c.addCall(request)
+	id, call, failure := c.postCall(request)
 	if failure != nil {
 		return nil, failure
 	}
-	c.post(call.frame) // where it fails, the end of the link answers the call
 	select {
 	case answer := <-call.answer:
 		return answer.body, answer.failure
@@ -294,6 +308,17 @@
 	return nil, c.callFailure(call, state.ReasonSilent, cause)
 }
 
+// postCall adds a call and sends it.
+func (c *clientLink) postCall(request *peerproto.Call) (uint64, *pendingCall, *state.Failure) {
+	c.posting.Lock()
+	defer c.posting.Unlock()
+	id, call, failure := c.addCall(request)
+	if failure == nil {
+		c.post(call.frame) // where it fails, the end of the link answers the call
+	}
+	return id, call, failure
+}
+
 func (c *clientLink) addCall(request *peerproto.Call) (uint64, *pendingCall, *state.Failure) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/transport/peerlink/peerlink_test.go
+++ b/internal/transport/peerlink/peerlink_test.go
@@ -358,6 +358,28 @@
 	})
 }
 
+// A peer ends a link on which ids come out of order, and with it whatever else
+// runs there.
+func TestConcurrentOpensAndCallsKeepTheLink(t *testing.T) {
+	bubble(t, func(t *testing.T, p *pair) {
+		const workers, rounds = 16, 200
+		var running sync.WaitGroup
+		for range workers {
+			running.Go(func() {
+				for range rounds {
+					var answer string
+					if err := p.client.Call(t.Context(), owner, "m", "one", &answer); err != nil {
+						t.Errorf("call: %v", err)
+						return
+					}
+				}
+			})
+		}
+		running.Wait()
+		require.Equal(t, 1, p.network.dials())
+	})
+}
+
 func TestLaterIncarnationEndsTheEarlierOnesLinks(t *testing.T) {
 	bubble(t, func(t *testing.T, p *pair) {
 		stream := openStream(t, p)
