A write that meets a demoted primary is not run, and is tried again

Cause: a statement outside a transaction that reached a database just after it had lost its primary got the database's own 25006. Nothing of it had run, so it is now not run for the reason superseded, which the session repeats. Within a transaction block 25006 is passed on: there the caller may have asked for read-only.

--- a/internal/coordination/execution/fake_test.go
+++ b/internal/coordination/execution/fake_test.go
@@ -132,6 +132,10 @@
 		b.cut = true
 		return
 	}
+	if fault == "demoted" {
+		b.send(&pgproto3.ErrorResponse{Code: sqlStateReadOnly, Message: "read-only"})
+		return
+	}
 	b.apply(sql)
 	if fault == "cut after" {
 		b.cut = true
--- a/internal/coordination/execution/owner_receive.go
+++ b/internal/coordination/execution/owner_receive.go
@@ -47,6 +47,7 @@
 		full := len(s.buffer) >= eventBytes
 		if len(s.buffer) > 0 && (full || !s.conn.backend.Buffered()) {
 			s.rest = s.buffer
+			s.unit.delivered = true
 			return s.nextPart(), nil
 		}
 	}
@@ -98,12 +99,19 @@
 		running.returnsRows = true
 	case msgErrorResponse:
 		running.errored = true
+		if s.meansDemoted(message) {
+			running.demoted = true
+			s.buffer = s.buffer[:0]
+		}
 	case msgCommandComplete:
 		running.holding = true
 		running.commandTag = parseCommandTag(message.Body())
 	case msgReadyForQuery:
 		return true, nil
 	}
+	if running.demoted {
+		return false, nil
+	}
 	if !running.holding {
 		s.buffer = append(s.buffer, message.Raw...)
 		return false, nil
@@ -115,6 +123,15 @@
 	return false, nil
 }
 
+// meansDemoted reports whether an error says that the database is no longer the
+// primary and that nothing of the unit ran. Within a transaction block the
+// caller itself may have asked for read-only.
+func (s *ownerStream) meansDemoted(message Message) bool {
+	running := s.unit
+	return running.unit.Access == AccessWrite && running.statusBefore == txIdle && !running.delivered &&
+		errorField(message.Body(), 'C') == sqlStateReadOnly
+}
+
 // notePosition reports whether the message tells a log position, and keeps it.
 func (s *ownerStream) notePosition(message Message) bool {
 	name, value, ok := parseParameterStatus(message.Body())
@@ -162,6 +179,9 @@
 	running.silence.stop()
 	running.slot.Release(true)
 	s.unit = nil
+	if running.demoted {
+		return Event{}, s.owner.notRun(state.ReasonSuperseded, "run on primary", string(s.server.Database.ID), nil)
+	}
 
 	event := Event{
 		Messages: s.buffer, Done: true, Errored: running.errored,
--- a/internal/coordination/execution/owner_stream.go
+++ b/internal/coordination/execution/owner_stream.go
@@ -91,6 +91,12 @@
 	// once is set when the unit runs inside a transaction of the proxy's own
 	// that records its request id.
 	once bool
+	// statusBefore is the transaction status when the unit was sent.
+	statusBefore byte
+	// delivered is set once a part of the answer has gone out.
+	delivered bool
+	// demoted is set when the database refused the unit as not the primary.
+	demoted bool
 	// returnsRows is set when the answer holds rows.
 	returnsRows bool
 	errored     bool
@@ -146,7 +152,8 @@
 	}
 	s.unit = &runningUnit{
 		unit: unit, slot: slot, positionBefore: s.conn.position, freshUntil: freshUntil,
-		silence: startSilenceWatch(s.conn.backend, s.server.Probe, s.server.Terminate, s.owner.options.SilenceTimeout),
+		statusBefore: s.txStatus,
+		silence:      startSilenceWatch(s.conn.backend, s.server.Probe, s.server.Terminate, s.owner.options.SilenceTimeout),
 	}
 	if unit.RequestID != "" {
 		proceed, err := s.beginOnce(ctx, inTransaction)
--- a/internal/coordination/execution/owner_test.go
+++ b/internal/coordination/execution/owner_test.go
@@ -52,6 +52,29 @@
 	require.Zero(t, f.database.opened)
 }
 
+func TestWriteThatMeetsADemotedPrimaryIsNotRun(t *testing.T) {
+	f := newFixture()
+	f.database.fault = func(sql string) string {
+		if sql == "write a" {
+			return "demoted"
+		}
+		return ""
+	}
+	stream := f.open(t, AccessWrite)
+	_, _, err := runUnit(stream, query("write a"))
+	requireOutcome(t, err, state.OutcomeNotRun)
+	failure, _ := state.AsFailure(err)
+	require.Equal(t, state.ReasonSuperseded, failure.Reason)
+
+	_, _, err = runUnit(stream, query("BEGIN"))
+	require.NoError(t, err)
+	answer, _, err := runUnit(stream, query("write a"))
+	require.NoError(t, err, "in a transaction block the caller may have asked for it")
+	require.Contains(t, answer, "error(25006)")
+	stream.Close()
+	require.Zero(t, f.gate.slots)
+}
+
 func TestReadNeedsTheFloorAndTheAge(t *testing.T) {
 	f := newFixture()
 	f.replication.held = state.Position{Term: 2, Offset: 5}
