An instance that restarts after its clock was set back gets a later incarnation

Cause: the incarnation is the start time, and peers believe only the latest one, so a run whose clock was set back would have been ignored. The platform's list now tells the incarnation to pass.

--- a/internal/app/modules.go
+++ b/internal/app/modules.go
@@ -31,18 +31,38 @@
 }
 
 // newSelf describes this run of the instance. The incarnation is the start
-// time, so a later run has a higher one.
-func newSelf(settings Settings) state.Instance {
+// time, so a later run has a higher one; where the clock was set back since an
+// earlier run, that run's incarnation in the platform's list is passed.
+func newSelf(settings Settings, client *platformclient.Client) state.Instance {
 	advertised := settings.PeerAdvertise
 	if advertised == "" {
 		advertised = settings.PeerListen
 	}
 	return state.Instance{
-		ID: settings.InstanceID, Incarnation: state.Incarnation(time.Now().UnixNano()),
+		ID: settings.InstanceID, Incarnation: newIncarnation(settings.InstanceID, client),
 		DataCentre: settings.DataCentre, PeerAddress: advertised,
 	}
 }
 
+// incarnationTimeout bounds the question to the platform at the start.
+const incarnationTimeout = time.Second
+
+func newIncarnation(id state.InstanceID, client *platformclient.Client) state.Incarnation {
+	ctx, cancel := context.WithTimeout(context.Background(), incarnationTimeout)
+	defer cancel()
+	incarnation := state.Incarnation(time.Now().UnixNano())
+	listed, err := client.Instances(ctx)
+	if err != nil {
+		return incarnation
+	}
+	for _, instance := range listed {
+		if instance.ID == id {
+			incarnation = max(incarnation, instance.Incarnation+1)
+		}
+	}
+	return incarnation
+}
+
 // protocolModule provides what the peer link's handshake needs.
 func protocolModule() fx.Option {
 	return fx.Module("protocol", fx.Provide(newKeyRing))
--- a/internal/dev/leaving_test.go
+++ b/internal/dev/leaving_test.go
@@ -11,10 +11,12 @@
 
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/configuration"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
+	"github.com/cyclamenpin/cyclamenpin/internal/transport/platformclient"
 )
 
 // leavingBound is how soon a leaving backend server must get no new work: the
@@ -79,3 +81,21 @@
 	require.NoError(t, err, fmt.Sprint(group))
 	own.Platform.Put(configuration.GroupKey(GroupName), record)
 }
+
+func TestRestartAfterTheClockWasSetBackHasALaterIncarnation(t *testing.T) {
+	own, err := Start(t.Context(), Options{Log: io.Discard, LogLevel: "error"})
+	require.NoError(t, err)
+	defer own.Close()
+	client, err := platformclient.New(platformclient.Options{BaseURL: own.platformURL}, zerolog.Nop())
+	require.NoError(t, err)
+	defer client.Close()
+	earlier := state.Instance{
+		ID: "dev-3", DataCentre: thirdSite, PeerAddress: "127.0.0.1:1",
+		Incarnation: state.Incarnation(time.Now().Add(time.Hour).UnixNano()),
+	}
+	require.NoError(t, client.Announce(t.Context(), earlier))
+	restarted, err := own.startInstance(t.Context(), 3, thirdSite)
+	require.NoError(t, err)
+	own.Instances = append(own.Instances, restarted)
+	require.Greater(t, restarted.Self().Incarnation, earlier.Incarnation)
+}
