--- a/internal/cli/lists_commands.go
+++ b/internal/cli/lists_commands.go
@@ -45,7 +45,7 @@
 	return &ffcli.Command{
 		Name:       name,
 		ShortUsage: "cyclamenpin " + name + " list|get|edit|apply|diff|history [flags]",
-		ShortHelp:  "Show and edit the list of " + name + ".",
+		ShortHelp:  "show and edit the list of " + name,
 		FlagSet:    flag.NewFlagSet(name, flag.ContinueOnError),
 		Subcommands: []*ffcli.Command{
 			c.listCommand(), c.getCommand(), c.editCommand(), c.applyCommand(), c.diffCommand(), c.historyCommand(),
@@ -70,7 +70,7 @@
 func (c listCommands) listCommand() *ffcli.Command {
 	options := new(listOptions)
 	flags := newFlagSet("list", c.stderr, options)
-	return c.command("list", "list [flags]", "Show all entries.", flags, func(ctx context.Context, arguments []string) error {
+	return c.command("list", "list [flags]", "show all entries", flags, func(ctx context.Context, arguments []string) error {
 		if err := errors.Join(refuseArguments(arguments), options.complete()); err != nil {
 			return err
 		}
@@ -81,7 +81,7 @@
 func (c listCommands) getCommand() *ffcli.Command {
 	options := new(listOptions)
 	flags := newFlagSet("get", c.stderr, options)
-	return c.command("get", "get PLAN [flags]", "Show the entry of a plan.", flags, func(ctx context.Context, arguments []string) error {
+	return c.command("get", "get PLAN [flags]", "show the entry of a plan", flags, func(ctx context.Context, arguments []string) error {
 		plan, err := splitArguments(flags, arguments, "a plan")
 		if err := errors.Join(err, options.complete()); err != nil {
 			return err
@@ -109,7 +109,7 @@
 	flags := newFlagSet("edit", c.stderr, options)
 	edits.register(flags)
 	change := c.list.editFlags(flags)
-	return c.command("edit", "edit PLAN [flags]", "Add, change or remove the entry of a plan.", flags,
+	return c.command("edit", "edit PLAN [flags]", "add, change or remove the entry of a plan", flags,
 		func(ctx context.Context, arguments []string) error {
 			plan, err := splitArguments(flags, arguments, "a plan")
 			if err := errors.Join(err, options.complete()); err != nil {
@@ -135,7 +135,7 @@
 	flags := newFlagSet("apply", c.stderr, options)
 	edits.register(flags)
 	path := flags.String("f", "", "JSON file with the lists plans, limits or both, or - for standard input")
-	return c.command("apply", "apply -f FILE [flags]", "Replace the lists by those of a file.", flags,
+	return c.command("apply", "apply -f FILE [flags]", "replace the lists by those of a file", flags,
 		func(ctx context.Context, arguments []string) error {
 			file, err := fileArgument(arguments, options, *path)
 			if err != nil {
@@ -156,7 +156,7 @@
 	options := new(listOptions)
 	flags := newFlagSet("diff", c.stderr, options)
 	path := flags.String("f", "", "JSON file as for apply")
-	return c.command("diff", "diff -f FILE [flags]", "Show what apply would change.", flags,
+	return c.command("diff", "diff -f FILE [flags]", "show what apply would change", flags,
 		func(ctx context.Context, arguments []string) error {
 			file, err := fileArgument(arguments, options, *path)
 			if err != nil {
@@ -204,7 +204,7 @@
 	options := new(listOptions)
 	flags := newFlagSet("history", c.stderr, options)
 	limit := flags.Int("limit", defaultHistory, "how many edits to show")
-	return c.command("history", "history [flags]", "Show the latest accepted edits.", flags,
+	return c.command("history", "history [flags]", "show the latest accepted edits", flags,
 		func(ctx context.Context, arguments []string) error {
 			if err := errors.Join(refuseArguments(arguments), options.complete()); err != nil {
 				return err
--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -61,7 +61,6 @@
 			PlansCommand(stdout, stderr),
 			LimitsCommand(stdout, stderr),
 			dumpCommand(stdout, stderr),
-			measureCommand(stdout, stderr),
 			standinCommand(stdout, stderr),
 			measureCommand(stdout, stderr),
 			versionCommand(stdout),
--- a/internal/coordination/execution/owner.go
+++ b/internal/coordination/execution/owner.go
@@ -132,14 +132,6 @@
 	}
 }
 
-// CloseIdle closes the idle connections to one backend server.
-func (o *Owner) CloseIdle(group state.GroupID, database state.DatabaseID) {
-	_, server, err := o.find(group, database)
-	if err == nil {
-		server.pool.closeIdle()
-	}
-}
-
 // ServerSnapshot is the dump of one backend server's connections.
 type ServerSnapshot struct {
 	Group    state.GroupID    `json:"group"`
--- a/internal/protocol/outcome/outcome.go
+++ b/internal/protocol/outcome/outcome.go
@@ -93,13 +93,6 @@
 	}
 }
 
-// NewFatal makes an error response after which the connection ends.
-func NewFatal(sqlState, text string) *pgproto3.ErrorResponse {
-	return &pgproto3.ErrorResponse{
-		Severity: "FATAL", SeverityUnlocalized: "FATAL", Code: sqlState, Message: text,
-	}
-}
-
 func message(failure *state.Failure) string {
 	text := fmt.Sprintf("request not run: %s", failure.Reason)
 	if failure.Outcome == state.OutcomeUnknown {
