A session ends with its temporary tables and session locks

Cause: a session whose pinned backend connection was lost outside a transaction went on with another connection, silently without its temporary tables and locks. Its connection now ends with the failed request's outcome. The session's test and the wire test fail when the loss is not kept.

--- a/internal/coordination/session/session.go
+++ b/internal/coordination/session/session.go
@@ -68,6 +68,9 @@
 	status  byte
 	lost    bool
 	pinned  bool
+	// stateLost is set when the stream that held the session's pinned state
+	// ended.
+	stateLost bool
 	// servedBy is the database that served the last unit.
 	servedBy state.DatabaseID
 	// pendingChanges are the parameter changes of the open transaction.
@@ -100,6 +103,13 @@
 	return s.lost
 }
 
+// StateLost reports whether state that could not be replayed, such as temporary
+// tables or session locks, was lost with its backend connection. The session
+// must not go on as if it were still there.
+func (s *Session) StateLost() bool {
+	return s.stateLost
+}
+
 // Floor returns the session's token: the position that covers its writes.
 func (s *Session) Floor() state.Position {
 	return s.floor
@@ -309,6 +319,7 @@
 		s.lost = true
 		s.status = StatusFailed
 	}
+	s.stateLost = s.stateLost || s.pinned
 	s.release()
 	return err
 }
--- a/internal/coordination/session/session_test.go
+++ b/internal/coordination/session/session_test.go
@@ -157,6 +157,21 @@
 	require.Zero(t, o.open)
 }
 
+func TestLossOfPinnedStateIsNotPassedOver(t *testing.T) {
+	o := &owner{answer: func(execution.Unit, int) (execution.Event, error) {
+		return execution.Event{Done: true, TxStatus: StatusIdle, Pinned: true}, nil
+	}}
+	s := newSession(o, state.ScopeConnection, 0)
+	require.NoError(t, run(s, execution.Unit{Pins: true}, Freshness{}))
+	require.False(t, s.StateLost())
+	o.answer = func(execution.Unit, int) (execution.Event, error) {
+		return execution.Event{}, state.Unknown(state.ReasonConnectionLost, "test", "", nil)
+	}
+	require.Error(t, run(s, execution.Unit{}, Freshness{}))
+	require.True(t, s.StateLost())
+	require.Zero(t, o.open)
+}
+
 func TestReadWhoseAgeIsNotProvenRunsAsOneThatAcceptsNone(t *testing.T) {
 	o := &owner{barrier: state.Position{Term: 1, Offset: 5}}
 	o.answer = func(unit execution.Unit, _ int) (execution.Event, error) {
--- a/internal/dev/wire_test.go
+++ b/internal/dev/wire_test.go
@@ -271,6 +271,17 @@
 	require.Zero(t, count)
 }
 
+func TestSessionEndsWithItsTemporaryTables(t *testing.T) {
+	conn := connect(t)
+	mustExec(t, conn, "CREATE TEMP TABLE mine (id bigint)")
+	stack.Group.Server(stack.Group.Describe().Primary).SilenceOpenConnections()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	_, err := conn.Exec(ctx, "INSERT INTO mine VALUES (1)")
+	requireSQLState(t, err, "08007")
+	require.True(t, conn.IsClosed(), "the session went on without its temporary table")
+}
+
 func TestLargeResultArrivesWhole(t *testing.T) {
 	conn := connect(t)
 	mustExec(t, conn, "CREATE TABLE large (id bigint, note text)")
--- a/internal/transport/pgserver/simple.go
+++ b/internal/transport/pgserver/simple.go
@@ -10,6 +10,7 @@
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/session"
 	"github.com/cyclamenpin/cyclamenpin/internal/protocol/outcome"
 	"github.com/cyclamenpin/cyclamenpin/internal/protocol/statement"
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
 )
 
 // simpleQuery runs a Query message.
@@ -135,9 +136,26 @@
 	if before != session.StatusIdle && c.endsTransactionBlock(w) {
 		c.endLostTransaction()
 	}
+	if c.session.StateLost() {
+		return c.endWithoutState(err)
+	}
 	return c.answerFailure(err)
 }
 
+// endWithoutState ends a connection whose temporary tables or session locks are
+// gone: going on would silently do without them. The error tells what became of
+// the request.
+func (c *conn) endWithoutState(err error) error {
+	failure, ok := state.AsFailure(err)
+	if !ok {
+		return err
+	}
+	countFailure(failure)
+	response := outcome.Response(failure)
+	response.Message += "; the session's temporary tables and locks are lost with it"
+	return c.refuse(response)
+}
+
 // applySessionParameters adds the session's request id and staleness to a unit
 // that names none of its own.
 func (c *conn) applySessionParameters(w *work) {
