--- a/internal/app/instance.go
+++ b/internal/app/instance.go
@@ -207,6 +207,10 @@
 // instances.
 const sharePlatformInterval = 5 * time.Second
 
+// operatorShare makes the budget of operators' calls a quarter of that of the
+// instances' own.
+const operatorShare = 4
+
 // sharePlatform keeps this instance's budget of calls to the platform at its
 // share among all instances.
 func (i *Instance) sharePlatform(ctx context.Context) {
@@ -215,7 +219,7 @@
 	for {
 		instances := len(i.membership.Peers()) + 1
 		i.platform.ShareAmong(instances)
-		i.store.client.ShareAmong(instances)
+		i.store.client.ShareAmong(instances * operatorShare)
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
