--- a/internal/cli/measure.go
+++ b/internal/cli/measure.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"io"
+	"os"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/rotisserie/eris"
 )
 
 // measureCommand holds what measures the product on this machine.
@@ -26,3 +29,20 @@
 		},
 	}
 }
+
+// jsonReport is the result of a measurement.
+type jsonReport interface {
+	WriteJSON(output io.Writer) error
+}
+
+// saveReport writes a report to a file, where one is named.
+func saveReport(path string, report jsonReport) error {
+	if path == "" {
+		return nil
+	}
+	file, err := os.Create(path) //nolint:gosec // the operator names the file
+	if err != nil {
+		return eris.Wrap(err, "save report")
+	}
+	return eris.Wrap(errors.Join(report.WriteJSON(file), file.Close()), "save report")
+}
--- a/internal/cli/measure_capacity.go
+++ b/internal/cli/measure_capacity.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"io"
-	"os"
 	"strings"
 
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
-	"github.com/rotisserie/eris"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/measure/capacity"
 )
@@ -37,21 +34,10 @@
 			if err != nil {
 				return err
 			}
-			if err := writeDocument(*document, report); err != nil {
+			if err := saveReport(*document, report); err != nil {
 				return err
 			}
 			return report.WriteTable(stdout)
 		},
 	}
 }
-
-func writeDocument(path string, report *capacity.Report) error {
-	if path == "" {
-		return nil
-	}
-	file, err := os.Create(path) //nolint:gosec // the operator names the file
-	if err != nil {
-		return eris.Wrap(err, "write JSON")
-	}
-	return eris.Wrap(errors.Join(report.WriteJSON(file), file.Close()), "write JSON")
-}
--- a/internal/cli/measure_today.go
+++ b/internal/cli/measure_today.go
@@ -72,18 +72,3 @@
 	defer file.Close() //nolint:errcheck // it was only read
 	return today.ReadReport(file)
 }
-
-func saveReport(path string, report *today.Report) error {
-	if path == "" {
-		return nil
-	}
-	file, err := os.Create(path) //nolint:gosec // the operator names the file
-	if err != nil {
-		return eris.Wrap(err, "save report")
-	}
-	if err := report.WriteJSON(file); err != nil {
-		_ = file.Close()
-		return err
-	}
-	return eris.Wrap(file.Close(), "save report")
-}
