Processes tests: each process in a group of its own

Reproduced by ending the shell during the pause (failed), with a group of its own it passes. Ruled out: the product, whose log ended before the pause.

--- a/test/processes/process_test.go
+++ b/test/processes/process_test.go
@@ -73,6 +73,9 @@
 func startProcess(t *testing.T, name string, onLine func(string), arguments ...string) *process {
 	t.Helper()
 	p := &process{name: name, cmd: exec.Command(binary, arguments...), exited: make(chan struct{})}
+	// A process group of its own: when the shell that started the tests ends,
+	// the kernel hangs up on stopped members of the group that it leaves.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	reader, writer := io.Pipe()
 	p.cmd.Stdout, p.cmd.Stderr = writer, writer
 	require.NoError(t, p.cmd.Start(), name)
