--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -57,6 +57,7 @@
 		FlagSet:    flags,
 		Subcommands: []*ffcli.Command{
 			proxyCommand(stderr),
+			entryCommand(stdout, stderr),
 			devCommand(stdout, stderr),
 			PlansCommand(stdout, stderr),
 			LimitsCommand(stdout, stderr),
--- /dev/null
+++ b/internal/coordination/leadership/beat.go
@@ -0,0 +1,184 @@
+package leadership
+
+import (
+	"context"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/rowstore"
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// Run renews the lease and watches over the primaries until ctx ends.
+func (m *Manager) Run(ctx context.Context) {
+	m.mu.Lock()
+	m.lease.length = m.Options.Lease
+	m.mu.Unlock()
+	go m.beatLoop(ctx)
+	go m.memberLoop(ctx)
+	m.evaluateLoop(ctx)
+}
+
+// Leave removes this instance's row. It is called after the last request.
+func (m *Manager) Leave(ctx context.Context) {
+	m.mu.Lock()
+	m.lease.based, m.lease.pendingVersion = false, 0
+	m.mu.Unlock()
+	_, err := m.Store.Transact(ctx, rowstore.Transaction{Deletes: []rowstore.Row{{Table: TableInstances, Key: string(m.Self)}}})
+	if err != nil {
+		m.Log.Warn().Err(err).Msg("instance's row not removed, it lapses by itself")
+	}
+}
+
+// liveWithin must be called with the lock held.
+func (m *Manager) liveWithin() time.Duration {
+	return liveIntervals * m.beatInterval()
+}
+
+// beatInterval must be called with the lock held.
+func (m *Manager) beatInterval() time.Duration {
+	crowd := float64(len(m.members.byName)) / float64(m.Options.MostMembers)
+	return time.Duration(float64(m.Options.BeatInterval) * max(1, crowd))
+}
+
+func (m *Manager) beatLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		m.mu.Lock()
+		ready, interval := m.ready, m.beatInterval()
+		m.mu.Unlock()
+		if !ready {
+			// Nothing is renewed before the primaries have been read.
+			interval = acknowledgementInterval
+		} else if !m.beat(ctx) {
+			interval = voteInterval
+		}
+		timer := time.NewTimer(interval)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-m.beatNow:
+		}
+		timer.Stop()
+	}
+}
+
+// beat writes this instance's row and reports whether the store confirmed it.
+func (m *Manager) beat(ctx context.Context) bool {
+	value, err := encode(m.nextBeat())
+	if err != nil {
+		m.Log.Error().Err(err).Msg("instance's row not written")
+		return false
+	}
+	sent := m.Clock.Now()
+	commit, err := m.Store.Transact(ctx, rowstore.Transaction{Puts: []rowstore.Row{{Table: TableInstances, Key: string(m.Self), Value: value}}})
+	received := m.Clock.Now()
+	if err != nil {
+		m.Log.Warn().Err(err).Dur("held_ms", received.Sub(sent)).Msg("lease not renewed")
+		return false
+	}
+	m.mu.Lock()
+	m.lease.clock.observe(sent, received, commit.Now)
+	m.lease.renewed(commit.Version, commit.Now)
+	short := m.lease.left(received) < m.Options.Lease/2
+	m.mu.Unlock()
+	if short {
+		m.catchUp(ctx)
+	}
+	return true
+}
+
+// catchUp reads the primaries at once, because a renewal counts only when they
+// have been seen up to it, and a watch without changes answers late.
+func (m *Manager) catchUp(ctx context.Context) {
+	asked := m.Clock.Now()
+	snapshot, err := m.Store.List(ctx, TablePrimaries)
+	if err != nil {
+		m.Log.Warn().Err(err).Msg("primaries not read")
+		return
+	}
+	m.Apply(rowstore.Update{Snapshot: snapshot, Complete: true, Asked: asked, Answered: m.Clock.Now()})
+}
+
+func (m *Manager) nextBeat() beat {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.beats++
+	next := beat{Run: m.Config.Run, Count: m.beats, Acknowledged: map[state.GroupID]uint64{}, Suspected: map[state.GroupID]uint64{}}
+	for id, g := range m.groups {
+		if g.record.Changing && g.acknowledged > 0 {
+			next.Acknowledged[id] = g.acknowledged
+		}
+		if g.suspected {
+			next.Suspected[id] = g.record.Epoch
+		}
+	}
+	return next
+}
+
+func (m *Manager) memberLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		m.readMembers(ctx)
+		wait := membersInterval
+		if m.anySuspected() {
+			wait = voteInterval
+		}
+		pause(ctx, wait)
+	}
+}
+
+func (m *Manager) anySuspected() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, g := range m.groups {
+		if g.suspected {
+			return true
+		}
+	}
+	return false
+}
+
+// readMembers reads the instances' rows and removes those long abandoned.
+func (m *Manager) readMembers(ctx context.Context) {
+	sent := m.Clock.Now()
+	snapshot, err := m.Store.List(ctx, TableInstances)
+	received := m.Clock.Now()
+	if err != nil {
+		m.Log.Debug().Err(err).Msg("instances' rows not read")
+		return
+	}
+	m.mu.Lock()
+	m.lease.clock.observe(sent, received, snapshot.Now)
+	unreadable := m.members.update(snapshot)
+	var abandoned []rowstore.Transaction
+	for name, entry := range m.members.byName {
+		if name != m.Self && m.members.now-entry.seenAt > forgetAfter {
+			row := rowstore.Row{Table: TableInstances, Key: string(name)}
+			abandoned = append(abandoned, rowstore.Transaction{
+				Conditions: []rowstore.Condition{{Table: row.Table, Key: row.Key, Version: entry.version}}, Deletes: []rowstore.Row{row},
+			})
+		}
+	}
+	m.mu.Unlock()
+	for _, key := range unreadable {
+		m.Log.Warn().Str("peer", key).Msg("instance's row can't be read")
+	}
+	for _, removal := range abandoned {
+		if _, err := m.Store.Transact(ctx, removal); err != nil {
+			m.Log.Warn().Err(err).Msg("abandoned instance's row not removed")
+		}
+	}
+}
+
+func pause(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func changesTotal(result string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(`cyclamenpin_primary_changes_total{result="` + result + `"}`)
+}
--- /dev/null
+++ b/internal/coordination/leadership/change.go
@@ -0,0 +1,322 @@
+package leadership
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/directory"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/rowstore"
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// errNoCandidate is the error of a group without a replica to promote.
+var errNoCandidate = errors.New("no replica answers")
+
+// change is one attempt to give a group another primary.
+type changeAttempt struct {
+	group    state.GroupID
+	old      state.DatabaseID
+	planned  bool
+	epoch    uint64
+	token    uint64
+	announce rowstore.Commit
+	// target is the last position of the old primary, zero where it could not
+	// be asked.
+	target state.Position
+}
+
+// change carries out one attempt and logs its result.
+func (m *Manager) change(ctx context.Context, id state.GroupID, old state.DatabaseID, why cause) {
+	started := m.Clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	attempt := &changeAttempt{group: id, old: old, planned: why == causeLeaving || why == causeGone && !m.Health.Suspected(old)}
+	promoted, err := m.attemptChange(ctx, attempt, why)
+	event := m.Log.Info()
+	result := "done"
+	switch {
+	case errors.Is(err, errDutyTaken), errors.Is(err, rowstore.ErrConflict):
+		event, result = m.Log.Debug(), "yielded"
+	case err != nil:
+		event, result = m.Log.Warn().Err(err), "failed"
+	}
+	changesTotal(result).Inc()
+	event.Str("group", string(id)).Str("cause", string(why)).Str("old", string(old)).Str("primary", string(promoted)).
+		Uint64("epoch", attempt.epoch).Uint64("token", attempt.token).Bool("planned", attempt.planned).Stringer("target", attempt.target).
+		Dur("held_ms", m.Clock.Now().Sub(started)).Str("result", result).Msg("change of primary ended")
+	if err != nil {
+		pause(ctx, evaluateInterval)
+	}
+}
+
+func (m *Manager) attemptChange(ctx context.Context, attempt *changeAttempt, why cause) (state.DatabaseID, error) {
+	token, err := m.takeDuty(ctx)
+	if err != nil {
+		return "", err
+	}
+	attempt.token = token
+	m.beginDuty()
+	defer m.endDuty(context.WithoutCancel(ctx))
+	if err := m.announceChange(ctx, attempt, why); err != nil {
+		return "", err
+	}
+	if err := m.giveUpOld(ctx, attempt); err != nil {
+		return "", err
+	}
+	chosen, done, err := m.choose(ctx, attempt)
+	if err != nil {
+		return "", err
+	}
+	status := chosen.status
+	if !done {
+		if status, err = m.promote(ctx, attempt, chosen.server); err != nil {
+			return "", err
+		}
+	}
+	m.Health.Success(chosen.server.ID)
+	return chosen.server.ID, m.publish(ctx, attempt, chosen.server.ID, status.Received)
+}
+
+// announceChange writes the group's row, after which no instance renews its
+// use of the old primary.
+func (m *Manager) announceChange(ctx context.Context, attempt *changeAttempt, why cause) error {
+	m.mu.Lock()
+	g := m.group(attempt.group)
+	record, version := g.record, g.version
+	m.mu.Unlock()
+	if why == causeResume {
+		attempt.planned = false
+	}
+	record = Record{
+		Epoch: record.Epoch + 1, Changing: true, Planned: attempt.planned,
+		Primary: attempt.old, Start: record.Start, Promoter: m.runName,
+	}
+	attempt.epoch = record.Epoch
+	commit, err := m.writeRecord(ctx, attempt.group, record, version)
+	attempt.announce = commit
+	return err
+}
+
+// writeRecord writes a group's row and takes it over at once.
+func (m *Manager) writeRecord(ctx context.Context, id state.GroupID, record Record, version uint64) (rowstore.Commit, error) {
+	value, err := encode(record)
+	if err != nil {
+		return rowstore.Commit{}, err
+	}
+	commit, err := m.Store.Transact(ctx, rowstore.Transaction{
+		Conditions: []rowstore.Condition{{Table: TablePrimaries, Key: string(id), Version: version}},
+		Puts:       []rowstore.Row{{Table: TablePrimaries, Key: string(id), Value: value}},
+	})
+	if err != nil {
+		return rowstore.Commit{}, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.applyRow(rowstore.Row{Table: TablePrimaries, Key: string(id), Value: value, Version: commit.Version}, m.Clock.Now())
+	m.broadcast()
+	return commit, nil
+}
+
+// giveUpOld returns when no instance uses the old primary any more. A primary
+// that still answers is told to step down.
+func (m *Manager) giveUpOld(ctx context.Context, attempt *changeAttempt) error {
+	if attempt.planned {
+		if err := m.awaitAcknowledgements(ctx, attempt); err != nil {
+			return err
+		}
+		m.stepDown(ctx, attempt)
+		return nil
+	}
+	var stepping sync.WaitGroup
+	stepping.Go(func() { m.stepDown(ctx, attempt) })
+	err := m.awaitAcknowledgements(ctx, attempt)
+	stepping.Wait()
+	return err
+}
+
+func (m *Manager) awaitAcknowledgements(ctx context.Context, attempt *changeAttempt) error {
+	for {
+		m.readMembers(ctx)
+		m.mu.Lock()
+		now, _ := m.lease.clock.atLeast(m.Clock.Now())
+		holdouts := m.members.holdouts(m.Self, attempt.group, attempt.epoch, attempt.announce, m.Options.Lease, now)
+		own := m.group(attempt.group).acknowledged >= attempt.epoch
+		m.mu.Unlock()
+		if own && len(holdouts) == 0 {
+			return nil
+		}
+		if err := ctx.Err(); err != nil {
+			return eris.Wrapf(err, "wait for %v to give up the old primary", holdouts)
+		}
+		pause(ctx, acknowledgementInterval)
+	}
+}
+
+// stepDown tells the old primary to step down, as far as it answers.
+func (m *Manager) stepDown(ctx context.Context, attempt *changeAttempt) {
+	entry, registered := m.Directory.Server(attempt.group, attempt.old)
+	if !registered {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	status, err := m.Databases.Status(ctx, entry.Server)
+	if err == nil && status.Role == state.RolePrimary {
+		status, err = m.Databases.StepDown(ctx, entry.Server, status.Term+1)
+	}
+	if err != nil {
+		m.Log.Warn().Err(err).Str("group", string(attempt.group)).Str("database", string(attempt.old)).Msg("old primary not told to step down")
+		return
+	}
+	attempt.target = status.Received
+}
+
+// candidate is a database that answered.
+type candidate struct {
+	server state.Server
+	status state.ServerStatus
+}
+
+// choose returns the replica that received most, after it had time to receive
+// what the old primary wrote last. done tells that it is primary already, by
+// an earlier attempt.
+func (m *Manager) choose(ctx context.Context, attempt *changeAttempt) (chosen candidate, done bool, err error) {
+	deadline := m.Clock.Now().Add(catchUpTimeout)
+	for {
+		candidates := m.ask(ctx, attempt)
+		for _, found := range candidates {
+			if found.status.Role == state.RolePrimary {
+				return found, true, nil
+			}
+		}
+		late := m.Clock.Now() >= deadline
+		if len(candidates) > 0 && (late || candidates[0].status.Received.Covers(attempt.target)) {
+			return candidates[0], false, nil
+		}
+		if late || ctx.Err() != nil {
+			return candidate{}, false, eris.Wrapf(errNoCandidate, "group %s", attempt.group)
+		}
+		pause(ctx, statusInterval)
+	}
+}
+
+// ask returns the replicas that answer, the one that received most first.
+func (m *Manager) ask(ctx context.Context, attempt *changeAttempt) []candidate {
+	var mu sync.Mutex
+	var asking sync.WaitGroup
+	var found []candidate
+	for _, entry := range m.Directory.Servers(attempt.group) {
+		if entry.ID == attempt.old || entry.Leaving {
+			continue
+		}
+		asking.Go(func() {
+			if answer, ok := m.askOne(ctx, entry); ok {
+				mu.Lock()
+				found = append(found, answer)
+				mu.Unlock()
+			}
+		})
+	}
+	asking.Wait()
+	slices.SortFunc(found, func(a, b candidate) int {
+		if c := b.status.Received.Compare(a.status.Received); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.server.ID, b.server.ID)
+	})
+	return found
+}
+
+func (m *Manager) askOne(ctx context.Context, entry directory.Entry) (candidate, bool) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	status, err := m.Databases.Status(ctx, entry.Server)
+	if err != nil {
+		m.Log.Warn().Err(err).Str("database", string(entry.ID)).Msg("candidate does not answer")
+		return candidate{}, false
+	}
+	return candidate{server: entry.Server, status: status}, true
+}
+
+// promote orders the promotion and waits until the database leads.
+func (m *Manager) promote(ctx context.Context, attempt *changeAttempt, server state.Server) (state.ServerStatus, error) {
+	deadline := m.Clock.Now().Add(confirmTimeout)
+	var ordered bool
+	var nextOrder state.Instant
+	for {
+		now := m.Clock.Now()
+		if !ordered && now >= nextOrder {
+			var err error
+			if ordered, err = m.orderPromotion(ctx, attempt, server); err != nil {
+				return state.ServerStatus{}, err
+			}
+			nextOrder = m.Clock.Now().Add(promoteInterval)
+		}
+		if answer, ok := m.askOne(ctx, directory.Entry{Server: server}); ok && answer.status.Role == state.RolePrimary {
+			return answer.status, nil
+		}
+		if ctx.Err() != nil || m.Clock.Now() >= deadline {
+			return state.ServerStatus{}, eris.Errorf("%s does not lead %s after its promotion", server.ID, confirmTimeout)
+		}
+		pause(ctx, statusInterval)
+	}
+}
+
+// orderPromotion sends one promotion. It returns false where it is to be
+// repeated.
+func (m *Manager) orderPromotion(ctx context.Context, attempt *changeAttempt, server state.Server) (bool, error) {
+	if !m.dutyValid() {
+		return false, eris.New("the promotion duty has lapsed")
+	}
+	sent := m.Clock.Now()
+	err := m.Promoter.Promote(ctx, attempt.group, server.ID, m.Self, attempt.token)
+	m.Log.Info().Err(err).Str("group", string(attempt.group)).Str("database", string(server.ID)).Uint64("epoch", attempt.epoch).
+		Uint64("token", attempt.token).Dur("held_ms", m.Clock.Now().Sub(sent)).Msg("promotion ordered")
+	if errors.Is(err, ErrNotRunning) {
+		return false, err
+	}
+	if err != nil {
+		m.markUnsure()
+	}
+	return err == nil, nil
+}
+
+// publish ends the change: from now on the new primary is used.
+func (m *Manager) publish(ctx context.Context, attempt *changeAttempt, primary state.DatabaseID, start state.Position) error {
+	record := Record{Epoch: attempt.epoch, Primary: primary, Start: start, Promoter: m.runName}
+	return m.withRetries(ctx, func(ctx context.Context) error {
+		_, err := m.writeRecord(ctx, attempt.group, record, m.versionOf(attempt.group))
+		if errors.Is(err, rowstore.ErrConflict) && m.published(attempt) {
+			return nil
+		}
+		return err
+	})
+}
+
+func (m *Manager) versionOf(id state.GroupID) uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.group(id).version
+}
+
+// published reports whether the end of the attempt is known to be written, by
+// a call whose answer was lost.
+func (m *Manager) published(attempt *changeAttempt) bool {
+	deadline := m.Clock.Now().Add(time.Second)
+	for m.Clock.Now() < deadline {
+		m.mu.Lock()
+		record := m.group(attempt.group).record
+		m.mu.Unlock()
+		if record.Epoch > attempt.epoch || record.Epoch == attempt.epoch && !record.Changing {
+			return record.Epoch == attempt.epoch
+		}
+		time.Sleep(acknowledgementInterval)
+	}
+	return false
+}
--- /dev/null
+++ b/internal/coordination/leadership/duty.go
@@ -0,0 +1,139 @@
+package leadership
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/rowstore"
+)
+
+// errDutyTaken is the error of a duty that another instance holds.
+var errDutyTaken = errors.New("another instance holds the duty")
+
+// duty is this instance's hold of the promotions.
+type duty struct {
+	held    bool
+	record  dutyRecord
+	version uint64
+	// users counts the running changes.
+	users int
+	// unsure is set where a promotion got no answer: it may still arrive, so
+	// the duty is left to lapse.
+	unsure bool
+}
+
+// takeDuty acquires or renews the duty and returns its fencing token.
+func (m *Manager) takeDuty(ctx context.Context) (uint64, error) {
+	snapshot, err := m.Store.List(ctx, TableDuties)
+	if err != nil {
+		return 0, err
+	}
+	var row rowstore.Row
+	var current dutyRecord
+	for _, candidate := range snapshot.Rows {
+		if candidate.Key == dutyPromotion {
+			row = candidate
+		}
+	}
+	if row.Version != 0 {
+		if err := decode(row.Key, row.Value, &current); err != nil {
+			return 0, err
+		}
+	}
+	mine := current.Holder == m.runName
+	if !mine && row.Version != 0 && int64(snapshot.Now) < current.FreeAt {
+		return 0, eris.Wrapf(errDutyTaken, "promotion duty of %s", current.Holder)
+	}
+	next := dutyRecord{Holder: m.runName, Token: current.Token, FreeAt: int64(snapshot.Now + m.Options.DutyLease + leaseMargin)}
+	if !mine {
+		next.Token++
+	}
+	return next.Token, m.writeDuty(ctx, next, row.Version)
+}
+
+func (m *Manager) writeDuty(ctx context.Context, next dutyRecord, version uint64) error {
+	value, err := encode(next)
+	if err != nil {
+		return err
+	}
+	commit, err := m.Store.Transact(ctx, rowstore.Transaction{
+		Conditions: []rowstore.Condition{{Table: TableDuties, Key: dutyPromotion, Version: version}},
+		Puts:       []rowstore.Row{{Table: TableDuties, Key: dutyPromotion, Value: value}},
+	})
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.duty.held, m.duty.record, m.duty.version = true, next, commit.Version
+	return nil
+}
+
+// dutyValid reports whether a promotion may be sent now. The last leaseMargin
+// is left for a call that is on its way.
+func (m *Manager) dutyValid() bool {
+	now := m.Clock.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	storeNow, known := m.lease.clock.atMost(now)
+	return known && m.duty.held && int64(storeNow+leaseMargin) < m.duty.record.FreeAt
+}
+
+// beginDuty counts a change in.
+func (m *Manager) beginDuty() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.duty.users++
+}
+
+// endDuty counts a change out; the last one frees the duty for others.
+func (m *Manager) endDuty(ctx context.Context) {
+	m.mu.Lock()
+	m.duty.users--
+	free := m.duty.users == 0 && m.duty.held && !m.duty.unsure
+	record, version := m.duty.record, m.duty.version
+	storeNow, _ := m.lease.clock.atMost(m.Clock.Now())
+	if m.duty.users == 0 {
+		m.duty.unsure = false
+	}
+	m.mu.Unlock()
+	if !free {
+		return
+	}
+	record.FreeAt = int64(storeNow + m.Options.DutyPause)
+	if err := m.writeDuty(ctx, record, version); err != nil {
+		m.Log.Warn().Err(err).Msg("promotion duty not freed, it lapses by itself")
+	}
+	m.mu.Lock()
+	m.duty.held = m.duty.users > 0 && m.duty.held
+	m.mu.Unlock()
+}
+
+func (m *Manager) markUnsure() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.duty.unsure = true
+}
+
+// withRetries repeats a store write until it succeeds, conflicts or takes too
+// long.
+func (m *Manager) withRetries(ctx context.Context, write func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, storeWriteTimeout)
+	defer cancel()
+	for {
+		err := write(ctx)
+		if err == nil || errors.Is(err, rowstore.ErrConflict) || ctx.Err() != nil {
+			return err
+		}
+		pause(ctx, 2*acknowledgementInterval)
+	}
+}
+
+// sinceSeen is how long ago the group's newest record was first seen here. It
+// must be called with the lock held.
+func (m *Manager) sinceSeen(g *group) time.Duration {
+	return m.Clock.Now().Sub(g.seenAt)
+}
--- /dev/null
+++ b/internal/coordination/leadership/evaluate.go
@@ -0,0 +1,159 @@
+package leadership
+
+import (
+	"context"
+	"time"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/directory"
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// cause says why a group's primary is changed.
+type cause string
+
+const (
+	causeLeaving     cause = "leaving"     // its backend server is being retired
+	causeGone        cause = "gone"        // it is no longer registered
+	causeUnreachable cause = "unreachable" // half of the live instances can't reach it
+	causeResume      cause = "resume"      // a change that this run announced is to be finished
+	causeTakeOver    cause = "take_over"   // another instance's change got stuck
+)
+
+func (m *Manager) evaluateLoop(ctx context.Context) {
+	ticker := time.NewTicker(evaluateInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for _, id := range m.Directory.Groups() {
+			m.evaluate(ctx, id)
+		}
+	}
+}
+
+// evaluate starts a change of a group's primary where one is due.
+func (m *Manager) evaluate(ctx context.Context, id state.GroupID) {
+	m.mu.Lock()
+	g := m.group(id)
+	primary, known := m.primaryOf(id, g)
+	if !m.ready || !known || g.running || !m.lease.valid(m.Clock.Now()) {
+		m.mu.Unlock()
+		return
+	}
+	m.mu.Unlock()
+	m.probe(ctx, id, primary)
+
+	m.mu.Lock()
+	why, due := m.due(id, g, primary)
+	if due {
+		g.running = true
+	}
+	m.mu.Unlock()
+	if !due {
+		return
+	}
+	go func() {
+		m.change(ctx, id, primary, why)
+		m.mu.Lock()
+		g.running = false
+		m.mu.Unlock()
+	}()
+}
+
+// due must be called with the lock held.
+func (m *Manager) due(id state.GroupID, g *group, primary state.DatabaseID) (cause, bool) {
+	stagger := time.Duration(m.members.rank(m.Self, m.liveWithin())) * staggerStep
+	if g.record.Changing {
+		if g.record.Promoter == m.runName {
+			return causeResume, true
+		}
+		return causeTakeOver, m.sinceSeen(g) > m.Options.TakeOver+stagger
+	}
+	if !m.hasCandidate(id, primary) {
+		return "", false
+	}
+	entry, registered := m.Directory.Server(id, primary)
+	why, due := m.dueFor(id, g, entry, registered)
+	if !due {
+		g.suspectedAt = 0
+		return "", false
+	}
+	if g.suspectedAt == 0 {
+		g.suspectedAt = m.Clock.Now()
+	}
+	return why, m.Clock.Now().Sub(g.suspectedAt) >= stagger
+}
+
+// dueFor must be called with the lock held.
+func (m *Manager) dueFor(id state.GroupID, g *group, entry directory.Entry, registered bool) (cause, bool) {
+	switch {
+	case !registered:
+		return causeGone, true
+	case entry.Leaving:
+		return causeLeaving, true
+	case !g.suspected:
+		return "", false
+	}
+	suspecting, live := m.members.votes(id, g.record.Epoch, m.liveWithin())
+	return causeUnreachable, 2*suspecting >= live && suspecting > 0
+}
+
+func (m *Manager) hasCandidate(id state.GroupID, primary state.DatabaseID) bool {
+	for _, server := range m.Directory.Servers(id) {
+		if server.ID != primary && !server.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
+// probe asks a primary that is doubted or has been silent, and makes this
+// instance's suspicion known to the others.
+func (m *Manager) probe(ctx context.Context, id state.GroupID, primary state.DatabaseID) {
+	entry, registered := m.Directory.Server(id, primary)
+	if registered && (m.Health.Doubted(primary) || m.Health.SilentFor(primary) > idleProbeAfter) {
+		m.probeOnce(ctx, entry.Server)
+	}
+	suspected := registered && m.Health.Suspected(primary)
+	m.mu.Lock()
+	g := m.group(id)
+	news := suspected != g.suspected && !g.record.Changing
+	if news {
+		g.suspected = suspected
+	}
+	epoch := g.record.Epoch
+	m.mu.Unlock()
+	if !news {
+		return
+	}
+	m.Log.Info().Str("group", string(id)).Str("database", string(primary)).Uint64("epoch", epoch).Bool("suspected", suspected).Msg("opinion of the primary changed")
+	m.askBeat()
+}
+
+// probeOnce asks a database for its state in the background, one question at a
+// time.
+func (m *Manager) probeOnce(ctx context.Context, server state.Server) {
+	m.mu.Lock()
+	busy := m.probing[server.ID]
+	m.probing[server.ID] = true
+	m.mu.Unlock()
+	if busy {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+		defer cancel()
+		if _, err := m.Databases.Status(ctx, server); err != nil {
+			m.Log.Warn().Err(err).Str("database", string(server.ID)).Msg("probe failed")
+			m.Health.Failure(server.ID)
+		} else {
+			m.Health.Success(server.ID)
+		}
+		m.mu.Lock()
+		delete(m.probing, server.ID)
+		m.mu.Unlock()
+	}()
+}
--- /dev/null
+++ b/internal/coordination/leadership/lease.go
@@ -0,0 +1,60 @@
+package leadership
+
+import (
+	"time"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// lease is this instance's permission to use primaries at all.
+type lease struct {
+	clock  storeClock
+	length time.Duration
+	// seen is the store's version up to which TablePrimaries was followed.
+	seen uint64
+	// pending is the last renewal whose version has not been followed yet.
+	pendingVersion uint64
+	pendingAt      time.Duration
+	// base is the store's time of the last renewal that counts.
+	based bool
+	base  time.Duration
+}
+
+// renewed records that the instance's row was written.
+func (l *lease) renewed(version uint64, storeNow time.Duration) {
+	if l.pendingVersion == 0 || l.pendingVersion <= l.seen {
+		l.pendingVersion, l.pendingAt = version, storeNow
+	}
+	l.extend()
+}
+
+// extend counts the pending renewal once every change of the primaries before
+// it has been seen.
+func (l *lease) extend() {
+	if l.pendingVersion == 0 || l.pendingVersion > l.seen {
+		return
+	}
+	l.base, l.based = max(l.base, l.pendingAt), true
+	l.pendingVersion = 0
+}
+
+func (l *lease) valid(now state.Instant) bool {
+	return l.left(now) > 0
+}
+
+// left is how long the lease still runs, at the least.
+func (l *lease) left(now state.Instant) time.Duration {
+	storeNow, known := l.clock.atMost(now)
+	if !known || !l.based {
+		return 0
+	}
+	return max(0, l.base+l.length-storeNow)
+}
+
+func (l *lease) lapsedFor(now state.Instant) time.Duration {
+	storeNow, known := l.clock.atMost(now)
+	if !known || !l.based {
+		return 0
+	}
+	return max(0, storeNow-l.base-l.length)
+}
--- /dev/null
+++ b/internal/coordination/leadership/members.go
@@ -0,0 +1,107 @@
+package leadership
+
+import (
+	"time"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/rowstore"
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// member is what is known of an instance's row.
+type member struct {
+	beat    beat
+	version uint64
+	// seenAt is the store's time of the first answer that held this version,
+	// so the row was written no later.
+	seenAt time.Duration
+}
+
+// members are the instances' rows as last read.
+type members struct {
+	byName map[state.InstanceID]member
+	now    time.Duration
+}
+
+func newMembers() members {
+	return members{byName: make(map[state.InstanceID]member)}
+}
+
+// update takes over an answer that holds all rows. Rows that can't be read are
+// kept as instances that acknowledge nothing.
+func (m *members) update(snapshot rowstore.Snapshot) (unreadable []string) {
+	next := make(map[state.InstanceID]member, len(snapshot.Rows))
+	for _, row := range snapshot.Rows {
+		name := state.InstanceID(row.Key)
+		if old, known := m.byName[name]; known && old.version == row.Version {
+			next[name] = old
+			continue
+		}
+		entry := member{version: row.Version, seenAt: snapshot.Now}
+		if err := decode(row.Key, row.Value, &entry.beat); err != nil {
+			unreadable = append(unreadable, row.Key)
+		}
+		next[name] = entry
+	}
+	m.byName, m.now = next, max(m.now, snapshot.Now)
+	return unreadable
+}
+
+// live counts the instances whose row changed lately, and at least one: the
+// reader itself.
+func (m *members) live(within time.Duration) int {
+	count := 0
+	for _, entry := range m.byName {
+		if m.now-entry.seenAt <= within {
+			count++
+		}
+	}
+	return max(1, count)
+}
+
+// votes counts the live instances, and those among them that cannot reach the
+// primary of the group's epoch.
+func (m *members) votes(id state.GroupID, epoch uint64, within time.Duration) (suspecting, live int) {
+	for _, entry := range m.byName {
+		if m.now-entry.seenAt > within {
+			continue
+		}
+		live++
+		if suspected, ok := entry.beat.Suspected[id]; ok && suspected == epoch {
+			suspecting++
+		}
+	}
+	return suspecting, live
+}
+
+// rank is the place of an instance among the live ones by name, for staggering.
+func (m *members) rank(self state.InstanceID, within time.Duration) int {
+	rank := 0
+	for name, entry := range m.byName {
+		if name < self && m.now-entry.seenAt <= within {
+			rank++
+		}
+	}
+	return rank
+}
+
+// holdouts returns the instances that may still use the primary that an
+// announced epoch gives up. announced is the store's version and time of the
+// announcement, storeNow a time that the store's clock has reached.
+func (m *members) holdouts(self state.InstanceID, id state.GroupID, epoch uint64, announced rowstore.Commit, lease, storeNow time.Duration) []state.InstanceID {
+	var names []state.InstanceID
+	for name, entry := range m.byName {
+		if name == self || entry.beat.Acknowledged[id] >= epoch {
+			continue
+		}
+		// The last renewal that can count was made before the announcement:
+		// a later one counts only after the announcement was seen.
+		renewed := announced.Now
+		if entry.version < announced.Version {
+			renewed = min(renewed, entry.seenAt)
+		}
+		if storeNow <= renewed+lease+leaseMargin {
+			names = append(names, name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/internal/coordination/leadership/options.go
@@ -0,0 +1,82 @@
+package leadership
+
+import "time"
+
+// Options are the timings of leases and changes.
+type Options struct {
+	// Lease is how long an instance may use primaries after its last renewal.
+	// It is longer than the outages of the store that the platform announces
+	// as usual (up to 9 s), because requests go on meanwhile; a change waits
+	// for it only where an instance can't be asked.
+	Lease time.Duration
+	// BeatInterval is the time between two renewals.
+	BeatInterval time.Duration
+	// DutyLease is how long the duty stays with a promoter that does not
+	// renew it. It covers a change: acknowledgements, promotion, confirmation.
+	DutyLease time.Duration
+	// DutyPause is how long another instance waits after the holder's last
+	// use of the duty. The platform may set it.
+	DutyPause time.Duration
+	// PlannedDrain is how long a planned change lets requests at the old
+	// primary finish; it is half a usual statement timeout.
+	PlannedDrain time.Duration
+	// TakeOver is how long a change may take before another instance starts
+	// it anew.
+	TakeOver time.Duration
+	// MostMembers is the number of instances for which BeatInterval holds;
+	// with more, each renews less often, so that the store's load is bounded.
+	MostMembers int
+}
+
+// DefaultOptions returns the options for a few dozen instances.
+func DefaultOptions() Options {
+	return Options{
+		Lease: 10 * time.Second, BeatInterval: time.Second,
+		DutyLease: 5 * time.Second, PlannedDrain: 400 * time.Millisecond,
+		TakeOver: 5 * time.Second, MostMembers: 40,
+	}
+}
+
+const (
+	// evaluateInterval is the time between two looks at the primaries.
+	evaluateInterval = 100 * time.Millisecond
+	// membersInterval is the time between two reads of the instances' rows
+	// while nothing changes.
+	membersInterval = 2 * time.Second
+	// voteInterval is that time while a primary is suspected.
+	voteInterval = 200 * time.Millisecond
+	// acknowledgementInterval is the time between two reads of the
+	// instances' rows while a change waits for them.
+	acknowledgementInterval = 25 * time.Millisecond
+	// leaseMargin covers a request that was sent just before the lease ended:
+	// the usual statement timeout, rounded up.
+	leaseMargin = time.Second
+	// liveIntervals is how many renewals an instance may miss before it no
+	// longer counts as live.
+	liveIntervals = 4
+	// forgetAfter is when the row of an instance that no longer renews it is
+	// removed.
+	forgetAfter = time.Minute
+	// changeTimeout bounds one attempt at a change.
+	changeTimeout = 12 * time.Second
+	// statusTimeout bounds one question to a database.
+	statusTimeout = 400 * time.Millisecond
+	// statusInterval is the time between two questions to one database.
+	statusInterval = 40 * time.Millisecond
+	// promoteInterval is the time between two calls to promote while the
+	// platform refuses.
+	promoteInterval = 300 * time.Millisecond
+	// catchUpTimeout bounds the wait for a replica to receive what the old
+	// primary wrote last.
+	catchUpTimeout = 1500 * time.Millisecond
+	// confirmTimeout bounds the wait for a promotion to take effect; the
+	// slowest known takes a second.
+	confirmTimeout = 5 * time.Second
+	// storeWriteTimeout bounds the retries of one store write in a change.
+	storeWriteTimeout = 3 * time.Second
+	// idleProbeAfter is how long a primary may go without an answer before it
+	// is probed.
+	idleProbeAfter = time.Second
+	// staggerStep separates the instances that would start the same change.
+	staggerStep = 120 * time.Millisecond
+)
--- /dev/null
+++ b/internal/coordination/leadership/record.go
@@ -0,0 +1,65 @@
+package leadership
+
+import (
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// Tables of the shared store that this package writes.
+const (
+	TablePrimaries = "primaries" // one row for each group
+	TableInstances = "instances" // one row for each running instance
+	TableDuties    = "duties"    // one row for each duty of one instance at a time
+
+	dutyPromotion = "promotion"
+)
+
+// Record is a group's row in TablePrimaries.
+type Record struct {
+	// Epoch counts the announced changes of the group's primary.
+	Epoch uint64 `msgpack:"epoch"`
+	// Changing is set from the announcement of a change to its end. Meanwhile
+	// Primary is the old one, and nobody may use it.
+	Changing bool `msgpack:"changing"`
+	// Planned changes let requests in progress finish first.
+	Planned bool             `msgpack:"planned"`
+	Primary state.DatabaseID `msgpack:"primary"`
+	// Start is a position at or after which everything is of Primary's reign.
+	Start state.Position `msgpack:"start"`
+	// Promoter is the run of the instance that carries out the change.
+	Promoter string `msgpack:"promoter"`
+}
+
+// beat is an instance's row in TableInstances.
+type beat struct {
+	// Run tells two runs of an instance apart.
+	Run int64 `msgpack:"run"`
+	// Count goes up with each write, so that each changes the row.
+	Count uint64 `msgpack:"count"`
+	// Acknowledged holds, for each group in change, the epoch whose old
+	// primary this instance no longer uses.
+	Acknowledged map[state.GroupID]uint64 `msgpack:"ack"`
+	// Suspected holds the epochs of the groups whose primary this instance
+	// cannot reach.
+	Suspected map[state.GroupID]uint64 `msgpack:"suspect"`
+}
+
+// dutyRecord is a row in TableDuties.
+type dutyRecord struct {
+	Holder string `msgpack:"holder"`
+	Token  uint64 `msgpack:"token"`
+	// FreeAt is when another may take over, on the store's clock, in
+	// nanoseconds.
+	FreeAt int64 `msgpack:"free_at"`
+}
+
+func encode(value any) ([]byte, error) {
+	encoded, err := msgpack.Marshal(value)
+	return encoded, eris.Wrap(err, "encode a row")
+}
+
+func decode(key string, value []byte, into any) error {
+	return eris.Wrapf(msgpack.Unmarshal(value, into), "decode row %q", key)
+}
--- /dev/null
+++ b/internal/coordination/leadership/storeclock.go
@@ -0,0 +1,74 @@
+package leadership
+
+import (
+	"time"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// offsetWindow is how long bounds of the store's clock are used, so that the
+// drift between two steady clocks (below 0.1 %) stays within driftAllowance.
+const (
+	offsetWindow   = 30 * time.Second
+	driftAllowance = 60 * time.Millisecond
+)
+
+// offsets bound the difference between the store's clock and the local one.
+type offsets struct {
+	known        bool
+	lower, upper time.Duration
+	since        state.Instant
+}
+
+func (o *offsets) add(sent, received state.Instant, storeNow time.Duration) {
+	upper, lower := storeNow-time.Duration(sent), storeNow-time.Duration(received)
+	if !o.known {
+		*o = offsets{known: true, lower: lower, upper: upper, since: received}
+		return
+	}
+	o.upper, o.lower = min(o.upper, upper), max(o.lower, lower)
+}
+
+// storeClock estimates the store's steady clock from the answers that carry
+// it: the clock read by the store lies between the sending of a question and
+// the arrival of its answer.
+type storeClock struct {
+	current, previous offsets
+}
+
+// observe takes in an answer.
+func (c *storeClock) observe(sent, received state.Instant, storeNow time.Duration) {
+	if c.current.known && received.Sub(c.current.since) > offsetWindow {
+		c.previous, c.current = c.current, offsets{}
+	}
+	c.current.add(sent, received, storeNow)
+	if c.latest() > c.earliestOffset()+offsetWindow || c.latest() < c.earliestOffset() {
+		// One of the clocks was set: start again from this answer.
+		c.previous, c.current = offsets{}, offsets{}
+		c.current.add(sent, received, storeNow)
+	}
+}
+
+func (c *storeClock) latest() time.Duration {
+	if c.previous.known {
+		return min(c.current.upper, c.previous.upper)
+	}
+	return c.current.upper
+}
+
+func (c *storeClock) earliestOffset() time.Duration {
+	if c.previous.known {
+		return max(c.current.lower, c.previous.lower)
+	}
+	return c.current.lower
+}
+
+// atMost returns a time that the store's clock has not passed yet.
+func (c *storeClock) atMost(local state.Instant) (time.Duration, bool) {
+	return time.Duration(local) + c.latest() + driftAllowance, c.current.known
+}
+
+// atLeast returns a time that the store's clock has reached.
+func (c *storeClock) atLeast(local state.Instant) (time.Duration, bool) {
+	return time.Duration(local) + c.earliestOffset() - driftAllowance, c.current.known
+}
--- /dev/null
+++ b/internal/coordination/pooling/manager.go
@@ -0,0 +1,155 @@
+package pooling
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+const (
+	// trimInterval is the time between two looks for idle connections.
+	trimInterval = time.Second
+	// surplusIdle is how long a connection beyond the share may be idle.
+	surplusIdle = 2 * time.Second
+	// longIdle is below the minute after which databases close idle
+	// connections.
+	longIdle = 40 * time.Second
+	// reserveShare keeps one connection in this many free, for probes and for
+	// an instance that takes the place of another.
+	reserveShare = 10
+)
+
+// Manager holds the pools of all databases in use.
+type Manager struct {
+	dialer Dialer
+	health Health
+	log    zerolog.Logger
+	// maxConnections returns what each database of a group accepts.
+	maxConnections func(state.GroupID) int
+	// instances returns how many instances share that.
+	instances func() int
+
+	mu    sync.Mutex
+	pools map[state.DatabaseID]*Pool
+}
+
+// NewManager returns a manager without pools.
+func NewManager(dialer Dialer, health Health, maxConnections func(state.GroupID) int, instances func() int, log zerolog.Logger) *Manager {
+	return &Manager{
+		dialer: dialer, health: health, log: log, maxConnections: maxConnections, instances: instances,
+		pools: make(map[state.DatabaseID]*Pool),
+	}
+}
+
+// Pool returns the pool of a database. A database that registered again at
+// another address, or was started anew, gets a new one.
+func (m *Manager) Pool(server state.Server) *Pool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	pool, ok := m.pools[server.ID]
+	if ok && pool.server.Address == server.Address && pool.server.Born == server.Born {
+		return pool
+	}
+	if ok {
+		go pool.close()
+	}
+	group := server.Group
+	pool = newPool(server, m.dialer, m.health, func() Limits { return m.limits(group) }, m.log)
+	m.pools[server.ID] = pool
+	return pool
+}
+
+func (m *Manager) limits(group state.GroupID) Limits {
+	most := m.maxConnections(group)
+	share := max(1, (most-most/reserveShare)/max(1, m.instances()))
+	return Limits{Share: share, Most: share + (share+3)/4}
+}
+
+// Gone closes the pool of a database that is no longer registered.
+func (m *Manager) Gone(id state.DatabaseID) {
+	m.mu.Lock()
+	pool, ok := m.pools[id]
+	delete(m.pools, id)
+	m.mu.Unlock()
+	if ok {
+		pool.close()
+	}
+}
+
+// Run closes idle connections until ctx ends, and then all pools.
+func (m *Manager) Run(ctx context.Context) {
+	ticker := time.NewTicker(trimInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			for _, pool := range m.all() {
+				pool.close()
+			}
+			return
+		case <-ticker.C:
+			for _, pool := range m.all() {
+				pool.trim(surplusIdle, longIdle)
+			}
+		}
+	}
+}
+
+func (m *Manager) all() []*Pool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	pools := make([]*Pool, 0, len(m.pools))
+	for _, pool := range m.pools {
+		pools = append(pools, pool)
+	}
+	return pools
+}
+
+// Stats returns the state of all pools.
+func (m *Manager) Stats() []Stats {
+	var all []Stats
+	for _, pool := range m.all() {
+		all = append(all, pool.stats())
+	}
+	return all
+}
+
+// Status asks a database for its state, on an idle connection if there is one.
+func (m *Manager) Status(ctx context.Context, server state.Server) (state.ServerStatus, error) {
+	return m.ask(ctx, server, func(conn Conn, deadline time.Time) (state.ServerStatus, error) {
+		return conn.Status(deadline)
+	})
+}
+
+// StepDown tells a primary of a term below the given one to become a replica.
+func (m *Manager) StepDown(ctx context.Context, server state.Server, term state.Term) (state.ServerStatus, error) {
+	return m.ask(ctx, server, func(conn Conn, deadline time.Time) (state.ServerStatus, error) {
+		return conn.StepDown(term, deadline)
+	})
+}
+
+func (m *Manager) ask(ctx context.Context, server state.Server, question func(Conn, time.Time) (state.ServerStatus, error)) (state.ServerStatus, error) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(dialTimeout)
+	}
+	pool := m.Pool(server)
+	pool.mu.Lock()
+	link := pool.takeIdle("")
+	pool.mu.Unlock()
+	if link != nil {
+		status, err := question(link, deadline)
+		pool.Release(link, err == nil)
+		return status, err
+	}
+	conn, err := m.dialer.Dial(ctx, server)
+	if err != nil {
+		return state.ServerStatus{}, &DialError{Database: server.ID, Cause: err}
+	}
+	defer conn.Close()
+	return question(conn, deadline)
+}
--- /dev/null
+++ b/internal/coordination/relay/request.go
@@ -0,0 +1,135 @@
+package relay
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/leadership"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/pooling"
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// request is one statement on its way, with what its log line tells.
+type request struct {
+	session   *Session
+	statement state.Statement
+	arrived   state.Instant
+	started   time.Time
+	route     state.Route
+	routed    bool
+	version   uint64
+	// writes tells whether the statement changes data.
+	writes bool
+	// shape is the prepared statement that is executed, if any.
+	shape shape
+
+	// What decided, for the log.
+	server   state.DatabaseID
+	role     string
+	epoch    uint64
+	need     state.Position
+	tries    int
+	queued   time.Duration
+	ran      time.Duration
+	lastFail error
+}
+
+func (s *Session) newRequest(statement state.Statement, arrived state.Instant) *request {
+	r := &request{session: s, statement: statement, arrived: arrived, started: time.Now()}
+	if s.tx != nil {
+		r.route, r.routed, r.version = s.tx.route, true, s.tx.version
+	} else if table := s.engine.Directory.Routes(); table != nil {
+		r.route, r.routed = table.Routes[s.database]
+		r.version = table.Version
+	}
+	r.writes = statement.Kind == state.StatementWrite
+	if statement.Kind == state.StatementExecute {
+		r.shape = s.prepared[statement.Name]
+		r.writes = r.shape.writes
+	}
+	return r
+}
+
+// deadline is when the statement's time ends.
+func (r *request) deadline() time.Time {
+	timeout := r.route.StatementTimeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	return r.started.Add(timeout)
+}
+
+// queueDeadline is when the statement no longer waits to be sent.
+func (r *request) queueDeadline() time.Time {
+	objective := r.route.Objective
+	if objective <= 0 {
+		objective = defaultObjective
+	}
+	return r.started.Add(time.Duration(queueShare * float64(objective)))
+}
+
+// refused makes an answer of the proxy's own.
+func (r *request) refused(code state.ErrorCode, detail string) state.Reply {
+	return state.Reply{Code: code, Detail: detail}
+}
+
+// busy refuses a statement of which nothing ran, and tells when to come back.
+func (r *request) busy(reason string, after time.Duration) state.Reply {
+	return r.refused(state.CodeBusy, fmt.Sprintf("%s, retry after %d ms", reason, max(1, after.Milliseconds())))
+}
+
+// forward is the statement as it is sent to a database.
+func (r *request) forward(link *pooling.Link, after state.Position) pooling.Statement {
+	text := r.statement.Text
+	if r.statement.Kind == state.StatementExecute {
+		name := r.session.engine.shapes.name(r.shape)
+		link.Ensure(name, r.shape.text, r.shape.writes)
+		text = r.session.engine.Statements.ExecuteText(name, r.statement.Value)
+	}
+	return pooling.Statement{ID: r.statement.ID, Text: text, After: after}
+}
+
+// onPrimary notes the grant that decided where the request goes.
+func (r *request) onPrimary(grant *leadership.Grant) {
+	r.server, r.role, r.epoch = grant.Primary, "primary", grant.Epoch
+}
+
+// finish counts the request and writes its log line.
+func (r *request) finish(reply state.Reply) {
+	took := time.Since(r.started)
+	kind := r.route.Consistency.String()
+	metrics.GetOrCreateCounter(fmt.Sprintf(`cyclamenpin_statements_total{route=%q,kind=%q,code=%q}`, kind, r.statement.Kind, reply.Code)).Inc()
+	if r.tries == 0 && reply.Code == state.CodeNone {
+		return
+	}
+	metrics.GetOrCreateHistogram(fmt.Sprintf(`cyclamenpin_statement_seconds{route=%q,step="queue"}`, kind)).Update(r.queued.Seconds())
+	metrics.GetOrCreateHistogram(fmt.Sprintf(`cyclamenpin_statement_seconds{route=%q,step="run"}`, kind)).Update(r.ran.Seconds())
+	metrics.GetOrCreateHistogram(fmt.Sprintf(`cyclamenpin_statement_seconds{route=%q,step="whole"}`, kind)).Update(took.Seconds())
+	r.logLine(reply, took)
+}
+
+func (r *request) logLine(reply state.Reply, took time.Duration) {
+	level := zerolog.InfoLevel
+	if reply.Code != state.CodeNone {
+		level = zerolog.WarnLevel
+	}
+	event := r.session.engine.Log.WithLevel(level)
+	if event == nil {
+		return
+	}
+	event = event.Str("request", r.statement.ID).Uint64("session", r.session.number).Str("name", r.session.database).
+		Stringer("kind", r.statement.Kind).Stringer("route", r.route.Consistency).Uint64("config", r.version).
+		Str("group", string(r.route.Group)).Str("database", string(r.server)).Str("role", r.role).Uint64("epoch", r.epoch).
+		Stringer("need", r.need).Stringer("position", reply.Position).Int("tries", r.tries).
+		Dur("queued_ms", r.queued).Dur("ran_ms", r.ran).Dur("held_ms", took).Stringer("outcome", reply.Code)
+	if reply.Detail != "" {
+		event = event.Str("detail", reply.Detail)
+	}
+	if r.lastFail != nil {
+		event = event.AnErr("last_failure", r.lastFail)
+	}
+	event.Msg("statement")
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,257 @@
+// Package entry runs an entry instance on the council platform: it wires the
+// platform's adapter to the relay and its coordination, and starts and stops
+// them.
+package entry
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/directory"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/leadership"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/pooling"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/relay"
+	"github.com/cyclamenpin/cyclamenpin/internal/transport/lineserver"
+	"github.com/cyclamenpin/cyclamenpin/platform"
+)
+
+const (
+	// memoryShare is the part of the memory limit at which the garbage
+	// collector works harder; the rest is for the kernel's buffers, which
+	// count too.
+	memoryShare = 0.7
+	// gcPercent trades memory for processor time at heaps of a few megabytes.
+	gcPercent = 200
+	// outOfRotation is how long the balancer needs to stop sending new
+	// connections: it asks once a second and leaves after two refusals.
+	outOfRotation = 2300 * time.Millisecond
+	// stopReserve is kept of the stop's grace for the last steps.
+	stopReserve = 600 * time.Millisecond
+	// startTimeout and stopTimeout bound the wiring's own hooks.
+	startTimeout = 10 * time.Second
+)
+
+// Options are the settings that are not in the platform's file.
+type Options struct {
+	// SettingsPath is the platform's settings file.
+	SettingsPath string
+	// MetricsPort is the port for metrics and the dump on the machine's
+	// address; 0 serves them beside the readiness probe alone.
+	MetricsPort int
+	LogLevel    string
+}
+
+// Instance is a running entry instance.
+type Instance struct {
+	options  Options
+	settings atomic.Pointer[platform.Settings]
+	run      int64
+	started  time.Time
+	logs     *logs
+	fx       *fx.App
+	cancel   context.CancelFunc
+
+	directory  *directory.Directory
+	leadership *leadership.Manager
+	pools      *pooling.Manager
+	engine     *relay.Engine
+	server     *lineserver.Server
+	store      *platform.Store
+
+	clients  net.Listener
+	probes   net.Listener
+	metrics  net.Listener
+	stopping atomic.Bool
+}
+
+// Start starts an instance that logs to output.
+func Start(ctx context.Context, options Options, output io.Writer) (*Instance, error) {
+	settings, err := platform.LoadSettings(options.SettingsPath)
+	if err != nil {
+		return nil, err
+	}
+	run := time.Now().UnixNano()
+	i := &Instance{options: options, run: run, started: time.Now(), logs: newLogs(output, settings.Instance, run)}
+	level, err := zerolog.ParseLevel(options.LogLevel)
+	if err != nil {
+		return nil, eris.Wrapf(err, "log level %q", options.LogLevel)
+	}
+	i.logs.Logger = i.logs.Level(level)
+	i.settings.Store(&settings)
+	limitMemory(settings)
+	if err := i.listen(settings); err != nil {
+		return nil, err
+	}
+	background, cancel := context.WithCancel(context.Background())
+	i.cancel = cancel
+	i.fx = fx.New(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.StartTimeout(startTimeout),
+		fx.Supply(settings, i),
+		fx.Provide(func() context.Context { return background }, func() zerolog.Logger { return i.logs.Logger }),
+		modules(),
+		fx.Populate(&i.directory, &i.leadership, &i.pools, &i.engine, &i.server, &i.store),
+		fx.Invoke(func(lifecycle fx.Lifecycle) {
+			lifecycle.Append(fx.Hook{OnStart: func(context.Context) error { i.runAll(background); return nil }})
+		}),
+	)
+	if err := i.fx.Start(ctx); err != nil {
+		cancel()
+		i.closeListeners()
+		return nil, eris.Wrap(err, "start the entry instance")
+	}
+	i.logs.Info().Str("data_centre", string(settings.DataCentre)).Str("listen", settings.ClientListen).Str("store", settings.StoreAddress).
+		Int64("memory_limit_bytes", settings.MemoryLimitBytes).Int("max_descriptors", settings.MaxDescriptors).Msg("started")
+	return i, nil
+}
+
+func limitMemory(settings platform.Settings) {
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryLimitBytes)))
+}
+
+func (i *Instance) listen(settings platform.Settings) error {
+	var err error
+	if i.clients, err = net.Listen("tcp", settings.ClientListen); err != nil {
+		return eris.Wrap(err, "listen for clients")
+	}
+	if i.probes, err = net.Listen("tcp", settings.ReadyListen); err != nil {
+		i.closeListeners()
+		return eris.Wrap(err, "listen for readiness probes")
+	}
+	if i.options.MetricsPort == 0 {
+		return nil
+	}
+	address := net.JoinHostPort(settings.IP, strconv.Itoa(i.options.MetricsPort))
+	if i.metrics, err = net.Listen("tcp", address); err != nil {
+		i.closeListeners()
+		return eris.Wrap(err, "listen for metrics")
+	}
+	return nil
+}
+
+func (i *Instance) closeListeners() {
+	for _, listener := range []net.Listener{i.clients, i.probes, i.metrics} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+}
+
+// runAll starts the loops and servers of the instance.
+func (i *Instance) runAll(ctx context.Context) {
+	for _, follower := range i.followers() {
+		go follower.Run(ctx)
+	}
+	go i.leadership.Run(ctx)
+	go i.pools.Run(ctx)
+	go i.server.Serve(i.clients)
+	go i.serveHTTP(i.probes)
+	if i.metrics != nil {
+		go i.serveHTTP(i.metrics)
+	}
+	go i.housekeeping(ctx)
+}
+
+// housekeeping reports what the log left out and notices changed settings.
+func (i *Instance) housekeeping(ctx context.Context) {
+	ticker := time.NewTicker(logPeriod)
+	defer ticker.Stop()
+	modified := modifiedAt(i.options.SettingsPath)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		i.logs.report()
+		if now := modifiedAt(i.options.SettingsPath); !now.Equal(modified) {
+			modified = now
+			i.Reload("the file changed")
+		}
+	}
+}
+
+func modifiedAt(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{} // Reload reports a file that can't be read
+	}
+	return info.ModTime()
+}
+
+// Reload reads the settings file again. A wrong one is refused, and the last
+// good one stays in force. Addresses and names hold from the next start.
+func (i *Instance) Reload(cause string) {
+	settings, err := platform.LoadSettings(i.options.SettingsPath)
+	if err != nil {
+		i.logs.Error().Err(err).Str("cause", cause).Msg("settings refused, the last good ones stay in force")
+		return
+	}
+	i.settings.Store(&settings)
+	limitMemory(settings)
+	i.logs.Info().Str("cause", cause).Int64("memory_limit_bytes", settings.MemoryLimitBytes).Msg("settings in force")
+}
+
+// Ready reports whether the instance can serve new sessions.
+func (i *Instance) Ready() bool {
+	if i.stopping.Load() || i.directory.Routes() == nil {
+		return false
+	}
+	return len(i.directory.Groups()) > 0
+}
+
+// Stop ends the instance gracefully: it leaves the balancer's rotation first,
+// then ends sessions between two operations, and gives transactions half of
+// the platform's grace.
+func (i *Instance) Stop(ctx context.Context) {
+	begun := time.Now()
+	grace := i.settings.Load().StopGrace
+	i.stopping.Store(true)
+	i.logs.Info().Int("clients", i.server.Clients()).Dur("grace_ms", grace).Msg("stopping")
+	ctx, cancel := context.WithDeadline(ctx, begun.Add(grace-stopReserve))
+	defer cancel()
+	wait := time.NewTimer(min(outOfRotation, grace/2))
+	select {
+	case <-wait.C:
+	case <-ctx.Done():
+	}
+	wait.Stop()
+	_ = i.clients.Close()
+	cut := i.server.Drain(ctx, begun.Add(grace/2))
+	leaving, done := context.WithTimeout(context.WithoutCancel(ctx), stopReserve/2)
+	i.leadership.Leave(leaving)
+	done()
+	i.logs.Info().Int("cut_off", cut).Dur("held_ms", time.Since(begun)).Msg("stopped")
+	i.close()
+}
+
+func (i *Instance) close() {
+	i.cancel()
+	i.closeListeners()
+	ctx, cancel := context.WithTimeout(context.Background(), stopReserve/2)
+	defer cancel()
+	if err := i.fx.Stop(ctx); err != nil {
+		i.logs.Error().Err(err).Msg("stop hooks failed")
+	}
+	_ = i.logs.ring.Close()
+}
+
+func (i *Instance) serveHTTP(listener net.Listener) {
+	server := &http.Server{Handler: i.handler(), ReadHeaderTimeout: time.Second}
+	if err := server.Serve(listener); err != nil && !i.stopping.Load() {
+		i.logs.Error().Err(err).Stringer("address", listener.Addr()).Msg("HTTP server ended")
+	}
+}
--- /dev/null
+++ b/internal/entry/logs.go
@@ -0,0 +1,80 @@
+package entry
+
+import (
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+const (
+	// logRing is how many lines wait at most for standard output.
+	logRing = 4096
+	// logPeriod is the period of the budgets, and of the line that tells what
+	// they left out.
+	logPeriod = time.Second
+	// ordinaryLines and failureLines bound the lines of a second. Their sum
+	// keeps a busy instance below 100 KB/s.
+	ordinaryLines = 60
+	failureLines  = 200
+)
+
+// logs is the logger of an instance: lines never wait for standard output, and
+// their number is bounded.
+type logs struct {
+	zerolog.Logger
+	ring     diode.Writer
+	ordinary *budget
+	failures *budget
+	lost     atomic.Int64
+}
+
+func newLogs(output io.Writer, instance state.InstanceID, run int64) *logs {
+	l := &logs{ordinary: newBudget(ordinaryLines), failures: newBudget(failureLines)}
+	l.ring = diode.NewWriter(output, logRing, 0, func(missed int) { l.lost.Add(int64(missed)) })
+	sampler := zerolog.LevelSampler{
+		DebugSampler: l.ordinary, InfoSampler: l.ordinary, WarnSampler: l.failures, ErrorSampler: l.failures,
+	}
+	l.Logger = zerolog.New(l.ring).With().Timestamp().Str("instance", string(instance)).Int64("run", run).Logger().Sample(sampler)
+	return l
+}
+
+// report tells how many lines were left out since the last report.
+func (l *logs) report() {
+	ordinary, failures, lost := l.ordinary.takeLeftOut(), l.failures.takeLeftOut(), l.lost.Swap(0)
+	if ordinary+failures+lost == 0 {
+		return
+	}
+	metrics.GetOrCreateCounter(`cyclamenpin_log_lines_left_out_total`).Add(int(ordinary + failures + lost))
+	unsampled := l.Sample(nil)
+	unsampled.Info().Int64("ordinary", ordinary).Int64("failures", failures).Int64("lost", lost).Msg("log lines left out")
+}
+
+// budget is a sampler that passes a number of lines each period and counts the
+// others.
+type budget struct {
+	burst   zerolog.BurstSampler
+	leftOut atomic.Int64
+}
+
+func newBudget(lines uint32) *budget {
+	return &budget{burst: zerolog.BurstSampler{Burst: lines, Period: logPeriod}}
+}
+
+// Sample implements zerolog.Sampler.
+func (b *budget) Sample(level zerolog.Level) bool {
+	if b.burst.Sample(level) {
+		return true
+	}
+	b.leftOut.Add(1)
+	return false
+}
+
+func (b *budget) takeLeftOut() int64 {
+	return b.leftOut.Swap(0)
+}
--- /dev/null
+++ b/internal/entry/modules.go
@@ -0,0 +1,122 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/directory"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/freshness"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/health"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/leadership"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/pooling"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/relay"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/rowstore"
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+	"github.com/cyclamenpin/cyclamenpin/internal/transport/linebackend"
+	"github.com/cyclamenpin/cyclamenpin/internal/transport/lineserver"
+	"github.com/cyclamenpin/cyclamenpin/platform"
+)
+
+const (
+	// watchWait bounds how long a silent connection to the store goes
+	// unnoticed; a configuration must be in force within a few seconds.
+	watchWait = time.Second
+	// reservedDescriptors are kept for files, the store, and databases.
+	reservedDescriptors = 600
+	// minClients is served even where the limit of descriptors is very low.
+	minClients = 100
+	// reportName is the name under which connections to databases are made.
+	reportName = "cyclamenpin"
+)
+
+// modules lists the constructors by layer.
+func modules() fx.Option {
+	return fx.Options(
+		fx.Module("state", fx.Provide(func() state.Clock { return state.BootClock{} })),
+		fx.Module("platform", fx.Provide(
+			func() platform.Codec { return platform.Codec{} },
+			func(s platform.Settings) *platform.Store { return platform.NewStore(s.StoreAddress, nil) },
+			func(s platform.Settings) *platform.Promoter { return platform.NewPromoter(s.PromoteAddress, nil) },
+		)),
+		fx.Module("coordination", fx.Provide(
+			health.NewTracker, freshness.NewTracker, newDirectory, newPools, newLeadership, newEngine,
+		)),
+		fx.Module("transport", fx.Provide(newDialer, newServer)),
+	)
+}
+
+func newDialer(codec platform.Codec) *linebackend.Dialer {
+	return &linebackend.Dialer{Codec: codec, Who: reportName}
+}
+
+func newDirectory(instance *Instance, codec platform.Codec, clock state.Clock, tracker *health.Tracker, log zerolog.Logger) *directory.Directory {
+	return directory.New(codec, clock, log, func(id state.DatabaseID) {
+		tracker.Forget(id)
+		instance.pools.Gone(id)
+	})
+}
+
+func newPools(instance *Instance, dialer *linebackend.Dialer, tracker *health.Tracker, dir *directory.Directory, log zerolog.Logger) *pooling.Manager {
+	maxConnections := func(group state.GroupID) int {
+		routes := dir.Routes()
+		if routes == nil {
+			return 1
+		}
+		return routes.Groups[group].MaxConnections
+	}
+	instances := func() int { return instance.leadership.Members() }
+	return pooling.NewManager(dialer, tracker, maxConnections, instances, log)
+}
+
+func newLeadership(instance *Instance, settings platform.Settings, store *platform.Store, promoter *platform.Promoter, dir *directory.Directory,
+	pools *pooling.Manager, tracker *health.Tracker, clock state.Clock, log zerolog.Logger,
+) *leadership.Manager {
+	options := leadership.DefaultOptions()
+	options.DutyPause = settings.DutyLease
+	return leadership.New(leadership.Config{
+		Self: settings.Instance, Run: instance.run, Options: options, Store: store, Directory: dir, Databases: pools,
+		Promoter: promoter, Health: tracker, Clock: clock, Log: log,
+	})
+}
+
+func newEngine(ctx context.Context, codec platform.Codec, dir *directory.Directory, leaders *leadership.Manager, fresh *freshness.Tracker,
+	pools *pooling.Manager, tracker *health.Tracker, clock state.Clock, log zerolog.Logger,
+) *relay.Engine {
+	return relay.New(ctx, relay.Config{
+		Directory: dir, Leadership: leaders, Freshness: fresh, Pools: pools, Health: tracker, Statements: codec, Clock: clock, Log: log,
+	})
+}
+
+func newServer(settings platform.Settings, codec platform.Codec, engine *relay.Engine, clock state.Clock, log zerolog.Logger) *lineserver.Server {
+	options := lineserver.Options{
+		MaxClients:      max(minClients, settings.MaxDescriptors-reservedDescriptors),
+		MaxMessageError: platform.ErrMessageTooBig,
+	}
+	return lineserver.New(codec, engine, clock, options, log)
+}
+
+// followers returns the readers of the store's tables.
+func (i *Instance) followers() []*rowstore.Follower {
+	follower := func(table string, apply func(rowstore.Update)) *rowstore.Follower {
+		return &rowstore.Follower{Store: i.store, Table: table, Wait: watchWait, Clock: state.BootClock{}, Log: i.logs.Logger, Apply: apply}
+	}
+	return []*rowstore.Follower{
+		follower(platform.ConfigurationTable, func(update rowstore.Update) {
+			for _, row := range update.Rows {
+				if row.Key == platform.ConfigurationRow {
+					i.directory.ApplyConfiguration(row)
+				}
+			}
+		}),
+		follower(platform.ServersTable, func(update rowstore.Update) {
+			if len(update.Rows) > 0 || update.Complete {
+				i.directory.ApplyServers(update.Rows, update.Complete, update.AfterOutage)
+			}
+			i.directory.Expire()
+		}),
+		follower(leadership.TablePrimaries, i.leadership.Apply),
+	}
+}
--- /dev/null
+++ b/internal/state/clock.go
@@ -0,0 +1,23 @@
+package state
+
+import "time"
+
+// Instant is a moment on a Clock, as the time since an unknown start.
+type Instant time.Duration
+
+// Sub returns the time from other to i.
+func (i Instant) Sub(other Instant) time.Duration {
+	return time.Duration(i - other)
+}
+
+// Add returns the moment d after i.
+func (i Instant) Add(d time.Duration) Instant {
+	return i + Instant(d)
+}
+
+// Clock is a steady clock that goes on while the machine is suspended. Leases
+// and proofs of age are measured on it, because the runtime's monotonic clock
+// stands still during a suspension.
+type Clock interface {
+	Now() Instant
+}
--- a/internal/transport/backend/dialer.go
+++ b/internal/transport/backend/dialer.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
+	"github.com/cyclamenpin/cyclamenpin/internal/transport/socket"
 )
 
 const (
@@ -118,7 +119,7 @@
 		Timeout:         orDefault(d.ConnectTimeout, defaultConnectTimeout),
 		KeepAliveConfig: keepAlive,
 		Control: func(_, _ string, raw syscall.RawConn) error {
-			return setUserTimeout(raw, orDefault(d.UserTimeout, defaultUserTimeout))
+			return socket.SetRawUserTimeout(raw, orDefault(d.UserTimeout, defaultUserTimeout))
 		},
 	}
 	return dialer.DialContext(ctx, network, address)
