--- a/internal/coordination/health/health.go
+++ b/internal/coordination/health/health.go
@@ -11,18 +11,32 @@
 )
 
 const (
-	// suspectAfterFailures and suspectAfter must both be exceeded since the
-	// last success before a database is suspected: one lost packet or one
-	// restarted connection is not enough.
-	suspectAfterFailures = 3
-	suspectAfter         = 600 * time.Millisecond
+	// suspectAfter is how long a database must have been silent before it is
+	// suspected; twice the round trip between regions and the usual work fit
+	// into it several times.
+	suspectAfter = 500 * time.Millisecond
+	// suspectSigns is how many failed calls or late answers there must be
+	// without an answer between them, at least one of them a failure: one lost
+	// packet or one restarted connection is not enough.
+	suspectSigns = 3
 )
 
 type record struct {
-	lastSuccess  state.Instant
-	firstFailure state.Instant
-	failures     int
-	doubted      bool
+	lastSuccess state.Instant
+	// firstSign, failures and late count since the last success.
+	firstSign state.Instant
+	failures  int
+	late      int
+}
+
+// silence is how long the database has given no sign of life, counted from
+// its last answer or, before that, from the first failed call.
+func (r *record) silence(now state.Instant) time.Duration {
+	since := r.lastSuccess
+	if since == 0 {
+		since = r.firstSign
+	}
+	return now.Sub(since)
 }
 
 // Tracker keeps the recent outcomes of calls to each database.
@@ -52,7 +66,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.record(id)
-	r.lastSuccess, r.failures, r.doubted = now, 0, false
+	*r = record{lastSuccess: now}
 }
 
 // Failure records that the database could not be reached, broke the
@@ -62,18 +76,24 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.record(id)
-	if r.failures == 0 {
-		r.firstFailure = now
-	}
 	r.failures++
-	r.doubted = true
+	r.sign(now)
+}
+
+func (r *record) sign(now state.Instant) {
+	if r.firstSign == 0 {
+		r.firstSign = now
+	}
 }
 
 // Doubt records that an answer is late, so that the database is probed.
 func (t *Tracker) Doubt(id state.DatabaseID) {
+	now := t.clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.record(id).doubted = true
+	r := t.record(id)
+	r.late++
+	r.sign(now)
 }
 
 // Doubted reports whether the database has failed or been late since its last
@@ -82,7 +102,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r, ok := t.byID[id]
-	return ok && r.doubted
+	return ok && r.failures+r.late > 0
 }
 
 // Suspected reports whether the database is to be taken as failed.
@@ -91,7 +111,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r, ok := t.byID[id]
-	return ok && r.failures >= suspectAfterFailures && now.Sub(r.firstFailure) >= suspectAfter
+	return ok && r.failures > 0 && r.failures+r.late >= suspectSigns && r.silence(now) >= suspectAfter
 }
 
 // SilentFor returns how long the database has given no answer; zero where it
--- a/internal/coordination/leadership/beat.go
+++ b/internal/coordination/leadership/beat.go
@@ -123,7 +123,13 @@
 		if m.anySuspected() {
 			wait = voteInterval
 		}
-		pause(ctx, wait)
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-m.readNow:
+		}
+		timer.Stop()
 	}
 }
 
--- a/internal/coordination/leadership/change.go
+++ b/internal/coordination/leadership/change.go
@@ -133,10 +133,16 @@
 		m.stepDown(ctx, attempt)
 		return nil
 	}
-	var stepping sync.WaitGroup
-	stepping.Go(func() { m.stepDown(ctx, attempt) })
+	stepping, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var stepped sync.WaitGroup
+	stepped.Go(func() { m.stepDown(stepping, attempt) })
 	err := m.awaitAcknowledgements(ctx, attempt)
-	stepping.Wait()
+	// A primary that answers does so within the time that the instances need;
+	// for one that does not, only a little longer is waited.
+	late := time.AfterFunc(stepDownExtra, cancel)
+	defer late.Stop()
+	stepped.Wait()
 	return err
 }
 
--- a/internal/coordination/leadership/evaluate.go
+++ b/internal/coordination/leadership/evaluate.go
@@ -131,6 +131,7 @@
 	}
 	m.Log.Info().Str("group", string(id)).Str("database", string(primary)).Uint64("epoch", epoch).Bool("suspected", suspected).Msg("opinion of the primary changed")
 	m.askBeat()
+	ask(m.readNow)
 }
 
 // probeOnce asks a database for its state in the background, one question at a
--- a/internal/coordination/leadership/manager.go
+++ b/internal/coordination/leadership/manager.go
@@ -75,6 +75,8 @@
 	changed chan struct{}
 	// beatNow asks for a renewal at once.
 	beatNow chan struct{}
+	// readNow asks for the instances' rows at once.
+	readNow chan struct{}
 	// ready is set once the primaries' table has been read.
 	ready bool
 }
@@ -100,7 +102,7 @@
 	return &Manager{
 		Config: config, runName: fmt.Sprintf("%s#%d", config.Self, config.Run),
 		groups: make(map[state.GroupID]*group), changed: make(chan struct{}),
-		beatNow: make(chan struct{}, 1), members: newMembers(),
+		beatNow: make(chan struct{}, 1), readNow: make(chan struct{}, 1), members: newMembers(),
 		probing: make(map[state.DatabaseID]bool),
 	}
 }
@@ -136,6 +138,14 @@
 	return m.primaryOf(id, m.group(id))
 }
 
+// Ready reports whether this instance has had the lease, so that it may be
+// asked for primaries.
+func (m *Manager) Ready() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.lease.based
+}
+
 // Start returns the position at which the present primary's reign began.
 func (m *Manager) Start(id state.GroupID) state.Position {
 	m.mu.Lock()
@@ -143,11 +153,13 @@
 	return m.group(id).record.Start
 }
 
-// Members returns how many instances are live, at least 1.
+// Members returns how many instances may be using databases, at least 1. An
+// instance that is cut off from the store counts for as long as its lease may
+// last.
 func (m *Manager) Members() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.members.live(m.liveWithin())
+	return m.members.live(m.Options.Lease)
 }
 
 // Acquire grants the use of a group's primary. The error is an *Unavailable.
@@ -281,8 +293,12 @@
 }
 
 func (m *Manager) askBeat() {
+	ask(m.beatNow)
+}
+
+func ask(now chan<- struct{}) {
 	select {
-	case m.beatNow <- struct{}{}:
+	case now <- struct{}{}:
 	default:
 	}
 }
--- a/internal/coordination/leadership/options.go
+++ b/internal/coordination/leadership/options.go
@@ -6,7 +6,7 @@
 type Options struct {
 	// Lease is how long an instance may use primaries after its last renewal.
 	// It is longer than the outages of the store that the platform announces
-	// as usual (up to 9 s), because requests go on meanwhile; a change waits
+	// as usual (up to 12 s), because requests go on meanwhile; a change waits
 	// for it only where an instance can't be asked.
 	Lease time.Duration
 	// BeatInterval is the time between two renewals.
@@ -31,7 +31,7 @@
 // DefaultOptions returns the options for a few dozen instances.
 func DefaultOptions() Options {
 	return Options{
-		Lease: 10 * time.Second, BeatInterval: time.Second,
+		Lease: 15 * time.Second, BeatInterval: 2 * time.Second,
 		DutyLease: 5 * time.Second, PlannedDrain: 400 * time.Millisecond,
 		TakeOver: 5 * time.Second, MostMembers: 40,
 	}
@@ -42,9 +42,9 @@
 	evaluateInterval = 100 * time.Millisecond
 	// membersInterval is the time between two reads of the instances' rows
 	// while nothing changes.
-	membersInterval = 2 * time.Second
+	membersInterval = 4 * time.Second
 	// voteInterval is that time while a primary is suspected.
-	voteInterval = 200 * time.Millisecond
+	voteInterval = 100 * time.Millisecond
 	// acknowledgementInterval is the time between two reads of the
 	// instances' rows while a change waits for them.
 	acknowledgementInterval = 25 * time.Millisecond
@@ -60,7 +60,10 @@
 	// changeTimeout bounds one attempt at a change.
 	changeTimeout = 12 * time.Second
 	// statusTimeout bounds one question to a database.
-	statusTimeout = 400 * time.Millisecond
+	statusTimeout = 300 * time.Millisecond
+	// stepDownExtra is how much longer than for the acknowledgements an old
+	// primary is waited for: a round trip between regions and a connection.
+	stepDownExtra = 60 * time.Millisecond
 	// statusInterval is the time between two questions to one database.
 	statusInterval = 40 * time.Millisecond
 	// promoteInterval is the time between two calls to promote while the
--- a/internal/coordination/pooling/manager.go
+++ b/internal/coordination/pooling/manager.go
@@ -66,7 +66,7 @@
 func (m *Manager) limits(group state.GroupID) Limits {
 	most := m.maxConnections(group)
 	share := max(1, (most-most/reserveShare)/max(1, m.instances()))
-	return Limits{Share: share, Most: share + (share+3)/4}
+	return Limits{Share: share, Most: share}
 }
 
 // Gone closes the pool of a database that is no longer registered.
--- a/internal/coordination/pooling/pool.go
+++ b/internal/coordination/pooling/pool.go
@@ -69,6 +69,10 @@
 // Unwrap returns the cause.
 func (e *DialError) Unwrap() error { return e.Cause }
 
+// ErrHungUp is the error of a connection that the database accepted and then
+// closed before its startup.
+var ErrHungUp = errors.New("the database closed the connection at its startup")
+
 // errPoolClosed is the error of a database that is no longer used.
 var errPoolClosed = errors.New("the database is no longer used")
 
@@ -255,10 +259,15 @@
 func (p *Pool) dialFailed(err error) {
 	failure := &DialError{Database: p.server.ID, Cause: err}
 	var refused *RefusedError
-	if errors.As(err, &refused) {
+	switch {
+	case errors.As(err, &refused):
 		failure.Code = refused.Code
 		p.health.Success(p.server.ID)
-	} else {
+	case errors.Is(err, ErrHungUp):
+		// The database accepted the connection and closed it: it runs, and
+		// has more connections than it accepts.
+		failure.Code = state.CodeTooManyConnections
+	default:
 		p.health.Failure(p.server.ID)
 	}
 	p.mu.Lock()
--- a/internal/coordination/relay/engine.go
+++ b/internal/coordination/relay/engine.go
@@ -27,6 +27,9 @@
 	Changed() <-chan struct{}
 	Primary(group state.GroupID) (state.DatabaseID, bool)
 	Start(group state.GroupID) state.Position
+	// Ready reports whether primaries may be used, or might have been since
+	// the start.
+	Ready() bool
 }
 
 // Freshness proves positions.
@@ -59,8 +62,11 @@
 	Pools      Pools
 	Health     Health
 	Statements Statements
-	Clock      state.Clock
-	Log        zerolog.Logger
+	// Region returns the region of a data centre; Own is the instance's.
+	Region    func(state.DataCentre) string
+	OwnRegion string
+	Clock     state.Clock
+	Log       zerolog.Logger
 }
 
 // Engine serves all sessions of an instance.
@@ -68,6 +74,7 @@
 	Config
 	ctx      context.Context
 	sessions atomic.Uint64
+	began    atomic.Bool
 	replicas replicas
 	shapes   shapes
 }
@@ -86,6 +93,10 @@
 	defaultTimeout = 5 * time.Second
 	// defaultObjective stands in for a route that sets none.
 	defaultObjective = time.Second
+	// startWait is how long a client's start may wait for an instance that has
+	// just started; clients give up after two seconds.
+	startWait = 1500 * time.Millisecond
+	startPoll = 10 * time.Millisecond
 	// cleanupTimeout bounds the proxy's own statements on a connection.
 	cleanupTimeout = time.Second
 	// proofMargin is taken off a staleness bound, for the reading of clocks.
@@ -95,6 +106,10 @@
 	leavingUse = 6 * time.Second
 )
 
+func (e *Engine) distant(dataCentre state.DataCentre) bool {
+	return e.Region != nil && e.Region(dataCentre) != e.OwnRegion
+}
+
 // shape identifies a prepared statement's text.
 type shape struct {
 	text   string
--- a/internal/coordination/relay/session.go
+++ b/internal/coordination/relay/session.go
@@ -21,23 +21,34 @@
 	tx         *transaction
 }
 
-// Open starts a session for a database name. It returns false where no route
-// has the name.
-func (e *Engine) Open(database string) (*Session, bool) {
-	routes := e.Directory.Routes()
-	if routes == nil {
-		return nil, false
+// Open starts a session for a database name. An instance that has just started
+// lets clients wait for the configuration. Without a session, the code tells
+// why: the name has no route, or nothing is known yet.
+func (e *Engine) Open(database string) (*Session, state.ErrorCode) {
+	deadline := time.Now().Add(startWait)
+	for !e.started() {
+		if !time.Now().Before(deadline) || e.ctx.Err() != nil {
+			return nil, state.CodeBusy
+		}
+		time.Sleep(startPoll)
 	}
-	if _, ok := routes.Routes[database]; !ok {
-		return nil, false
+	if _, ok := e.Directory.Routes().Routes[database]; !ok {
+		return nil, state.CodeNoDatabase
 	}
-	return &Session{engine: e, number: e.sessions.Add(1), database: database, prepared: make(map[string]shape)}, true
+	return &Session{engine: e, number: e.sessions.Add(1), database: database, prepared: make(map[string]shape)}, state.CodeNone
 }
 
-// Routed reports whether the session's database name still has a route.
-func (s *Session) Routed() bool {
-	_, ok := s.engine.Directory.Routes().Routes[s.database]
-	return ok
+// started reports whether sessions can be served, as far as the store's
+// tables go. It stays true once it was.
+func (e *Engine) started() bool {
+	if e.began.Load() {
+		return true
+	}
+	if e.Directory.Routes() == nil || !e.Leadership.Ready() {
+		return false
+	}
+	e.began.Store(true)
+	return true
 }
 
 // InTransaction reports whether the client has begun a transaction that it
--- a/internal/coordination/relay/single.go
+++ b/internal/coordination/relay/single.go
@@ -237,6 +237,9 @@
 		case !e.replicas.holds(entry.ID, need):
 			candidate.cost += laggingPenalty
 		}
+		if e.distant(entry.DataCentre) {
+			candidate.cost += distancePenalty
+		}
 		if e.Health.Doubted(entry.ID) {
 			candidate.cost += doubtPenalty
 		}
@@ -246,6 +249,10 @@
 	return found, need
 }
 
+// distancePenalty keeps reads within the region until its database is busy:
+// bytes between regions cost more than the time of a short queue.
+const distancePenalty = 60 * time.Millisecond
+
 // doubtPenalty puts a database last that is late with an answer.
 const doubtPenalty = 500 * time.Millisecond
 
--- a/internal/entry/modules.go
+++ b/internal/entry/modules.go
@@ -22,8 +22,9 @@
 
 const (
 	// watchWait bounds how long a silent connection to the store goes
-	// unnoticed; a configuration must be in force within a few seconds.
-	watchWait = time.Second
+	// unnoticed. The platform takes five seconds for such a connection to be
+	// noticed.
+	watchWait = 2500 * time.Millisecond
 	// reservedDescriptors are kept for files, the store, and databases.
 	reservedDescriptors = 600
 	// minClients is served even where the limit of descriptors is very low.
@@ -82,11 +83,12 @@
 	})
 }
 
-func newEngine(ctx context.Context, codec platform.Codec, dir *directory.Directory, leaders *leadership.Manager, fresh *freshness.Tracker,
+func newEngine(ctx context.Context, settings platform.Settings, codec platform.Codec, dir *directory.Directory, leaders *leadership.Manager, fresh *freshness.Tracker,
 	pools *pooling.Manager, tracker *health.Tracker, clock state.Clock, log zerolog.Logger,
 ) *relay.Engine {
 	return relay.New(ctx, relay.Config{
-		Directory: dir, Leadership: leaders, Freshness: fresh, Pools: pools, Health: tracker, Statements: codec, Clock: clock, Log: log,
+		Directory: dir, Leadership: leaders, Freshness: fresh, Pools: pools, Health: tracker, Statements: codec,
+		Region: func(dc state.DataCentre) string { return settings.Regions[dc] }, OwnRegion: settings.Region, Clock: clock, Log: log,
 	})
 }
 
--- a/internal/transport/linebackend/conn.go
+++ b/internal/transport/linebackend/conn.go
@@ -6,8 +6,10 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"os"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -73,6 +75,9 @@
 	}
 	if err != nil {
 		conn.Close()
+		if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
+			err = errors.Join(pooling.ErrHungUp, err)
+		}
 		return nil, err
 	}
 	return conn, nil
--- a/internal/transport/lineserver/client.go
+++ b/internal/transport/lineserver/client.go
@@ -72,16 +72,22 @@
 		c.refuse(state.CodeBusy, "the instance is stopping, retry after 10 ms")
 		return false
 	}
-	session, ok := c.server.sessions.Open(database)
-	if !ok {
-		c.server.log.Info().Str("name", database).Msg("client refused, no route has the name")
-		c.refuse(state.CodeNoDatabase, "no route has the name")
+	session, code := c.server.sessions.Open(database)
+	if code != state.CodeNone {
+		c.server.log.Info().Str("name", database).Stringer("outcome", code).Msg("client refused")
+		c.refuse(code, refusals[code])
 		return false
 	}
 	c.session = session
 	return c.write(c.server.codec.AppendStarted(c.buffer[:0]))
 }
 
+// refusals are the texts of refused startups.
+var refusals = map[state.ErrorCode]string{
+	state.CodeNoDatabase: "no route has the name",
+	state.CodeBusy:       "the instance has no configuration yet, retry after 500 ms",
+}
+
 func (c *client) refuse(code state.ErrorCode, detail string) {
 	c.write(c.server.codec.AppendRefused(c.buffer[:0], code, detail))
 	_ = c.raw.Close()
--- a/internal/transport/lineserver/server.go
+++ b/internal/transport/lineserver/server.go
@@ -29,7 +29,7 @@
 
 // Sessions opens the sessions behind the connections.
 type Sessions interface {
-	Open(database string) (*relay.Session, bool)
+	Open(database string) (*relay.Session, state.ErrorCode)
 }
 
 // Options are the settings of a server.
