--- a/internal/coordination/directory/directory.go
+++ b/internal/coordination/directory/directory.go
@@ -174,6 +174,7 @@
 	d.remove(id, "registration removed")
 }
 
+// remove must be called with the lock held.
 func (d *Directory) remove(id state.DatabaseID, reason string) {
 	delete(d.servers, id)
 	d.log.Info().Str("database", string(id)).Str("reason", reason).Msg("database gone")
--- a/internal/coordination/leadership/beat.go
+++ b/internal/coordination/leadership/beat.go
@@ -13,10 +13,11 @@
 // Run renews the lease and watches over the primaries until ctx ends.
 func (m *Manager) Run(ctx context.Context) {
 	m.mu.Lock()
-	m.lease.length = m.Options.Lease
+	m.lease.length, m.lease.longest = m.Options.Lease, m.Options.LongestLease
 	m.mu.Unlock()
 	go m.beatLoop(ctx)
 	go m.memberLoop(ctx)
+	go m.vouchLoop(ctx)
 	m.evaluateLoop(ctx)
 }
 
@@ -80,6 +81,9 @@
 	m.mu.Lock()
 	m.lease.clock.observe(sent, received, commit.Now)
 	m.lease.renewed(commit.Version, commit.Now)
+	if m.joined == 0 {
+		m.joined = int64(commit.Now)
+	}
 	short := m.lease.left(received) < m.Options.Lease/2
 	m.mu.Unlock()
 	if short {
@@ -104,7 +108,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.beats++
-	next := beat{Run: m.Config.Run, Count: m.beats, Acknowledged: map[state.GroupID]uint64{}, Suspected: map[state.GroupID]uint64{}}
+	next := beat{Run: m.Config.Run, Address: m.Address, Joined: m.joined, Count: m.beats, Acknowledged: map[state.GroupID]uint64{}, Suspected: map[state.GroupID]uint64{}}
 	for id, g := range m.groups {
 		if g.record.Changing && g.acknowledged > 0 {
 			next.Acknowledged[id] = g.acknowledged
@@ -118,9 +122,8 @@
 
 func (m *Manager) memberLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		m.readMembers(ctx)
 		wait := membersInterval
-		if m.anySuspected() {
+		if !m.readMembers(ctx) || m.anySuspected() {
 			wait = voteInterval
 		}
 		timer := time.NewTimer(wait)
@@ -144,14 +147,15 @@
 	return false
 }
 
-// readMembers reads the instances' rows and removes those long abandoned.
-func (m *Manager) readMembers(ctx context.Context) {
+// readMembers reads the instances' rows and removes those long abandoned. It
+// reports whether they could be read.
+func (m *Manager) readMembers(ctx context.Context) bool {
 	sent := m.Clock.Now()
 	snapshot, err := m.Store.List(ctx, TableInstances)
 	received := m.Clock.Now()
 	if err != nil {
 		m.Log.Debug().Err(err).Msg("instances' rows not read")
-		return
+		return false
 	}
 	m.mu.Lock()
 	m.lease.clock.observe(sent, received, snapshot.Now)
@@ -174,6 +178,7 @@
 			m.Log.Warn().Err(err).Msg("abandoned instance's row not removed")
 		}
 	}
+	return true
 }
 
 func pause(ctx context.Context, wait time.Duration) {
--- a/internal/coordination/leadership/change.go
+++ b/internal/coordination/leadership/change.go
@@ -36,7 +36,7 @@
 	started := m.Clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
-	attempt := &changeAttempt{group: id, old: old, planned: why == causeLeaving || why == causeGone && !m.Health.Suspected(old)}
+	attempt := &changeAttempt{group: id, old: old, planned: why == causeLeaving || why == causeGone}
 	promoted, err := m.attemptChange(ctx, attempt, why)
 	event := m.Log.Info()
 	result := "done"
@@ -69,6 +69,12 @@
 	if err := m.giveUpOld(ctx, attempt); err != nil {
 		return "", err
 	}
+	if !m.dutyValid() {
+		// The wait was long: the duty is renewed, unless another has it now.
+		if attempt.token, err = m.takeDuty(ctx); err != nil {
+			return "", err
+		}
+	}
 	chosen, done, err := m.choose(ctx, attempt)
 	if err != nil {
 		return "", err
@@ -146,20 +152,32 @@
 	return err
 }
 
+// awaitAcknowledgements returns when no instance can use the old primary.
+// Instances that only others could vouch for are not waited for once the
+// others have acknowledged for longer than an answer counts.
 func (m *Manager) awaitAcknowledgements(ctx context.Context, attempt *changeAttempt) error {
+	news := announcement{group: attempt.group, epoch: attempt.epoch, commit: attempt.announce}
+	var outvotedSince state.Instant
 	for {
 		m.readMembers(ctx)
+		now := m.Clock.Now()
 		m.mu.Lock()
-		now, _ := m.lease.clock.atLeast(m.Clock.Now())
-		holdouts := m.members.holdouts(m.Self, attempt.group, attempt.epoch, attempt.announce, m.Options.Lease, now)
+		storeNow, _ := m.lease.clock.atLeast(now)
+		left := m.members.holdouts(m.Self, news, m.Options, storeNow)
 		own := m.group(attempt.group).acknowledged >= attempt.epoch
 		m.mu.Unlock()
-		if own && len(holdouts) == 0 {
+		if !own || len(left.leased) > 0 || !left.outvoted() {
+			outvotedSince = 0
+		} else if outvotedSince == 0 {
+			outvotedSince = now
+		}
+		if own && len(left.leased)+len(left.vouched) == 0 || outvotedSince != 0 && now.Sub(outvotedSince) > vouchLasts {
 			return nil
 		}
 		if err := ctx.Err(); err != nil {
-			return eris.Wrapf(err, "wait for %v to give up the old primary", holdouts)
+			return eris.Wrapf(err, "wait for %v and %v to give up the old primary", left.leased, left.vouched)
 		}
+		m.tellHoldouts(attempt.group, append(left.leased, left.vouched...))
 		pause(ctx, acknowledgementInterval)
 	}
 }
--- a/internal/coordination/leadership/evaluate.go
+++ b/internal/coordination/leadership/evaluate.go
@@ -14,7 +14,7 @@
 const (
 	causeLeaving     cause = "leaving"     // its backend server is being retired
 	causeGone        cause = "gone"        // it is no longer registered
-	causeUnreachable cause = "unreachable" // half of the live instances can't reach it
+	causeUnreachable cause = "unreachable" // most instances can't reach it
 	causeResume      cause = "resume"      // a change that this run announced is to be finished
 	causeTakeOver    cause = "take_over"   // another instance's change got stuck
 )
@@ -89,16 +89,16 @@
 
 // dueFor must be called with the lock held.
 func (m *Manager) dueFor(id state.GroupID, g *group, entry directory.Entry, registered bool) (cause, bool) {
-	switch {
-	case !registered:
-		return causeGone, true
-	case entry.Leaving:
-		return causeLeaving, true
-	case !g.suspected:
-		return "", false
+	if !g.suspected {
+		if entry.Leaving {
+			return causeLeaving, true
+		}
+		return causeGone, !registered
 	}
-	suspecting, live := m.members.votes(id, g.record.Epoch, m.liveWithin())
-	return causeUnreachable, 2*suspecting >= live && suspecting > 0
+	// Instances that are cut off together with the primary may go on using
+	// it, so they count against a change for as long.
+	suspecting, all := m.members.votes(id, g.record.Epoch, m.Options.LongestLease)
+	return causeUnreachable, 2*suspecting > all
 }
 
 func (m *Manager) hasCandidate(id state.GroupID, primary state.DatabaseID) bool {
@@ -117,7 +117,7 @@
 	if registered && (m.Health.Doubted(primary) || m.Health.SilentFor(primary) > idleProbeAfter) {
 		m.probeOnce(ctx, entry.Server)
 	}
-	suspected := registered && m.Health.Suspected(primary)
+	suspected := m.Health.Suspected(primary)
 	m.mu.Lock()
 	g := m.group(id)
 	news := suspected != g.suspected && !g.record.Changing
--- a/internal/coordination/leadership/lease.go
+++ b/internal/coordination/leadership/lease.go
@@ -18,6 +18,10 @@
 	// base is the store's time of the last renewal that counts.
 	based bool
 	base  time.Duration
+	// vouchedUntil is how long the answers of other instances allow to go on
+	// without a renewal, at most until longest after the last one.
+	vouchedUntil state.Instant
+	longest      time.Duration
 }
 
 // renewed records that the instance's row was written.
@@ -39,7 +43,13 @@
 }
 
 func (l *lease) valid(now state.Instant) bool {
-	return l.left(now) > 0
+	return l.left(now) > 0 || l.vouched(now)
+}
+
+// vouched reports whether other instances allow to go on.
+func (l *lease) vouched(now state.Instant) bool {
+	storeNow, known := l.clock.atMost(now)
+	return known && l.based && now < l.vouchedUntil && storeNow < l.base+l.longest
 }
 
 // left is how long the lease still runs, at the least.
--- a/internal/coordination/leadership/manager.go
+++ b/internal/coordination/leadership/manager.go
@@ -54,6 +54,10 @@
 	Databases Databases
 	Promoter  Promoter
 	Health    Health
+	// Messenger reaches other instances; Address is where they reach this
+	// one.
+	Messenger Messenger
+	Address   string
 	Clock     state.Clock
 	Log       zerolog.Logger
 }
@@ -69,8 +73,11 @@
 	// probing holds the databases that are being asked by probeOnce.
 	probing map[state.DatabaseID]bool
 	lease   lease
+	vouches vouches
 	duty    duty
 	beats   uint64
+	// joined is when this run first wrote its row, on the store's clock.
+	joined int64
 	// changed is closed and replaced at each change of a record or the lease.
 	changed chan struct{}
 	// beatNow asks for a renewal at once.
@@ -143,7 +150,7 @@
 func (m *Manager) Ready() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.lease.based
+	return m.lease.based && m.members.now > 0
 }
 
 // Start returns the position at which the present primary's reign began.
@@ -159,7 +166,7 @@
 func (m *Manager) Members() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.members.live(m.Options.Lease)
+	return m.members.live(m.Options.LongestLease)
 }
 
 // Acquire grants the use of a group's primary. The error is an *Unavailable.
@@ -238,8 +245,17 @@
 		m.Log.Error().Err(err).Str("group", row.Key).Msg("primary's record can't be read, the primary is not used")
 		record = Record{Epoch: g.record.Epoch + 1, Changing: true, Primary: g.record.Primary}
 	}
-	g.record, g.version, g.seenAt, g.suspected = record, row.Version, now, false
-	m.Log.Info().Str("group", row.Key).Uint64("epoch", record.Epoch).Bool("changing", record.Changing).Bool("planned", record.Planned).
+	m.applyRecord(id, record, row.Version, now)
+}
+
+// applyRecord must be called with the lock held.
+func (m *Manager) applyRecord(id state.GroupID, record Record, version uint64, now state.Instant) {
+	g := m.group(id)
+	if version <= g.version {
+		return
+	}
+	g.record, g.version, g.seenAt, g.suspected = record, version, now, false
+	m.Log.Info().Str("group", string(id)).Uint64("epoch", record.Epoch).Bool("changing", record.Changing).Bool("planned", record.Planned).
 		Str("primary", string(record.Primary)).Str("promoter", record.Promoter).Int("grants", len(g.grants)).Msg("primary's record changed")
 	if record.Changing && record.Epoch > max(g.acknowledged, g.revoking) {
 		g.revoking = record.Epoch
--- a/internal/coordination/leadership/members.go
+++ b/internal/coordination/leadership/members.go
@@ -1,6 +1,7 @@
 package leadership
 
 import (
+	"maps"
 	"time"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/rowstore"
@@ -84,24 +85,68 @@
 	return rank
 }
 
+// acknowledge notes an acknowledgement that arrived directly.
+func (m *members) acknowledge(name state.InstanceID, id state.GroupID, epoch uint64) {
+	entry := m.byName[name]
+	acknowledged := maps.Clone(entry.beat.Acknowledged)
+	if acknowledged == nil {
+		acknowledged = make(map[state.GroupID]uint64)
+	}
+	acknowledged[id] = max(acknowledged[id], epoch)
+	entry.beat.Acknowledged = acknowledged
+	m.byName[name] = entry
+}
+
+// announcement is a change that instances are to acknowledge.
+type announcement struct {
+	group  state.GroupID
+	epoch  uint64
+	commit rowstore.Commit
+}
+
+// holdouts are the instances that have not acknowledged a change.
+type holdouts struct {
+	// leased may use the old primary by their own lease, vouched only with
+	// the help of others.
+	leased, vouched []state.InstanceID
+	// established counts all instances that have been there for long enough
+	// to be known to every holdout.
+	established int
+}
+
+// outvoted reports whether the holdouts are too few to vouch for each other.
+func (h holdouts) outvoted() bool {
+	return 2*len(h.vouched) < h.established
+}
+
 // holdouts returns the instances that may still use the primary that an
-// announced epoch gives up. announced is the store's version and time of the
-// announcement, storeNow a time that the store's clock has reached.
-func (m *members) holdouts(self state.InstanceID, id state.GroupID, epoch uint64, announced rowstore.Commit, lease, storeNow time.Duration) []state.InstanceID {
-	var names []state.InstanceID
+// announcement gives up. storeNow is a time that the store's clock has
+// reached.
+func (m *members) holdouts(self state.InstanceID, news announcement, options Options, storeNow time.Duration) holdouts {
+	var found holdouts
+	earliest := news.commit.Now
 	for name, entry := range m.byName {
-		if name == self || entry.beat.Acknowledged[id] >= epoch {
+		if name == self || entry.beat.Acknowledged[news.group] >= news.epoch {
 			continue
 		}
 		// The last renewal that can count was made before the announcement:
 		// a later one counts only after the announcement was seen.
-		renewed := announced.Now
-		if entry.version < announced.Version {
+		renewed := news.commit.Now
+		if entry.version < news.commit.Version {
 			renewed = min(renewed, entry.seenAt)
 		}
-		if storeNow <= renewed+lease+leaseMargin {
-			names = append(names, name)
+		earliest = min(earliest, renewed)
+		switch {
+		case storeNow <= renewed+options.Lease+leaseMargin:
+			found.leased = append(found.leased, name)
+		case storeNow <= renewed+options.LongestLease+leaseMargin:
+			found.vouched = append(found.vouched, name)
+		}
+	}
+	for _, entry := range m.byName {
+		if joined := time.Duration(entry.beat.Joined); joined != 0 && joined < earliest-2*membersInterval {
+			found.established++
 		}
 	}
-	return names
+	return found
 }
--- a/internal/coordination/leadership/options.go
+++ b/internal/coordination/leadership/options.go
@@ -4,11 +4,15 @@
 
 // Options are the timings of leases and changes.
 type Options struct {
-	// Lease is how long an instance may use primaries after its last renewal.
-	// It is longer than the outages of the store that the platform announces
-	// as usual (up to 12 s), because requests go on meanwhile; a change waits
-	// for it only where an instance can't be asked.
+	// Lease is how long an instance may use primaries after its last renewal
+	// by itself. A change of a primary waits for it where an instance can't
+	// be asked, so it bounds the failover of a primary that fails together
+	// with an instance.
 	Lease time.Duration
+	// LongestLease is how long it may use them while half of the instances
+	// vouch for it. It exceeds the usual outages of the store (6 to
+	// 12 s) several times.
+	LongestLease time.Duration
 	// BeatInterval is the time between two renewals.
 	BeatInterval time.Duration
 	// DutyLease is how long the duty stays with a promoter that does not
@@ -31,7 +35,7 @@
 // DefaultOptions returns the options for a few dozen instances.
 func DefaultOptions() Options {
 	return Options{
-		Lease: 15 * time.Second, BeatInterval: 2 * time.Second,
+		Lease: 4 * time.Second, LongestLease: 20 * time.Second, BeatInterval: time.Second,
 		DutyLease: 5 * time.Second, PlannedDrain: 400 * time.Millisecond,
 		TakeOver: 5 * time.Second, MostMembers: 40,
 	}
@@ -49,8 +53,14 @@
 	// instances' rows while a change waits for them.
 	acknowledgementInterval = 25 * time.Millisecond
 	// leaseMargin covers a request that was sent just before the lease ended:
-	// the usual statement timeout, rounded up.
-	leaseMargin = time.Second
+	// the usual statement timeout.
+	leaseMargin = 800 * time.Millisecond
+	// vouchBefore is how long before the lease's end other instances are
+	// asked, vouchInterval the time between two questions, and vouchLasts how
+	// long an answer counts: several questions may be lost meanwhile.
+	vouchBefore   = 1500 * time.Millisecond
+	vouchInterval = 250 * time.Millisecond
+	vouchLasts    = time.Second
 	// liveIntervals is how many renewals an instance may miss before it no
 	// longer counts as live.
 	liveIntervals = 4
@@ -58,7 +68,7 @@
 	// removed.
 	forgetAfter = time.Minute
 	// changeTimeout bounds one attempt at a change.
-	changeTimeout = 12 * time.Second
+	changeTimeout = 30 * time.Second
 	// statusTimeout bounds one question to a database.
 	statusTimeout = 300 * time.Millisecond
 	// stepDownExtra is how much longer than for the acknowledgements an old
--- a/internal/coordination/leadership/record.go
+++ b/internal/coordination/leadership/record.go
@@ -36,6 +36,11 @@
 type beat struct {
 	// Run tells two runs of an instance apart.
 	Run int64 `msgpack:"run"`
+	// Address is where other instances reach this one, host:port.
+	Address string `msgpack:"address"`
+	// Joined is when the run first wrote its row, on the store's clock, in
+	// nanoseconds; 0 in its first row.
+	Joined int64 `msgpack:"joined"`
 	// Count goes up with each write, so that each changes the row.
 	Count uint64 `msgpack:"count"`
 	// Acknowledged holds, for each group in change, the epoch whose old
--- a/internal/coordination/pooling/manager.go
+++ b/internal/coordination/pooling/manager.go
@@ -13,11 +13,10 @@
 const (
 	// trimInterval is the time between two looks for idle connections.
 	trimInterval = time.Second
-	// surplusIdle is how long a connection beyond the share may be idle.
-	surplusIdle = 2 * time.Second
-	// longIdle is below the minute after which databases close idle
-	// connections.
-	longIdle = 40 * time.Second
+	// longestIdle is how long a connection may go unused. After a loss of
+	// power a database keeps the connections of before for three seconds, and
+	// what it accepts must do for both these and the new ones.
+	longestIdle = 3 * time.Second
 	// reserveShare keeps one connection in this many free, for probes and for
 	// an instance that takes the place of another.
 	reserveShare = 10
@@ -93,7 +92,7 @@
 			return
 		case <-ticker.C:
 			for _, pool := range m.all() {
-				pool.trim(surplusIdle, longIdle)
+				pool.trim(longestIdle)
 			}
 		}
 	}
--- a/internal/coordination/pooling/pool.go
+++ b/internal/coordination/pooling/pool.go
@@ -19,7 +19,10 @@
 	dialTimeout = 600 * time.Millisecond
 	// dialPause keeps a pool from opening connections one after the other
 	// while the database refuses them.
-	dialPause = 100 * time.Millisecond
+	// The pause doubles with each refusal.
+	dialPause        = 50 * time.Millisecond
+	longestDialPause = 200 * time.Millisecond
+	maxDoublings     = 2
 	// crowdedFor is how long a pool keeps to its share after the database had
 	// no connection left.
 	crowdedFor = 5 * time.Second
@@ -100,8 +103,10 @@
 	closed   bool
 	// crowdedUntil and dialAfter hold after refusals.
 	crowdedUntil, dialAfter time.Time
-	running                 int
-	latency, held           time.Duration
+	// refusals counts the connections not opened since the last that was.
+	refusals      int
+	running       int
+	latency, held time.Duration
 }
 
 func newPool(server state.Server, dialer Dialer, health Health, limits func() Limits, log zerolog.Logger) *Pool {
@@ -252,6 +257,7 @@
 		return
 	}
 	p.open++
+	p.refusals = 0
 	p.handOver(newLink(conn, p.server))
 	p.mu.Unlock()
 }
@@ -274,11 +280,13 @@
 	defer p.mu.Unlock()
 	p.opening--
 	now := time.Now()
-	p.dialAfter = now.Add(dialPause)
+	p.refusals++
+	p.dialAfter = now.Add(min(dialPause<<min(p.refusals-1, maxDoublings), longestDialPause))
 	if failure.Code == state.CodeTooManyConnections {
 		p.crowdedUntil = now.Add(crowdedFor)
 		if p.open > 0 {
-			// The waiters are served by the open connections.
+			// The waiters are served by the open connections, and more are
+			// opened when one of them asks again.
 			return
 		}
 	}
@@ -287,7 +295,7 @@
 		w := heap.Pop(&p.queue).(*waiter)
 		w.result <- waitResult{err: failure}
 	}
-	time.AfterFunc(dialPause, func() {
+	time.AfterFunc(time.Until(p.dialAfter), func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.openMore()
@@ -355,17 +363,15 @@
 	return max(lateLeast, lateFactor*p.latency)
 }
 
-// trim closes connections beyond the share that were idle for a while, and
-// any that were idle for long.
-func (p *Pool) trim(surplusIdle, longIdle time.Duration) {
+// trim closes connections that were idle for too long. The last used one is
+// taken first, so that those which are not needed go idle.
+func (p *Pool) trim(longest time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	share := p.limits().Share
 	now := time.Now()
 	kept := p.idle[:0]
 	for _, link := range p.idle {
-		idle := now.Sub(link.lastUsed)
-		if p.open > share && idle > surplusIdle || idle > longIdle || !link.Alive() {
+		if now.Sub(link.lastUsed) > longest || !link.Alive() {
 			p.open--
 			go link.Close()
 			continue
--- a/internal/coordination/relay/engine.go
+++ b/internal/coordination/relay/engine.go
@@ -93,9 +93,9 @@
 	defaultTimeout = 5 * time.Second
 	// defaultObjective stands in for a route that sets none.
 	defaultObjective = time.Second
-	// startWait is how long a client's start may wait for an instance that has
-	// just started; clients give up after two seconds.
-	startWait = 1500 * time.Millisecond
+	// startWait is how long a client may wait for an instance that has just
+	// started: with the store at hand it takes a few calls of milliseconds.
+	startWait = 300 * time.Millisecond
 	startPoll = 10 * time.Millisecond
 	// cleanupTimeout bounds the proxy's own statements on a connection.
 	cleanupTimeout = time.Second
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -23,6 +23,7 @@
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/leadership"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/pooling"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/relay"
+	"github.com/cyclamenpin/cyclamenpin/internal/transport/datagram"
 	"github.com/cyclamenpin/cyclamenpin/internal/transport/lineserver"
 	"github.com/cyclamenpin/cyclamenpin/platform"
 )
@@ -73,6 +74,7 @@
 	clients  net.Listener
 	probes   net.Listener
 	metrics  net.Listener
+	peers    *datagram.Socket
 	stopping atomic.Bool
 }
 
@@ -89,6 +91,7 @@
 		return nil, eris.Wrapf(err, "log level %q", options.LogLevel)
 	}
 	i.logs.Logger = i.logs.Level(level)
+	i.logs.requests.Logger = i.logs.requests.Level(level)
 	i.settings.Store(&settings)
 	limitMemory(settings)
 	if err := i.listen(settings); err != nil {
@@ -100,7 +103,7 @@
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StartTimeout(startTimeout),
 		fx.Supply(settings, i),
-		fx.Provide(func() context.Context { return background }, func() zerolog.Logger { return i.logs.Logger }),
+		fx.Provide(func() context.Context { return background }, func() (zerolog.Logger, requestLog) { return i.logs.Logger, i.logs.requests }),
 		modules(),
 		fx.Populate(&i.directory, &i.leadership, &i.pools, &i.engine, &i.server, &i.store),
 		fx.Invoke(func(lifecycle fx.Lifecycle) {
@@ -131,6 +134,10 @@
 		i.closeListeners()
 		return eris.Wrap(err, "listen for readiness probes")
 	}
+	if i.peers, err = datagram.Listen(peerAddress(settings), i.logs.Logger); err != nil {
+		i.closeListeners()
+		return err
+	}
 	if i.options.MetricsPort == 0 {
 		return nil
 	}
@@ -148,6 +155,13 @@
 			_ = listener.Close()
 		}
 	}
+	if i.peers != nil {
+		_ = i.peers.Close()
+	}
+}
+
+func peerAddress(settings platform.Settings) string {
+	return net.JoinHostPort(settings.IP, strconv.Itoa(settings.PeerPort))
 }
 
 // runAll starts the loops and servers of the instance.
@@ -159,6 +173,7 @@
 	go i.pools.Run(ctx)
 	go i.server.Serve(i.clients)
 	go i.serveHTTP(i.probes)
+	go i.peers.Serve(i.leadership.Receive)
 	if i.metrics != nil {
 		go i.serveHTTP(i.metrics)
 	}
--- a/internal/entry/logs.go
+++ b/internal/entry/logs.go
@@ -18,41 +18,55 @@
 	// logPeriod is the period of the budgets, and of the line that tells what
 	// they left out.
 	logPeriod = time.Second
-	// ordinaryLines and failureLines bound the lines of a second. Their sum
-	// keeps a busy instance below 100 KB/s.
+	// ordinaryLines and failureLines bound the lines of a second that tell of
+	// requests; beliefLines bounds those on what the instance believes. Their
+	// sum keeps a busy instance below 200 KB/s.
 	ordinaryLines = 60
-	failureLines  = 200
+	failureLines  = 150
+	beliefLines   = 200
 )
 
-// logs is the logger of an instance: lines never wait for standard output, and
-// their number is bounded.
+// logs are the loggers of an instance: lines never wait for standard output,
+// and their number is bounded. Lines on requests have budgets of their own, so
+// that a flood of them hides nothing that the instance came to believe.
 type logs struct {
 	zerolog.Logger
+	requests requestLog
 	ring     diode.Writer
 	ordinary *budget
 	failures *budget
+	beliefs  *budget
 	lost     atomic.Int64
 }
 
+// requestLog is the logger of lines on requests.
+type requestLog struct {
+	zerolog.Logger
+}
+
 func newLogs(output io.Writer, instance state.InstanceID, run int64) *logs {
-	l := &logs{ordinary: newBudget(ordinaryLines), failures: newBudget(failureLines)}
+	l := &logs{ordinary: newBudget(ordinaryLines), failures: newBudget(failureLines), beliefs: newBudget(beliefLines)}
 	l.ring = diode.NewWriter(output, logRing, 0, func(missed int) { l.lost.Add(int64(missed)) })
 	sampler := zerolog.LevelSampler{
 		DebugSampler: l.ordinary, InfoSampler: l.ordinary, WarnSampler: l.failures, ErrorSampler: l.failures,
 	}
-	l.Logger = zerolog.New(l.ring).With().Timestamp().Str("instance", string(instance)).Int64("run", run).Logger().Sample(sampler)
+	base := zerolog.New(l.ring).With().Timestamp().Str("instance", string(instance)).Int64("run", run).Logger()
+	l.Logger = base.Sample(l.beliefs)
+	l.requests = requestLog{Logger: base.Sample(sampler)}
 	return l
 }
 
 // report tells how many lines were left out since the last report.
 func (l *logs) report() {
-	ordinary, failures, lost := l.ordinary.takeLeftOut(), l.failures.takeLeftOut(), l.lost.Swap(0)
-	if ordinary+failures+lost == 0 {
+	ordinary, failures := l.ordinary.takeLeftOut(), l.failures.takeLeftOut()
+	beliefs, lost := l.beliefs.takeLeftOut(), l.lost.Swap(0)
+	all := ordinary + failures + beliefs + lost
+	if all == 0 {
 		return
 	}
-	metrics.GetOrCreateCounter(`cyclamenpin_log_lines_left_out_total`).Add(int(ordinary + failures + lost))
+	metrics.GetOrCreateCounter(`cyclamenpin_log_lines_left_out_total`).Add(int(all))
 	unsampled := l.Sample(nil)
-	unsampled.Info().Int64("ordinary", ordinary).Int64("failures", failures).Int64("lost", lost).Msg("log lines left out")
+	unsampled.Info().Int64("ordinary", ordinary).Int64("failures", failures).Int64("beliefs", beliefs).Int64("lost", lost).Msg("log lines left out")
 }
 
 // budget is a sampler that passes a number of lines each period and counts the
--- a/internal/entry/modules.go
+++ b/internal/entry/modules.go
@@ -29,6 +29,8 @@
 	reservedDescriptors = 600
 	// minClients is served even where the limit of descriptors is very low.
 	minClients = 100
+	// forgetAfter is how long the health of a database that is gone is kept.
+	forgetAfter = time.Minute
 	// reportName is the name under which connections to databases are made.
 	reportName = "cyclamenpin"
 )
@@ -55,8 +57,9 @@
 
 func newDirectory(instance *Instance, codec platform.Codec, clock state.Clock, tracker *health.Tracker, log zerolog.Logger) *directory.Directory {
 	return directory.New(codec, clock, log, func(id state.DatabaseID) {
-		tracker.Forget(id)
 		instance.pools.Gone(id)
+		// What is known of it still counts against a primary that vanished.
+		time.AfterFunc(forgetAfter, func() { tracker.Forget(id) })
 	})
 }
 
@@ -79,25 +82,25 @@
 	options.DutyPause = settings.DutyLease
 	return leadership.New(leadership.Config{
 		Self: settings.Instance, Run: instance.run, Options: options, Store: store, Directory: dir, Databases: pools,
-		Promoter: promoter, Health: tracker, Clock: clock, Log: log,
+		Promoter: promoter, Health: tracker, Messenger: instance.peers, Address: peerAddress(settings), Clock: clock, Log: log,
 	})
 }
 
 func newEngine(ctx context.Context, settings platform.Settings, codec platform.Codec, dir *directory.Directory, leaders *leadership.Manager, fresh *freshness.Tracker,
-	pools *pooling.Manager, tracker *health.Tracker, clock state.Clock, log zerolog.Logger,
+	pools *pooling.Manager, tracker *health.Tracker, clock state.Clock, log requestLog,
 ) *relay.Engine {
 	return relay.New(ctx, relay.Config{
 		Directory: dir, Leadership: leaders, Freshness: fresh, Pools: pools, Health: tracker, Statements: codec,
-		Region: func(dc state.DataCentre) string { return settings.Regions[dc] }, OwnRegion: settings.Region, Clock: clock, Log: log,
+		Region: func(dc state.DataCentre) string { return settings.Regions[dc] }, OwnRegion: settings.Region, Clock: clock, Log: log.Logger,
 	})
 }
 
-func newServer(settings platform.Settings, codec platform.Codec, engine *relay.Engine, clock state.Clock, log zerolog.Logger) *lineserver.Server {
+func newServer(settings platform.Settings, codec platform.Codec, engine *relay.Engine, clock state.Clock, log requestLog) *lineserver.Server {
 	options := lineserver.Options{
 		MaxClients:      max(minClients, settings.MaxDescriptors-reservedDescriptors),
 		MaxMessageError: platform.ErrMessageTooBig,
 	}
-	return lineserver.New(codec, engine, clock, options, log)
+	return lineserver.New(codec, engine, clock, options, log.Logger)
 }
 
 // followers returns the readers of the store's tables.
