Primaries: votes of idle instances, takeover when the promoter has ended; stand-in and tests

Found by the new tests of failover in memory: instances without traffic never suspected a primary, so votes were missing; a takeover each five seconds began anew the wait for a killed instance's lease and never ended.

--- a/internal/coordination/health/health.go
+++ b/internal/coordination/health/health.go
@@ -114,15 +114,15 @@
 	return ok && r.failures > 0 && r.failures+r.late >= suspectSigns && r.silence(now) >= suspectAfter
 }
 
-// SilentFor returns how long the database has given no answer; zero where it
-// was never asked.
+// SilentFor returns how long the database has given no answer. One that was
+// never asked has been silent for ever.
 func (t *Tracker) SilentFor(id state.DatabaseID) time.Duration {
 	now := t.clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r, ok := t.byID[id]
-	if !ok || r.lastSuccess == 0 {
-		return 0
+	if !ok {
+		return time.Duration(now)
 	}
 	return now.Sub(r.lastSuccess)
 }
--- a/internal/coordination/leadership/beat.go
+++ b/internal/coordination/leadership/beat.go
@@ -123,7 +123,7 @@
 func (m *Manager) memberLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait := membersInterval
-		if !m.readMembers(ctx) || m.anySuspected() {
+		if !m.readMembers(ctx) || m.anyInQuestion() {
 			wait = voteInterval
 		}
 		timer := time.NewTimer(wait)
@@ -136,11 +136,12 @@
 	}
 }
 
-func (m *Manager) anySuspected() bool {
+// anyInQuestion reports whether a primary is suspected or being changed.
+func (m *Manager) anyInQuestion() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, g := range m.groups {
-		if g.suspected {
+		if g.suspected || g.record.Changing {
 			return true
 		}
 	}
--- a/internal/coordination/leadership/evaluate.go
+++ b/internal/coordination/leadership/evaluate.go
@@ -70,7 +70,8 @@
 		if g.record.Promoter == m.runName {
 			return causeResume, true
 		}
-		return causeTakeOver, m.sinceSeen(g) > m.Options.TakeOver+stagger
+		since := m.sinceSeen(g) - stagger
+		return causeTakeOver, since > m.Options.TakeOver || since > m.liveWithin() && m.members.ended(g.record.Promoter, m.liveWithin())
 	}
 	if !m.hasCandidate(id, primary) {
 		return "", false
--- a/internal/coordination/leadership/manager.go
+++ b/internal/coordination/leadership/manager.go
@@ -107,13 +107,18 @@
 // New returns a manager. Nothing runs before Run.
 func New(config Config) *Manager {
 	return &Manager{
-		Config: config, runName: fmt.Sprintf("%s#%d", config.Self, config.Run),
+		Config: config, runName: nameOfRun(config.Self, config.Run),
 		groups: make(map[state.GroupID]*group), changed: make(chan struct{}),
 		beatNow: make(chan struct{}, 1), readNow: make(chan struct{}, 1), members: newMembers(),
 		probing: make(map[state.DatabaseID]bool),
 	}
 }
 
+// nameOfRun names a run of an instance in records.
+func nameOfRun(instance state.InstanceID, run int64) string {
+	return fmt.Sprintf("%s#%d", instance, run)
+}
+
 // Unavailable is the error of a group whose primary may not be used now.
 type Unavailable struct {
 	Group  state.GroupID
--- a/internal/coordination/leadership/members.go
+++ b/internal/coordination/leadership/members.go
@@ -74,6 +74,17 @@
 	return suspecting, live
 }
 
+// ended reports whether a run of an instance, named as in a record, has ended
+// or at least no longer renews its row.
+func (m *members) ended(runName string, within time.Duration) bool {
+	for name, entry := range m.byName {
+		if nameOfRun(name, entry.beat.Run) == runName {
+			return m.now-entry.seenAt > within
+		}
+	}
+	return true
+}
+
 // rank is the place of an instance among the live ones by name, for staggering.
 func (m *members) rank(self state.InstanceID, within time.Duration) int {
 	rank := 0
--- a/internal/coordination/leadership/options.go
+++ b/internal/coordination/leadership/options.go
@@ -25,7 +25,8 @@
 	// primary finish; it is half a usual statement timeout.
 	PlannedDrain time.Duration
 	// TakeOver is how long a change may take before another instance starts
-	// it anew.
+	// it anew; it covers the waits of a change for leases. A promoter whose
+	// run has ended is relieved sooner.
 	TakeOver time.Duration
 	// MostMembers is the number of instances for which BeatInterval holds;
 	// with more, each renews less often, so that the store's load is bounded.
@@ -37,7 +38,7 @@
 	return Options{
 		Lease: 4 * time.Second, LongestLease: 20 * time.Second, BeatInterval: time.Second,
 		DutyLease: 5 * time.Second, PlannedDrain: 400 * time.Millisecond,
-		TakeOver: 5 * time.Second, MostMembers: 40,
+		TakeOver: 15 * time.Second, MostMembers: 40,
 	}
 }
 
--- /dev/null
+++ b/internal/standin/council/session.go
@@ -0,0 +1,321 @@
+package council
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// errEnded is the error of a session whose connection is gone.
+var errEnded = errors.New("the connection has ended")
+
+// errDark is the error of a machine that does not answer.
+var errDark = errors.New("no answer from the database's machine")
+
+// Session is one connection to a database.
+type Session struct {
+	database *Database
+	caller   string
+	ended    chan struct{}
+	endOnce  sync.Once
+
+	values   map[string]string
+	prepared map[string]preparedShape
+	inTx     bool
+	failed   bool
+	readOnly bool
+	writes   map[string]string
+	ids      []string
+}
+
+type preparedShape struct {
+	writes bool
+	shape  string
+}
+
+// Connect opens a session for a caller that expects a group and a database.
+func (d *Database) Connect(ctx context.Context, caller string, group state.GroupID, id state.DatabaseID) (*Session, state.Reply, error) {
+	if err := d.reach(ctx, caller); err != nil {
+		return nil, state.Reply{}, err
+	}
+	d.group.mu.Lock()
+	defer d.group.mu.Unlock()
+	if d.down {
+		return nil, state.Reply{}, errEnded
+	}
+	if group != d.group.options.Group || id != "" && id != d.ID {
+		return nil, state.Reply{Code: state.CodeMisdirected, Detail: string(d.ID)}, nil
+	}
+	if len(d.connections) >= d.group.options.MaxConnections {
+		return nil, state.Reply{Code: state.CodeTooManyConnections}, nil
+	}
+	session := &Session{
+		database: d, caller: caller, ended: make(chan struct{}),
+		values: make(map[string]string), prepared: make(map[string]preparedShape), writes: make(map[string]string),
+	}
+	d.connections[session] = struct{}{}
+	return session, state.Reply{Position: d.visible()}, nil
+}
+
+// reach waits for ever, or until ctx ends, where the caller can't reach the
+// database.
+func (d *Database) reach(ctx context.Context, caller string) error {
+	d.group.mu.Lock()
+	unreachable := d.dark || d.group.separated(caller, string(d.ID))
+	d.group.mu.Unlock()
+	if !unreachable {
+		return nil
+	}
+	<-ctx.Done()
+	return errDark
+}
+
+// Close ends the session. An open transaction is rolled back.
+func (s *Session) Close() {
+	s.end()
+	s.database.group.mu.Lock()
+	defer s.database.group.mu.Unlock()
+	delete(s.database.connections, s)
+}
+
+func (s *Session) end() {
+	s.endOnce.Do(func() { close(s.ended) })
+}
+
+// Ended is closed when the session has ended.
+func (s *Session) Ended() <-chan struct{} { return s.ended }
+
+// Execute runs one statement and returns its answer.
+func (s *Session) Execute(ctx context.Context, id, text string) (state.Reply, error) {
+	if err := s.database.reach(ctx, s.caller); err != nil {
+		return state.Reply{}, err
+	}
+	select {
+	case <-s.ended:
+		return state.Reply{}, errEnded
+	default:
+	}
+	reply, err := s.execute(ctx, id, text)
+	if err != nil {
+		return state.Reply{}, err
+	}
+	if err := s.database.reach(ctx, s.caller); err != nil {
+		return state.Reply{}, err
+	}
+	if s.answerLost(id) {
+		<-ctx.Done()
+		return state.Reply{}, errDark
+	}
+	return reply, nil
+}
+
+func (s *Session) answerLost(id string) bool {
+	d := s.database
+	d.group.mu.Lock()
+	defer d.group.mu.Unlock()
+	if d.loseAnswers == 0 || id == "-" {
+		return false
+	}
+	d.loseAnswers--
+	return true
+}
+
+func (s *Session) execute(ctx context.Context, id, text string) (state.Reply, error) {
+	after := state.Position{}
+	if rest, found := strings.CutPrefix(text, "WAITPOS "); found {
+		position, statement, _ := strings.Cut(rest, " ")
+		after, text = parsePosition(position), statement
+	}
+	verb, rest, _ := strings.Cut(text, " ")
+	if reply, done := s.withoutSlot(verb, rest); done {
+		return s.finish(reply), nil
+	}
+	if verb == "EXECUTE" {
+		name, arguments, _ := strings.Cut(rest, " ")
+		shape, known := s.prepared[name]
+		if !known {
+			return s.finish(state.Reply{Code: state.CodeNoStatement}), nil
+		}
+		verb, rest = "READ", arguments
+		if shape.writes {
+			verb = "WRITE"
+		}
+	}
+	if !s.takeSlot(ctx) {
+		return s.finish(state.Reply{Code: state.CodeBusy}), nil
+	}
+	defer func() { <-s.database.slots }()
+	return s.finish(s.run(id, verb, rest, after)), nil
+}
+
+// withoutSlot runs the statements that need no slot.
+func (s *Session) withoutSlot(verb, rest string) (state.Reply, bool) {
+	switch verb {
+	case "SET":
+		name, value, _ := strings.Cut(rest, " ")
+		s.values[name] = value
+	case "PREPARE":
+		name, rest, _ := strings.Cut(rest, " ")
+		access, shape, _ := strings.Cut(rest, " ")
+		s.prepared[name] = preparedShape{writes: access == "WRITE", shape: shape}
+	case "CLOSE":
+		delete(s.prepared, rest)
+	case "RESET":
+		clear(s.values)
+		clear(s.prepared)
+	case "ROLLBACK":
+		s.inTx, s.failed, s.ids = false, false, nil
+		clear(s.writes)
+	default:
+		return state.Reply{}, false
+	}
+	return state.Reply{}, true
+}
+
+// takeSlot waits for a slot, unless too many wait already.
+func (s *Session) takeSlot(ctx context.Context) bool {
+	d := s.database
+	d.group.mu.Lock()
+	full := d.waiting >= d.group.options.Queue+d.group.options.Slots || d.busyNext > 0
+	if d.busyNext > 0 {
+		d.busyNext--
+	}
+	if !full {
+		d.waiting++
+	}
+	d.group.mu.Unlock()
+	if full {
+		return false
+	}
+	d.slots <- struct{}{}
+	wait(ctx, d.group.options.Work)
+	d.group.mu.Lock()
+	d.waiting--
+	d.group.mu.Unlock()
+	return true
+}
+
+func (s *Session) run(id, verb, rest string, after state.Position) state.Reply {
+	d := s.database
+	d.group.mu.Lock()
+	defer d.group.mu.Unlock()
+	if !d.visible().Covers(after) {
+		return state.Reply{Code: state.CodeLagging}
+	}
+	leads := d.role == state.RolePrimary
+	switch verb {
+	case "BEGIN":
+		if rest == "" && !leads {
+			return state.Reply{Code: state.CodeReadOnly, Detail: string(d.ID)}
+		}
+		s.inTx, s.readOnly = true, rest != ""
+		return state.Reply{}
+	case "READ":
+		if s.inTx && !s.readOnly && !leads {
+			return s.fail(state.CodeReadOnly)
+		}
+		d.group.reads = append(d.group.reads, Read{ID: id, Database: d.ID, Applied: d.visible(), At: time.Now()})
+		return state.Reply{Rows: []string{s.lookUp(rest)}, Proof: "ran." + id}
+	case "WRITE":
+		return s.write(id, rest, leads)
+	case "COMMIT":
+		return s.commit(id, leads)
+	case "STATUS":
+		return s.status()
+	case "STEPDOWN":
+		term, err := strconv.ParseUint(rest, 10, 64)
+		if err == nil && leads && d.term < state.Term(term) {
+			d.role = state.RoleReplica
+		}
+		return s.status()
+	default:
+		return state.Reply{Code: state.CodeMalformed}
+	}
+}
+
+func (s *Session) fail(code state.ErrorCode) state.Reply {
+	s.failed = s.inTx
+	return state.Reply{Code: code, Detail: string(s.database.ID)}
+}
+
+// lookUp must be called with the group's lock held.
+func (s *Session) lookUp(item string) string {
+	if value, ok := s.writes[item]; ok {
+		return value
+	}
+	d := s.database
+	end := d.applied
+	if d.role == state.RolePrimary {
+		end = len(d.log)
+	}
+	for i := end - 1; i >= 0; i-- {
+		if value, ok := d.log[i].items[item]; ok {
+			return value
+		}
+	}
+	return ""
+}
+
+func (s *Session) write(id, rest string, leads bool) state.Reply {
+	if !leads || s.readOnly && s.inTx {
+		return s.fail(state.CodeReadOnly)
+	}
+	item, data, _ := strings.Cut(rest, " ")
+	if s.inTx {
+		s.writes[item] = data
+		s.ids = append(s.ids, id)
+		return state.Reply{Proof: "ran." + id}
+	}
+	s.database.commit(map[string]string{item: data}, []string{id})
+	return state.Reply{Proof: "ran." + id}
+}
+
+func (s *Session) commit(id string, leads bool) state.Reply {
+	if !s.inTx || s.failed {
+		return state.Reply{Code: state.CodeMalformed}
+	}
+	if len(s.writes) > 0 {
+		if !leads {
+			return s.fail(state.CodeReadOnly)
+		}
+		s.database.commit(maps.Clone(s.writes), s.ids)
+	}
+	s.inTx, s.ids = false, nil
+	clear(s.writes)
+	return state.Reply{Proof: "ran." + id}
+}
+
+func (s *Session) status() state.Reply {
+	d := s.database
+	position := d.received()
+	row := fmt.Sprintf("%s %d %d.%d 0 0 0 %d", d.role, d.term, position.Term, position.Offset, len(d.connections))
+	return state.Reply{Rows: []string{row}}
+}
+
+// finish adds the session's state to an answer.
+func (s *Session) finish(reply state.Reply) state.Reply {
+	switch {
+	case s.inTx && s.failed:
+		reply.Transaction = state.TransactionFailed
+	case s.inTx:
+		reply.Transaction = state.TransactionOpen
+	}
+	s.database.group.mu.Lock()
+	defer s.database.group.mu.Unlock()
+	reply.Position = s.database.visible()
+	return reply
+}
+
+func parsePosition(text string) state.Position {
+	term, offset, _ := strings.Cut(text, ".")
+	t, _ := strconv.ParseUint(term, 10, 64)
+	n, _ := strconv.ParseUint(offset, 10, 64)
+	return state.Position{Term: state.Term(t), Offset: n}
+}
--- /dev/null
+++ b/internal/standin/council/store.go
@@ -0,0 +1,241 @@
+package council
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/rowstore"
+)
+
+// Fault is what goes wrong with a call to the store.
+type Fault uint8
+
+// The faults of calls.
+const (
+	FaultNone Fault = iota
+	// FaultRefused calls are answered without effect.
+	FaultRefused
+	// FaultSilent calls never get an answer and have no effect.
+	FaultSilent
+	// FaultAnswerLost calls take effect and get no answer.
+	FaultAnswerLost
+	// FaultLate calls get no answer and take effect later, if their conditions
+	// still hold.
+	FaultLate
+)
+
+const (
+	// callTime is the usual time of a call.
+	callTime = 4 * time.Millisecond
+	// lateBy is how much later a call with FaultLate takes effect.
+	lateBy = 2 * time.Second
+)
+
+// errNoAnswer is the error of a call that ran out of time.
+var errNoAnswer = errors.New("no answer from the store")
+
+type rowKey struct{ table, key string }
+
+// Store holds the rows.
+type Store struct {
+	started time.Time
+
+	mu      sync.Mutex
+	rows    map[rowKey]rowstore.Row
+	history []rowstore.Row
+	// forgotten is the version up to which the history was dropped.
+	forgotten uint64
+	version   uint64
+	changed   chan struct{}
+	faults    func(caller, call string) Fault
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{started: time.Now(), rows: make(map[rowKey]rowstore.Row), changed: make(chan struct{})}
+}
+
+// SetFaults decides the fault of each call from now on; nil for none.
+func (s *Store) SetFaults(faults func(caller, call string) Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+}
+
+// ForgetHistory drops the history, so that watches of earlier versions fail.
+func (s *Store) ForgetHistory() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.forgotten = nil, s.version
+}
+
+// Put writes a row as the operators and the databases do.
+func (s *Store) Put(table, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply(rowstore.Transaction{Puts: []rowstore.Row{{Table: table, Key: key, Value: value}}})
+}
+
+// Delete removes a row as the operators and the databases do.
+func (s *Store) Delete(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply(rowstore.Transaction{Deletes: []rowstore.Row{{Table: table, Key: key}}})
+}
+
+// apply must be called with the lock held.
+func (s *Store) apply(transaction rowstore.Transaction) bool {
+	for _, condition := range transaction.Conditions {
+		if s.rows[rowKey{condition.Table, condition.Key}].Version != condition.Version {
+			return false
+		}
+	}
+	s.version++
+	for _, row := range transaction.Puts {
+		row.Version = s.version
+		s.rows[rowKey{row.Table, row.Key}] = row
+		s.history = append(s.history, row)
+	}
+	for _, row := range transaction.Deletes {
+		delete(s.rows, rowKey{row.Table, row.Key})
+		row.Version, row.Removed = s.version, true
+		s.history = append(s.history, row)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return true
+}
+
+func (s *Store) now() time.Duration {
+	return time.Since(s.started)
+}
+
+// Client returns the store as one caller sees it.
+func (s *Store) Client(caller string) *StoreClient {
+	return &StoreClient{store: s, caller: caller}
+}
+
+// StoreClient implements rowstore.Store.
+type StoreClient struct {
+	store  *Store
+	caller string
+}
+
+// patience bounds a call without an answer.
+const patience = 1500 * time.Millisecond
+
+// begin waits for a call to reach the store and returns its fault.
+func (c *StoreClient) begin(ctx context.Context, call string) (Fault, error) {
+	c.store.mu.Lock()
+	fault := FaultNone
+	if c.store.faults != nil {
+		fault = c.store.faults(c.caller, call)
+	}
+	c.store.mu.Unlock()
+	if fault == FaultSilent {
+		wait(ctx, patience)
+		return fault, errNoAnswer
+	}
+	wait(ctx, callTime)
+	if fault == FaultRefused {
+		return fault, rowstore.ErrRefused
+	}
+	return fault, ctx.Err()
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// List implements rowstore.Store.
+func (c *StoreClient) List(ctx context.Context, table string) (rowstore.Snapshot, error) {
+	if _, err := c.begin(ctx, "list"); err != nil {
+		return rowstore.Snapshot{}, err
+	}
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	snapshot := rowstore.Snapshot{Version: c.store.version, Now: c.store.now()}
+	for key, row := range c.store.rows {
+		if key.table == table {
+			snapshot.Rows = append(snapshot.Rows, row)
+		}
+	}
+	slices.SortFunc(snapshot.Rows, func(a, b rowstore.Row) int { return cmp.Compare(a.Key, b.Key) })
+	return snapshot, nil
+}
+
+// Watch implements rowstore.Store.
+func (c *StoreClient) Watch(ctx context.Context, table string, after uint64, longest time.Duration) (rowstore.Snapshot, error) {
+	if _, err := c.begin(ctx, "watch"); err != nil {
+		return rowstore.Snapshot{}, err
+	}
+	deadline := time.NewTimer(longest)
+	defer deadline.Stop()
+	for expired := false; ; {
+		snapshot, changed, err := c.since(table, after)
+		if err != nil || len(snapshot.Rows) > 0 || expired {
+			return snapshot, err
+		}
+		select {
+		case <-ctx.Done():
+			return rowstore.Snapshot{}, ctx.Err()
+		case <-deadline.C:
+			expired = true
+		case <-changed:
+		}
+	}
+}
+
+func (c *StoreClient) since(table string, after uint64) (rowstore.Snapshot, <-chan struct{}, error) {
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	if after < c.store.forgotten {
+		return rowstore.Snapshot{}, nil, rowstore.ErrHistoryLost
+	}
+	snapshot := rowstore.Snapshot{Version: c.store.version, Now: c.store.now()}
+	for _, row := range c.store.history {
+		if row.Table == table && row.Version > after {
+			snapshot.Rows = append(snapshot.Rows, row)
+		}
+	}
+	return snapshot, c.store.changed, nil
+}
+
+// Transact implements rowstore.Store.
+func (c *StoreClient) Transact(ctx context.Context, transaction rowstore.Transaction) (rowstore.Commit, error) {
+	fault, err := c.begin(ctx, "transact")
+	if err != nil {
+		return rowstore.Commit{}, err
+	}
+	if fault == FaultLate {
+		time.AfterFunc(lateBy, func() {
+			c.store.mu.Lock()
+			defer c.store.mu.Unlock()
+			c.store.apply(transaction)
+		})
+		wait(ctx, patience)
+		return rowstore.Commit{}, errNoAnswer
+	}
+	c.store.mu.Lock()
+	applied := c.store.apply(transaction)
+	commit := rowstore.Commit{Version: c.store.version, Now: c.store.now()}
+	c.store.mu.Unlock()
+	if fault == FaultAnswerLost {
+		wait(ctx, patience)
+		return rowstore.Commit{}, errNoAnswer
+	}
+	if !applied {
+		return rowstore.Commit{}, rowstore.ErrConflict
+	}
+	wait(ctx, callTime/2)
+	return commit, nil
+}
--- a/internal/state/group.go
+++ b/internal/state/group.go
@@ -84,6 +84,12 @@
 	return []byte(r.String()), nil
 }
 
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (r *Role) UnmarshalText(text []byte) error {
+	*r = ParseRole(string(text))
+	return nil
+}
+
 // ParseRole reads the form that Role.String writes; anything else is fenced,
 // the role that may do nothing.
 func ParseRole(text string) Role {
--- /dev/null
+++ b/test/council/failover_test.go
@@ -0,0 +1,208 @@
+package council
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	standin "github.com/cyclamenpin/cyclamenpin/internal/standin/council"
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+var four = []string{"a", "b", "c", "d"}
+
+// Pattern: a primary goes dark. Every instance sees it, and the replica that
+// received most leads within the promotion's own time plus the detection.
+func TestDarkPrimaryIsReplaced(t *testing.T) {
+	run(t, four, func(w *world) {
+		for _, name := range four {
+			require.True(w.t, w.instances[name].writable())
+		}
+		w.group.Database(1).Crash(true)
+		for _, name := range four {
+			go w.instances[name].writable()
+		}
+		gap := w.eventually(4*time.Second, "a new primary", func() bool { return w.instances["a"].writable() })
+		require.NotEqual(w.t, w.group.Database(1).ID, w.group.Leader().ID)
+		w.t.Logf("gap %s", gap)
+		w.requireSoundPromotions()
+	})
+}
+
+// Pattern: a planned change. A leaving primary is replaced without losing an
+// acknowledged commit, and its transactions may end first.
+func TestLeavingPrimaryHandsOverWithoutLoss(t *testing.T) {
+	run(t, four, func(w *world) {
+		c := w.instances["b"].open("cab")
+		for range 20 {
+			_, reply := c.write("k", "v")
+			require.Equal(w.t, state.CodeNone, reply.Code)
+		}
+		w.retire(1)
+		w.eventually(4*time.Second, "the handover", func() bool {
+			_, reply := c.write("k", "w")
+			return reply.Code == state.CodeNone && w.group.Leader() != w.group.Database(1)
+		})
+		require.Empty(w.t, w.rolledBack())
+		w.requireSoundPromotions()
+	})
+}
+
+// Pattern: a primary and an instance are lost together. Nobody can ask the
+// instance, so the change waits for the end of its lease and no longer.
+func TestPrimaryLostTogetherWithAnInstance(t *testing.T) {
+	run(t, four, func(w *world) {
+		time.Sleep(25 * time.Second)
+		w.instances["d"].kill()
+		w.group.Database(1).Crash(true)
+		for _, name := range []string{"a", "b", "c"} {
+			go w.instances[name].writable()
+		}
+		gap := w.eventually(10*time.Second, "a new primary", func() bool { return w.instances["a"].writable() })
+		w.t.Logf("gap %s", gap)
+		w.requireSoundPromotions()
+	})
+}
+
+// Pattern: the store is away for long. Half of the instances vouching for each
+// other keep primaries in use.
+func TestWritesGoOnWhileTheStoreIsAway(t *testing.T) {
+	run(t, four, func(w *world) {
+		w.partition(between(four, []string{"store"}))
+		for range 15 {
+			time.Sleep(time.Second)
+			for _, name := range four {
+				require.True(w.t, w.instances[name].writable(), "%s after the store went away", name)
+			}
+		}
+		w.partition(nil)
+		time.Sleep(3 * time.Second)
+		require.True(w.t, w.instances["a"].writable())
+	})
+}
+
+// Pattern: one instance is cut off with the primary from everybody else. It
+// must stop before the others' new primary takes effect.
+func TestInstanceCutOffWithThePrimaryStopsInTime(t *testing.T) {
+	run(t, four, func(w *world) {
+		time.Sleep(25 * time.Second)
+		island := []string{"d", string(w.group.Database(1).ID)}
+		rest := []string{"a", "b", "c", "store", string(w.group.Database(2).ID), string(w.group.Database(3).ID)}
+		w.partition(between(island, rest))
+		stop := make(chan struct{})
+		defer close(stop)
+		go func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					w.instances["d"].writable()
+					time.Sleep(20 * time.Millisecond)
+				}
+			}
+		}()
+		w.eventually(12*time.Second, "a new primary for the others", func() bool { return w.instances["a"].writable() })
+		time.Sleep(2 * time.Second)
+		w.requireNoSupersededCommit()
+		w.partition(nil)
+		w.eventually(8*time.Second, "the cut-off instance follows", func() bool { return w.instances["d"].writable() })
+		w.requireSoundPromotions()
+	})
+}
+
+// Pattern: an even split, the primary on the side without the store. That side
+// goes on, and the other changes nothing.
+func TestEvenSplitChangesNoPrimary(t *testing.T) {
+	run(t, four, func(w *world) {
+		time.Sleep(25 * time.Second)
+		left := []string{"a", "b", string(w.group.Database(1).ID)}
+		right := []string{"c", "d", "store", string(w.group.Database(2).ID), string(w.group.Database(3).ID)}
+		w.partition(between(left, right))
+		for range 7 {
+			time.Sleep(time.Second)
+			require.True(w.t, w.instances["a"].writable())
+			w.instances["c"].writable()
+		}
+		w.partition(nil)
+		w.eventually(3*time.Second, "the other side is served again", func() bool { return w.instances["c"].writable() })
+		require.Equal(w.t, w.group.Database(1).ID, w.group.Leader().ID)
+	})
+}
+
+// Pattern: some instances can't reach the primary, most can. They refuse at
+// once, and no primary is changed.
+func TestFewThatCannotReachThePrimaryDoNotChangeIt(t *testing.T) {
+	run(t, four, func(w *world) {
+		w.partition(between([]string{"d"}, []string{string(w.group.Database(1).ID)}))
+		for range 6 {
+			time.Sleep(time.Second)
+			w.instances["d"].writable()
+			require.True(w.t, w.instances["a"].writable())
+		}
+		require.Equal(w.t, w.group.Database(1).ID, w.group.Leader().ID)
+	})
+}
+
+// Pattern: the promoter dies in the middle of a change. Another takes over with
+// a higher token.
+func TestPromoterKilledInTheMiddle(t *testing.T) {
+	run(t, four, func(w *world) {
+		time.Sleep(25 * time.Second)
+		w.retire(1)
+		w.eventually(3*time.Second, "the change is announced", func() bool {
+			groups, _ := w.instances["b"].leadership.Snapshot()
+			return groups[0].Changing
+		})
+		promoter := w.promoter()
+		w.instances[promoter].kill()
+		others := slices.DeleteFunc(slices.Clone(four), func(name string) bool { return name == promoter })
+		w.eventually(20*time.Second, "another finishes the change", func() bool { return w.instances[others[0]].writable() })
+		w.requireSoundPromotions()
+	})
+}
+
+// Pattern: the answer to the announcement, or to any write of the store, is
+// lost, or the write happens seconds later.
+func TestStoreLosesAnswersDuringAChange(t *testing.T) {
+	for name, fault := range map[string]standin.Fault{"lost": standin.FaultAnswerLost, "late": standin.FaultLate} {
+		t.Run(name, func(t *testing.T) {
+			run(t, four, func(w *world) {
+				calls := 0
+				w.store.SetFaults(func(_, call string) standin.Fault {
+					if calls++; call == "transact" && calls%3 == 0 {
+						return fault
+					}
+					return standin.FaultNone
+				})
+				w.retire(1)
+				w.eventually(25*time.Second, "the handover", func() bool {
+					return w.group.Leader() != w.group.Database(1) && w.instances["a"].writable()
+				})
+				w.requireSoundPromotions()
+			})
+		})
+	}
+}
+
+// Pattern: all instances are killed in the middle of a change and start again.
+func TestAllInstancesKilledInTheMiddleOfAChange(t *testing.T) {
+	run(t, four, func(w *world) {
+		w.retire(1)
+		w.eventually(3*time.Second, "the change is announced", func() bool {
+			groups, _ := w.instances["b"].leadership.Snapshot()
+			return groups[0].Changing
+		})
+		for _, name := range four {
+			w.instances[name].kill()
+		}
+		time.Sleep(time.Second)
+		for _, name := range four {
+			w.start(name)
+		}
+		w.eventually(20*time.Second, "the change is finished", func() bool { return w.instances["c"].writable() })
+		w.requireSoundPromotions()
+	})
+}
--- /dev/null
+++ b/test/council/property_test.go
@@ -0,0 +1,220 @@
+package council
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	standin "github.com/cyclamenpin/cyclamenpin/internal/standin/council"
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// propertyRuns is how many random days are played; COUNCIL_RUNS plays more and
+// COUNCIL_SEED others.
+const propertyRuns = 30
+
+// TestRandomFaultsBreakNoPromise plays random troubles, alone and together,
+// under load, and compares what clients were told with what databases did.
+func TestRandomFaultsBreakNoPromise(t *testing.T) {
+	runs, first := propertyRuns, 1
+	if n, err := strconv.Atoi(os.Getenv("COUNCIL_RUNS")); err == nil {
+		runs = n
+	}
+	if n, err := strconv.Atoi(os.Getenv("COUNCIL_SEED")); err == nil {
+		first = n
+	}
+	for seed := first; seed < first+runs; seed++ {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { playSeed(t, uint64(seed)) })
+	}
+}
+
+func playSeed(t *testing.T, seed uint64) {
+	run(t, four, func(w *world) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		h := newHistory()
+		stop := make(chan struct{})
+		var clients sync.WaitGroup
+		for n := range 12 {
+			clientRandom := rand.New(rand.NewPCG(seed, uint64(n)+2))
+			clients.Go(func() { w.load(h, clientRandom, stop) })
+		}
+		for range 8 {
+			time.Sleep(time.Duration(500+random.IntN(3000)) * time.Millisecond)
+			w.trouble(random)
+		}
+		w.heal()
+		// A change of primary that waits for a lost instance takes longest.
+		time.Sleep(25 * time.Second)
+		close(stop)
+		clients.Wait()
+		h.check(w)
+		w.requireSoundPromotions()
+		for _, name := range four {
+			require.True(w.t, w.instances[name].writable(), "%s serves after the troubles", name)
+		}
+	})
+}
+
+// load runs operations of one client until stop.
+func (w *world) load(h *history, random *rand.Rand, stop <-chan struct{}) {
+	names := []string{"desk", "portal", "cab"}
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(random.IntN(60)) * time.Millisecond):
+		}
+		w.mu.Lock()
+		i := w.instances[four[random.IntN(len(four))]]
+		w.mu.Unlock()
+		if i.ctx.Err() != nil {
+			continue
+		}
+		route := names[random.IntN(len(names))]
+		session, code := i.engine.Open(route)
+		if code != state.CodeNone {
+			continue
+		}
+		c := &client{session: session, world: w}
+		c.operations(h, random, route)
+		session.Close()
+	}
+}
+
+// operations runs a few operations in one session.
+func (c *client) operations(h *history, random *rand.Rand, route string) {
+	floor := ""
+	for range 1 + random.IntN(4) {
+		item := strconv.Itoa(random.IntN(20))
+		switch random.IntN(5) {
+		case 0:
+			id, reply := c.write(item, "x")
+			h.wrote([]string{id}, reply.Code)
+			if reply.Code == state.CodeNone {
+				floor = id
+			}
+		case 1:
+			if id := c.transaction(h, random, item); id != "" {
+				floor = id
+			}
+		default:
+			arrived := time.Now()
+			id, reply := c.read(item)
+			if reply.Code == state.CodeNone {
+				h.read(observedRead{id: id, arrived: arrived, route: route, floor: floor})
+			}
+		}
+		if c.session.InTransaction() {
+			return
+		}
+	}
+}
+
+// transaction runs a transaction with writes and returns one of them where it
+// was committed.
+func (c *client) transaction(h *history, random *rand.Rand, item string) string {
+	if _, reply := c.do(state.StatementBegin, "BEGIN"); reply.Code != state.CodeNone {
+		return ""
+	}
+	var ids []string
+	for range 1 + random.IntN(3) {
+		time.Sleep(time.Duration(random.IntN(40)) * time.Millisecond)
+		id, reply := c.write(item, "y")
+		ids = append(ids, id)
+		if reply.Code != state.CodeNone {
+			_, _ = c.do(state.StatementRollback, "ROLLBACK")
+			h.wrote(ids, reply.Code)
+			return ""
+		}
+	}
+	if random.IntN(5) == 0 {
+		_, _ = c.do(state.StatementRollback, "ROLLBACK")
+		h.wrote(ids, state.CodeAborted)
+		return ""
+	}
+	_, reply := c.do(state.StatementCommit, "COMMIT")
+	h.wrote(ids, reply.Code)
+	if reply.Code != state.CodeNone {
+		return ""
+	}
+	return ids[0]
+}
+
+// trouble lets one thing go wrong, or heals what is wrong.
+func (w *world) trouble(random *rand.Rand) {
+	database := w.group.Database(1 + random.IntN(3))
+	name := four[random.IntN(len(four))]
+	everyone := append([]string{"store"}, four...)
+	for n := 1; n <= 3; n++ {
+		everyone = append(everyone, string(w.group.Database(n).ID))
+	}
+	switch random.IntN(9) {
+	case 0:
+		database.Crash(random.IntN(2) == 0)
+		time.AfterFunc(time.Duration(2+random.IntN(6))*time.Second, database.Restart)
+	case 1:
+		w.instances[name].kill()
+		time.AfterFunc(time.Duration(500+random.IntN(5000))*time.Millisecond, func() { w.start(name) })
+	case 2:
+		w.partition(between([]string{name}, []string{"store"}))
+	case 3:
+		side := []string{name}
+		for _, party := range everyone {
+			if random.IntN(2) == 0 {
+				side = append(side, party)
+			}
+		}
+		w.partition(between(side, without(everyone, side)))
+	case 4:
+		w.partition(between(four, []string{"store"}))
+	case 5:
+		database.SetApplyAfter(time.Duration(random.IntN(3000)) * time.Millisecond)
+	case 6:
+		database.LoseAnswers(1 + random.IntN(3))
+	case 7:
+		w.storeFault(standin.Fault(1+random.IntN(4)), random)
+	default:
+		w.heal()
+	}
+}
+
+func without(all, some []string) []string {
+	var rest []string
+	for _, party := range all {
+		found := false
+		for _, other := range some {
+			found = found || other == party
+		}
+		if !found {
+			rest = append(rest, party)
+		}
+	}
+	return rest
+}
+
+// storeFault lets a third of the store's calls go wrong.
+func (w *world) storeFault(fault standin.Fault, random *rand.Rand) {
+	draw := rand.New(rand.NewPCG(random.Uint64(), 7))
+	w.store.SetFaults(func(_, _ string) standin.Fault {
+		if draw.IntN(3) == 0 {
+			return fault
+		}
+		return standin.FaultNone
+	})
+}
+
+// heal ends what can be ended; instances and databases come back by
+// themselves.
+func (w *world) heal() {
+	w.partition(nil)
+	for n := 1; n <= 3; n++ {
+		w.group.Database(n).SetApplyAfter(groupOptions().ApplyAfter)
+		w.group.Database(n).LoseAnswers(0)
+	}
+}
--- /dev/null
+++ b/test/council/world_test.go
@@ -0,0 +1,347 @@
+package council
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/directory"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/freshness"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/health"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/leadership"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/pooling"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/relay"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/rowstore"
+	standin "github.com/cyclamenpin/cyclamenpin/internal/standin/council"
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+	"github.com/cyclamenpin/cyclamenpin/platform"
+)
+
+const (
+	tableRoutes  = "op"
+	tableServers = "servers"
+	// registrationLapse is how long a database may be silent before its
+	// registration is removed.
+	registrationLapse = 3600 * time.Millisecond
+	oneWay            = 2 * time.Millisecond
+	maxStaleness      = time.Second
+)
+
+// virtualClock reads the bubble's clock, set forward by what each instance was
+// suspended.
+type virtualClock struct{ started time.Time }
+
+func (c virtualClock) Now() state.Instant {
+	return state.Instant(time.Since(c.started)) + 1
+}
+
+// world is a store, one group and some instances in memory.
+type world struct {
+	t         *testing.T
+	ctx       context.Context
+	started   time.Time
+	store     *standin.Store
+	group     *standin.Group
+	instances map[string]*instance
+	log       zerolog.Logger
+
+	mu sync.Mutex
+	// cut tells which parties can't reach each other: instances, databases
+	// and "store".
+	cut func(a, b string) bool
+}
+
+// instance is one entry instance without its sockets.
+type instance struct {
+	name       string
+	world      *world
+	ctx        context.Context
+	cancel     context.CancelFunc
+	leadership *leadership.Manager
+	directory  *directory.Directory
+	pools      *pooling.Manager
+	engine     *relay.Engine
+}
+
+// jsonDecoder reads rows that the world itself wrote.
+type jsonDecoder struct{}
+
+func (jsonDecoder) ParseConfiguration(value []byte) (*state.RoutingTable, error) {
+	var table state.RoutingTable
+	return &table, json.Unmarshal(value, &table)
+}
+
+func (jsonDecoder) ParseServer(_ string, value []byte) (state.Server, error) {
+	var server state.Server
+	return server, json.Unmarshal(value, &server)
+}
+
+func groupOptions() standin.Options {
+	return standin.Options{
+		Group: "g", Databases: 3, MaxConnections: 22, Slots: 3, Queue: 24, Work: 5 * time.Millisecond,
+		ReceiveAfter: 2 * time.Millisecond, ApplyAfter: 20 * time.Millisecond, PromoteAfter: 300 * time.Millisecond,
+	}
+}
+
+// run plays a test in virtual time in a world with the given instances.
+func run(t *testing.T, names []string, play func(w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		w := &world{
+			t: t, ctx: ctx, started: time.Now(), store: standin.NewStore(), group: standin.NewGroup(groupOptions()),
+			instances: make(map[string]*instance), log: testLog(t),
+		}
+		w.group.SetCut(w.separated)
+		w.configure(1, "desk", "portal", "cab")
+		go w.register(ctx)
+		for _, name := range names {
+			w.start(name)
+		}
+		defer func() {
+			cancel()
+			// The longest wait of a call without an answer.
+			time.Sleep(time.Minute)
+			synctest.Wait()
+		}()
+		time.Sleep(500 * time.Millisecond)
+		play(w)
+	})
+}
+
+func testLog(t *testing.T) zerolog.Logger {
+	if testing.Verbose() {
+		return zerolog.New(zerolog.NewTestWriter(t))
+	}
+	return zerolog.Nop()
+}
+
+// configure writes a configuration: desk reads from the primary, portal is
+// bounded, cab reads its own writes.
+func (w *world) configure(version uint64, names ...string) {
+	table := state.RoutingTable{
+		Version: version, Routes: make(map[string]state.Route), IdleInTransaction: 3 * time.Second,
+		Groups: map[state.GroupID]state.GroupLimits{"g": {MaxConnections: 22}},
+	}
+	kinds := map[string]state.Consistency{
+		"desk": state.ConsistencyPrimary, "portal": state.ConsistencyBounded, "cab": state.ConsistencySession,
+	}
+	for _, name := range names {
+		table.Routes[name] = state.Route{
+			Database: name, Group: "g", Consistency: kinds[name], MaxStaleness: maxStaleness,
+			StatementTimeout: 800 * time.Millisecond, Objective: 800 * time.Millisecond, Priority: 1,
+		}
+	}
+	value, err := json.Marshal(table)
+	require.NoError(w.t, err)
+	w.store.Put(tableRoutes, "config", value)
+}
+
+// register keeps the databases' registrations as they would.
+func (w *world) register(ctx context.Context) {
+	type seen struct {
+		value string
+		at    time.Time
+	}
+	last := make(map[string]seen)
+	for ctx.Err() == nil {
+		for n := 1; n <= groupOptions().Databases; n++ {
+			database := w.group.Database(n)
+			key := string(database.ID)
+			if database.Running() && !w.separated(key, "store") {
+				server := database.Server()
+				value, err := json.Marshal(server)
+				require.NoError(w.t, err)
+				if last[key].value != string(value) {
+					w.store.Put(tableServers, key, value)
+				}
+				last[key] = seen{string(value), time.Now()}
+			} else if last[key].value != "" && time.Since(last[key].at) > registrationLapse {
+				w.store.Delete(tableServers, key)
+				last[key] = seen{}
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+func (w *world) separated(a, b string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cut != nil && (w.cut(a, b) || w.cut(b, a))
+}
+
+// partition cuts parties off from each other from now on; nil heals.
+func (w *world) partition(cut func(a, b string) bool) {
+	w.mu.Lock()
+	w.cut = cut
+	w.mu.Unlock()
+	w.store.SetFaults(func(caller, _ string) standin.Fault {
+		if w.separated(caller, "store") {
+			return standin.FaultSilent
+		}
+		return standin.FaultNone
+	})
+}
+
+// between cuts one set of parties off from another.
+func between(left, right []string) func(a, b string) bool {
+	in := func(set []string, name string) bool {
+		for _, member := range set {
+			if member == name {
+				return true
+			}
+		}
+		return false
+	}
+	return func(a, b string) bool { return in(left, a) && in(right, b) }
+}
+
+// messenger sends datagrams in memory.
+type messenger struct {
+	world *world
+	from  string
+}
+
+func (m messenger) Send(to string, message []byte) {
+	m.world.mu.Lock()
+	receiver := m.world.instances[to]
+	m.world.mu.Unlock()
+	if receiver == nil || m.world.separated(m.from, to) {
+		return
+	}
+	go func() {
+		time.Sleep(oneWay)
+		if receiver.ctx.Err() != nil {
+			return
+		}
+		answer := receiver.leadership.Receive(message)
+		if answer == nil || m.world.separated(m.from, to) {
+			return
+		}
+		time.Sleep(oneWay)
+		m.world.mu.Lock()
+		sender := m.world.instances[m.from]
+		m.world.mu.Unlock()
+		if sender != nil && sender.ctx.Err() == nil {
+			sender.leadership.Receive(answer)
+		}
+	}()
+}
+
+// start starts an instance, or starts it anew.
+func (w *world) start(name string) *instance {
+	ctx, cancel := context.WithCancel(w.ctx)
+	clock := virtualClock{w.started}
+	log := w.log.With().Str("instance", name).Logger()
+	i := &instance{name: name, world: w, ctx: ctx, cancel: cancel}
+	tracker := health.NewTracker(clock)
+	fresh := freshness.NewTracker()
+	store := w.store.Client(name)
+	i.directory = directory.New(jsonDecoder{}, clock, log, func(id state.DatabaseID) { i.pools.Gone(id) })
+	i.pools = pooling.NewManager(&standin.Dialer{Caller: name, Groups: []*standin.Group{w.group}, Delay: oneWay}, tracker,
+		func(state.GroupID) int { return 22 }, func() int { return i.leadership.Members() }, log)
+	i.leadership = leadership.New(leadership.Config{
+		Self: state.InstanceID(name), Run: time.Now().UnixNano(), Options: leadership.DefaultOptions(), Store: store,
+		Directory: i.directory, Databases: i.pools, Promoter: w.group.Promoter(), Health: tracker,
+		Messenger: messenger{w, name}, Address: name, Clock: clock, Log: log,
+	})
+	i.engine = relay.New(ctx, relay.Config{
+		Directory: i.directory, Leadership: i.leadership, Freshness: fresh, Pools: i.pools, Health: tracker,
+		Statements: platform.Codec{}, Clock: clock, Log: log,
+	})
+	w.mu.Lock()
+	w.instances[name] = i
+	w.mu.Unlock()
+	follow := func(table string, apply func(rowstore.Update)) {
+		follower := &rowstore.Follower{Store: store, Table: table, Wait: time.Second, Clock: clock, Log: log, Apply: apply}
+		go follower.Run(ctx)
+	}
+	follow(tableRoutes, func(u rowstore.Update) {
+		for _, row := range u.Rows {
+			i.directory.ApplyConfiguration(row)
+		}
+	})
+	follow(tableServers, func(u rowstore.Update) {
+		if len(u.Rows) > 0 || u.Complete {
+			i.directory.ApplyServers(u.Rows, u.Complete, u.AfterOutage)
+		}
+		i.directory.Expire()
+	})
+	follow(leadership.TablePrimaries, i.leadership.Apply)
+	go i.leadership.Run(ctx)
+	go i.pools.Run(ctx)
+	return i
+}
+
+// kill ends an instance without any farewell.
+func (i *instance) kill() { i.cancel() }
+
+// open opens a session, which must succeed.
+func (i *instance) open(name string) *client {
+	session, code := i.engine.Open(name)
+	require.Equal(i.world.t, state.CodeNone, code)
+	return &client{session: session, world: i.world}
+}
+
+// client is one session with the statements' ids counted.
+type client struct {
+	session *relay.Session
+	world   *world
+}
+
+var statementNumbers struct {
+	sync.Mutex
+	last int
+}
+
+func nextID() string {
+	statementNumbers.Lock()
+	defer statementNumbers.Unlock()
+	statementNumbers.last++
+	return fmt.Sprintf("s%d", statementNumbers.last)
+}
+
+// do runs one statement and returns its id and answer.
+func (c *client) do(kind state.StatementKind, text string) (string, state.Reply) {
+	id := nextID()
+	statement := state.Statement{ID: id, Kind: kind, Text: text}
+	return id, c.session.Handle(statement, virtualClock{c.world.started}.Now())
+}
+
+func (c *client) write(item, data string) (string, state.Reply) {
+	return c.do(state.StatementWrite, "WRITE "+item+" "+data)
+}
+
+func (c *client) read(item string) (string, state.Reply) {
+	return c.do(state.StatementRead, "READ "+item)
+}
+
+// eventually repeats try each 50 ms until it is true; it must be within limit.
+func (w *world) eventually(limit time.Duration, what string, try func() bool) time.Duration {
+	begun := time.Now()
+	for !try() {
+		require.Less(w.t, time.Since(begun), limit, what)
+		time.Sleep(50 * time.Millisecond)
+	}
+	return time.Since(begun)
+}
+
+// writable reports whether an instance can write now.
+func (i *instance) writable() bool {
+	session, code := i.engine.Open("desk")
+	if code != state.CodeNone {
+		return false
+	}
+	defer session.Close()
+	c := &client{session: session, world: i.world}
+	_, reply := c.write("probe", "x")
+	return reply.Code == state.CodeNone
+}
