Suspicions told directly, one line for a lost lease; the entry instance over sockets

Stand-ins for the store and the databases now speak over sockets, and the tests start the entry instance against them.

--- a/internal/coordination/leadership/beat.go
+++ b/internal/coordination/leadership/beat.go
@@ -52,7 +52,7 @@
 			// Nothing is renewed before the primaries have been read.
 			interval = acknowledgementInterval
 		} else if !m.beat(ctx) {
-			interval = voteInterval
+			interval = retryBeat
 		}
 		timer := time.NewTimer(interval)
 		select {
@@ -74,8 +74,7 @@
 	sent := m.Clock.Now()
 	commit, err := m.Store.Transact(ctx, rowstore.Transaction{Puts: []rowstore.Row{{Table: TableInstances, Key: string(m.Self), Value: value}}})
 	received := m.Clock.Now()
-	if err != nil {
-		m.Log.Warn().Err(err).Dur("held_ms", received.Sub(sent)).Msg("lease not renewed")
+	if m.noteRenewal(err); err != nil {
 		return false
 	}
 	m.mu.Lock()
@@ -92,6 +91,24 @@
 	return true
 }
 
+// noteRenewal logs the first failure to renew the lease and the end of the
+// failures.
+func (m *Manager) noteRenewal(err error) {
+	m.mu.Lock()
+	before := m.renewalFailures
+	if m.renewalFailures++; err == nil {
+		m.renewalFailures = 0
+	}
+	left := m.lease.left(m.Clock.Now())
+	m.mu.Unlock()
+	switch {
+	case err != nil && before == 0:
+		m.Log.Warn().Err(err).Dur("lease_left_ms", left).Msg("lease not renewed")
+	case err == nil && before > 0:
+		m.Log.Info().Int("failures", before).Dur("lease_left_ms", left).Msg("lease renewed again")
+	}
+}
+
 // catchUp reads the primaries at once, because a renewal counts only when they
 // have been seen up to it, and a watch without changes answers late.
 func (m *Manager) catchUp(ctx context.Context) {
@@ -112,14 +129,11 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.beats++
-	next := beat{Demand: demand, Run: m.Config.Run, Address: m.Address, Joined: m.joined, Count: m.beats, Acknowledged: map[state.GroupID]uint64{}, Suspected: map[state.GroupID]uint64{}}
+	next := beat{Demand: demand, Run: m.Config.Run, Address: m.Address, Joined: m.joined, Count: m.beats, Acknowledged: map[state.GroupID]uint64{}, Suspected: m.suspectedGroups()}
 	for id, g := range m.groups {
 		if g.record.Changing && g.acknowledged > 0 {
 			next.Acknowledged[id] = g.acknowledged
 		}
-		if g.suspected {
-			next.Suspected[id] = g.record.Epoch
-		}
 	}
 	return next
 }
--- a/internal/coordination/leadership/evaluate.go
+++ b/internal/coordination/leadership/evaluate.go
@@ -149,7 +149,7 @@
 		ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 		defer cancel()
 		if _, err := m.Databases.Status(ctx, server); err != nil {
-			m.Log.Warn().Err(err).Str("database", string(server.ID)).Msg("probe failed")
+			m.Log.Debug().Err(err).Str("database", string(server.ID)).Msg("probe failed")
 			m.Health.Failure(server.ID)
 		} else {
 			m.Health.Success(server.ID)
--- a/internal/coordination/leadership/manager.go
+++ b/internal/coordination/leadership/manager.go
@@ -39,6 +39,7 @@
 type Health interface {
 	Success(id state.DatabaseID)
 	Failure(id state.DatabaseID)
+	Doubt(id state.DatabaseID)
 	Doubted(id state.DatabaseID) bool
 	Suspected(id state.DatabaseID) bool
 	SilentFor(id state.DatabaseID) time.Duration
@@ -79,6 +80,8 @@
 	vouches vouches
 	duty    duty
 	beats   uint64
+	// renewalFailures counts the failures to renew the lease in a row.
+	renewalFailures int
 	// joined is when this run first wrote its row, on the store's clock.
 	joined int64
 	// changed is closed and replaced at each change of a record or the lease.
--- a/internal/coordination/leadership/members.go
+++ b/internal/coordination/leadership/members.go
@@ -124,6 +124,13 @@
 	m.byName[name] = entry
 }
 
+// suspect notes what an instance suspects, as it told directly.
+func (m *members) suspect(name state.InstanceID, suspected map[state.GroupID]uint64) {
+	entry := m.byName[name]
+	entry.beat.Suspected = suspected
+	m.byName[name] = entry
+}
+
 // announcement is a change that instances are to acknowledge.
 type announcement struct {
 	group  state.GroupID
--- a/internal/coordination/leadership/options.go
+++ b/internal/coordination/leadership/options.go
@@ -50,6 +50,9 @@
 	membersInterval = 4 * time.Second
 	// voteInterval is that time while a primary is suspected.
 	voteInterval = 100 * time.Millisecond
+	// retryBeat is the time between two tries to renew the lease while the
+	// store refuses; several fit into what is left of the lease.
+	retryBeat = 400 * time.Millisecond
 	// acknowledgementInterval is the time between two reads of the
 	// instances' rows while a change waits for them.
 	acknowledgementInterval = 25 * time.Millisecond
--- a/internal/coordination/leadership/vouch.go
+++ b/internal/coordination/leadership/vouch.go
@@ -39,6 +39,9 @@
 	// Acknowledged holds the epochs whose old primary the sender of an answer
 	// no longer uses.
 	Acknowledged map[state.GroupID]uint64 `msgpack:"a"`
+	// Suspected holds the epochs of the groups whose primary the sender cannot
+	// reach.
+	Suspected map[state.GroupID]uint64 `msgpack:"u"`
 }
 
 type vouchRow struct {
@@ -54,7 +57,8 @@
 	from    map[state.InstanceID]bool
 }
 
-// vouchLoop asks the other instances while the store does not renew the lease.
+// vouchLoop asks the other instances while the store does not renew the lease,
+// and while this instance suspects a primary, so that they look for themselves.
 func (m *Manager) vouchLoop(ctx context.Context) {
 	ticker := time.NewTicker(vouchInterval)
 	defer ticker.Stop()
@@ -73,17 +77,20 @@
 }
 
 // nextQuestion returns the question to ask and whom, none while the lease is
-// fresh.
+// fresh and nothing is suspected.
 func (m *Manager) nextQuestion() ([]string, []byte) {
 	now := m.Clock.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.lease.based || m.lease.left(now) > vouchBefore {
+	suspected := m.suspectedGroups()
+	if !m.lease.based || m.lease.left(now) > vouchBefore && len(suspected) == 0 {
 		return nil, nil
 	}
 	m.vouches = vouches{nonce: m.vouches.nonce + 1, askedAt: now, from: map[state.InstanceID]bool{m.Self: true}}
 	m.countVouches()
-	return m.peerAddresses(), m.encodeMessage(vouchMessage{Kind: kindQuestion, Nonce: m.vouches.nonce, From: m.Self, Seen: m.lease.seen})
+	return m.peerAddresses(), m.encodeMessage(vouchMessage{
+		Kind: kindQuestion, Nonce: m.vouches.nonce, From: m.Self, Seen: m.lease.seen, Suspected: suspected,
+	})
 }
 
 // peerAddresses must be called with the lock held.
@@ -130,6 +137,7 @@
 	if len(message.Rows) > 0 {
 		m.broadcast()
 	}
+	m.takeSuspicions(message)
 	switch message.Kind {
 	case kindQuestion:
 		return m.answer(message)
@@ -145,7 +153,7 @@
 	if !m.ready {
 		return nil
 	}
-	answer := vouchMessage{Kind: kindAnswer, Nonce: question.Nonce, From: m.Self, Acknowledged: map[state.GroupID]uint64{}}
+	answer := vouchMessage{Kind: kindAnswer, Nonce: question.Nonce, From: m.Self, Acknowledged: map[state.GroupID]uint64{}, Suspected: m.suspectedGroups()}
 	for id, g := range m.groups {
 		if g.version > question.Seen {
 			answer.Rows = append(answer.Rows, vouchRow{Group: id, Version: g.version, Record: g.record})
@@ -157,6 +165,33 @@
 	return m.encodeMessage(answer)
 }
 
+// suspectedGroups must be called with the lock held. It returns the epochs of
+// the groups whose primary this instance cannot reach.
+func (m *Manager) suspectedGroups() map[state.GroupID]uint64 {
+	suspected := make(map[state.GroupID]uint64)
+	for id, g := range m.groups {
+		if g.suspected {
+			suspected[id] = g.record.Epoch
+		}
+	}
+	return suspected
+}
+
+// takeSuspicions must be called with the lock held. It notes what another
+// instance suspects, and lets those primaries be probed from here too.
+func (m *Manager) takeSuspicions(message vouchMessage) {
+	if _, known := m.members.byName[message.From]; !known {
+		return
+	}
+	m.members.suspect(message.From, message.Suspected)
+	for id, epoch := range message.Suspected {
+		g := m.group(id)
+		if primary, ok := m.primaryOf(id, g); ok && !g.suspected && g.record.Epoch == epoch {
+			m.Health.Doubt(primary)
+		}
+	}
+}
+
 // takeAnswer must be called with the lock held.
 func (m *Manager) takeAnswer(answer vouchMessage) {
 	if _, known := m.members.byName[answer.From]; !known {
--- /dev/null
+++ b/internal/standin/council/serve.go
@@ -0,0 +1,183 @@
+package council
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/rowstore"
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+	"github.com/cyclamenpin/cyclamenpin/platform"
+)
+
+// wireRow is a row as the store's calls spell it.
+type wireRow struct {
+	Table   string
+	Part    string `json:"part"`
+	Key     string
+	Value   []byte `json:",omitempty"`
+	Ver     uint64
+	Removed bool `json:",omitempty"`
+}
+
+type wireAnswer struct {
+	Rows  []wireRow `json:"rows"`
+	Ver   uint64
+	NowMs float64
+}
+
+// ServeHTTP speaks the store's calls. Callers are told apart by the address
+// that they call from.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	caller, _, _ := net.SplitHostPort(r.RemoteAddr)
+	client := s.Client(caller)
+	query := r.URL.Query()
+	switch r.URL.Path {
+	case "/cyclamenpin/rows-get":
+		snapshot, err := client.List(r.Context(), query.Get("Table"))
+		answerSnapshot(w, snapshot, err)
+	case "/cyclamenpin/rows-feed":
+		after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
+		longest, _ := strconv.Atoi(query.Get("WaitMs"))
+		snapshot, err := client.Watch(r.Context(), query.Get("Table"), after, time.Duration(longest)*time.Millisecond)
+		answerSnapshot(w, snapshot, err)
+	case "/cyclamenpin/rows-tx":
+		s.serveTransaction(w, r, client)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+func (s *Store) serveTransaction(w http.ResponseWriter, r *http.Request, client *StoreClient) {
+	var request struct{ ExpectRev, Puts, Deletes []wireRow }
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	var transaction rowstore.Transaction
+	for _, row := range request.ExpectRev {
+		transaction.Conditions = append(transaction.Conditions, rowstore.Condition{Table: row.Table, Key: row.Key, Version: row.Ver})
+	}
+	for _, row := range request.Puts {
+		transaction.Puts = append(transaction.Puts, rowstore.Row{Table: row.Table, Key: row.Key, Value: row.Value})
+	}
+	for _, row := range request.Deletes {
+		transaction.Deletes = append(transaction.Deletes, rowstore.Row{Table: row.Table, Key: row.Key})
+	}
+	commit, err := client.Transact(r.Context(), transaction)
+	answerSnapshot(w, rowstore.Snapshot{Version: commit.Version, Now: commit.Now}, err)
+}
+
+func answerSnapshot(w http.ResponseWriter, snapshot rowstore.Snapshot, err error) {
+	switch {
+	case errors.Is(err, rowstore.ErrConflict):
+		w.WriteHeader(http.StatusPreconditionFailed)
+	case errors.Is(err, rowstore.ErrHistoryLost):
+		w.WriteHeader(http.StatusGone)
+	case errors.Is(err, rowstore.ErrRefused):
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case err != nil:
+		panic(http.ErrAbortHandler) // the connection ends without an answer
+	default:
+		answer := wireAnswer{Rows: []wireRow{}, Ver: snapshot.Version, NowMs: float64(snapshot.Now) / float64(time.Millisecond)}
+		for _, row := range snapshot.Rows {
+			answer.Rows = append(answer.Rows, wireRow{Table: row.Table, Key: row.Key, Value: row.Value, Ver: row.Version, Removed: row.Removed})
+		}
+		_ = json.NewEncoder(w).Encode(answer)
+	}
+}
+
+// ServePromotions speaks the promotion call.
+func (g *Group) ServePromotions(w http.ResponseWriter, r *http.Request) {
+	var request struct{ Backend, Id string } //nolint:revive // the platform's spelling
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	token, _ := strconv.ParseUint(r.Header.Get("Fence-Token"), 10, 64)
+	holder := state.InstanceID(r.Header.Get("Lease-Holder"))
+	if err := g.Promoter().Promote(r.Context(), g.options.Group, state.DatabaseID(request.Id), holder, token); err != nil {
+		http.Error(w, err.Error(), http.StatusConflict)
+	}
+}
+
+// Serve accepts connections to a database until the listener is closed.
+func (d *Database) Serve(listener net.Listener) {
+	for {
+		raw, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go d.serveConn(raw)
+	}
+}
+
+func (d *Database) serveConn(raw net.Conn) {
+	defer raw.Close()
+	reader := bufio.NewReader(raw)
+	var codec platform.Codec
+	line, err := reader.ReadString('\n')
+	fields := strings.Fields(line)
+	if err != nil || len(fields) < 3 || fields[0] != "CONNECT" {
+		return
+	}
+	id := state.DatabaseID("")
+	if len(fields) > 3 {
+		id = state.DatabaseID(fields[3])
+	}
+	session, reply, err := d.Connect(context.Background(), fields[2], state.GroupID(fields[1]), id)
+	if err != nil {
+		return
+	}
+	if reply.Code != state.CodeNone {
+		_, _ = raw.Write(codec.AppendRefused(nil, reply.Code, reply.Detail))
+		return
+	}
+	defer session.Close()
+	go func() {
+		<-session.Ended()
+		_ = raw.Close()
+	}()
+	started := codec.AppendReply(nil, reply)
+	_, _ = raw.Write(started[strings.Index(string(started), "READY"):])
+	for serveStatement(session, reader, raw) {
+	}
+}
+
+func serveStatement(session *Session, reader *bufio.Reader, raw net.Conn) bool {
+	line, err := reader.ReadString('\n')
+	if err != nil {
+		return false
+	}
+	word, rest, _ := strings.Cut(strings.TrimRight(line, "\r\n"), " ")
+	if word != "QUERY" {
+		return false
+	}
+	id, text, _ := strings.Cut(rest, " ")
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	reply, err := session.Execute(ctx, id, text)
+	if err != nil {
+		return false
+	}
+	_, err = raw.Write(platform.Codec{}.AppendReply(nil, reply))
+	return err == nil
+}
+
+// Registration is the row that a database writes of itself at an address.
+func (d *Database) Registration(address string) []byte {
+	server := d.Server()
+	status := "ready"
+	if server.Leaving {
+		status = "draining"
+	}
+	return fmt.Appendf(nil, `{"Backend":%q,"Addr":%q,"Zone":"z","Version":"v1","Slots":%d,"State":%q,"ColdLeftMs":0,"DbRole":%q,"Seq":1}`,
+		server.Group, address, server.Slots, status, server.Role)
+}
