--- /dev/null
+++ b/internal/cli/explain_test.go
@@ -0,0 +1,38 @@
+package cli
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const recordedLog = `
+  7.26 entry-1 {"level":"info","instance":"entry-1","group":"g","epoch":1,"changing":true,"primary":"db-1","time":"2026-12-04T00:00:07.26Z","message":"primary's record changed"}
+  7.30 entry-1 {"level":"warn","instance":"entry-1","request":"r1","group":"g","database":"db-1","outcome":"busy","detail":"no primary is available","last_failure":"primary of group g: no_primary for 40ms","time":"2026-12-04T00:00:07.3Z","message":"statement"}
+  7.31 entry-1 {"level":"warn","instance":"entry-1","request":"r2","group":"g","outcome":"busy","time":"2026-12-04T00:00:07.31Z","message":"statement"}
+  7.20 entry-2 {"level":"info","instance":"entry-2","group":"other","epoch":4,"time":"2026-12-04T00:00:07.2Z","message":"primary's record changed"}
+  8.70 entry-2 {"level":"info","instance":"entry-2","group":"g","result":"done","time":"2026-12-04T00:00:08.7Z","message":"change of primary ended"}
+not a line of an instance {broken
+`
+
+func TestExplainTellsARequestsStory(t *testing.T) {
+	lines, err := parseLog(strings.NewReader(recordedLog))
+	require.NoError(t, err)
+	var output bytes.Buffer
+	require.NoError(t, explain(&output, "r1", lines, 5e9))
+	story := strings.Split(strings.TrimSpace(output.String()), "\n")
+	require.Len(t, story, 3)
+	require.Contains(t, story[0], "primary's record changed")
+	require.True(t, strings.HasPrefix(story[1], "* "), story[1])
+	require.Contains(t, story[1], "last_failure=primary of group g: no_primary for 40ms")
+	require.Contains(t, story[2], "change of primary ended")
+}
+
+func TestExplainSaysThatARequestHasNoLine(t *testing.T) {
+	var stdout, stderr bytes.Buffer
+	require.Equal(t, ExitFailed, Run([]string{"explain", "r9", "/dev/null"}, &stdout, &stderr))
+	require.Contains(t, stderr.String(), "no line on request r9")
+	require.Equal(t, ExitUsage, Run([]string{"explain"}, &stdout, &stderr))
+}
--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"os"
 	"runtime/debug"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -58,6 +59,7 @@
 		Subcommands: []*ffcli.Command{
 			proxyCommand(stderr),
 			entryCommand(stdout, stderr),
+			explainCommand(os.Stdin, stdout, stderr),
 			devCommand(stdout, stderr),
 			PlansCommand(stdout, stderr),
 			LimitsCommand(stdout, stderr),
--- a/internal/entry/logs.go
+++ b/internal/entry/logs.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -44,7 +45,11 @@
 	zerolog.Logger
 }
 
+// preciseTimes makes the times of all lines precise enough to order them.
+var preciseTimes = sync.OnceFunc(func() { zerolog.TimeFieldFormat = time.RFC3339Nano })
+
 func newLogs(output io.Writer, instance state.InstanceID, run int64) *logs {
+	preciseTimes()
 	l := &logs{ordinary: newBudget(ordinaryLines), failures: newBudget(failureLines), beliefs: newBudget(beliefLines)}
 	l.ring = diode.NewWriter(output, logRing, 0, func(missed int) { l.lost.Add(int64(missed)) })
 	sampler := zerolog.LevelSampler{
