--- /dev/null
+++ b/internal/coordination/leadership/lease_test.go
@@ -0,0 +1,80 @@
+package leadership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// The bounds of the store's clock hold whatever the delays of its answers.
+func TestStoreClockIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		offset := time.Duration(rapid.Int64Range(-1e12, 1e12).Draw(t, "offset"))
+		var clock storeClock
+		local := state.Instant(time.Hour)
+		for range rapid.IntRange(1, 40).Draw(t, "answers") {
+			sent := local
+			there := time.Duration(rapid.Int64Range(0, int64(3*time.Second)).Draw(t, "there"))
+			back := time.Duration(rapid.Int64Range(0, int64(3*time.Second)).Draw(t, "back"))
+			local = sent.Add(there + back)
+			clock.observe(sent, local, time.Duration(sent.Add(there))+offset)
+			truth := time.Duration(local) + offset
+			most, known := clock.atMost(local)
+			require.True(t, known)
+			least, _ := clock.atLeast(local)
+			require.GreaterOrEqual(t, most, truth)
+			require.LessOrEqual(t, least, truth)
+			local = local.Add(time.Duration(rapid.Int64Range(0, int64(20*time.Second)).Draw(t, "pause")))
+		}
+	})
+}
+
+// Pattern: the machine is suspended while the answer to a renewal is on its
+// way. The lease counts from the store's time, and the suspension is not left
+// out.
+func TestSuspensionDoesNotStretchTheLease(t *testing.T) {
+	l := lease{length: 4 * time.Second, longest: 20 * time.Second}
+	sent := state.Instant(time.Minute)
+	storeNow := 10 * time.Second
+	woke := sent.Add(30 * time.Second)
+	l.clock.observe(sent, woke, storeNow)
+	l.seen = 7
+	l.renewed(7, storeNow)
+	require.False(t, l.valid(woke))
+	require.Zero(t, l.left(woke))
+}
+
+// A renewal counts only once every change before it has been seen.
+func TestRenewalWaitsForTheChangesBeforeIt(t *testing.T) {
+	l := lease{length: 4 * time.Second, longest: 20 * time.Second}
+	now := state.Instant(time.Minute)
+	l.clock.observe(now, now, 10*time.Second)
+	l.renewed(9, 10*time.Second)
+	require.False(t, l.valid(now))
+	l.seen = 8
+	l.extend()
+	require.False(t, l.valid(now))
+	l.seen = 9
+	l.extend()
+	require.True(t, l.valid(now))
+}
+
+// Vouches do not stretch a lease beyond the longest.
+func TestVouchesEndWithTheLongestLease(t *testing.T) {
+	l := lease{length: 4 * time.Second, longest: 20 * time.Second}
+	now := state.Instant(time.Minute)
+	l.clock.observe(now, now, 10*time.Second)
+	l.seen = 9
+	l.renewed(9, 10*time.Second)
+	later := now.Add(10 * time.Second)
+	require.False(t, l.valid(later))
+	l.vouchedUntil = later.Add(time.Second)
+	require.True(t, l.valid(later))
+	late := now.Add(25 * time.Second)
+	l.vouchedUntil = late.Add(time.Second)
+	require.False(t, l.valid(late))
+}
--- /dev/null
+++ b/internal/coordination/pooling/pool_test.go
@@ -0,0 +1,204 @@
+package pooling
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// fakeConn answers after work; what was set and prepared is kept.
+type fakeConn struct {
+	work     time.Duration
+	values   map[string]string
+	prepared []string
+	resets   int
+	refuse   string // a session value that is refused
+	dead     bool
+}
+
+func (c *fakeConn) Run(Statement, time.Time, func()) (state.Reply, error) {
+	time.Sleep(c.work)
+	return state.Reply{Proof: "p"}, nil
+}
+func (c *fakeConn) Prepare(name, _ string, _ bool) { c.prepared = append(c.prepared, name) }
+func (c *fakeConn) Set(name, value string, _ time.Time) (state.Reply, error) {
+	if name == c.refuse {
+		return state.Reply{Code: state.CodeMalformed}, nil
+	}
+	c.values[name] = value
+	return state.Reply{}, nil
+}
+
+func (c *fakeConn) Reset(time.Time) (state.Reply, error) {
+	c.resets++
+	clear(c.values)
+	return state.Reply{}, nil
+}
+func (c *fakeConn) Rollback(time.Time) (state.Reply, error)      { return state.Reply{}, nil }
+func (c *fakeConn) Status(time.Time) (state.ServerStatus, error) { return state.ServerStatus{}, nil }
+
+func (c *fakeConn) StepDown(state.Term, time.Time) (state.ServerStatus, error) {
+	return state.ServerStatus{}, nil
+}
+func (c *fakeConn) Alive() bool { return !c.dead }
+func (c *fakeConn) Close()      {}
+
+type fakeDialer struct {
+	mu    sync.Mutex
+	err   error
+	dials int
+}
+
+func (d *fakeDialer) Dial(context.Context, state.Server) (Conn, error) {
+	time.Sleep(12 * time.Millisecond)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.dials++
+	if d.err != nil {
+		return nil, d.err
+	}
+	return &fakeConn{work: 20 * time.Millisecond, values: make(map[string]string)}, nil
+}
+
+type noHealth struct{}
+
+func (noHealth) Success(state.DatabaseID) {}
+func (noHealth) Failure(state.DatabaseID) {}
+func (noHealth) Doubt(state.DatabaseID)   {}
+
+func testPool(dialer *fakeDialer, most int) *Pool {
+	return newPool(state.Server{Database: state.Database{ID: "db"}}, dialer, noHealth{}, func() Limits { return Limits{Share: most, Most: most} }, zerolog.Nop())
+}
+
+// Pattern: more requests than connections. The more urgent is served first,
+// whatever came first.
+func TestUrgentRequestsAreServedFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := testPool(&fakeDialer{}, 1)
+		held, err := p.Acquire(t.Context(), 1, "", time.Now().Add(time.Second))
+		require.NoError(t, err)
+		var mu sync.Mutex
+		var order []int
+		var waiting sync.WaitGroup
+		for _, priority := range []int{2, 2, 1} {
+			waiting.Go(func() {
+				link, err := p.Acquire(t.Context(), priority, "", time.Now().Add(time.Second))
+				if err == nil {
+					mu.Lock()
+					order = append(order, priority)
+					mu.Unlock()
+					p.Release(link, true)
+				}
+			})
+			synctest.Wait()
+		}
+		p.Release(held, true)
+		waiting.Wait()
+		require.Equal(t, []int{1, 2, 2}, order)
+	})
+}
+
+// Pattern: overload. A request that can't be served before its deadline is
+// refused at once, and told when to come back.
+func TestHopelessRequestIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := testPool(&fakeDialer{}, 1)
+		held, err := p.Acquire(t.Context(), 1, "", time.Now().Add(time.Second))
+		require.NoError(t, err)
+		for range 40 {
+			go func() { _, _ = p.Acquire(t.Context(), 1, "", time.Now().Add(2*time.Second)) }()
+		}
+		synctest.Wait()
+		begun := time.Now()
+		_, err = p.Acquire(t.Context(), 1, "", time.Now().Add(200*time.Millisecond))
+		var refusal *Refusal
+		require.ErrorAs(t, err, &refusal)
+		require.Zero(t, time.Since(begun))
+		require.Greater(t, refusal.RetryAfter, 200*time.Millisecond)
+		p.Release(held, true)
+		p.close()
+	})
+}
+
+func TestWaitEndsAtTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := testPool(&fakeDialer{}, 1)
+		held, err := p.Acquire(t.Context(), 1, "", time.Now().Add(time.Second))
+		require.NoError(t, err)
+		begun := time.Now()
+		_, err = p.Acquire(t.Context(), 1, "", time.Now().Add(100*time.Millisecond))
+		require.Error(t, err)
+		require.Equal(t, 100*time.Millisecond, time.Since(begun))
+		p.Release(held, true)
+		require.Equal(t, 1, p.stats().Idle, "the request that gave up left nothing behind")
+	})
+}
+
+// Pattern: the database has no connection left. The pool goes on with those it
+// has and does not hammer it.
+func TestCrowdedDatabaseIsNotHammered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dialer := &fakeDialer{}
+		p := testPool(dialer, 5)
+		held, err := p.Acquire(t.Context(), 1, "", time.Now().Add(time.Second))
+		require.NoError(t, err)
+		dialer.err = errors.Join(ErrHungUp, errors.New("EOF"))
+		for range 20 {
+			go func() {
+				link, err := p.Acquire(t.Context(), 1, "", time.Now().Add(time.Second))
+				if err == nil {
+					time.Sleep(10 * time.Millisecond)
+					p.Release(link, true)
+				}
+			}()
+			time.Sleep(20 * time.Millisecond)
+		}
+		p.Release(held, true)
+		time.Sleep(2 * time.Second)
+		require.Less(t, dialer.dials, 15)
+		require.Equal(t, 1, p.stats().Idle)
+	})
+}
+
+// Pattern: values of one session must not be seen by another.
+func TestConnectionTakesOverExactlyTheSessionsValues(t *testing.T) {
+	conn := &fakeConn{values: make(map[string]string)}
+	link := newLink(conn, state.Server{})
+	var first, second Values
+	first.Set("tz", "east")
+	first.Set("lang", "am")
+	second.Set("tz", "west")
+	require.NoError(t, link.Adopt(&first, time.Now()))
+	link.Ensure("p1", "shape", false)
+	require.NoError(t, link.Adopt(&second, time.Now()))
+	require.Equal(t, map[string]string{"tz": "west"}, conn.values)
+	require.Equal(t, 1, conn.resets)
+	link.Ensure("p1", "shape", false)
+	require.Equal(t, []string{"p1", "p1"}, conn.prepared, "a reset forgets prepared statements")
+	var third Values
+	third.Set("bad", "x")
+	conn.refuse = "bad"
+	require.Error(t, link.Adopt(&third, time.Now()))
+}
+
+func TestDeadConnectionIsNotHandedOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dialer := &fakeDialer{}
+		p := testPool(dialer, 2)
+		link, err := p.Acquire(t.Context(), 1, "", time.Now().Add(time.Second))
+		require.NoError(t, err)
+		link.Conn.(*fakeConn).dead = true
+		p.Release(link, true)
+		_, err = p.Acquire(t.Context(), 1, "", time.Now().Add(time.Second))
+		require.NoError(t, err)
+		require.Equal(t, 2, dialer.dials)
+	})
+}
