A read whose answer is lost is tried again within its time

Cause: a read waited its whole timeout for an answer that was lost. The first try now ends after six times the usual answer, 0.4 s at the least.

--- a/internal/coordination/pooling/pool.go
+++ b/internal/coordination/pooling/pool.go
@@ -32,7 +32,7 @@
 	initialLatency = 20 * time.Millisecond
 	// lateFactor and lateLeast say when an answer counts as late.
 	lateFactor = 6
-	lateLeast  = 250 * time.Millisecond
+	lateLeast  = 400 * time.Millisecond
 )
 
 // Limits bound a pool's connections.
--- a/internal/coordination/relay/request.go
+++ b/internal/coordination/relay/request.go
@@ -62,6 +62,23 @@
 	return r.started.Add(timeout)
 }
 
+// tryDeadline is when a try at a database ends. The first try of a read ends
+// early enough for another one, because an answer can be lost.
+func (r *request) tryDeadline(pool *pooling.Pool) time.Time {
+	deadline := r.deadline()
+	if r.writes || r.tries > 1 {
+		return deadline
+	}
+	if late := time.Now().Add(pool.LateAfter()); late.Add(leastTry).Before(deadline) {
+		return late
+	}
+	return deadline
+}
+
+// leastTry is the time that a further try must have: a round trip between
+// regions and the usual work of a statement, twice.
+const leastTry = 150 * time.Millisecond
+
 // queueDeadline is when the statement no longer waits to be sent.
 func (r *request) queueDeadline() time.Time {
 	objective := r.route.Objective
--- a/internal/coordination/relay/single.go
+++ b/internal/coordination/relay/single.go
@@ -63,7 +63,7 @@
 	}
 	asked := s.engine.Clock.Now()
 	sent := time.Now()
-	reply, err = pool.Run(link, r.forward(link, state.Position{}), r.deadline())
+	reply, err = pool.Run(link, r.forward(link, state.Position{}), r.tryDeadline(pool))
 	r.ran = time.Since(sent)
 	pool.Release(link, err == nil && reply.Transaction == state.TransactionNone && reply.Code != state.CodeMisdirected)
 	if err != nil {
@@ -108,7 +108,7 @@
 // lostAnswer answers a request that was sent and got no whole answer.
 func (s *Session) lostAnswer(r *request) (state.Reply, bool) {
 	if !r.writes {
-		return r.refused(state.CodeTimeout, "the database did not answer"), s.timeLeft(r)
+		return r.refused(state.CodeTimeout, "the database did not answer"), time.Until(r.deadline()) >= leastTry
 	}
 	if time.Now().Before(r.deadline()) {
 		return r.refused(state.CodeUnknown, "the connection to the database was lost"), false
@@ -167,6 +167,10 @@
 func (s *Session) acquireLink(r *request, pool *pooling.Pool, deadline time.Time) (*pooling.Link, error) {
 	r.tries++
 	asked := time.Now()
+	if r.tries > 1 && deadline.Before(asked.Add(leastTry)) {
+		// A read whose answer was lost has waited already.
+		deadline = asked.Add(leastTry)
+	}
 	link, err := pool.Acquire(s.engine.ctx, r.route.Priority, s.values.Key(), deadline)
 	r.queued += time.Since(asked)
 	if err != nil {
@@ -296,7 +300,7 @@
 		return reply, true
 	}
 	sent := time.Now()
-	reply, err = pool.Run(link, r.forward(link, need), r.deadline())
+	reply, err = pool.Run(link, r.forward(link, need), r.tryDeadline(pool))
 	r.ran = time.Since(sent)
 	pool.Release(link, err == nil && reply.Transaction == state.TransactionNone && reply.Code != state.CodeMisdirected)
 	if err != nil {
--- a/test/council/failover_test.go
+++ b/test/council/failover_test.go
@@ -146,6 +146,28 @@
 	})
 }
 
+// Pattern: a database runs a read and its answer is lost. Another try answers
+// within the statement's time.
+func TestReadWhoseAnswerIsLostIsTriedAgain(t *testing.T) {
+	run(t, four, func(w *world) {
+		for _, name := range []string{"desk", "cab"} {
+			c := w.instances["a"].open(name)
+			_, reply := c.read("k")
+			require.Equal(w.t, state.CodeNone, reply.Code)
+			for n := 1; n <= 3; n++ {
+				w.group.Database(n).LoseAnswers(1)
+			}
+			// One answer is lost, wherever the read goes first.
+			time.AfterFunc(100*time.Millisecond, w.heal)
+			begun := time.Now()
+			_, reply = c.read("k")
+			require.Equal(w.t, state.CodeNone, reply.Code, name)
+			require.Less(w.t, time.Since(begun), 800*time.Millisecond)
+			w.heal()
+		}
+	})
+}
+
 // Pattern: the promoter dies in the middle of a change. Another takes over with
 // a higher token.
 func TestPromoterKilledInTheMiddle(t *testing.T) {
