--- a/internal/coordination/leadership/manager.go
+++ b/internal/coordination/leadership/manager.go
@@ -254,8 +254,7 @@
 		m.applyRow(row, update.Answered)
 	}
 	m.lease.clock.observe(update.Asked, update.Answered, update.Now)
-	m.lease.seen = max(m.lease.seen, update.Version)
-	m.lease.extend()
+	m.lease.renew(update.Version, update.Now)
 	m.ready = true
 	m.broadcast()
 }
--- a/internal/entry/modules.go
+++ b/internal/entry/modules.go
@@ -24,7 +24,9 @@
 	// watchWait bounds how long a silent connection to the store goes
 	// unnoticed. The platform takes five seconds for such a connection to be
 	// noticed.
-	watchWait = 2500 * time.Millisecond
+	watchWait = 4 * time.Second
+	// primariesWait bounds that for the table whose answers renew the lease.
+	primariesWait = 2500 * time.Millisecond
 	// reservedDescriptors are kept for files, the store, and databases.
 	reservedDescriptors = 600
 	// minClients is served even where the limit of descriptors is very low.
@@ -105,23 +107,23 @@
 
 // followers returns the readers of the store's tables.
 func (i *Instance) followers() []*rowstore.Follower {
-	follower := func(table string, apply func(rowstore.Update)) *rowstore.Follower {
-		return &rowstore.Follower{Store: i.store, Table: table, Wait: watchWait, Clock: state.BootClock{}, Log: i.logs.Logger, Apply: apply}
+	follower := func(table string, wait time.Duration, apply func(rowstore.Update)) *rowstore.Follower {
+		return &rowstore.Follower{Store: i.store, Table: table, Wait: wait, Clock: state.BootClock{}, Log: i.logs.Logger, Apply: apply}
 	}
 	return []*rowstore.Follower{
-		follower(platform.ConfigurationTable, func(update rowstore.Update) {
+		follower(platform.ConfigurationTable, watchWait, func(update rowstore.Update) {
 			for _, row := range update.Rows {
 				if row.Key == platform.ConfigurationRow {
 					i.directory.ApplyConfiguration(row)
 				}
 			}
 		}),
-		follower(platform.ServersTable, func(update rowstore.Update) {
+		follower(platform.ServersTable, watchWait, func(update rowstore.Update) {
 			if len(update.Rows) > 0 || update.Complete {
 				i.directory.ApplyServers(update.Rows, update.Complete, update.AfterOutage)
 			}
 			i.directory.Expire()
 		}),
-		follower(leadership.TablePrimaries, i.leadership.Apply),
+		follower(leadership.TablePrimaries, primariesWait, i.leadership.Apply),
 	}
 }
--- a/test/council/failover_test.go
+++ b/test/council/failover_test.go
@@ -281,3 +281,15 @@
 		w.requireSoundPromotions()
 	})
 }
+
+// Pattern: a primary and an instance are lost together when the instances have
+// not run for long.
+func TestPrimaryLostTogetherWithAnInstanceSoonAfterTheStart(t *testing.T) {
+	run(t, four, func(w *world) {
+		time.Sleep(12 * time.Second)
+		w.instances["d"].kill()
+		w.group.Database(1).Crash(true)
+		w.eventually(10*time.Second, "a new primary", func() bool { return w.instances["a"].writable() })
+		w.requireSoundPromotions()
+	})
+}
