--- a/internal/coordination/leadership/beat.go
+++ b/internal/coordination/leadership/beat.go
@@ -10,7 +10,7 @@
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 )
 
-// Run keeps the instance's row and watches over the primaries until ctx ends.
+// Run renews the lease and watches over the primaries until ctx ends.
 func (m *Manager) Run(ctx context.Context) {
 	m.mu.Lock()
 	m.lease.length, m.lease.longest = m.Options.Lease, m.Options.LongestLease
@@ -24,7 +24,7 @@
 // Leave removes this instance's row. It is called after the last request.
 func (m *Manager) Leave(ctx context.Context) {
 	m.mu.Lock()
-	m.lease.end()
+	m.lease.based, m.lease.pendingVersion = false, 0
 	m.mu.Unlock()
 	_, err := m.Store.Transact(ctx, rowstore.Transaction{Deletes: []rowstore.Row{{Table: TableInstances, Key: string(m.Self)}}})
 	if err != nil {
@@ -39,13 +39,8 @@
 
 // beatInterval must be called with the lock held.
 func (m *Manager) beatInterval() time.Duration {
-	return m.spread(m.Options.BeatInterval)
-}
-
-// spread must be called with the lock held. It stretches an interval with the
-// number of instances, so that the store's load by all of them is bounded.
-func (m *Manager) spread(interval time.Duration) time.Duration {
-	return min(max(interval, time.Duration(len(m.members.byName))*m.Options.SpreadBy), longestInterval)
+	crowd := float64(len(m.members.byName)) / float64(m.Options.MostMembers)
+	return time.Duration(float64(m.Options.BeatInterval) * max(1, crowd))
 }
 
 func (m *Manager) beatLoop(ctx context.Context) {
@@ -54,7 +49,7 @@
 		ready, interval := m.ready, m.beatInterval()
 		m.mu.Unlock()
 		if !ready {
-			// The row says that this instance knows the primaries.
+			// Nothing is renewed before the primaries have been read.
 			interval = acknowledgementInterval
 		} else if !m.beat(ctx) {
 			interval = retryBeat
@@ -73,7 +68,7 @@
 func (m *Manager) beat(ctx context.Context) bool {
 	value, err := encode(m.nextBeat())
 	if err != nil {
-		m.Log.Error().Err(err).Msg("instance's row not encoded")
+		m.Log.Error().Err(err).Msg("instance's row not written")
 		return false
 	}
 	sent := m.Clock.Now()
@@ -84,19 +79,19 @@
 	}
 	m.mu.Lock()
 	m.lease.clock.observe(sent, received, commit.Now)
-	m.lease.rowWritten(commit.Version, commit.Now)
+	m.lease.renewed(commit.Version, commit.Now)
 	if m.joined == 0 {
 		m.joined = int64(commit.Now)
 	}
-	first := !m.lease.based
+	short := m.lease.left(received) < m.Options.Lease/2
 	m.mu.Unlock()
-	if first {
+	if short {
 		m.catchUp(ctx)
 	}
 	return true
 }
 
-// noteRenewal logs the first failure to write the row and the end of the
+// noteRenewal logs the first failure to renew the lease and the end of the
 // failures.
 func (m *Manager) noteRenewal(err error) {
 	m.mu.Lock()
@@ -108,14 +103,14 @@
 	m.mu.Unlock()
 	switch {
 	case err != nil && before == 0:
-		m.Log.Warn().Err(err).Dur("lease_left_ms", left).Msg("instance's row not written")
+		m.Log.Warn().Err(err).Dur("lease_left_ms", left).Msg("lease not renewed")
 	case err == nil && before > 0:
-		m.Log.Info().Int("failures", before).Dur("lease_left_ms", left).Msg("instance's row written again")
+		m.Log.Info().Int("failures", before).Dur("lease_left_ms", left).Msg("lease renewed again")
 	}
 }
 
-// catchUp reads the primaries at once, because a watch without changes answers
-// late.
+// catchUp reads the primaries at once, because a renewal counts only when they
+// have been seen up to it, and a watch without changes answers late.
 func (m *Manager) catchUp(ctx context.Context) {
 	asked := m.Clock.Now()
 	snapshot, err := m.Store.List(ctx, TablePrimaries)
@@ -145,9 +140,7 @@
 
 func (m *Manager) memberLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		m.mu.Lock()
-		wait := m.spread(membersInterval)
-		m.mu.Unlock()
+		wait := membersInterval
 		if !m.readMembers(ctx) || m.anyInQuestion() {
 			wait = voteInterval
 		}
--- a/internal/coordination/leadership/lease.go
+++ b/internal/coordination/leadership/lease.go
@@ -6,20 +6,16 @@
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 )
 
-// lease is this instance's permission to use primaries at all. It is renewed by
-// each answer about TablePrimaries, which shows that no other change had been
-// announced at the store's time of the answer. It needs the instance's row, by
-// which promoters know whom to ask.
+// lease is this instance's permission to use primaries at all.
 type lease struct {
 	clock  storeClock
 	length time.Duration
 	// seen is the store's version up to which TablePrimaries was followed.
 	seen uint64
-	// rowVersion is the version with which this run first wrote its row, and
-	// rowAt the store's time when the row was last confirmed.
-	rowVersion uint64
-	rowAt      time.Duration
-	// base is the store's time of the last renewal.
+	// pending is the last renewal whose version has not been followed yet.
+	pendingVersion uint64
+	pendingAt      time.Duration
+	// base is the store's time of the last renewal that counts.
 	based bool
 	base  time.Duration
 	// vouchedUntil is how long the answers of other instances allow to go on
@@ -28,27 +24,22 @@
 	longest      time.Duration
 }
 
-// rowWritten records that the instance's row was written.
-func (l *lease) rowWritten(version uint64, storeNow time.Duration) {
-	if l.rowVersion == 0 {
-		l.rowVersion = version
+// renewed records that the instance's row was written.
+func (l *lease) renewed(version uint64, storeNow time.Duration) {
+	if l.pendingVersion == 0 || l.pendingVersion <= l.seen {
+		l.pendingVersion, l.pendingAt = version, storeNow
 	}
-	l.rowAt = max(l.rowAt, storeNow)
+	l.extend()
 }
 
-// renew takes in an answer that shows all changes of the primaries up to a
-// version and a time of the store.
-func (l *lease) renew(version uint64, storeNow time.Duration) {
-	l.seen = max(l.seen, version)
-	if l.rowVersion == 0 || version < l.rowVersion || storeNow-l.rowAt > rowCounts {
+// extend counts the pending renewal once every change of the primaries before
+// it has been seen.
+func (l *lease) extend() {
+	if l.pendingVersion == 0 || l.pendingVersion > l.seen {
 		return
 	}
-	l.base, l.based = max(l.base, storeNow), true
-}
-
-// end gives the lease up for good.
-func (l *lease) end() {
-	l.based, l.rowVersion = false, 0
+	l.base, l.based = max(l.base, l.pendingAt), true
+	l.pendingVersion = 0
 }
 
 func (l *lease) valid(now state.Instant) bool {
--- a/internal/coordination/leadership/manager.go
+++ b/internal/coordination/leadership/manager.go
@@ -254,7 +254,8 @@
 		m.applyRow(row, update.Answered)
 	}
 	m.lease.clock.observe(update.Asked, update.Answered, update.Now)
-	m.lease.renew(update.Version, update.Now)
+	m.lease.seen = max(m.lease.seen, update.Version)
+	m.lease.extend()
 	m.ready = true
 	m.broadcast()
 }
--- a/internal/coordination/leadership/members.go
+++ b/internal/coordination/leadership/members.go
@@ -158,25 +158,27 @@
 // reached.
 func (m *members) holdouts(self state.InstanceID, news announcement, options Options, storeNow time.Duration) holdouts {
 	var found holdouts
-	inTouch := news.commit.Now
+	earliest := news.commit.Now
 	for name, entry := range m.byName {
 		if name == self || entry.beat.Acknowledged[news.group] >= news.epoch {
 			continue
 		}
-		// An answer about the primaries after the announcement would have shown
-		// it, so the last renewal is no later than that.
-		inTouch = min(inTouch, entry.seenAt)
+		// The last renewal that can count was made before the announcement:
+		// a later one counts only after the announcement was seen.
+		renewed := news.commit.Now
+		if entry.version < news.commit.Version {
+			renewed = min(renewed, entry.seenAt)
+		}
+		earliest = min(earliest, renewed)
 		switch {
-		case storeNow <= news.commit.Now+options.Lease+leaseMargin:
+		case storeNow <= renewed+options.Lease+leaseMargin:
 			found.leased = append(found.leased, name)
-		case storeNow <= news.commit.Now+options.LongestLease+leaseMargin:
+		case storeNow <= renewed+options.LongestLease+leaseMargin:
 			found.vouched = append(found.vouched, name)
 		}
 	}
-	// A holdout reads the rows of all instances as long as it is in touch with
-	// the store.
 	for _, entry := range m.byName {
-		if joined := time.Duration(entry.beat.Joined); joined != 0 && joined < inTouch-2*membersInterval {
+		if joined := time.Duration(entry.beat.Joined); joined != 0 && joined < earliest-2*membersInterval {
 			found.established++
 		}
 	}
--- a/internal/coordination/leadership/options.go
+++ b/internal/coordination/leadership/options.go
@@ -4,17 +4,16 @@
 
 // Options are the timings of leases and changes.
 type Options struct {
-	// Lease is how long an instance may use primaries after the last answer of
-	// the store about them. A change of a primary waits for it where an
-	// instance can't be asked, so it bounds the failover of a primary that
-	// fails together with an instance. It is twice what a watch of the
-	// primaries may take.
+	// Lease is how long an instance may use primaries after its last renewal
+	// by itself. A change of a primary waits for it where an instance can't
+	// be asked, so it bounds the failover of a primary that fails together
+	// with an instance.
 	Lease time.Duration
 	// LongestLease is how long it may use them while half of the instances
 	// vouch for it. It exceeds the usual outages of the store (6 to
 	// 12 s) several times.
 	LongestLease time.Duration
-	// BeatInterval is the time between two writes of an instance's row.
+	// BeatInterval is the time between two renewals.
 	BeatInterval time.Duration
 	// DutyLease is how long the duty stays with a promoter that does not
 	// renew it. It covers a change: acknowledgements, promotion, confirmation.
@@ -29,17 +28,17 @@
 	// it anew; it covers the waits of a change for leases. A promoter whose
 	// run has ended is relieved sooner.
 	TakeOver time.Duration
-	// SpreadBy is added to intervals for each instance: together they write
-	// and read no more than 1/SpreadBy rows a second.
-	SpreadBy time.Duration
+	// MostMembers is the number of instances for which BeatInterval holds;
+	// with more, each renews less often, so that the store's load is bounded.
+	MostMembers int
 }
 
 // DefaultOptions returns the options for a few dozen instances.
 func DefaultOptions() Options {
 	return Options{
-		Lease: 5 * time.Second, LongestLease: 20 * time.Second, BeatInterval: 2500 * time.Millisecond,
+		Lease: 4 * time.Second, LongestLease: 20 * time.Second, BeatInterval: time.Second,
 		DutyLease: 5 * time.Second, PlannedDrain: 400 * time.Millisecond,
-		TakeOver: 15 * time.Second, SpreadBy: 200 * time.Millisecond,
+		TakeOver: 15 * time.Second, MostMembers: 40,
 	}
 }
 
@@ -63,20 +62,15 @@
 	// vouchBefore is how long before the lease's end other instances are
 	// asked, vouchInterval the time between two questions, and vouchLasts how
 	// long an answer counts: several questions may be lost meanwhile.
-	vouchBefore   = time.Second
+	vouchBefore   = 1500 * time.Millisecond
 	vouchInterval = 250 * time.Millisecond
 	vouchLasts    = time.Second
 	// equalPart of a group's connections is shared equally, so that an instance
 	// that has just started can serve before its demand is known.
 	equalPart = 0.3
-	// liveIntervals is how many writes of its row an instance may miss before
-	// it no longer counts as live.
-	liveIntervals = 3
-	// longestInterval bounds the time between two writes of a row; rowCounts is
-	// how long a row counts after it was confirmed. Together with LongestLease
-	// they stay below forgetAfter.
-	longestInterval = 10 * time.Second
-	rowCounts       = 30 * time.Second
+	// liveIntervals is how many renewals an instance may miss before it no
+	// longer counts as live.
+	liveIntervals = 4
 	// forgetAfter is when the row of an instance that no longer renews it is
 	// removed.
 	forgetAfter = time.Minute
--- a/internal/entry/modules.go
+++ b/internal/entry/modules.go
@@ -25,7 +25,8 @@
 	// unnoticed. The platform takes five seconds for such a connection to be
 	// noticed.
 	watchWait = 4 * time.Second
-	// primariesWait bounds that for the table whose answers renew the lease.
+	// primariesWait bounds that for the table whose answers make a renewal of
+	// the lease count.
 	primariesWait = 2500 * time.Millisecond
 	// reservedDescriptors are kept for files, the store, and databases.
 	reservedDescriptors = 600
