--- a/internal/coordination/leadership/beat.go
+++ b/internal/coordination/leadership/beat.go
@@ -52,7 +52,7 @@
 			// Nothing is renewed before the primaries have been read.
 			interval = acknowledgementInterval
 		} else if !m.beat(ctx) {
-			interval = retryBeat
+			interval = m.retryBeatAfter()
 		}
 		timer := time.NewTimer(interval)
 		select {
@@ -71,6 +71,8 @@
 		m.Log.Error().Err(err).Msg("instance's row not written")
 		return false
 	}
+	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
 	sent := m.Clock.Now()
 	commit, err := m.Store.Transact(ctx, rowstore.Transaction{Puts: []rowstore.Row{{Table: TableInstances, Key: string(m.Self), Value: value}}})
 	received := m.Clock.Now()
@@ -91,6 +93,17 @@
 	return true
 }
 
+// retryBeatAfter is how long to wait after a failure to renew the lease. An
+// instance that never had it serves nothing yet, and waits less.
+func (m *Manager) retryBeatAfter() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.lease.based {
+		return retryBeat
+	}
+	return firstRetryBeat
+}
+
 // noteRenewal logs the first failure to renew the lease and the end of the
 // failures.
 func (m *Manager) noteRenewal(err error) {
--- a/internal/coordination/leadership/options.go
+++ b/internal/coordination/leadership/options.go
@@ -52,7 +52,11 @@
 	voteInterval = 100 * time.Millisecond
 	// retryBeat is the time between two tries to renew the lease while the
 	// store refuses; several fit into what is left of the lease.
-	retryBeat = 400 * time.Millisecond
+	retryBeat      = 400 * time.Millisecond
+	firstRetryBeat = 50 * time.Millisecond
+	// beatTimeout bounds one renewal. The store's slow spells take 0.25 s; an
+	// answer that takes longer is lost, and the renewal is sent again.
+	beatTimeout = 500 * time.Millisecond
 	// acknowledgementInterval is the time between two reads of the
 	// instances' rows while a change waits for them.
 	acknowledgementInterval = 25 * time.Millisecond
--- a/test/council/failover_test.go
+++ b/test/council/failover_test.go
@@ -293,3 +293,27 @@
 		w.requireSoundPromotions()
 	})
 }
+
+// Pattern: instances start while the store loses answers to writes. A lost
+// answer to the first renewal must not keep clients waiting for long.
+func TestStartWhileTheStoreLosesAnswers(t *testing.T) {
+	run(t, four, func(w *world) {
+		for _, name := range four {
+			w.instances[name].kill()
+		}
+		transactions := make(map[string]int)
+		w.store.SetFaults(func(caller, call string) standin.Fault {
+			if call != "transact" {
+				return standin.FaultNone
+			}
+			if transactions[caller]++; transactions[caller]%2 == 1 {
+				return standin.FaultAnswerLost
+			}
+			return standin.FaultNone
+		})
+		for _, name := range four {
+			w.start(name)
+		}
+		w.eventually(time.Second, "the first write", func() bool { return w.instances["a"].writable() })
+	})
+}
