--- a/internal/coordination/pooling/pool.go
+++ b/internal/coordination/pooling/pool.go
@@ -358,6 +358,13 @@
 	return p.latency * time.Duration(ahead+1)
 }
 
+// Crowded reports whether a request would have to wait for another to end.
+func (p *Pool) Crowded() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle) == 0 && p.open+p.opening >= p.limits().Most
+}
+
 // LateAfter is how long an answer may take before it counts as late.
 func (p *Pool) LateAfter() time.Duration {
 	p.mu.Lock()
--- a/internal/coordination/relay/request.go
+++ b/internal/coordination/relay/request.go
@@ -81,11 +81,16 @@
 
 // queueDeadline is when the statement no longer waits to be sent.
 func (r *request) queueDeadline() time.Time {
+	return r.started.Add(r.queueTime())
+}
+
+// queueTime is how long the statement may wait to be sent.
+func (r *request) queueTime() time.Duration {
 	objective := r.route.Objective
 	if objective <= 0 {
 		objective = defaultObjective
 	}
-	return r.started.Add(time.Duration(queueShare * float64(objective)))
+	return time.Duration(queueShare * float64(objective))
 }
 
 // refused makes an answer of the proxy's own.
--- a/internal/coordination/relay/single.go
+++ b/internal/coordination/relay/single.go
@@ -208,6 +208,8 @@
 	server state.Server
 	// primary needs a grant, but no position.
 	primary bool
+	// crowded tells that a statement would have to wait for a connection.
+	crowded bool
 	cost    time.Duration
 }
 
@@ -219,25 +221,38 @@
 	primaryReadPenalty = 40 * time.Millisecond
 )
 
-// choices returns the databases that may serve a read, the cheapest first, and
-// the position that a replica must hold.
-func (s *Session) choices(r *request) ([]choice, state.Position) {
+// choices are the databases that may serve a read, the cheapest first.
+type choices struct {
+	options []choice
+	// need is the position that a replica must hold.
+	need state.Position
+	// behind tells that a replica was left out because it lacked the position
+	// a moment ago.
+	behind bool
+}
+
+// choices returns the databases that may serve a read now.
+func (s *Session) choices(r *request) choices {
 	e := s.engine
 	now := e.Clock.Now()
 	notBefore := r.arrived.Add(proofMargin - r.route.MaxStaleness)
 	need, proven := e.Freshness.FloorFor(r.route.Group, notBefore)
 	need = state.MaxPosition(need, s.sessionFloor(r))
 	primary, _ := e.Leadership.Primary(r.route.Group)
-	var found []choice
+	found := choices{need: need}
 	for _, entry := range e.Directory.Servers(r.route.Group) {
 		if entry.Leaving && entry.ID != primary || e.Health.Suspected(entry.ID) {
 			continue
 		}
-		candidate := choice{server: entry.Server, primary: entry.ID == primary, cost: e.Pools.Pool(entry.Server).Cost()}
+		pool := e.Pools.Pool(entry.Server)
+		candidate := choice{server: entry.Server, primary: entry.ID == primary, cost: pool.Cost(), crowded: pool.Crowded()}
 		switch {
 		case candidate.primary:
 			candidate.cost = candidate.cost*primaryReadFactor + primaryReadPenalty
-		case !proven || !e.replicas.mayHold(entry.ID, need, now):
+		case !proven:
+			continue
+		case !e.replicas.mayHold(entry.ID, need, now):
+			found.behind = true
 			continue
 		case !e.replicas.holds(entry.ID, need):
 			candidate.cost += laggingPenalty
@@ -248,10 +263,10 @@
 		if e.Health.Doubted(entry.ID) {
 			candidate.cost += doubtPenalty
 		}
-		found = append(found, candidate)
+		found.options = append(found.options, candidate)
 	}
-	slices.SortStableFunc(found, func(a, b choice) int { return cmp.Compare(a.cost, b.cost) })
-	return found, need
+	slices.SortStableFunc(found.options, func(a, b choice) int { return cmp.Compare(a.cost, b.cost) })
+	return found
 }
 
 // distancePenalty keeps reads within the region until its database is busy:
@@ -271,22 +286,33 @@
 func (s *Session) runRead(r *request) state.Reply {
 	last := r.busy("no database can serve the read", retryAfterChange)
 	for {
-		options, need := s.choices(r)
-		r.need = need
-		for _, option := range options {
-			reply, again := s.tryRead(r, option, need)
+		found := s.choices(r)
+		r.need = found.need
+		behind := found.behind
+		for _, option := range found.options {
+			if option.primary && option.crowded && behind && time.Until(r.queueDeadline()) > r.queueTime()/4 {
+				continue
+			}
+			reply, again := s.tryRead(r, option, found.need)
 			if !again {
 				return reply
 			}
+			behind = behind || isLagging(r.lastFail)
 			last = reply
 		}
-		if len(options) == 0 || time.Until(r.queueDeadline()) < 2*catchUpPause {
+		if len(found.options) == 0 || time.Until(r.queueDeadline()) < 2*catchUpPause {
 			return last
 		}
 		time.Sleep(catchUpPause)
 	}
 }
 
+// isLagging reports whether a replica refused a read because it is behind.
+func isLagging(err error) bool {
+	var refused *pooling.RefusedError
+	return errors.As(err, &refused) && refused.Code == state.CodeLagging
+}
+
 // tryRead runs a read on one database. again tells that another may serve it.
 func (s *Session) tryRead(r *request, option choice, need state.Position) (reply state.Reply, again bool) {
 	if option.primary {
--- a/internal/coordination/relay/transaction.go
+++ b/internal/coordination/relay/transaction.go
@@ -189,12 +189,12 @@
 
 // beginRead begins a read-only transaction where a read would go.
 func (s *Session) beginRead(r *request) state.Reply {
-	options, need := s.choices(r)
-	r.need = need
+	found := s.choices(r)
+	r.need = found.need
 	reply := r.busy("no database can serve the transaction", retryAfterChange)
-	for _, option := range options {
+	for _, option := range found.options {
 		var again bool
-		if reply, again = s.tryBeginRead(r, option, need); s.tx.link != nil || !again || !s.timeLeft(r) {
+		if reply, again = s.tryBeginRead(r, option, found.need); s.tx.link != nil || !again || !s.timeLeft(r) {
 			return reply
 		}
 	}
