--- a/internal/coordination/leadership/change.go
+++ b/internal/coordination/leadership/change.go
@@ -191,7 +191,7 @@
 		m.readMembers(ctx)
 		now := m.Clock.Now()
 		m.mu.Lock()
-		storeNow, _ := m.lease.clock.atLeast(now)
+		storeNow := m.lease.clock.atLeast(now)
 		left := m.members.holdouts(m.Self, news, m.Options, storeNow)
 		own := m.group(attempt.group).acknowledged >= attempt.epoch
 		m.mu.Unlock()
@@ -332,7 +332,7 @@
 	err := m.Promoter.Promote(ctx, attempt.group, server.ID, m.Self, attempt.token)
 	m.Log.Info().Err(err).Str("group", string(attempt.group)).Str("database", string(server.ID)).Uint64("epoch", attempt.epoch).
 		Uint64("token", attempt.token).Dur("held_ms", m.Clock.Now().Sub(sent)).Msg("promotion ordered")
-	if errors.Is(err, ErrNotRunning) {
+	if errors.Is(err, state.ErrNotRunning) {
 		return false, err
 	}
 	if err != nil {
--- a/internal/coordination/leadership/lease_test.go
+++ b/internal/coordination/leadership/lease_test.go
@@ -25,7 +25,7 @@
 			truth := time.Duration(local) + offset
 			most, known := clock.atMost(local)
 			require.True(t, known)
-			least, _ := clock.atLeast(local)
+			least := clock.atLeast(local)
 			require.GreaterOrEqual(t, most, truth)
 			require.LessOrEqual(t, least, truth)
 			local = local.Add(time.Duration(rapid.Int64Range(0, int64(20*time.Second)).Draw(t, "pause")))
--- a/internal/coordination/leadership/manager.go
+++ b/internal/coordination/leadership/manager.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -14,9 +13,6 @@
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 )
 
-// ErrNotRunning is the error of a promotion of a database that does not run.
-var ErrNotRunning = errors.New("the database is not running")
-
 // Directory is what is registered.
 type Directory interface {
 	Groups() []state.GroupID
--- a/internal/coordination/leadership/storeclock.go
+++ b/internal/coordination/leadership/storeclock.go
@@ -68,7 +68,11 @@
 	return time.Duration(local) + c.latest() + driftAllowance, c.current.known
 }
 
-// atLeast returns a time that the store's clock has reached.
-func (c *storeClock) atLeast(local state.Instant) (time.Duration, bool) {
-	return time.Duration(local) + c.earliestOffset() - driftAllowance, c.current.known
+// atLeast returns a time that the store's clock has reached; zero before the
+// first answer.
+func (c *storeClock) atLeast(local state.Instant) time.Duration {
+	if !c.current.known {
+		return 0
+	}
+	return time.Duration(local) + c.earliestOffset() - driftAllowance
 }
--- /dev/null
+++ b/internal/standin/platform/council/settings.go
@@ -0,0 +1,29 @@
+package council
+
+import (
+	"fmt"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// Configuration is the operators' row with two routes to a group: desk reads
+// from the primary, cab reads its own writes.
+func Configuration(version uint64, group state.GroupID) []byte {
+	return fmt.Appendf(nil, `{"Version":%d,"Routes":[
+		{"Host":"desk","Type":"primary","TimeoutMs":2000,"SloMs":2000,"Prio":1,"Backend":%[2]q},
+		{"Host":"cab","Type":"session","TimeoutMs":2000,"SloMs":2000,"Prio":2,"Backend":%[2]q,"MaxStalenessMs":2500}],
+		"Backends":[{"Name":%[2]q,"MaxConns":22,"SyncReplicas":0}],"Limits":{"TxIdleMs":3000}}`, version, group)
+}
+
+// Addresses are where an instance listens, and where it finds the platform.
+type Addresses struct {
+	Clients, Ready, Store, Promotions string
+	PeerPort                          string
+}
+
+// SettingsFile is the settings file of an instance on this machine.
+func SettingsFile(instance state.InstanceID, a Addresses) string {
+	return fmt.Sprintf("Node = %q\nIp = \"127.0.0.1\"\nZone = \"z\"\nHeartbeatMs = 1200\nPortRange = [%s]\n"+
+		"[Listen]\nFront = %q\nReady = %q\n[Limits]\nMemoryMb = 284\nMaxFds = 4300\n[Bounds]\nGraceS = 3\n[platform]\nAddr = %q\n[Cloud]\nAddr = %q\n",
+		instance, a.PeerPort, a.Clients, a.Ready, a.Store, a.Promotions)
+}
--- a/internal/state/group.go
+++ b/internal/state/group.go
@@ -1,6 +1,9 @@
 package state
 
-import "time"
+import (
+	"errors"
+	"time"
+)
 
 // GroupID names a database group: one primary and its replicas, which callers
 // see as one database.
@@ -25,6 +28,9 @@
 	Leaving bool `msgpack:"leaving" json:"leaving,omitempty"`
 }
 
+// ErrNotRunning is the error of a promotion of a database that does not run.
+var ErrNotRunning = errors.New("the database is not running")
+
 // Group is a database group as the platform's table service records it.
 type Group struct {
 	ID        GroupID    `msgpack:"id" json:"id"`
--- a/test/council/checks_test.go
+++ b/test/council/checks_test.go
@@ -9,7 +9,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/leadership"
-	standin "github.com/cyclamenpin/cyclamenpin/internal/standin/council"
+	standin "github.com/cyclamenpin/cyclamenpin/internal/standin/platform/council"
 )
 
 // requireSoundPromotions checks that fencing tokens only went up and were never
--- a/test/council/entry_test.go
+++ b/test/council/entry_test.go
@@ -18,7 +18,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/entry"
-	standin "github.com/cyclamenpin/cyclamenpin/internal/standin/council"
+	standin "github.com/cyclamenpin/cyclamenpin/internal/standin/platform/council"
 )
 
 // installation is one entry instance over loopback sockets, with stand-ins.
@@ -72,17 +72,15 @@
 		i.store.Put(tableServers, string(database.ID), database.Registration(listener.Addr().String()))
 	}
 	i.store.Put(tableServers, "other-writer", []byte("\xffnot a database"))
-	i.store.Put(tableRoutes, "config", []byte(`{"Version":3,"Routes":[
-		{"Host":"desk","Type":"primary","TimeoutMs":2000,"SloMs":2000,"Prio":1,"Backend":"g"},
-		{"Host":"cab","Type":"session","TimeoutMs":2000,"SloMs":2000,"Prio":2,"Backend":"g","MaxStalenessMs":2500}],
-		"Backends":[{"Name":"g","MaxConns":22,"SyncReplicas":0}],"Limits":{"TxIdleMs":3000}}`))
+	i.store.Put(tableRoutes, "config", standin.Configuration(3, "g"))
 	i.address, i.ready = freeAddress(t), freeAddress(t)
 	_, peerPort, err := net.SplitHostPort(freeAddress(t))
 	require.NoError(t, err)
 	i.settings = filepath.Join(t.TempDir(), "node.toml")
-	i.writeSettings(fmt.Sprintf("Node = \"entry-1\"\nIp = \"127.0.0.1\"\nZone = \"z\"\nHeartbeatMs = 1200\nPortRange = [%s]\n"+
-		"[Listen]\nFront = %q\nReady = %q\n[Limits]\nMemoryMb = 284\nMaxFds = 4300\n[Bounds]\nGraceS = 3\n[platform]\nAddr = %q\n[Cloud]\nAddr = %q\n",
-		peerPort, i.address, i.ready, store.Listener.Addr(), promotions.Listener.Addr()))
+	i.writeSettings(standin.SettingsFile("entry-1", standin.Addresses{
+		Clients: i.address, Ready: i.ready, Store: store.Listener.Addr().String(),
+		Promotions: promotions.Listener.Addr().String(), PeerPort: peerPort,
+	}))
 	i.instance, err = entry.Start(context.Background(), entry.Options{SettingsPath: i.settings, LogLevel: "info"}, i.log)
 	require.NoError(t, err)
 	require.Eventually(t, func() bool {
--- a/test/council/property_test.go
+++ b/test/council/property_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	standin "github.com/cyclamenpin/cyclamenpin/internal/standin/council"
+	standin "github.com/cyclamenpin/cyclamenpin/internal/standin/platform/council"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 )
 
--- a/test/council/world_test.go
+++ b/test/council/world_test.go
@@ -19,7 +19,7 @@
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/pooling"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/relay"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/rowstore"
-	standin "github.com/cyclamenpin/cyclamenpin/internal/standin/council"
+	standin "github.com/cyclamenpin/cyclamenpin/internal/standin/platform/council"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 	"github.com/cyclamenpin/cyclamenpin/platform"
 )
