--- /dev/null
+++ b/internal/coordination/relay/reads.go
@@ -0,0 +1,174 @@
+package relay
+
+import (
+	"cmp"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/pooling"
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// choice is one database that may serve a read.
+type choice struct {
+	server state.Server
+	// primary needs a grant, but no position.
+	primary bool
+	// crowded tells that a statement would have to wait for a connection.
+	crowded bool
+	cost    time.Duration
+}
+
+// primaryReadFactor and primaryReadPenalty make reads prefer replicas, because
+// only the primary can serve writes, and other instances need it too. The
+// penalty is about two statements at a busy database.
+const (
+	primaryReadFactor  = 2
+	primaryReadPenalty = 40 * time.Millisecond
+)
+
+// choices are the databases that may serve a read, the cheapest first.
+type choices struct {
+	options []choice
+	// need is the position that a replica must hold.
+	need state.Position
+	// behind tells that a replica was left out because it lacked the position
+	// a moment ago.
+	behind bool
+}
+
+// choices returns the databases that may serve a read now.
+func (s *Session) choices(r *request) choices {
+	e := s.engine
+	now := e.Clock.Now()
+	notBefore := r.arrived.Add(proofMargin - r.route.MaxStaleness)
+	need, proven := e.Freshness.FloorFor(r.route.Group, notBefore)
+	need = state.MaxPosition(need, s.sessionFloor(r))
+	primary, _ := e.Leadership.Primary(r.route.Group)
+	found := choices{need: need}
+	for _, entry := range e.Directory.Servers(r.route.Group) {
+		if entry.Leaving && entry.ID != primary || e.Health.Suspected(entry.ID) {
+			continue
+		}
+		pool := e.Pools.Pool(entry.Server)
+		candidate := choice{server: entry.Server, primary: entry.ID == primary, cost: pool.Cost(), crowded: pool.Crowded()}
+		switch {
+		case candidate.primary:
+			candidate.cost = candidate.cost*primaryReadFactor + primaryReadPenalty
+		case !proven:
+			continue
+		case !e.replicas.mayHold(entry.ID, need, now):
+			found.behind = true
+			continue
+		case !e.replicas.holds(entry.ID, need):
+			candidate.cost += laggingPenalty
+		}
+		if e.distant(entry.DataCentre) {
+			candidate.cost += distancePenalty
+		}
+		if e.Health.Doubted(entry.ID) {
+			candidate.cost += doubtPenalty
+		}
+		found.options = append(found.options, candidate)
+	}
+	slices.SortStableFunc(found.options, func(a, b choice) int { return cmp.Compare(a.cost, b.cost) })
+	return found
+}
+
+// distancePenalty keeps reads within the region until its database is busy:
+// bytes between regions cost more than the time of a short queue.
+const distancePenalty = 60 * time.Millisecond
+
+// doubtPenalty puts a database last that is late with an answer.
+const doubtPenalty = 500 * time.Millisecond
+
+// catchUpPause is the time between two rounds of tries while replicas apply
+// what a read must see: usual lags are 8 to 100 ms.
+const catchUpPause = 25 * time.Millisecond
+
+// runRead answers a single read of a bounded or session route. While all
+// databases are behind or crowded, it tries them again: a replica usually
+// catches up sooner than a crowded primary's queue moves.
+func (s *Session) runRead(r *request) state.Reply {
+	last := r.busy("no database can serve the read", retryAfterChange)
+	for {
+		found := s.choices(r)
+		r.need = found.need
+		behind := found.behind
+		for _, option := range found.options {
+			if option.primary && option.crowded && behind && time.Until(r.queueDeadline()) > r.queueTime()/4 {
+				continue
+			}
+			reply, again := s.tryRead(r, option, found.need)
+			if !again {
+				return reply
+			}
+			behind = behind || isLagging(r.lastFail)
+			last = reply
+		}
+		if len(found.options) == 0 && !found.behind || time.Until(r.queueDeadline()) < 2*catchUpPause {
+			return last
+		}
+		time.Sleep(catchUpPause)
+	}
+}
+
+// isLagging reports whether a replica refused a read because it is behind.
+func isLagging(err error) bool {
+	var refused *pooling.RefusedError
+	return errors.As(err, &refused) && refused.Code == state.CodeLagging
+}
+
+// tryRead runs a read on one database. again tells that another may serve it.
+func (s *Session) tryRead(r *request, option choice, need state.Position) (reply state.Reply, again bool) {
+	if option.primary {
+		return s.tryReadOnPrimary(r)
+	}
+	r.server, r.role = option.server.ID, "replica"
+	pool := s.engine.Pools.Pool(option.server)
+	link, err := s.acquireLink(r, pool, r.queueDeadline())
+	if err != nil {
+		reply, _ = s.notSent(r, err)
+		return reply, true
+	}
+	sent := time.Now()
+	reply, err = pool.Run(link, r.forward(link, need), r.tryDeadline(pool))
+	r.ran = time.Since(sent)
+	pool.Release(link, err == nil && reply.Transaction == state.TransactionNone && reply.Code != state.CodeMisdirected)
+	if err != nil {
+		r.lastFail = err
+		reply, again = s.lostAnswer(r)
+		return reply, again
+	}
+	return s.replicaReply(r, option, need, reply)
+}
+
+func (s *Session) tryReadOnPrimary(r *request) (reply state.Reply, again bool) {
+	grant, err := s.engine.Leadership.Acquire(r.route.Group)
+	if err != nil {
+		r.lastFail = err
+		return r.busy("no primary is available", retryAfterChange), true
+	}
+	defer grant.Release()
+	reply, again = s.tryPrimary(r, grant)
+	return reply, again || reply.Code == state.CodeBusy
+}
+
+// replicaReply takes over what a replica's answer shows.
+func (s *Session) replicaReply(r *request, option choice, need state.Position, reply state.Reply) (state.Reply, bool) {
+	switch reply.Code {
+	case state.CodeNone:
+		s.engine.replicas.applied(option.server.ID, reply.Position)
+		return reply, false
+	case state.CodeLagging:
+		s.engine.replicas.lagging(option.server.ID, need, s.engine.Clock.Now())
+		r.lastFail = &pooling.RefusedError{Code: reply.Code, Detail: reply.Detail}
+		return r.busy("the replica is behind", retryAfterChange), true
+	case state.CodeBusy, state.CodeMisdirected:
+		r.lastFail = &pooling.RefusedError{Code: reply.Code, Detail: reply.Detail}
+		return r.busy("the database is overloaded", s.engine.Pools.Pool(option.server).Cost()), true
+	default:
+		return reply, false
+	}
+}
--- a/internal/coordination/relay/transaction.go
+++ b/internal/coordination/relay/transaction.go
@@ -229,7 +229,7 @@
 		reply, _ = s.notSent(r, err)
 		return reply, grant == nil
 	}
-	if grant != nil && !grant.Attach(link.Close) {
+	if grant != nil && (!grant.Attach(link.Close) || !grant.Valid()) {
 		pool.Release(link, false)
 		return r.busy("the primary is being changed", retryAfterChange), s.timeLeft(r)
 	}
--- a/test/council/world_test.go
+++ b/test/council/world_test.go
@@ -92,12 +92,18 @@
 
 // run plays a test in virtual time in a world with the given instances.
 func run(t *testing.T, names []string, play func(w *world)) {
+	t.Helper()
+	runLogged(t, names, testLog, play)
+}
+
+// runLogged is run with a logger of the test's own.
+func runLogged(t *testing.T, names []string, log func(t *testing.T) zerolog.Logger, play func(w *world)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		w := &world{
 			t: t, ctx: ctx, started: time.Now(), store: standin.NewStore(), group: standin.NewGroup(groupOptions()),
-			instances: make(map[string]*instance), log: testLog(t),
+			instances: make(map[string]*instance), log: log(t),
 		}
 		w.group.SetCut(w.separated)
 		w.configure(1, "desk", "portal", "cab")
