--- a/internal/coordination/leadership/change.go
+++ b/internal/coordination/leadership/change.go
@@ -18,7 +18,7 @@
 // errNoCandidate is the error of a group without a replica to promote.
 var errNoCandidate = errors.New("no replica answers")
 
-// change is one attempt to give a group another primary.
+// changeAttempt is one attempt to give a group another primary.
 type changeAttempt struct {
 	group    state.GroupID
 	old      state.DatabaseID
--- a/internal/coordination/leadership/evaluate.go
+++ b/internal/coordination/leadership/evaluate.go
@@ -63,7 +63,8 @@
 	}()
 }
 
-// due must be called with the lock held.
+// due must be called with the lock held. It tells whether this instance is to
+// change the group's primary now, and why.
 func (m *Manager) due(id state.GroupID, g *group, primary state.DatabaseID) (cause, bool) {
 	stagger := time.Duration(m.members.rank(m.Self, m.liveWithin())) * staggerStep
 	if g.record.Changing {
@@ -88,7 +89,8 @@
 	return why, m.Clock.Now().Sub(g.suspectedAt) >= stagger
 }
 
-// dueFor must be called with the lock held.
+// dueFor must be called with the lock held. It judges the primary of a group
+// that is not being changed.
 func (m *Manager) dueFor(id state.GroupID, g *group, entry directory.Entry, registered bool) (cause, bool) {
 	if !g.suspected {
 		if entry.Leaving {
@@ -102,6 +104,7 @@
 	return causeUnreachable, 2*suspecting > all
 }
 
+// hasCandidate reports whether another database could lead the group.
 func (m *Manager) hasCandidate(id state.GroupID, primary state.DatabaseID) bool {
 	for _, server := range m.Directory.Servers(id) {
 		if server.ID != primary && !server.Leaving {
--- a/internal/coordination/leadership/options.go
+++ b/internal/coordination/leadership/options.go
@@ -10,8 +10,7 @@
 	// with an instance.
 	Lease time.Duration
 	// LongestLease is how long it may use them while half of the instances
-	// vouch for it. It exceeds the usual outages of the store (6 to
-	// 12 s) several times.
+	// vouch for it. It exceeds the usual outages of the store, 6 to 12 s.
 	LongestLease time.Duration
 	// BeatInterval is the time between two renewals.
 	BeatInterval time.Duration
@@ -85,8 +84,8 @@
 	// stepDownExtra is how much longer than for the acknowledgements an old
 	// primary is waited for: a round trip between regions and a connection.
 	stepDownExtra = 60 * time.Millisecond
-	// lastResortAfter is how long a change waits for a database that holds at
-	// least the start of the old primary's reign; usual crashes last seconds.
+	// lastResortAfter is how long a change waits for a database that has heard
+	// of the old primary's reign; usual crashes last less than 9 s.
 	lastResortAfter = 20 * time.Second
 	// statusInterval is the time between two questions to one database.
 	statusInterval = 40 * time.Millisecond
@@ -104,6 +103,7 @@
 	// idleProbeAfter is how long a primary may go without an answer before it
 	// is probed.
 	idleProbeAfter = time.Second
-	// staggerStep separates the instances that would start the same change.
+	// staggerStep separates the instances that would start the same change, by
+	// a few calls to the store and a message between regions.
 	staggerStep = 120 * time.Millisecond
 )
--- a/internal/coordination/pooling/link.go
+++ b/internal/coordination/pooling/link.go
@@ -69,7 +69,7 @@
 	v.key = key.String()
 }
 
-// without reports whether v holds a name that other lacks.
+// exceeds reports whether v holds a name that other lacks.
 func (v *Values) exceeds(other *Values) bool {
 	for name := range v.byName {
 		if _, ok := other.byName[name]; !ok {
