Renewals of the lease check that no change is unseen

A renewal counted only when a watch had been followed past it, so watches were short and a list followed most renewals; followers called up to twenty times a second while the store was away.

Now a renewal is conditional on the generation of the primaries and on the row of the configuration as last read, so it proves by itself that nothing is unseen, and notices a change whose answer was lost. While the store is away the renewal is the one regular caller; its return ends the watches of before.

--- a/internal/coordination/directory/directory.go
+++ b/internal/coordination/directory/directory.go
@@ -46,7 +46,13 @@
 	clock   state.Clock
 	log     zerolog.Logger
 
+	// source names the row that holds the configuration.
+	source rowstore.Row
 	routes atomic.Pointer[state.RoutingTable]
+	// configurationRow is the version of that row when it was last read, 0
+	// where it did not exist.
+	configurationRow  atomic.Uint64
+	configurationRead atomic.Bool
 
 	mu      sync.Mutex
 	servers map[state.DatabaseID]Entry
@@ -56,9 +62,9 @@
 	onGone func(state.DatabaseID)
 }
 
-// New returns an empty directory.
-func New(decoder Decoder, clock state.Clock, log zerolog.Logger, onGone func(state.DatabaseID)) *Directory {
-	d := &Directory{decoder: decoder, clock: clock, log: log, servers: make(map[state.DatabaseID]Entry), onGone: onGone}
+// New returns an empty directory, whose configuration is in the row source.
+func New(decoder Decoder, source rowstore.Row, clock state.Clock, log zerolog.Logger, onGone func(state.DatabaseID)) *Directory {
+	d := &Directory{decoder: decoder, source: source, clock: clock, log: log, servers: make(map[state.DatabaseID]Entry), onGone: onGone}
 	d.byGroup.Store(&map[state.GroupID][]Entry{})
 	return d
 }
@@ -89,12 +95,33 @@
 	return Entry{}, false
 }
 
-// ApplyConfiguration takes over the operators' rows. Versions that are not
-// newer, and rows that can't be read, change nothing.
-func (d *Directory) ApplyConfiguration(row rowstore.Row) {
+// ApplyOperators takes over changes of the operators' table.
+func (d *Directory) ApplyOperators(update rowstore.Update) {
+	for _, row := range update.Rows {
+		if row.Key == d.source.Key {
+			d.applyConfiguration(row)
+		}
+	}
+	d.configurationRead.Store(true)
+}
+
+// FollowedRows returns the row of the configuration as it was last read, so
+// that a change of it can be noticed elsewhere; nothing before the first read.
+func (d *Directory) FollowedRows() []rowstore.Condition {
+	if !d.configurationRead.Load() {
+		return nil
+	}
+	return []rowstore.Condition{{Table: d.source.Table, Key: d.source.Key, Version: d.configurationRow.Load()}}
+}
+
+// applyConfiguration takes over the operators' row. Versions that are not
+// newer, and a row that can't be read, change nothing.
+func (d *Directory) applyConfiguration(row rowstore.Row) {
 	if row.Removed {
+		d.configurationRow.Store(0)
 		return
 	}
+	d.configurationRow.Store(row.Version)
 	table, err := d.decoder.ParseConfiguration(row.Value)
 	if err != nil {
 		d.log.Error().Err(err).Uint64("row_version", row.Version).Msg("configuration refused, the last good one stays in force")
@@ -108,18 +135,26 @@
 	d.log.Info().Uint64("version", table.Version).Int("routes", len(table.Routes)).Int("groups", len(table.Groups)).Msg("configuration in force")
 }
 
-// ApplyServers takes over changed registrations. With complete, rows holds all
-// registrations, and databases that are not among them have vanished.
-// storeWasAway tells that the store was lately unavailable, so that vanished
-// databases are given time to register again.
-func (d *Directory) ApplyServers(rows []rowstore.Row, complete, storeWasAway bool) {
+// ApplyServers takes over changed registrations. Databases that vanish while
+// the store was lately unavailable are given time to register again.
+func (d *Directory) ApplyServers(update rowstore.Update) {
 	now := d.clock.Now()
 	d.mu.Lock()
-	listed := make(map[state.DatabaseID]bool, len(rows))
-	for _, row := range rows {
+	defer d.mu.Unlock()
+	if len(update.Rows) > 0 || update.Complete {
+		d.applyServers(update, now)
+	}
+	d.expire(now)
+	d.publish()
+}
+
+// applyServers must be called with the lock held.
+func (d *Directory) applyServers(update rowstore.Update, now state.Instant) {
+	listed := make(map[state.DatabaseID]bool, len(update.Rows))
+	for _, row := range update.Rows {
 		id := state.DatabaseID(row.Key)
 		if row.Removed {
-			d.vanish(id, now, storeWasAway)
+			d.vanish(id, now, update.AfterOutage)
 			continue
 		}
 		server, err := d.decoder.ParseServer(row.Key, row.Value)
@@ -130,15 +165,14 @@
 		listed[id] = true
 		d.register(server, now)
 	}
-	if complete {
-		for id := range d.servers {
-			if !listed[id] {
-				d.vanish(id, now, storeWasAway)
-			}
+	if !update.Complete {
+		return
+	}
+	for id := range d.servers {
+		if !listed[id] {
+			d.vanish(id, now, update.AfterOutage)
 		}
 	}
-	d.publish()
-	d.mu.Unlock()
 }
 
 // register must be called with the lock held.
@@ -183,22 +217,14 @@
 	}
 }
 
-// Expire drops the databases whose registration did not come back in time.
-// It is called while the store answers.
-func (d *Directory) Expire() {
-	now := d.clock.Now()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	changed := false
+// expire must be called with the lock held, while the store answers. It drops
+// the databases whose registration did not come back in time.
+func (d *Directory) expire(now state.Instant) {
 	for id, entry := range d.servers {
 		if entry.missingSince != 0 && now.Sub(entry.missingSince) > relistGrace {
 			d.remove(id, "not registered again after the store's return")
-			changed = true
 		}
 	}
-	if changed {
-		d.publish()
-	}
 }
 
 // publish must be called with the lock held.
--- a/internal/coordination/leadership/beat.go
+++ b/internal/coordination/leadership/beat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -24,7 +25,7 @@
 // Leave removes this instance's row. It is called after the last request.
 func (m *Manager) Leave(ctx context.Context) {
 	m.mu.Lock()
-	m.lease.based, m.lease.pendingVersion = false, 0
+	m.lease.based = false
 	m.mu.Unlock()
 	_, err := m.Store.Transact(ctx, rowstore.Transaction{Deletes: []rowstore.Row{{Table: TableInstances, Key: string(m.Self)}}})
 	if err != nil {
@@ -71,26 +72,48 @@
 		m.Log.Error().Err(err).Msg("instance's row not written")
 		return false
 	}
+	conditions := append(m.followedPrimaries(), m.Followed()...)
+	err = m.renew(ctx, value, conditions)
+	var conflict *rowstore.Conflict
+	if errors.As(err, &conflict) {
+		m.catchUp(ctx, conflict, conditions)
+		err = m.renew(ctx, value, m.followedPrimaries())
+	}
+	m.noteRenewal(err)
+	return err == nil
+}
+
+// followedPrimaries is the condition that no primary has changed since the
+// last change that this instance has seen.
+func (m *Manager) followedPrimaries() []rowstore.Condition {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return []rowstore.Condition{{Table: TableGenerations, Key: rowPrimaries, Version: m.generation}}
+}
+
+// renew writes this instance's row on conditions.
+func (m *Manager) renew(ctx context.Context, value []byte, conditions []rowstore.Condition) error {
 	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
 	sent := m.Clock.Now()
-	commit, err := m.Store.Transact(ctx, rowstore.Transaction{Puts: []rowstore.Row{{Table: TableInstances, Key: string(m.Self), Value: value}}})
+	commit, err := m.Store.Transact(ctx, rowstore.Transaction{
+		Conditions: conditions,
+		Puts:       []rowstore.Row{{Table: TableInstances, Key: string(m.Self), Value: value}},
+	})
 	received := m.Clock.Now()
-	if m.noteRenewal(err); err != nil {
-		return false
+	m.Link.Note(err)
+	if err != nil {
+		return err
 	}
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.lease.clock.observe(sent, received, commit.Now)
 	m.lease.renewed(commit.Version, commit.Now)
 	if m.joined == 0 {
 		m.joined = int64(commit.Now)
 	}
-	short := m.lease.left(received) < m.Options.Lease/2
-	m.mu.Unlock()
-	if short {
-		m.catchUp(ctx)
-	}
-	return true
+	m.broadcast()
+	return nil
 }
 
 // retryBeatAfter is how long to wait after a failure to renew the lease. An
@@ -122,9 +145,22 @@
 	}
 }
 
-// catchUp reads the primaries at once, because a renewal counts only when they
-// have been seen up to it, and a watch without changes answers late.
-func (m *Manager) catchUp(ctx context.Context) {
+// catchUp reads what a renewal has shown to be changed, because the answer that
+// was to tell of the change may be lost.
+func (m *Manager) catchUp(ctx context.Context, conflict *rowstore.Conflict, conditions []rowstore.Condition) {
+	m.Log.Info().Err(conflict).Msg("a change was not seen yet, reading again")
+	for _, condition := range conditions {
+		switch {
+		case conflict.Holds(condition):
+		case condition.Table == TableGenerations:
+			m.readPrimaries(ctx)
+		default:
+			m.Outdated()
+		}
+	}
+}
+
+func (m *Manager) readPrimaries(ctx context.Context) {
 	asked := m.Clock.Now()
 	snapshot, err := m.Store.List(ctx, TablePrimaries)
 	if err != nil {
--- a/internal/coordination/leadership/change.go
+++ b/internal/coordination/leadership/change.go
@@ -146,7 +146,10 @@
 	}
 	commit, err := m.Store.Transact(ctx, rowstore.Transaction{
 		Conditions: []rowstore.Condition{{Table: TablePrimaries, Key: string(id), Version: version}},
-		Puts:       []rowstore.Row{{Table: TablePrimaries, Key: string(id), Value: value}},
+		Puts: []rowstore.Row{
+			{Table: TablePrimaries, Key: string(id), Value: value},
+			{Table: TableGenerations, Key: rowPrimaries, Value: []byte(m.runName)},
+		},
 	})
 	if err != nil {
 		return rowstore.Commit{}, err
--- a/internal/coordination/leadership/lease.go
+++ b/internal/coordination/leadership/lease.go
@@ -12,9 +12,6 @@
 	length time.Duration
 	// seen is the store's version up to which TablePrimaries was followed.
 	seen uint64
-	// pending is the last renewal whose version has not been followed yet.
-	pendingVersion uint64
-	pendingAt      time.Duration
 	// base is the store's time of the last renewal that counts.
 	based bool
 	base  time.Duration
@@ -24,22 +21,11 @@
 	longest      time.Duration
 }
 
-// renewed records that the instance's row was written.
+// renewed records that the instance's row was written, on the condition that
+// every change of the primaries before it has been seen.
 func (l *lease) renewed(version uint64, storeNow time.Duration) {
-	if l.pendingVersion == 0 || l.pendingVersion <= l.seen {
-		l.pendingVersion, l.pendingAt = version, storeNow
-	}
-	l.extend()
-}
-
-// extend counts the pending renewal once every change of the primaries before
-// it has been seen.
-func (l *lease) extend() {
-	if l.pendingVersion == 0 || l.pendingVersion > l.seen {
-		return
-	}
-	l.base, l.based = max(l.base, l.pendingAt), true
-	l.pendingVersion = 0
+	l.seen = max(l.seen, version)
+	l.base, l.based = max(l.base, storeNow), true
 }
 
 func (l *lease) valid(now state.Instant) bool {
--- a/internal/coordination/leadership/manager.go
+++ b/internal/coordination/leadership/manager.go
@@ -43,10 +43,16 @@
 
 // Config are the parts that a manager works with.
 type Config struct {
-	Self      state.InstanceID
-	Run       int64
-	Options   Options
-	Store     rowstore.Store
+	Self    state.InstanceID
+	Run     int64
+	Options Options
+	Store   rowstore.Store
+	// Link is told of the result of each renewal.
+	Link *rowstore.Link
+	// Followed returns further rows, as this instance knows them, whose change
+	// a renewal is to notice; Outdated is told that one has changed.
+	Followed  func() []rowstore.Condition
+	Outdated  func()
 	Directory Directory
 	Databases Databases
 	Promoter  Promoter
@@ -73,9 +79,12 @@
 	// probing holds the databases that are being asked by probeOnce.
 	probing map[state.DatabaseID]bool
 	lease   lease
-	vouches vouches
-	duty    duty
-	beats   uint64
+	// generation is the version of the newest change of a primary that the
+	// store has told; all changes before it have been seen too.
+	generation uint64
+	vouches    vouches
+	duty       duty
+	beats      uint64
 	// renewalFailures counts the failures to renew the lease in a row.
 	renewalFailures int
 	// joined is when this run first wrote its row, on the store's clock.
@@ -248,10 +257,10 @@
 	defer m.mu.Unlock()
 	for _, row := range update.Rows {
 		m.applyRow(row, update.Answered)
+		m.generation = max(m.generation, row.Version)
 	}
 	m.lease.clock.observe(update.Asked, update.Answered, update.Now)
 	m.lease.seen = max(m.lease.seen, update.Version)
-	m.lease.extend()
 	m.ready = true
 	m.broadcast()
 }
--- a/internal/coordination/leadership/record.go
+++ b/internal/coordination/leadership/record.go
@@ -12,8 +12,13 @@
 	TablePrimaries = "primaries" // one row for each group
 	TableInstances = "instances" // one row for each running instance
 	TableDuties    = "duties"    // one row for each duty of one instance at a time
+	// TableGenerations has one row, rowPrimaries, which is written in the same
+	// transaction as any row of TablePrimaries. Its version is thus that of the
+	// newest change of a primary, and one condition on it checks them all.
+	TableGenerations = "generations"
 
 	dutyPromotion = "promotion"
+	rowPrimaries  = "primaries"
 )
 
 // Record is a group's row in TablePrimaries.
--- a/internal/coordination/rowstore/rowstore.go
+++ b/internal/coordination/rowstore/rowstore.go
@@ -7,6 +7,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"strings"
 	"time"
 )
 
@@ -39,6 +41,35 @@
 	Now     time.Duration
 }
 
+// Conflict is the error of a transaction of which a condition failed, with the
+// rows of its conditions as they are. It is an ErrConflict.
+type Conflict struct {
+	Step string
+	Rows []Row
+}
+
+// Error gives the step and the present versions.
+func (e *Conflict) Error() string {
+	versions := make([]string, len(e.Rows))
+	for i, row := range e.Rows {
+		versions[i] = fmt.Sprintf("%s/%s is at %d", row.Table, row.Key, row.Version)
+	}
+	return fmt.Sprintf("%s: %s: %s", e.Step, ErrConflict, strings.Join(versions, ", "))
+}
+
+// Unwrap makes it an ErrConflict.
+func (e *Conflict) Unwrap() error { return ErrConflict }
+
+// Holds reports whether a condition of the transaction held.
+func (e *Conflict) Holds(condition Condition) bool {
+	for _, row := range e.Rows {
+		if row.Table == condition.Table && row.Key == condition.Key {
+			return row.Version == condition.Version
+		}
+	}
+	return condition.Version == 0
+}
+
 // Condition holds when the row has the version; version 0 asks that the row
 // must not exist.
 type Condition struct {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -70,6 +70,7 @@
 	engine     *relay.Engine
 	server     *lineserver.Server
 	store      *platform.Store
+	followers  *followers
 
 	clients  net.Listener
 	probes   net.Listener
@@ -105,7 +106,7 @@
 		fx.Supply(settings, i),
 		fx.Provide(func() context.Context { return background }, func() (zerolog.Logger, requestLog) { return i.logs.Logger, i.logs.requests }),
 		modules(),
-		fx.Populate(&i.directory, &i.leadership, &i.pools, &i.engine, &i.server, &i.store),
+		fx.Populate(&i.directory, &i.leadership, &i.pools, &i.engine, &i.server, &i.store, &i.followers),
 		fx.Invoke(func(lifecycle fx.Lifecycle) {
 			lifecycle.Append(fx.Hook{OnStart: func(context.Context) error { i.runAll(background); return nil }})
 		}),
@@ -166,9 +167,7 @@
 
 // runAll starts the loops and servers of the instance.
 func (i *Instance) runAll(ctx context.Context) {
-	for _, follower := range i.followers() {
-		go follower.Run(ctx)
-	}
+	i.followers.run(ctx)
 	go i.leadership.Run(ctx)
 	go i.pools.Run(ctx)
 	go i.server.Serve(i.clients)
--- /dev/null
+++ b/internal/entry/followers.go
@@ -0,0 +1,40 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/directory"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/leadership"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/rowstore"
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+	"github.com/cyclamenpin/cyclamenpin/platform"
+)
+
+// followers are the readers of the store's tables. Renewals of the lease check
+// the configuration and the primaries, so only the servers are asked for often.
+type followers struct {
+	configuration, servers, primaries *rowstore.Follower
+}
+
+func newFollowers(store *platform.Store, link *rowstore.Link, dir *directory.Directory, leaders *leadership.Manager, clock state.Clock, log zerolog.Logger) *followers {
+	follower := func(config rowstore.FollowerConfig) *rowstore.Follower {
+		config.Store, config.Link, config.Clock, config.Log = store, link, clock, log
+		return rowstore.NewFollower(config)
+	}
+	return &followers{
+		configuration: follower(rowstore.FollowerConfig{Table: platform.ConfigurationTable, Wait: rowstore.CheckedWait, Apply: dir.ApplyOperators}),
+		servers: follower(rowstore.FollowerConfig{
+			Table: platform.ServersTable, Wait: rowstore.UncheckedWait, Settling: rowstore.SettlingWait, Apply: dir.ApplyServers,
+		}),
+		primaries: follower(rowstore.FollowerConfig{Table: leadership.TablePrimaries, Wait: rowstore.CheckedWait, Apply: leaders.Apply}),
+	}
+}
+
+// run starts all followers.
+func (f *followers) run(ctx context.Context) {
+	for _, follower := range []*rowstore.Follower{f.configuration, f.servers, f.primaries} {
+		go follower.Run(ctx)
+	}
+}
--- a/internal/entry/modules.go
+++ b/internal/entry/modules.go
@@ -21,13 +21,6 @@
 )
 
 const (
-	// watchWait bounds how long a silent connection to the store goes
-	// unnoticed. The platform takes five seconds for such a connection to be
-	// noticed.
-	watchWait = 4 * time.Second
-	// primariesWait bounds that for the table whose answers make a renewal of
-	// the lease count.
-	primariesWait = 2500 * time.Millisecond
 	// reservedDescriptors are kept for files, the store, and databases.
 	reservedDescriptors = 600
 	// minClients is served even where the limit of descriptors is very low.
@@ -48,7 +41,7 @@
 			func(s platform.Settings) *platform.Promoter { return platform.NewPromoter(s.PromoteAddress, nil) },
 		)),
 		fx.Module("coordination", fx.Provide(
-			health.NewTracker, freshness.NewTracker, newDirectory, newPools, newLeadership, newEngine,
+			rowstore.NewLink, health.NewTracker, freshness.NewTracker, newFollowers, newDirectory, newPools, newLeadership, newEngine,
 		)),
 		fx.Module("transport", fx.Provide(newDialer, newServer)),
 	)
@@ -59,7 +52,7 @@
 }
 
 func newDirectory(instance *Instance, codec platform.Codec, clock state.Clock, tracker *health.Tracker, log zerolog.Logger) *directory.Directory {
-	return directory.New(codec, clock, log, func(id state.DatabaseID) {
+	return directory.New(codec, rowstore.Row{Table: platform.ConfigurationTable, Key: platform.ConfigurationRow}, clock, log, func(id state.DatabaseID) {
 		instance.pools.Gone(id)
 		// What is known of it still counts against a primary that vanished.
 		time.AfterFunc(forgetAfter, func() { tracker.Forget(id) })
@@ -79,12 +72,13 @@
 }
 
 func newLeadership(instance *Instance, settings platform.Settings, store *platform.Store, promoter *platform.Promoter, dir *directory.Directory,
-	pools *pooling.Manager, tracker *health.Tracker, clock state.Clock, log zerolog.Logger,
+	pools *pooling.Manager, tracker *health.Tracker, link *rowstore.Link, clock state.Clock, log zerolog.Logger,
 ) *leadership.Manager {
 	options := leadership.DefaultOptions()
 	options.DutyPause = settings.DutyLease
 	return leadership.New(leadership.Config{
-		Self: settings.Instance, Run: instance.run, Options: options, Store: store, Directory: dir, Databases: pools,
+		Self: settings.Instance, Run: instance.run, Options: options, Store: store, Link: link, Directory: dir, Databases: pools,
+		Followed: dir.FollowedRows, Outdated: func() { instance.followers.configuration.Refresh() },
 		Promoter: promoter, Health: tracker, Demand: pools.Demand, Messenger: instance.peers, Address: peerAddress(settings), Clock: clock, Log: log,
 	})
 }
@@ -105,26 +99,3 @@
 	}
 	return lineserver.New(codec, engine, clock, options, log.Logger)
 }
-
-// followers returns the readers of the store's tables.
-func (i *Instance) followers() []*rowstore.Follower {
-	follower := func(table string, wait time.Duration, apply func(rowstore.Update)) *rowstore.Follower {
-		return &rowstore.Follower{Store: i.store, Table: table, Wait: wait, Clock: state.BootClock{}, Log: i.logs.Logger, Apply: apply}
-	}
-	return []*rowstore.Follower{
-		follower(platform.ConfigurationTable, watchWait, func(update rowstore.Update) {
-			for _, row := range update.Rows {
-				if row.Key == platform.ConfigurationRow {
-					i.directory.ApplyConfiguration(row)
-				}
-			}
-		}),
-		follower(platform.ServersTable, watchWait, func(update rowstore.Update) {
-			if len(update.Rows) > 0 || update.Complete {
-				i.directory.ApplyServers(update.Rows, update.Complete, update.AfterOutage)
-			}
-			i.directory.Expire()
-		}),
-		follower(leadership.TablePrimaries, primariesWait, i.leadership.Apply),
-	}
-}
--- a/internal/standin/platform/council/serve.go
+++ b/internal/standin/platform/council/serve.go
@@ -76,9 +76,11 @@
 }
 
 func answerSnapshot(w http.ResponseWriter, snapshot rowstore.Snapshot, err error) {
+	var conflict *rowstore.Conflict
 	switch {
-	case errors.Is(err, rowstore.ErrConflict):
+	case errors.As(err, &conflict):
 		w.WriteHeader(http.StatusPreconditionFailed)
+		writeAnswer(w, rowstore.Snapshot{Rows: conflict.Rows})
 	case errors.Is(err, rowstore.ErrHistoryLost):
 		w.WriteHeader(http.StatusGone)
 	case errors.Is(err, rowstore.ErrRefused):
@@ -86,12 +88,16 @@
 	case err != nil:
 		panic(http.ErrAbortHandler) // the connection ends without an answer
 	default:
-		answer := wireAnswer{Rows: []wireRow{}, Ver: snapshot.Version, NowMs: float64(snapshot.Now) / float64(time.Millisecond)}
-		for _, row := range snapshot.Rows {
-			answer.Rows = append(answer.Rows, wireRow{Table: row.Table, Key: row.Key, Value: row.Value, Ver: row.Version, Removed: row.Removed})
-		}
-		_ = json.NewEncoder(w).Encode(answer)
+		writeAnswer(w, snapshot)
+	}
+}
+
+func writeAnswer(w http.ResponseWriter, snapshot rowstore.Snapshot) {
+	answer := wireAnswer{Rows: []wireRow{}, Ver: snapshot.Version, NowMs: float64(snapshot.Now) / float64(time.Millisecond)}
+	for _, row := range snapshot.Rows {
+		answer.Rows = append(answer.Rows, wireRow{Table: row.Table, Key: row.Key, Value: row.Value, Ver: row.Version, Removed: row.Removed})
 	}
+	_ = json.NewEncoder(w).Encode(answer)
 }
 
 // ServePromotions speaks the promotion call.
--- a/test/council/failover_test.go
+++ b/test/council/failover_test.go
@@ -317,3 +317,25 @@
 		w.eventually(time.Second, "the first write", func() bool { return w.instances["a"].writable() })
 	})
 }
+
+// Pattern: the answers to an instance's watches are lost for a while, and those
+// connections stay silent. Renewals notice the new configuration, although the
+// watch would wait for long.
+func TestConfigurationArrivesThoughTheWatchIsDead(t *testing.T) {
+	run(t, four, func(w *world) {
+		w.store.SetFaults(func(caller, call string) standin.Fault {
+			if caller == "a" && call == "watch" {
+				return standin.FaultSilent
+			}
+			return standin.FaultNone
+		})
+		w.instances["a"].configuration.Refresh()
+		time.Sleep(10 * time.Millisecond)
+		w.store.SetFaults(nil)
+		w.configure(2, "desk", "portal", "cab", "late")
+		gap := w.eventually(3*time.Second, "the configuration at the instance whose watch is dead", func() bool {
+			return w.instances["a"].directory.Routes().Version == 2
+		})
+		w.t.Logf("gap %s", gap)
+	})
+}
--- /dev/null
+++ b/test/council/follow_test.go
@@ -0,0 +1,168 @@
+package council
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/rowstore"
+	standin "github.com/cyclamenpin/cyclamenpin/internal/standin/platform/council"
+)
+
+const followed = "followed"
+
+var errOutage = errors.New("the store is away")
+
+// reader is a follower with what it was told.
+type reader struct {
+	*rowstore.Follower
+	store *standin.Store
+	link  *rowstore.Link
+
+	mu      sync.Mutex
+	updates []rowstore.Update
+	values  map[string]string
+}
+
+func follow(t *testing.T, play func(r *reader)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		r := &reader{store: standin.NewStore(), link: rowstore.NewLink(), values: make(map[string]string)}
+		r.store.Put(followed, "a", []byte("1"))
+		r.Follower = rowstore.NewFollower(rowstore.FollowerConfig{
+			Store: r.store.Client("self"), Table: followed, Wait: rowstore.CheckedWait, Settling: rowstore.SettlingWait,
+			Link: r.link, Clock: virtualClock{time.Now()}, Log: zerolog.Nop(), Apply: r.apply,
+		})
+		go r.Run(ctx)
+		time.Sleep(100 * time.Millisecond)
+		require.Equal(t, "1", r.value("a"))
+		play(r)
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
+
+func (r *reader) apply(update rowstore.Update) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.updates = append(r.updates, update)
+	for _, row := range update.Rows {
+		r.values[row.Key] = string(row.Value)
+	}
+}
+
+func (r *reader) value(key string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.values[key]
+}
+
+func (r *reader) last() rowstore.Update {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.updates[len(r.updates)-1]
+}
+
+// silence lets the watch that is under way and those to come hang.
+func (r *reader) silence() {
+	r.store.SetFaults(func(_, call string) standin.Fault {
+		if call == "watch" {
+			return standin.FaultSilent
+		}
+		return standin.FaultNone
+	})
+	r.Refresh()
+	time.Sleep(time.Millisecond)
+}
+
+// Pattern: the answer to a watch is lost, and nothing more comes on that
+// connection.
+func TestRefreshReplacesADeadWatch(t *testing.T) {
+	follow(t, func(r *reader) {
+		r.silence()
+		r.store.Put(followed, "a", []byte("2"))
+		r.store.SetFaults(nil)
+		time.Sleep(5 * time.Second)
+		require.Equal(t, "1", r.value("a"), "the dead watch answers nothing")
+		r.Refresh()
+		time.Sleep(50 * time.Millisecond)
+		require.Equal(t, "2", r.value("a"))
+	})
+}
+
+// Pattern: the store does not answer for a while; connections of before stay
+// silent after its return.
+func TestRegainedLinkReplacesADeadWatch(t *testing.T) {
+	follow(t, func(r *reader) {
+		r.silence()
+		r.link.Note(errOutage)
+		r.store.Put(followed, "a", []byte("2"))
+		time.Sleep(3 * time.Second)
+		r.store.SetFaults(nil)
+		r.link.Note(nil)
+		time.Sleep(50 * time.Millisecond)
+		require.Equal(t, "2", r.value("a"))
+	})
+}
+
+// Pattern: rows lapse while the store is away, and a watch of before the
+// outage tells of it at the store's return.
+func TestRowsThatVanishInAnOutageAreMarked(t *testing.T) {
+	follow(t, func(r *reader) {
+		r.link.Note(errOutage)
+		r.store.Delete(followed, "a")
+		time.Sleep(50 * time.Millisecond)
+		require.True(t, r.last().AfterOutage)
+		r.link.Note(nil)
+		time.Sleep(500 * time.Millisecond)
+		told := len(r.updates)
+		time.Sleep(4 * time.Second)
+		require.GreaterOrEqual(t, len(r.updates)-told, 3, "answers come often while rows may return")
+		time.Sleep(time.Minute)
+		require.False(t, r.last().AfterOutage)
+	})
+}
+
+// Pattern: the store forgets its history while a watch waits for the next
+// change.
+func TestLostHistoryIsListedAnew(t *testing.T) {
+	follow(t, func(r *reader) {
+		r.store.Put(followed, "b", []byte("1"))
+		r.store.ForgetHistory()
+		r.Refresh()
+		time.Sleep(time.Second)
+		require.Equal(t, "1", r.value("b"))
+		r.store.Put(followed, "b", []byte("2"))
+		time.Sleep(50 * time.Millisecond)
+		require.Equal(t, "2", r.value("b"))
+		require.False(t, r.last().Complete, "the watch went on after the list")
+	})
+}
+
+// Pattern: the store is away for long. Its return is noticed by one regular
+// caller, and the followers do not add a crowd of calls of their own.
+func TestFollowersCallSeldomWhileTheStoreIsAway(t *testing.T) {
+	follow(t, func(r *reader) {
+		var mu sync.Mutex
+		calls := 0
+		r.store.SetFaults(func(_, _ string) standin.Fault {
+			mu.Lock()
+			defer mu.Unlock()
+			calls++
+			return standin.FaultRefused
+		})
+		r.link.Note(errOutage)
+		r.Refresh()
+		time.Sleep(10 * time.Second)
+		mu.Lock()
+		require.LessOrEqual(t, calls, 12)
+		mu.Unlock()
+	})
+}
