--- a/internal/coordination/freshness/freshness.go
+++ b/internal/coordination/freshness/freshness.go
@@ -7,6 +7,7 @@
 package freshness
 
 import (
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -57,15 +58,34 @@
 	t.groups[group] = append(history, observation{asked: asked, position: position})
 }
 
+// Learn records an observation that another instance has made, which may be
+// older than those known here.
+func (t *Tracker) Learn(group state.GroupID, asked state.Instant, position state.Position) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	history := t.groups[group]
+	at := sort.Search(len(history), func(i int) bool { return history[i].asked >= asked })
+	if at < len(history) && history[at].asked < asked.Add(spacing) {
+		return
+	}
+	t.groups[group] = slices.Insert(history, at, observation{asked: asked, position: position})
+}
+
 // FloorFor returns the earliest known position that covers every commit
 // acknowledged before notBefore. It is false where none is known.
 func (t *Tracker) FloorFor(group state.GroupID, notBefore state.Instant) (state.Position, bool) {
+	_, position, known := t.Earliest(group, notBefore)
+	return position, known
+}
+
+// Earliest returns that position with the moment up to which it covers commits.
+func (t *Tracker) Earliest(group state.GroupID, notBefore state.Instant) (state.Instant, state.Position, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	history := t.groups[group]
 	i := sort.Search(len(history), func(i int) bool { return history[i].asked >= notBefore })
 	if i == len(history) {
-		return state.Position{}, false
+		return 0, state.Position{}, false
 	}
-	return history[i].position, true
+	return history[i].asked, history[i].position, true
 }
--- a/internal/coordination/leadership/change.go
+++ b/internal/coordination/leadership/change.go
@@ -338,7 +338,7 @@
 	if errors.Is(err, state.ErrNotRunning) {
 		return false, err
 	}
-	if err != nil {
+	if err != nil && !errors.Is(err, state.ErrTooManyCalls) {
 		m.markUnsure()
 	}
 	return err == nil, nil
--- a/internal/coordination/leadership/evaluate.go
+++ b/internal/coordination/leadership/evaluate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/directory"
@@ -45,6 +46,7 @@
 	}
 	m.mu.Unlock()
 	m.probe(ctx, id, primary)
+	m.probeReplicas(ctx, id, primary)
 
 	m.mu.Lock()
 	why, due := m.due(id, g, primary)
@@ -138,6 +140,29 @@
 	ask(m.readNow)
 }
 
+// probeReplicas asks the replicas that are doubted. While they are, hardly a
+// read goes to them, so that nothing else would show that they are back.
+func (m *Manager) probeReplicas(ctx context.Context, id state.GroupID, primary state.DatabaseID) {
+	for _, entry := range m.Directory.Servers(id) {
+		if entry.ID != primary && !entry.Leaving && m.Health.Doubted(entry.ID) && m.probeDue(entry.ID) {
+			m.probeOnce(ctx, entry.Server)
+		}
+	}
+}
+
+// probeDue reports whether a replica has not been probed for a while, and
+// counts it as probed now.
+func (m *Manager) probeDue(id state.DatabaseID) bool {
+	now := m.Clock.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if now.Sub(m.probedAt[id]) < replicaProbeInterval {
+		return false
+	}
+	m.probedAt[id] = now
+	return true
+}
+
 // probeOnce asks a database for its state in the background, one question at a
 // time.
 func (m *Manager) probeOnce(ctx context.Context, server state.Server) {
@@ -151,14 +176,32 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 		defer cancel()
-		if _, err := m.Databases.Status(ctx, server); err != nil {
-			m.Log.Debug().Err(err).Str("database", string(server.ID)).Msg("probe failed")
-			m.Health.Failure(server.ID)
-		} else {
-			m.Health.Success(server.ID)
-		}
+		_, err := m.Databases.Status(ctx, server)
+		m.noteProbe(server.ID, err)
 		m.mu.Lock()
 		delete(m.probing, server.ID)
 		m.mu.Unlock()
 	}()
 }
+
+// noteProbe takes in the result of a probe. A database that hangs up may have no
+// connection left, or serve nothing.
+func (m *Manager) noteProbe(id state.DatabaseID, err error) {
+	if err == nil || answered(err) {
+		m.Health.Success(id)
+		return
+	}
+	m.Log.Debug().Err(err).Str("database", string(id)).Msg("probe failed")
+	if errors.Is(err, state.ErrHungUp) {
+		m.Health.Doubt(id)
+		return
+	}
+	m.Health.Failure(id)
+}
+
+// answered reports whether an error is a database's own refusal: it runs, be it
+// that it has no connection left.
+func answered(err error) bool {
+	var refusal interface{ Answered() bool }
+	return errors.As(err, &refusal) && refusal.Answered()
+}
--- a/internal/coordination/leadership/grant.go
+++ b/internal/coordination/leadership/grant.go
@@ -43,13 +43,6 @@
 	return g.manager.lease.valid(now)
 }
 
-// Revoked reports whether the grant was taken back before its release.
-func (g *Grant) Revoked() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.revoked
-}
-
 // Release gives the grant back. It may be called more than once.
 func (g *Grant) Release() {
 	g.manager.mu.Lock()
--- a/internal/coordination/leadership/manager.go
+++ b/internal/coordination/leadership/manager.go
@@ -78,7 +78,9 @@
 	members members
 	// probing holds the databases that are being asked by probeOnce.
 	probing map[state.DatabaseID]bool
-	lease   lease
+	// probedAt is when a doubted replica was last probed.
+	probedAt map[state.DatabaseID]state.Instant
+	lease    lease
 	// generation is the version of the newest change of a primary that the
 	// store has told; all changes before it have been seen too.
 	generation uint64
@@ -123,7 +125,7 @@
 		Config: config, runName: nameOfRun(config.Self, config.Run),
 		groups: make(map[state.GroupID]*group), changed: make(chan struct{}),
 		beatNow: make(chan struct{}, 1), readNow: make(chan struct{}, 1), members: newMembers(),
-		probing: make(map[state.DatabaseID]bool),
+		probing: make(map[state.DatabaseID]bool), probedAt: make(map[state.DatabaseID]state.Instant),
 	}
 }
 
@@ -187,18 +189,30 @@
 	return m.members.live(m.Options.LongestLease)
 }
 
-// ShareOf returns the part of a group's connections that this instance may
-// hold: equalPart of it by the number of instances, the rest by their demand.
-func (m *Manager) ShareOf(id state.GroupID) float64 {
+// DemandOf returns how many instances may be using a group's databases, and how
+// much of the demand for them is this instance's.
+func (m *Manager) DemandOf(id state.GroupID) (instances, own, all int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	within := m.Options.LongestLease
-	equal := 1 / float64(m.members.live(within))
-	own, all := m.members.demand(m.Self, id, within)
-	if all == 0 {
-		return equal
-	}
-	return equalPart*equal + (1-equalPart)*float64(own)/float64(all)
+	own, all = m.members.demand(m.Self, id, within)
+	return m.members.live(within), own, all
+}
+
+// StoreOffsets bounds the difference between the store's clock and the local
+// one.
+func (m *Manager) StoreOffsets() (lower, upper time.Duration, known bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	upper, known = m.lease.clock.atMost(0)
+	return m.lease.clock.atLeast(0), upper, known
+}
+
+// Peers returns the addresses of the other instances.
+func (m *Manager) Peers() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.peerAddresses()
 }
 
 // Acquire grants the use of a group's primary. The error is an *Unavailable.
--- a/internal/coordination/leadership/options.go
+++ b/internal/coordination/leadership/options.go
@@ -68,9 +68,6 @@
 	vouchBefore   = 1500 * time.Millisecond
 	vouchInterval = 250 * time.Millisecond
 	vouchLasts    = time.Second
-	// equalPart of a group's connections is shared equally, so that an instance
-	// that has just started can serve before its demand is known.
-	equalPart = 0.3
 	// liveIntervals is how many renewals an instance may miss before it no
 	// longer counts as live.
 	liveIntervals = 4
@@ -100,6 +97,9 @@
 	confirmTimeout = 5 * time.Second
 	// storeWriteTimeout bounds the retries of one store write in a change.
 	storeWriteTimeout = 3 * time.Second
+	// replicaProbeInterval is the time between two probes of a replica that is
+	// doubted; the others serve its reads meanwhile.
+	replicaProbeInterval = 500 * time.Millisecond
 	// idleProbeAfter is how long a primary may go without an answer before it
 	// is probed.
 	idleProbeAfter = time.Second
--- /dev/null
+++ b/internal/coordination/pooling/dial.go
@@ -0,0 +1,117 @@
+package pooling
+
+import (
+	"container/heap"
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection: two round trips between
+	// regions and the database's own 12 ms, with room for a busy database.
+	dialTimeout = 600 * time.Millisecond
+	// dialPause keeps a pool from opening connections one after the other
+	// while the database refuses them.
+	// The pause doubles with each refusal.
+	dialPause        = 50 * time.Millisecond
+	longestDialPause = 200 * time.Millisecond
+	maxDoublings     = 2
+)
+
+// DialError is the error of a connection that could not be opened.
+type DialError struct {
+	Database state.DatabaseID
+	// Code is the database's own refusal; CodeNone where it did not answer.
+	Code  state.ErrorCode
+	Cause error
+}
+
+// Error gives database and cause.
+func (e *DialError) Error() string {
+	return fmt.Sprintf("connect to %s: %v", e.Database, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *DialError) Unwrap() error { return e.Cause }
+
+// Answered reports whether the database refused the connection itself, so that
+// it runs.
+func (e *DialError) Answered() bool {
+	var refused *RefusedError
+	return errors.As(e.Cause, &refused)
+}
+
+// openMore must be called with the lock held.
+func (p *Pool) openMore() {
+	if time.Now().Before(p.dialAfter) {
+		return
+	}
+	for p.opening < p.queue.Len() && p.open+p.opening < int(p.share.Load()) {
+		p.opening++
+		go p.dial()
+	}
+}
+
+func (p *Pool) dial() {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	conn, err := p.dialer.Dial(ctx, p.server)
+	cancel()
+	if err != nil {
+		p.dialFailed(err)
+		return
+	}
+	p.health.Success(p.server.ID)
+	p.mu.Lock()
+	p.opening--
+	if p.closed {
+		p.mu.Unlock()
+		conn.Close()
+		return
+	}
+	p.open++
+	p.refusals = 0
+	p.keep(newLink(conn, p.server))
+	p.dispatch()
+	p.mu.Unlock()
+}
+
+func (p *Pool) dialFailed(err error) {
+	failure := &DialError{Database: p.server.ID, Cause: err}
+	var refused *RefusedError
+	switch {
+	case errors.As(err, &refused):
+		failure.Code = refused.Code
+		p.health.Success(p.server.ID)
+	case errors.Is(err, state.ErrHungUp):
+		// The database accepted the connection and closed it: it runs, and
+		// has more connections than it accepts.
+		failure.Code = state.CodeTooManyConnections
+	default:
+		p.health.Failure(p.server.ID)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.opening--
+	now := time.Now()
+	p.refusals++
+	p.dialAfter = now.Add(min(dialPause<<min(p.refusals-1, maxDoublings), longestDialPause))
+	if failure.Code == state.CodeTooManyConnections && p.open > 0 {
+		// The waiters are served by the open connections, and more are opened
+		// when one of them asks again.
+		return
+	}
+	p.log.Warn().Err(err).Str("database", string(p.server.ID)).Int("open", p.open).Int("waiting", p.queue.Len()).Msg("connection not opened")
+	if p.queue.Len() > 0 {
+		w := heap.Pop(&p.queue).(*waiter)
+		w.result <- waitResult{err: failure}
+	}
+	time.AfterFunc(time.Until(p.dialAfter), func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.dispatch()
+	})
+}
--- /dev/null
+++ b/internal/coordination/pooling/limiter_test.go
@@ -0,0 +1,119 @@
+package pooling
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// slottedDatabase works on a few statements at a time, queues some and refuses
+// the others.
+type slottedDatabase struct {
+	slots    chan struct{}
+	queue    int64
+	present  atomic.Int64
+	refused  atomic.Int64
+	answered atomic.Int64
+}
+
+func newSlottedDatabase(slots int, queue int64) *slottedDatabase {
+	return &slottedDatabase{slots: make(chan struct{}, slots), queue: queue}
+}
+
+func (d *slottedDatabase) Dial(context.Context, state.Server) (Conn, error) {
+	return &slottedConn{database: d}, nil
+}
+
+type slottedConn struct {
+	fakeConn
+	database *slottedDatabase
+}
+
+func (c *slottedConn) Run(Statement, time.Time, func()) (state.Reply, error) {
+	d := c.database
+	defer d.present.Add(-1)
+	if d.present.Add(1) > d.queue+int64(cap(d.slots)) {
+		d.refused.Add(1)
+		return state.Reply{Code: state.CodeBusy}, nil
+	}
+	d.slots <- struct{}{}
+	time.Sleep(20 * time.Millisecond)
+	<-d.slots
+	d.answered.Add(1)
+	return state.Reply{Proof: "p"}, nil
+}
+
+// press lets callers send statements one after the other for a while.
+func press(t *testing.T, p *Pool, during time.Duration) {
+	t.Helper()
+	until := time.Now().Add(during)
+	var pressing sync.WaitGroup
+	for range 200 {
+		pressing.Go(func() {
+			for time.Now().Before(until) {
+				link, err := p.Acquire(t.Context(), 1, "", time.Now().Add(400*time.Millisecond))
+				if err != nil {
+					time.Sleep(50 * time.Millisecond)
+					continue
+				}
+				_, err = p.Run(link, Statement{}, time.Now().Add(time.Second))
+				p.Release(link, err == nil)
+			}
+		})
+	}
+	pressing.Wait()
+}
+
+// Pattern: more statements than the database queues. The pool learns how many
+// it takes, so that few are refused and its slots stay in use.
+func TestLimiterFindsWhatTheDatabaseTakes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		database := newSlottedDatabase(3, 24)
+		p := newPool(state.Server{}, database, noHealth{}, 60, zerolog.Nop())
+		press(t, p, 5*time.Second)
+		database.refused.Store(0)
+		database.answered.Store(0)
+		press(t, p, 5*time.Second)
+		refused, answered := database.refused.Load(), database.answered.Load()
+		require.Less(t, refused, answered/10, "refused of %d answered", answered)
+		require.Greater(t, answered, int64(700), "three slots, 20 ms a statement, 5 s: 750 at the most")
+		p.close()
+	})
+}
+
+// Pattern: a burst is over. The limit that it left behind ends.
+func TestLimitEndsWithTheOverload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		database := newSlottedDatabase(3, 24)
+		p := newPool(state.Server{}, database, noHealth{}, 60, zerolog.Nop())
+		press(t, p, time.Second)
+		require.NotZero(t, p.stats().Limit)
+		database.queue = 1000
+		press(t, p, 30*time.Second)
+		require.Zero(t, p.stats().Limit)
+		p.close()
+	})
+}
+
+// A connection that is handed out and not used must not count for ever.
+func TestUnusedConnectionIsSettled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPool(state.Server{}, newSlottedDatabase(1, 1), noHealth{}, 2, zerolog.Nop())
+		p.limiter.limit, p.limiter.peak = 1, 1
+		for range 3 {
+			link, err := p.Acquire(t.Context(), 1, "", time.Now().Add(time.Second))
+			require.NoError(t, err)
+			p.Release(link, true)
+		}
+		require.Zero(t, p.inFlight())
+		p.close()
+	})
+}
--- a/internal/coordination/pooling/link.go
+++ b/internal/coordination/pooling/link.go
@@ -87,6 +87,9 @@
 	prepared map[string]bool
 	lastUsed time.Time
 	acquired time.Time
+	// starting is set from the hand-over to the first statement. The pool's
+	// lock guards it.
+	starting bool
 }
 
 func newLink(conn Conn, server state.Server) *Link {
--- a/internal/coordination/pooling/manager.go
+++ b/internal/coordination/pooling/manager.go
@@ -18,11 +18,6 @@
 	// power a database keeps the connections of before for three seconds, and
 	// what it accepts must do for both these and the new ones.
 	longestIdle = 3 * time.Second
-	// reserveShare keeps one connection in this many free, for probes and for
-	// an instance that takes the place of another.
-	reserveShare = 10
-	// leastShare lets any instance serve a statement beside a transaction.
-	leastShare = 2
 	// demandInterval is the time between two samples of the demand, and
 	// demandWeight the weight of the newest: a few seconds count.
 	demandInterval = 250 * time.Millisecond
@@ -38,17 +33,17 @@
 	log    zerolog.Logger
 	// maxConnections returns what each database of a group accepts.
 	maxConnections func(state.GroupID) int
-	// shareOf returns this instance's part of that.
-	shareOf func(state.GroupID) float64
+	// divisionOf returns among whom that is divided.
+	divisionOf func(state.GroupID) Division
 
 	mu    sync.Mutex
 	pools map[state.DatabaseID]*Pool
 }
 
 // NewManager returns a manager without pools.
-func NewManager(dialer Dialer, health Health, maxConnections func(state.GroupID) int, shareOf func(state.GroupID) float64, log zerolog.Logger) *Manager {
+func NewManager(dialer Dialer, health Health, maxConnections func(state.GroupID) int, divisionOf func(state.GroupID) Division, log zerolog.Logger) *Manager {
 	return &Manager{
-		dialer: dialer, health: health, log: log, maxConnections: maxConnections, shareOf: shareOf,
+		dialer: dialer, health: health, log: log, maxConnections: maxConnections, divisionOf: divisionOf,
 		pools: make(map[state.DatabaseID]*Pool),
 	}
 }
@@ -65,16 +60,27 @@
 	if ok {
 		go pool.close()
 	}
-	group := server.Group
-	pool = newPool(server, m.dialer, m.health, func() Limits { return m.limits(group) }, m.log)
+	pool = newPool(server, m.dialer, m.health, m.shareOf(server.Group), m.log)
 	m.pools[server.ID] = pool
 	return pool
 }
 
-func (m *Manager) limits(group state.GroupID) Limits {
-	most := m.maxConnections(group)
-	share := max(leastShare, int(float64(most-most/reserveShare)*m.shareOf(group)))
-	return Limits{Share: share, Most: share}
+func (m *Manager) shareOf(group state.GroupID) int {
+	return share(m.maxConnections(group), m.divisionOf(group))
+}
+
+// measure takes the present demand of all pools into account and divides the
+// connections anew.
+func (m *Manager) measure() {
+	shares := make(map[state.GroupID]int)
+	for _, pool := range m.all() {
+		pool.sample()
+		group := pool.server.Group
+		if _, known := shares[group]; !known {
+			shares[group] = m.shareOf(group)
+		}
+		pool.share.Store(int64(shares[group]))
+	}
 }
 
 // Gone closes the pool of a database that is no longer registered.
@@ -102,9 +108,7 @@
 			}
 			return
 		case <-samples.C:
-			for _, pool := range m.all() {
-				pool.sample()
-			}
+			m.measure()
 		case <-ticker.C:
 			for _, pool := range m.all() {
 				pool.trim(longestIdle)
--- a/internal/coordination/pooling/pool.go
+++ b/internal/coordination/pooling/pool.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -14,18 +15,6 @@
 )
 
 const (
-	// dialTimeout bounds the opening of a connection: two round trips between
-	// regions and the database's own 12 ms, with room for a busy database.
-	dialTimeout = 600 * time.Millisecond
-	// dialPause keeps a pool from opening connections one after the other
-	// while the database refuses them.
-	// The pause doubles with each refusal.
-	dialPause        = 50 * time.Millisecond
-	longestDialPause = 200 * time.Millisecond
-	maxDoublings     = 2
-	// crowdedFor is how long a pool keeps to its share after the database had
-	// no connection left.
-	crowdedFor = 5 * time.Second
 	// latencyWeight is the weight of the newest answer in the moving average.
 	latencyWeight = 0.15
 	// initialLatency is assumed of a database that has not answered yet.
@@ -35,14 +24,6 @@
 	lateLeast  = 400 * time.Millisecond
 )
 
-// Limits bound a pool's connections.
-type Limits struct {
-	// Share is this instance's part of what the database accepts.
-	Share int
-	// Most may be open for a while when other instances leave room.
-	Most int
-}
-
 // Refusal is the error of a request that got no connection in time.
 type Refusal struct {
 	Database   state.DatabaseID
@@ -56,26 +37,6 @@
 	return fmt.Sprintf("no connection to %s in time: %d requests wait for %d connections", r.Database, r.Waiting, r.Open)
 }
 
-// DialError is the error of a connection that could not be opened.
-type DialError struct {
-	Database state.DatabaseID
-	// Code is the database's own refusal; CodeNone where it did not answer.
-	Code  state.ErrorCode
-	Cause error
-}
-
-// Error gives database and cause.
-func (e *DialError) Error() string {
-	return fmt.Sprintf("connect to %s: %v", e.Database, e.Cause)
-}
-
-// Unwrap returns the cause.
-func (e *DialError) Unwrap() error { return e.Cause }
-
-// ErrHungUp is the error of a connection that the database accepted and then
-// closed before its startup.
-var ErrHungUp = errors.New("the database closed the connection at its startup")
-
 // errPoolClosed is the error of a database that is no longer used.
 var errPoolClosed = errors.New("the database is no longer used")
 
@@ -92,7 +53,8 @@
 	dialer Dialer
 	health Health
 	log    zerolog.Logger
-	limits func() Limits
+	// share is how many connections this pool may have open.
+	share atomic.Int64
 
 	mu       sync.Mutex
 	idle     []*Link // the last one was used last
@@ -101,18 +63,23 @@
 	queue    waiters
 	sequence uint64
 	closed   bool
-	// crowdedUntil and dialAfter hold after refusals.
-	crowdedUntil, dialAfter time.Time
+	// dialAfter is when the next connection may be opened after a refusal.
+	dialAfter time.Time
 	// refusals counts the connections not opened since the last that was.
 	refusals int
-	running  int
+	// running statements are at the database; starting is the number of
+	// connections handed out whose first statement is not.
+	running, starting int
+	limiter           limiter
 	// demand is the moving average of the connections in use or waited for.
 	demand        float64
 	latency, held time.Duration
 }
 
-func newPool(server state.Server, dialer Dialer, health Health, limits func() Limits, log zerolog.Logger) *Pool {
-	return &Pool{server: server, dialer: dialer, health: health, limits: limits, log: log, latency: initialLatency, held: initialLatency}
+func newPool(server state.Server, dialer Dialer, health Health, share int, log zerolog.Logger) *Pool {
+	p := &Pool{server: server, dialer: dialer, health: health, log: log, latency: initialLatency, held: initialLatency}
+	p.share.Store(int64(share))
+	return p
 }
 
 // Acquire returns a connection, preferring one with the given session values.
@@ -124,16 +91,12 @@
 		p.mu.Unlock()
 		return nil, &DialError{Database: p.server.ID, Cause: errPoolClosed}
 	}
-	if link := p.takeIdle(valuesKey); link != nil {
-		p.mu.Unlock()
-		return link, nil
-	}
 	if refusal := p.hopeless(deadline); refusal != nil {
 		p.mu.Unlock()
 		return nil, refusal
 	}
-	w := p.enqueue(priority)
-	p.openMore()
+	w := p.enqueue(priority, valuesKey)
+	p.dispatch()
 	p.mu.Unlock()
 	return p.await(ctx, w, deadline)
 }
@@ -181,7 +144,6 @@
 		link := p.idle[chosen]
 		p.idle = append(p.idle[:chosen], p.idle[chosen+1:]...)
 		if link.Alive() {
-			link.acquired = time.Now()
 			return link
 		}
 		link.Close()
@@ -193,10 +155,7 @@
 // hopeless must be called with the lock held. It returns a refusal where the
 // queue ahead takes longer than the deadline leaves.
 func (p *Pool) hopeless(deadline time.Time) *Refusal {
-	if p.open == 0 {
-		return nil
-	}
-	if time.Until(deadline) > p.expectedWait() {
+	if p.open == 0 || time.Until(deadline) > p.expectedWait() {
 		return nil
 	}
 	return p.refusal()
@@ -207,7 +166,7 @@
 	if p.queue.Len() == 0 {
 		return 0
 	}
-	return p.held * time.Duration(p.queue.Len()) / time.Duration(max(1, p.open))
+	return p.held * time.Duration(p.queue.Len()) / time.Duration(max(1, min(p.open, p.limiter.most(p.open))))
 }
 
 func (p *Pool) refusal() *Refusal {
@@ -218,130 +177,73 @@
 }
 
 // enqueue must be called with the lock held.
-func (p *Pool) enqueue(priority int) *waiter {
+func (p *Pool) enqueue(priority int, valuesKey string) *waiter {
 	p.sequence++
-	w := &waiter{priority: priority, sequence: p.sequence, result: make(chan waitResult, 1)}
+	w := &waiter{priority: priority, sequence: p.sequence, valuesKey: valuesKey, result: make(chan waitResult, 1)}
 	heap.Push(&p.queue, w)
 	return w
 }
 
-// openMore must be called with the lock held.
-func (p *Pool) openMore() {
-	limits := p.limits()
-	most := limits.Most
-	now := time.Now()
-	if now.Before(p.crowdedUntil) {
-		most = limits.Share
-	}
-	if now.Before(p.dialAfter) {
-		return
-	}
-	for p.opening < p.queue.Len() && p.open+p.opening < most {
-		p.opening++
-		go p.dial()
-	}
-}
-
-func (p *Pool) dial() {
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
-	conn, err := p.dialer.Dial(ctx, p.server)
-	cancel()
-	if err != nil {
-		p.dialFailed(err)
-		return
-	}
-	p.health.Success(p.server.ID)
-	p.mu.Lock()
-	p.opening--
-	if p.closed {
-		p.mu.Unlock()
-		conn.Close()
-		return
-	}
-	p.open++
-	p.refusals = 0
-	p.handOver(newLink(conn, p.server))
-	p.mu.Unlock()
+// inFlight must be called with the lock held.
+func (p *Pool) inFlight() int {
+	return p.running + p.starting
 }
 
-func (p *Pool) dialFailed(err error) {
-	failure := &DialError{Database: p.server.ID, Cause: err}
-	var refused *RefusedError
-	switch {
-	case errors.As(err, &refused):
-		failure.Code = refused.Code
-		p.health.Success(p.server.ID)
-	case errors.Is(err, ErrHungUp):
-		// The database accepted the connection and closed it: it runs, and
-		// has more connections than it accepts.
-		failure.Code = state.CodeTooManyConnections
-	default:
-		p.health.Failure(p.server.ID)
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.opening--
-	now := time.Now()
-	p.refusals++
-	p.dialAfter = now.Add(min(dialPause<<min(p.refusals-1, maxDoublings), longestDialPause))
-	if failure.Code == state.CodeTooManyConnections {
-		p.crowdedUntil = now.Add(crowdedFor)
-		if p.open > 0 {
-			// The waiters are served by the open connections, and more are
-			// opened when one of them asks again.
+// dispatch must be called with the lock held. It hands idle connections to
+// those who wait, as far as the limiter allows, and opens more for the others.
+func (p *Pool) dispatch() {
+	for p.queue.Len() > 0 && p.limiter.allows(p.inFlight()) {
+		link := p.takeIdle(p.queue[0].valuesKey)
+		if link == nil {
+			p.openMore()
 			return
 		}
-	}
-	p.log.Warn().Err(err).Str("database", string(p.server.ID)).Int("open", p.open).Int("waiting", p.queue.Len()).Msg("connection not opened")
-	if p.queue.Len() > 0 {
+		link.acquired, link.starting = time.Now(), true
+		p.starting++
 		w := heap.Pop(&p.queue).(*waiter)
-		w.result <- waitResult{err: failure}
+		w.result <- waitResult{link: link}
 	}
-	time.AfterFunc(time.Until(p.dialAfter), func() {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.openMore()
-	})
 }
 
-// handOver must be called with the lock held.
-func (p *Pool) handOver(link *Link) {
-	link.lastUsed = time.Now()
-	if p.queue.Len() == 0 {
-		p.idle = append(p.idle, link)
-		return
+// settle must be called with the lock held, when a connection's first
+// statement is sent or will not be.
+func (p *Pool) settle(link *Link) {
+	if link.starting {
+		link.starting = false
+		p.starting--
 	}
-	link.acquired = link.lastUsed
-	w := heap.Pop(&p.queue).(*waiter)
-	w.result <- waitResult{link: link}
 }
 
 // Release gives a connection back. It is closed unless it is reusable.
 func (p *Pool) Release(link *Link, reusable bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.settle(link)
 	p.held += time.Duration(latencyWeight * float64(time.Since(link.acquired)-p.held))
 	if reusable && !p.closed {
-		p.handOver(link)
-		return
+		p.keep(link)
+	} else {
+		p.open--
+		go link.Close()
 	}
-	p.open--
-	go link.Close()
-	p.openMore()
+	p.dispatch()
+}
+
+// keep must be called with the lock held.
+func (p *Pool) keep(link *Link) {
+	link.lastUsed = time.Now()
+	p.idle = append(p.idle, link)
 }
 
 // Run sends a statement on a connection of this pool and keeps account of it.
 func (p *Pool) Run(link *Link, statement Statement, deadline time.Time) (state.Reply, error) {
 	p.mu.Lock()
+	p.settle(link)
 	p.running++
 	p.mu.Unlock()
 	started := time.Now()
 	reply, err := link.Run(statement, deadline, func() { p.health.Doubt(p.server.ID) })
-	took := time.Since(started)
-	p.mu.Lock()
-	p.running--
-	p.latency += time.Duration(latencyWeight * float64(took-p.latency))
-	p.mu.Unlock()
+	p.account(time.Since(started), reply, err)
 	if err != nil {
 		p.health.Failure(p.server.ID)
 	} else {
@@ -350,6 +252,21 @@
 	return reply, err
 }
 
+func (p *Pool) account(took time.Duration, reply state.Reply, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case err != nil:
+	case reply.Code == state.CodeBusy:
+		p.limiter.refused(p.inFlight(), time.Now())
+	default:
+		p.limiter.answered(p.inFlight())
+	}
+	p.running--
+	p.latency += time.Duration(latencyWeight * float64(took-p.latency))
+	p.dispatch()
+}
+
 // Cost estimates how long a statement would take that is sent now.
 func (p *Pool) Cost() time.Duration {
 	p.mu.Lock()
@@ -362,7 +279,8 @@
 func (p *Pool) Crowded() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.idle) == 0 && p.open+p.opening >= p.limits().Most
+	full := len(p.idle) == 0 && p.open+p.opening >= int(p.share.Load())
+	return full || p.queue.Len() > 0 || !p.limiter.allows(p.inFlight())
 }
 
 // LateAfter is how long an answer may take before it counts as late.
@@ -427,7 +345,11 @@
 	Idle     int              `json:"idle"`
 	Waiting  int              `json:"waiting"`
 	Running  int              `json:"running"`
-	Latency  time.Duration    `json:"latency_ns"`
+	Share    int              `json:"share"`
+	// Limit is how many statements may be in flight; 0 while the database
+	// refuses none.
+	Limit   float64       `json:"limit"`
+	Latency time.Duration `json:"latency_ns"`
 }
 
 func (p *Pool) stats() Stats {
@@ -436,5 +358,6 @@
 	return Stats{
 		Database: p.server.ID, Group: p.server.Group, Open: p.open, Idle: len(p.idle),
 		Waiting: p.queue.Len(), Running: p.running, Latency: p.latency,
+		Share: int(p.share.Load()), Limit: p.limiter.limit,
 	}
 }
--- a/internal/coordination/pooling/pool_test.go
+++ b/internal/coordination/pooling/pool_test.go
@@ -75,7 +75,7 @@
 func (noHealth) Doubt(state.DatabaseID)   {}
 
 func testPool(dialer *fakeDialer, most int) *Pool {
-	return newPool(state.Server{Database: state.Database{ID: "db"}}, dialer, noHealth{}, func() Limits { return Limits{Share: most, Most: most} }, zerolog.Nop())
+	return newPool(state.Server{Database: state.Database{ID: "db"}}, dialer, noHealth{}, most, zerolog.Nop())
 }
 
 // Pattern: more requests than connections. The more urgent is served first,
@@ -150,7 +150,7 @@
 		p := testPool(dialer, 5)
 		held, err := p.Acquire(t.Context(), 1, "", time.Now().Add(time.Second))
 		require.NoError(t, err)
-		dialer.err = errors.Join(ErrHungUp, errors.New("EOF"))
+		dialer.err = errors.Join(state.ErrHungUp, errors.New("EOF"))
 		for range 20 {
 			go func() {
 				link, err := p.Acquire(t.Context(), 1, "", time.Now().Add(time.Second))
--- /dev/null
+++ b/internal/coordination/pooling/share_test.go
@@ -0,0 +1,43 @@
+package pooling
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Pattern: many instances share few connections. What they open together must
+// not exceed what the database accepts, and none is left without any.
+func TestSharesAddUpToWhatTheDatabaseAccepts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		accepted := rapid.IntRange(2, 500).Draw(t, "accepted")
+		instances := rapid.IntRange(1, accepted-accepted/reserveShare).Draw(t, "instances")
+		demands := rapid.SliceOfN(rapid.IntRange(0, 400), instances, instances).Draw(t, "demands")
+		all := 0
+		for _, demand := range demands {
+			all += demand
+		}
+		sum := 0
+		for _, own := range demands {
+			part := share(accepted, Division{Instances: instances, Own: own, All: all})
+			require.GreaterOrEqual(t, part, 1)
+			sum += part
+		}
+		require.LessOrEqual(t, sum, accepted)
+	})
+}
+
+// Pattern: an instance that is busier than the others gets more of the
+// connections.
+func TestSharesFollowDemand(t *testing.T) {
+	busy := share(222, Division{Instances: 34, Own: 300, All: 630})
+	idle := share(222, Division{Instances: 34, Own: 10, All: 630})
+	require.Greater(t, busy, 5*idle)
+	require.GreaterOrEqual(t, idle, fullLeast)
+}
+
+func TestInstanceAloneMayUseAllButTheReserve(t *testing.T) {
+	require.Equal(t, 20, share(22, Division{Instances: 1, Own: 5, All: 5}))
+	require.Equal(t, 20, share(22, Division{}))
+}
--- a/internal/coordination/pooling/waiters.go
+++ b/internal/coordination/pooling/waiters.go
@@ -12,7 +12,9 @@
 	priority int // 0 is served first
 	sequence uint64
 	index    int
-	result   chan waitResult
+	// valuesKey names the session values that its connection should have.
+	valuesKey string
+	result    chan waitResult
 }
 
 // waiters is a heap in the order of priority, then of arrival.
--- a/internal/coordination/relay/engine.go
+++ b/internal/coordination/relay/engine.go
@@ -36,6 +36,9 @@
 type Freshness interface {
 	Observe(group state.GroupID, asked state.Instant, position state.Position)
 	FloorFor(group state.GroupID, notBefore state.Instant) (state.Position, bool)
+	// Ask lets other instances tell what they have proven; FloorFor knows it
+	// within milliseconds, if at all.
+	Ask(group state.GroupID, notBefore state.Instant)
 }
 
 // Pools hold the connections to databases.
--- a/internal/coordination/relay/reads.go
+++ b/internal/coordination/relay/reads.go
@@ -36,6 +36,14 @@
 	// behind tells that a replica was left out because it lacked the position
 	// a moment ago.
 	behind bool
+	// unproven tells that replicas were left out because no position is known
+	// that covers what the read must see.
+	unproven bool
+}
+
+// primaryFree reports whether the primary can serve at once.
+func (c *choices) primaryFree() bool {
+	return slices.ContainsFunc(c.options, func(option choice) bool { return option.primary && !option.crowded })
 }
 
 // choices returns the databases that may serve a read now.
@@ -57,6 +65,7 @@
 		case candidate.primary:
 			candidate.cost = candidate.cost*primaryReadFactor + primaryReadPenalty
 		case !proven:
+			found.unproven = true
 			continue
 		case !e.replicas.mayHold(entry.ID, need, now):
 			found.behind = true
@@ -72,6 +81,9 @@
 		}
 		found.options = append(found.options, candidate)
 	}
+	if found.unproven && !found.primaryFree() {
+		e.Freshness.Ask(r.route.Group, notBefore)
+	}
 	slices.SortStableFunc(found.options, func(a, b choice) int { return cmp.Compare(a.cost, b.cost) })
 	return found
 }
@@ -87,27 +99,36 @@
 // what a read must see: usual lags are 8 to 100 ms.
 const catchUpPause = 25 * time.Millisecond
 
-// runRead answers a single read of a bounded or session route. While all
-// databases are behind or crowded, it tries them again: a replica usually
-// catches up sooner than a crowded primary's queue moves.
+// proofWait is how long other instances are given to tell a position: two
+// rounds of questions, each a round trip between regions.
+const proofWait = 100 * time.Millisecond
+
+// runRead answers a single read of a bounded or session route.
 func (s *Session) runRead(r *request) state.Reply {
+	return s.tryChoices(r, s.tryRead)
+}
+
+// tryChoices tries the databases that may serve a read until try no longer
+// asks for another. While all are behind or crowded, it tries them again: a
+// replica usually catches up sooner than a crowded primary's queue moves.
+func (s *Session) tryChoices(r *request, try func(*request, choice, state.Position) (reply state.Reply, again bool)) state.Reply {
 	last := r.busy("no database can serve the read", retryAfterChange)
 	for {
 		found := s.choices(r)
 		r.need = found.need
-		behind := found.behind
+		behind := found.behind || found.unproven && time.Since(r.started) < proofWait
 		for _, option := range found.options {
 			if option.primary && option.crowded && behind && time.Until(r.queueDeadline()) > r.queueTime()/4 {
 				continue
 			}
-			reply, again := s.tryRead(r, option, found.need)
+			reply, again := try(r, option, found.need)
 			if !again {
 				return reply
 			}
 			behind = behind || isLagging(r.lastFail)
 			last = reply
 		}
-		if len(found.options) == 0 && !found.behind || time.Until(r.queueDeadline()) < 2*catchUpPause {
+		if len(found.options) == 0 && !behind || time.Until(r.queueDeadline()) < 2*catchUpPause {
 			return last
 		}
 		time.Sleep(catchUpPause)
--- a/internal/coordination/relay/replicas.go
+++ b/internal/coordination/relay/replicas.go
@@ -8,8 +8,15 @@
 )
 
 // laggingFor is how long a replica is not asked again for a position that it
-// lacked, unless it has answered with a later one meanwhile.
-const laggingFor = 100 * time.Millisecond
+// lacked, unless it has answered with a later one meanwhile. After more than
+// backlogAfter refusals in a row the time doubles: a replica with a long
+// backlog would otherwise refuse more questions than it serves reads. Usual
+// lags are over by then.
+const (
+	laggingFor         = 100 * time.Millisecond
+	backlogAfter       = 5
+	maxLaggingDoubling = 3
+)
 
 // progress is what is known of a replica's log.
 type progress struct {
@@ -18,6 +25,13 @@
 	// lacked is a position that it did not have at lackedAt.
 	lacked   state.Position
 	lackedAt state.Instant
+	// refusals counts the positions that it lacked in a row.
+	refusals int
+}
+
+// pause is how long the replica is not asked for what it lacked.
+func (p *progress) pause() time.Duration {
+	return laggingFor << min(max(0, p.refusals-backlogAfter), maxLaggingDoubling)
 }
 
 // replicas keeps the progress of each replica. Its lock is a leaf.
@@ -35,7 +49,7 @@
 	defer r.mu.Unlock()
 	p := r.byID[id]
 	// A replica that was rolled back starts over in a later term.
-	p.applied = state.MaxPosition(p.applied, position)
+	p.applied, p.refusals = state.MaxPosition(p.applied, position), 0
 	r.byID[id] = p
 }
 
@@ -43,6 +57,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := r.byID[id]
+	if p.lackedAt == 0 || now.Sub(p.lackedAt) >= p.pause() {
+		// Refusals to statements that were sent together count once.
+		p.refusals++
+	}
 	p.lacked, p.lackedAt = position, now
 	r.byID[id] = p
 }
@@ -55,7 +73,7 @@
 	if p.applied.Covers(position) {
 		return true
 	}
-	recently := now.Sub(p.lackedAt) < laggingFor && p.lackedAt != 0
+	recently := p.lackedAt != 0 && now.Sub(p.lackedAt) < p.pause()
 	return !recently || !position.Covers(p.lacked)
 }
 
--- /dev/null
+++ b/internal/coordination/relay/replicas_test.go
@@ -0,0 +1,40 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// Pattern: a replica has a backlog of many seconds. It is asked ever more
+// seldom, and at once again when it has answered.
+func TestReplicaWithABacklogIsAskedSeldom(t *testing.T) {
+	known := newReplicas()
+	need := state.Position{Term: 1, Offset: 100}
+	now := state.Instant(time.Minute)
+	asked := 0
+	for range 1000 {
+		now = now.Add(10 * time.Millisecond)
+		if known.mayHold("r", need, now) {
+			known.lagging("r", need, now)
+			asked++
+		}
+	}
+	require.LessOrEqual(t, asked, 10*1000/800+backlogAfter+3, "in ten seconds")
+	require.GreaterOrEqual(t, asked, 10)
+	known.applied("r", state.Position{Term: 1, Offset: 99})
+	now = now.Add(laggingFor)
+	require.True(t, known.mayHold("r", need, now))
+}
+
+// An earlier position than the one that was lacked may be asked for.
+func TestLaggingReplicaMayHoldAnEarlierPosition(t *testing.T) {
+	known := newReplicas()
+	now := state.Instant(time.Minute)
+	known.lagging("r", state.Position{Term: 1, Offset: 100}, now)
+	require.True(t, known.mayHold("r", state.Position{Term: 1, Offset: 90}, now))
+	require.False(t, known.mayHold("r", state.Position{Term: 1, Offset: 100}, now))
+}
--- a/internal/coordination/relay/request.go
+++ b/internal/coordination/relay/request.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/leadership"
@@ -122,14 +121,11 @@
 // finish counts the request and writes its log line.
 func (r *request) finish(reply state.Reply) {
 	took := time.Since(r.started)
-	kind := r.route.Consistency.String()
-	metrics.GetOrCreateCounter(fmt.Sprintf(`cyclamenpin_statements_total{route=%q,kind=%q,code=%q}`, kind, r.statement.Kind, reply.Code)).Inc()
+	countOutcome(outcome{route: r.route.Consistency, kind: r.statement.Kind, code: reply.Code})
 	if r.tries == 0 && reply.Code == state.CodeNone {
 		return
 	}
-	metrics.GetOrCreateHistogram(fmt.Sprintf(`cyclamenpin_statement_seconds{route=%q,step="queue"}`, kind)).Update(r.queued.Seconds())
-	metrics.GetOrCreateHistogram(fmt.Sprintf(`cyclamenpin_statement_seconds{route=%q,step="run"}`, kind)).Update(r.ran.Seconds())
-	metrics.GetOrCreateHistogram(fmt.Sprintf(`cyclamenpin_statement_seconds{route=%q,step="whole"}`, kind)).Update(took.Seconds())
+	observeDurations(r.route.Consistency, r.queued, r.ran, took)
 	r.logLine(reply, took)
 }
 
--- a/internal/coordination/relay/single.go
+++ b/internal/coordination/relay/single.go
@@ -70,9 +70,31 @@
 		return s.lostAnswer(r)
 	}
 	s.notePrimaryReply(r, reply, asked)
+	if reply.Code == state.CodeBusy {
+		return r.busy("the database is overloaded", pool.Cost()), s.pauseBusy(r)
+	}
 	return reply, false
 }
 
+// busyPause is the first pause after a database was overloaded; its queue of a
+// few dozen statements moves on by some in this time.
+const busyPause = 15 * time.Millisecond
+
+// pauseBusy waits before another try at an overloaded database. It returns
+// false where no time is left for one.
+func (s *Session) pauseBusy(r *request) bool {
+	pause := busyPause << min(r.tries-1, maxBusyDoublings)
+	if time.Now().Add(pause).After(r.queueDeadline()) {
+		return false
+	}
+	time.Sleep(pause)
+	return true
+}
+
+// maxBusyDoublings bounds the pauses of a statement to a tenth of the usual
+// objectives.
+const maxBusyDoublings = 2
+
 // notePrimaryReply takes over what a primary's answer shows. Errors are the
 // client's to see: each keeps what its code promises.
 func (s *Session) notePrimaryReply(r *request, reply state.Reply, asked state.Instant) {
--- a/internal/coordination/relay/transaction.go
+++ b/internal/coordination/relay/transaction.go
@@ -106,7 +106,7 @@
 		return s.refuse(r, state.CodeAborted, "the connection to the database was lost, the transaction was rolled back")
 	}
 	tx.wrote = tx.wrote || r.writes
-	reply, err := s.sendInTransaction(r, r.forward(tx.link, state.Position{}))
+	reply, err := tx.send(r, r.forward(tx.link, state.Position{}))
 	if err != nil {
 		tx.discard()
 		return s.refuse(r, state.CodeAborted, "the connection to the database was lost, the transaction was rolled back")
@@ -130,14 +130,25 @@
 	return reply
 }
 
-func (s *Session) sendInTransaction(r *request, statement pooling.Statement) (state.Reply, error) {
-	sent := time.Now()
-	reply, err := s.tx.pool.Run(s.tx.link, statement, r.deadline())
-	r.ran += time.Since(sent)
-	if err != nil {
-		r.lastFail = err
+// send runs a statement of a transaction. A database that is overloaded leaves
+// the transaction open, so the statement is sent again after a pause: its
+// failure would waste what the transaction has done so far.
+func (t *transaction) send(r *request, statement pooling.Statement) (state.Reply, error) {
+	for pause := busyPause; ; pause *= 2 {
+		sent := time.Now()
+		reply, err := t.pool.Run(t.link, statement, r.deadline())
+		r.ran += time.Since(sent)
+		if err != nil {
+			r.lastFail = err
+			return reply, err
+		}
+		overloaded := reply.Code == state.CodeBusy && reply.Transaction == state.TransactionOpen
+		if !overloaded || time.Now().Add(pause).After(r.queueDeadline()) {
+			return reply, nil
+		}
+		r.lastFail = &pooling.RefusedError{Code: reply.Code, Detail: reply.Detail}
+		time.Sleep(pause)
 	}
-	return reply, err
 }
 
 // ensureBegun begins the transaction at a database. Where it can't, the reply
@@ -189,16 +200,7 @@
 
 // beginRead begins a read-only transaction where a read would go.
 func (s *Session) beginRead(r *request) state.Reply {
-	found := s.choices(r)
-	r.need = found.need
-	reply := r.busy("no database can serve the transaction", retryAfterChange)
-	for _, option := range found.options {
-		var again bool
-		if reply, again = s.tryBeginRead(r, option, found.need); s.tx.link != nil || !again || !s.timeLeft(r) {
-			return reply
-		}
-	}
-	return reply
+	return s.tryChoices(r, s.tryBeginRead)
 }
 
 func (s *Session) tryBeginRead(r *request, option choice, need state.Position) (state.Reply, bool) {
@@ -209,7 +211,7 @@
 			return r.busy("no primary is available", retryAfterChange), true
 		}
 		reply, _ := s.tryBeginOnPrimary(r, grant)
-		return reply, true
+		return reply, s.tx.link == nil
 	}
 	r.server, r.role = option.server.ID, "replica"
 	reply, again := s.tryBegin(r, s.engine.Pools.Pool(option.server), nil, need)
@@ -217,7 +219,7 @@
 		s.engine.replicas.lagging(option.server.ID, need, s.engine.Clock.Now())
 		return r.busy("the replica is behind", retryAfterChange), true
 	}
-	return reply, again
+	return reply, again && s.tx.link == nil
 }
 
 // tryBegin sends the transaction's BEGIN. With success the transaction has a
@@ -246,6 +248,9 @@
 	if reply.Code != state.CodeNone || reply.Transaction != state.TransactionOpen {
 		r.lastFail = &pooling.RefusedError{Code: reply.Code, Detail: reply.Detail}
 		pool.Release(link, reply.Transaction == state.TransactionNone && reply.Code != state.CodeMisdirected)
+		if reply.Code == state.CodeBusy {
+			return r.busy("the database is overloaded", pool.Cost()), s.pauseBusy(r)
+		}
 		return reply, grant == nil
 	}
 	s.tx.link, s.tx.pool, s.tx.grant = link, pool, grant
@@ -282,11 +287,8 @@
 
 func (s *Session) sendCommit(r *request, tx *transaction) state.Reply {
 	asked := s.engine.Clock.Now()
-	sent := time.Now()
-	reply, err := tx.pool.Run(tx.link, pooling.Statement{ID: r.statement.ID, Text: r.statement.Text}, r.deadline())
-	r.ran += time.Since(sent)
+	reply, err := tx.send(r, pooling.Statement{ID: r.statement.ID, Text: r.statement.Text})
 	if err != nil {
-		r.lastFail = err
 		tx.discard()
 		if !tx.wrote {
 			return r.refused(state.CodeAborted, "the connection to the database was lost, nothing had been written")
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 	"go.uber.org/fx/fxevent"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/directory"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/freshness"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/leadership"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/pooling"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/relay"
@@ -71,6 +72,7 @@
 	server     *lineserver.Server
 	store      *platform.Store
 	followers  *followers
+	positions  *freshness.Exchange
 
 	clients  net.Listener
 	probes   net.Listener
@@ -106,7 +108,7 @@
 		fx.Supply(settings, i),
 		fx.Provide(func() context.Context { return background }, func() (zerolog.Logger, requestLog) { return i.logs.Logger, i.logs.requests }),
 		modules(),
-		fx.Populate(&i.directory, &i.leadership, &i.pools, &i.engine, &i.server, &i.store, &i.followers),
+		fx.Populate(&i.directory, &i.leadership, &i.pools, &i.engine, &i.server, &i.store, &i.followers, &i.positions),
 		fx.Invoke(func(lifecycle fx.Lifecycle) {
 			lifecycle.Append(fx.Hook{OnStart: func(context.Context) error { i.runAll(background); return nil }})
 		}),
@@ -172,7 +174,9 @@
 	go i.pools.Run(ctx)
 	go i.server.Serve(i.clients)
 	go i.serveHTTP(i.probes)
-	go i.peers.Serve(i.leadership.Receive)
+	go i.peers.Serve(map[datagram.Topic]func([]byte) []byte{
+		topicVouches: i.leadership.Receive, topicPositions: i.positions.Receive,
+	})
 	if i.metrics != nil {
 		go i.serveHTTP(i.metrics)
 	}
--- a/internal/entry/modules.go
+++ b/internal/entry/modules.go
@@ -15,11 +15,18 @@
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/relay"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/rowstore"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
+	"github.com/cyclamenpin/cyclamenpin/internal/transport/datagram"
 	"github.com/cyclamenpin/cyclamenpin/internal/transport/linebackend"
 	"github.com/cyclamenpin/cyclamenpin/internal/transport/lineserver"
 	"github.com/cyclamenpin/cyclamenpin/platform"
 )
 
+// Topics of the datagrams between instances.
+const (
+	topicVouches   datagram.Topic = 'v'
+	topicPositions datagram.Topic = 'p'
+)
+
 const (
 	// reservedDescriptors are kept for files, the store, and databases.
 	reservedDescriptors = 600
@@ -41,7 +48,7 @@
 			func(s platform.Settings) *platform.Promoter { return platform.NewPromoter(s.PromoteAddress, nil) },
 		)),
 		fx.Module("coordination", fx.Provide(
-			rowstore.NewLink, health.NewTracker, freshness.NewTracker, newFollowers, newDirectory, newPools, newLeadership, newEngine,
+			rowstore.NewLink, health.NewTracker, newFollowers, newExchange, newDirectory, newPools, newLeadership, newEngine,
 		)),
 		fx.Module("transport", fx.Provide(newDialer, newServer)),
 	)
@@ -67,8 +74,11 @@
 		}
 		return routes.Groups[group].MaxConnections
 	}
-	shareOf := func(group state.GroupID) float64 { return instance.leadership.ShareOf(group) }
-	return pooling.NewManager(dialer, tracker, maxConnections, shareOf, log)
+	divisionOf := func(group state.GroupID) pooling.Division {
+		instances, own, all := instance.leadership.DemandOf(group)
+		return pooling.Division{Instances: instances, Own: own, All: all}
+	}
+	return pooling.NewManager(dialer, tracker, maxConnections, divisionOf, log)
 }
 
 func newLeadership(instance *Instance, settings platform.Settings, store *platform.Store, promoter *platform.Promoter, dir *directory.Directory,
@@ -79,11 +89,15 @@
 	return leadership.New(leadership.Config{
 		Self: settings.Instance, Run: instance.run, Options: options, Store: store, Link: link, Directory: dir, Databases: pools,
 		Followed: dir.FollowedRows, Outdated: func() { instance.followers.configuration.Refresh() },
-		Promoter: promoter, Health: tracker, Demand: pools.Demand, Messenger: instance.peers, Address: peerAddress(settings), Clock: clock, Log: log,
+		Promoter: promoter, Health: tracker, Demand: pools.Demand, Messenger: instance.peers.Sender(topicVouches), Address: peerAddress(settings), Clock: clock, Log: log,
 	})
 }
 
-func newEngine(ctx context.Context, settings platform.Settings, codec platform.Codec, dir *directory.Directory, leaders *leadership.Manager, fresh *freshness.Tracker,
+func newExchange(instance *Instance, leaders *leadership.Manager, clock state.Clock, log zerolog.Logger) *freshness.Exchange {
+	return freshness.NewExchange(freshness.NewTracker(), leaders, clock, leaders.Peers, instance.peers.Sender(topicPositions), log)
+}
+
+func newEngine(ctx context.Context, settings platform.Settings, codec platform.Codec, dir *directory.Directory, leaders *leadership.Manager, fresh *freshness.Exchange,
 	pools *pooling.Manager, tracker *health.Tracker, clock state.Clock, log requestLog,
 ) *relay.Engine {
 	return relay.New(ctx, relay.Config{
--- a/internal/state/group.go
+++ b/internal/state/group.go
@@ -31,6 +31,14 @@
 // ErrNotRunning is the error of a promotion of a database that does not run.
 var ErrNotRunning = errors.New("the database is not running")
 
+// ErrTooManyCalls is the error of a promotion that the platform did not take in,
+// because it had too many.
+var ErrTooManyCalls = errors.New("the platform takes no more calls now")
+
+// ErrHungUp is the error of a connection that a database accepted and then
+// closed before its startup. A database may do so that has no connection left.
+var ErrHungUp = errors.New("the database closed the connection at its startup")
+
 // Group is a database group as the platform's table service records it.
 type Group struct {
 	ID        GroupID    `msgpack:"id" json:"id"`
--- a/internal/transport/linebackend/conn.go
+++ b/internal/transport/linebackend/conn.go
@@ -76,7 +76,7 @@
 	if err != nil {
 		conn.Close()
 		if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
-			err = errors.Join(pooling.ErrHungUp, err)
+			err = errors.Join(state.ErrHungUp, err)
 		}
 		return nil, err
 	}
--- a/test/council/failover_test.go
+++ b/test/council/failover_test.go
@@ -1,6 +1,7 @@
 package council
 
 import (
+	"context"
 	"slices"
 	"testing"
 	"time"
@@ -339,3 +340,27 @@
 		w.t.Logf("gap %s", gap)
 	})
 }
+
+// Pattern: an instance loses its way to all databases for some seconds. Once it
+// is healed, reads go to the replicas again, although nothing else asked them.
+func TestReplicasAreUsedAgainAfterACut(t *testing.T) {
+	run(t, four, func(w *world) {
+		replicas := []string{string(w.group.Database(2).ID), string(w.group.Database(3).ID)}
+		ctx, stop := context.WithCancel(w.ctx)
+		defer stop()
+		go w.keepWriting(ctx, "b")
+		c := w.instances["a"].open("portal")
+		defer c.session.Close()
+		w.partition(between([]string{"a"}, append(replicas, string(w.group.Database(1).ID))))
+		for range 30 {
+			_, _ = c.read("k")
+			time.Sleep(100 * time.Millisecond)
+		}
+		w.partition(nil)
+		time.Sleep(2 * time.Second)
+		w.partition(between([]string{"a"}, []string{string(w.group.Database(1).ID)}))
+		time.Sleep(2 * maxStaleness)
+		_, reply := c.read("k")
+		require.Equal(w.t, state.CodeNone, reply.Code, reply.Detail)
+	})
+}
--- a/test/council/load_test.go
+++ b/test/council/load_test.go
@@ -1,6 +1,7 @@
 package council
 
 import (
+	"context"
 	"sync"
 	"testing"
 	"time"
@@ -38,3 +39,58 @@
 		holders.Wait()
 	})
 }
+
+// Pattern: an instance is cut off from the primary, but not from the replicas.
+// Others tell it how far the primary is, so that its readers are served on.
+func TestReadsAreServedWithPositionsOfOtherInstances(t *testing.T) {
+	run(t, four, func(w *world) {
+		w.partition(between([]string{"a"}, []string{string(w.group.Database(1).ID)}))
+		ctx, stop := context.WithCancel(w.ctx)
+		defer stop()
+		go w.keepWriting(ctx, "b")
+		time.Sleep(3 * maxStaleness)
+		c := w.instances["a"].open("portal")
+		defer c.session.Close()
+		for range 20 {
+			_, reply := c.read("k")
+			require.Equal(w.t, state.CodeNone, reply.Code, reply.Detail)
+			time.Sleep(200 * time.Millisecond)
+		}
+	})
+}
+
+// Pattern: the database is overloaded for a moment while transactions are
+// under way. They wait for it, and nothing that they did is lost.
+func TestTransactionOutlastsAnOverloadedDatabase(t *testing.T) {
+	run(t, []string{"a"}, func(w *world) {
+		c := w.instances["a"].open("desk")
+		defer c.session.Close()
+		_, _ = c.do(state.StatementBegin, "BEGIN")
+		_, reply := c.write("k", "v")
+		require.Equal(w.t, state.CodeNone, reply.Code, reply.Detail)
+		w.group.Database(1).RefuseNext(3)
+		_, reply = c.write("k", "w")
+		require.Equal(w.t, state.CodeNone, reply.Code, reply.Detail)
+		w.group.Database(1).RefuseNext(2)
+		_, reply = c.do(state.StatementCommit, "COMMIT")
+		require.Equal(w.t, state.CodeNone, reply.Code, reply.Detail)
+		require.NotEmpty(w.t, reply.Proof)
+	})
+}
+
+// Pattern: the same for single statements: nothing ran, so they are sent again
+// while there is time, and refused in time where there is none.
+func TestStatementOutlastsAnOverloadedDatabase(t *testing.T) {
+	run(t, []string{"a"}, func(w *world) {
+		c := w.instances["a"].open("desk")
+		defer c.session.Close()
+		w.group.Database(1).RefuseNext(3)
+		_, reply := c.write("k", "v")
+		require.Equal(w.t, state.CodeNone, reply.Code, reply.Detail)
+		w.group.Database(1).RefuseNext(1000)
+		begun := time.Now()
+		_, reply = c.write("k", "w")
+		require.Equal(w.t, state.CodeBusy, reply.Code)
+		require.LessOrEqual(w.t, time.Since(begun), 400*time.Millisecond)
+	})
+}
--- a/test/council/world_test.go
+++ b/test/council/world_test.go
@@ -68,6 +68,7 @@
 	directory  *directory.Directory
 	pools      *pooling.Manager
 	engine     *relay.Engine
+	positions  *freshness.Exchange
 	// configuration follows the operators' table.
 	configuration *rowstore.Follower
 }
@@ -214,8 +215,17 @@
 
 // messenger sends datagrams in memory.
 type messenger struct {
-	world *world
-	from  string
+	world   *world
+	from    string
+	receive func(*instance, []byte) []byte
+}
+
+func vouches(i *instance, message []byte) []byte   { return i.leadership.Receive(message) }
+func positions(i *instance, message []byte) []byte { return i.positions.Receive(message) }
+
+func (i *instance) division(id state.GroupID) pooling.Division {
+	instances, own, all := i.leadership.DemandOf(id)
+	return pooling.Division{Instances: instances, Own: own, All: all}
 }
 
 func (m messenger) Send(to string, message []byte) {
@@ -230,7 +240,7 @@
 		if receiver.ctx.Err() != nil {
 			return
 		}
-		answer := receiver.leadership.Receive(message)
+		answer := m.receive(receiver, message)
 		if answer == nil || m.world.separated(m.from, to) {
 			return
 		}
@@ -239,7 +249,7 @@
 		sender := m.world.instances[m.from]
 		m.world.mu.Unlock()
 		if sender != nil && sender.ctx.Err() == nil {
-			sender.leadership.Receive(answer)
+			m.receive(sender, answer)
 		}
 	}()
 }
@@ -251,20 +261,20 @@
 	log := w.log.With().Str("instance", name).Logger()
 	i := &instance{name: name, world: w, ctx: ctx, cancel: cancel}
 	tracker := health.NewTracker(clock)
-	fresh := freshness.NewTracker()
 	store := w.store.Client(name)
 	link := rowstore.NewLink()
 	i.directory = directory.New(jsonDecoder{}, rowstore.Row{Table: tableRoutes, Key: "config"}, clock, log, func(id state.DatabaseID) { i.pools.Gone(id) })
 	i.pools = pooling.NewManager(&standin.Dialer{Caller: name, Groups: []*standin.Group{w.group}, Delay: oneWay}, tracker,
-		func(state.GroupID) int { return 22 }, func(id state.GroupID) float64 { return i.leadership.ShareOf(id) }, log)
+		func(state.GroupID) int { return 22 }, i.division, log)
 	i.leadership = leadership.New(leadership.Config{
 		Self: state.InstanceID(name), Run: time.Now().UnixNano(), Options: leadership.DefaultOptions(), Store: store, Link: link,
 		Followed: i.directory.FollowedRows, Outdated: func() { i.configuration.Refresh() },
 		Directory: i.directory, Databases: i.pools, Promoter: w.group.Promoter(), Health: tracker, Demand: i.pools.Demand,
-		Messenger: messenger{w, name}, Address: name, Clock: clock, Log: log,
+		Messenger: messenger{w, name, vouches}, Address: name, Clock: clock, Log: log,
 	})
+	i.positions = freshness.NewExchange(freshness.NewTracker(), i.leadership, clock, i.leadership.Peers, messenger{w, name, positions}, log)
 	i.engine = relay.New(ctx, relay.Config{
-		Directory: i.directory, Leadership: i.leadership, Freshness: fresh, Pools: i.pools, Health: tracker,
+		Directory: i.directory, Leadership: i.leadership, Freshness: i.positions, Pools: i.pools, Health: tracker,
 		Statements: platform.Codec{}, Clock: clock, Log: log,
 	})
 	w.mu.Lock()
@@ -347,3 +357,11 @@
 	_, reply := c.write("probe", "x")
 	return reply.Code == state.CodeNone
 }
+
+// keepWriting writes through an instance until ctx ends.
+func (w *world) keepWriting(ctx context.Context, name string) {
+	for ctx.Err() == nil {
+		w.instances[name].writable()
+		time.Sleep(100 * time.Millisecond)
+	}
+}
