--- a/internal/coordination/leadership/options.go
+++ b/internal/coordination/leadership/options.go
@@ -35,7 +35,7 @@
 // DefaultOptions returns the options for a few dozen instances.
 func DefaultOptions() Options {
 	return Options{
-		Lease: 4 * time.Second, LongestLease: 20 * time.Second, BeatInterval: time.Second,
+		Lease: 4 * time.Second, LongestLease: 20 * time.Second, BeatInterval: 2 * time.Second,
 		DutyLease: 5 * time.Second, PlannedDrain: 400 * time.Millisecond,
 		TakeOver: 15 * time.Second, MostMembers: 40,
 	}
@@ -70,7 +70,7 @@
 	vouchLasts    = time.Second
 	// liveIntervals is how many renewals an instance may miss before it no
 	// longer counts as live.
-	liveIntervals = 4
+	liveIntervals = 2
 	// forgetAfter is when the row of an instance that no longer renews it is
 	// removed.
 	forgetAfter = time.Minute
--- a/internal/coordination/pooling/dial.go
+++ b/internal/coordination/pooling/dial.go
@@ -14,6 +14,9 @@
 	// dialTimeout bounds the opening of a connection: two round trips between
 	// regions and the database's own 12 ms, with room for a busy database.
 	dialTimeout = 600 * time.Millisecond
+	// growthPart bounds the connections being opened to this part of those
+	// that are open.
+	growthPart = 2
 	// dialPause keeps a pool from opening connections one after the other
 	// while the database refuses them.
 	// The pause doubles with each refusal.
@@ -45,12 +48,15 @@
 	return errors.As(e.Cause, &refused)
 }
 
-// openMore must be called with the lock held.
+// openMore must be called with the lock held. The pool grows step by step:
+// after a restart of all instances, as many connections as requests wait would
+// keep the database busy with opening them.
 func (p *Pool) openMore() {
 	if time.Now().Before(p.dialAfter) {
 		return
 	}
-	for p.opening < p.queue.Len() && p.open+p.opening < int(p.share.Load()) {
+	most := min(p.queue.Len(), max(1, p.open/growthPart), int(p.share.Load())-p.open)
+	for p.opening < most {
 		p.opening++
 		go p.dial()
 	}
--- a/internal/coordination/pooling/pool_test.go
+++ b/internal/coordination/pooling/pool_test.go
@@ -202,3 +202,31 @@
 		require.Equal(t, 2, dialer.dials)
 	})
 }
+
+// Pattern: all clients come back at once after a restart. Opening a connection
+// takes the database's time, so the pool grows step by step and serves on what
+// it has.
+func TestColdPoolGrowsStepByStep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dialer := &fakeDialer{}
+		p := testPool(dialer, 20)
+		var served sync.WaitGroup
+		for range 40 {
+			served.Go(func() {
+				link, err := p.Acquire(t.Context(), 1, "", time.Now().Add(2*time.Second))
+				if err == nil {
+					_, err = p.Run(link, Statement{}, time.Now().Add(time.Second))
+					p.Release(link, true)
+				}
+				require.NoError(t, err)
+			})
+		}
+		synctest.Wait()
+		require.Equal(t, 1, p.opening)
+		time.Sleep(13 * time.Millisecond)
+		synctest.Wait()
+		require.LessOrEqual(t, p.opening, 1)
+		served.Wait()
+		require.Less(t, dialer.dials, 15)
+	})
+}
