Primaries that can't be reached are used through another instance

A pool whose database is suspected opens connections through an instance that reaches it: one frame each way, then bytes; only registered databases. Leases, grants and votes are as before, and what such a connection shows says nothing of the way from here.

--- a/internal/coordination/directory/directory.go
+++ b/internal/coordination/directory/directory.go
@@ -95,6 +95,14 @@
 	return Entry{}, false
 }
 
+// AddressOf returns the address of a registered database.
+func (d *Directory) AddressOf(id state.DatabaseID) (string, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	entry, known := d.servers[id]
+	return entry.Address, known
+}
+
 // ApplyOperators takes over changes of the operators' table.
 func (d *Directory) ApplyOperators(update rowstore.Update) {
 	for _, row := range update.Rows {
--- a/internal/coordination/leadership/manager.go
+++ b/internal/coordination/leadership/manager.go
@@ -208,6 +208,14 @@
 	return m.lease.clock.atLeast(0), upper, known
 }
 
+// Reaching returns the addresses of the other instances that can use a group's
+// primary, as far as is known here.
+func (m *Manager) Reaching(id state.GroupID) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.members.reaching(m.Self, id, m.group(id).record.Epoch, reachingWithin)
+}
+
 // Peers returns the addresses of the other instances.
 func (m *Manager) Peers() []string {
 	m.mu.Lock()
--- a/internal/coordination/leadership/members.go
+++ b/internal/coordination/leadership/members.go
@@ -90,6 +90,20 @@
 	return suspecting, live
 }
 
+// reaching returns the addresses of the live instances that do not suspect the
+// primary of the group's epoch.
+func (m *members) reaching(self state.InstanceID, id state.GroupID, epoch uint64, within time.Duration) []string {
+	var addresses []string
+	for name, entry := range m.byName {
+		suspected, suspects := entry.beat.Suspected[id]
+		if name == self || entry.beat.Address == "" || suspects && suspected == epoch || m.now-entry.seenAt > within {
+			continue
+		}
+		addresses = append(addresses, entry.beat.Address)
+	}
+	return addresses
+}
+
 // ended reports whether a run of an instance, named as in a record, has ended
 // or at least no longer renews its row.
 func (m *members) ended(runName string, within time.Duration) bool {
--- a/internal/coordination/leadership/options.go
+++ b/internal/coordination/leadership/options.go
@@ -71,6 +71,9 @@
 	// liveIntervals is how many renewals an instance may miss before it no
 	// longer counts as live.
 	liveIntervals = 2
+	// reachingWithin is how old the last renewal may be of an instance that is
+	// asked to carry a connection.
+	reachingWithin = 8 * time.Second
 	// forgetAfter is when the row of an instance that no longer renews it is
 	// removed.
 	forgetAfter = time.Minute
--- a/internal/coordination/pooling/dial.go
+++ b/internal/coordination/pooling/dial.go
@@ -64,13 +64,15 @@
 
 func (p *Pool) dial() {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
-	conn, err := p.dialer.Dial(ctx, p.server)
+	conn, detoured, err := p.connect(ctx)
 	cancel()
 	if err != nil {
-		p.dialFailed(err)
+		p.dialFailed(err, detoured)
 		return
 	}
-	p.health.Success(p.server.ID)
+	if !detoured {
+		p.health.Success(p.server.ID)
+	}
 	p.mu.Lock()
 	p.opening--
 	if p.closed {
@@ -80,23 +82,38 @@
 	}
 	p.open++
 	p.refusals = 0
-	p.keep(newLink(conn, p.server))
+	p.keep(newLink(conn, p.server, detoured))
 	p.dispatch()
 	p.mu.Unlock()
 }
 
-func (p *Pool) dialFailed(err error) {
+// connect opens a connection, through another instance where the database
+// can't be reached from here.
+func (p *Pool) connect(ctx context.Context) (conn Conn, detoured bool, err error) {
+	if p.health.Suspected(p.server.ID) {
+		conn, err = p.dialer.Detour(ctx, p.server)
+		if !errors.Is(err, state.ErrNoDetour) {
+			return conn, true, err
+		}
+	}
+	conn, err = p.dialer.Dial(ctx, p.server)
+	return conn, false, err
+}
+
+func (p *Pool) dialFailed(err error, detoured bool) {
 	failure := &DialError{Database: p.server.ID, Cause: err}
 	var refused *RefusedError
 	switch {
 	case errors.As(err, &refused):
 		failure.Code = refused.Code
-		p.health.Success(p.server.ID)
+		if !detoured {
+			p.health.Success(p.server.ID)
+		}
 	case errors.Is(err, state.ErrHungUp):
 		// The database accepted the connection and closed it: it runs, and
 		// has more connections than it accepts.
 		failure.Code = state.CodeTooManyConnections
-	default:
+	case !detoured:
 		p.health.Failure(p.server.ID)
 	}
 	p.mu.Lock()
--- a/internal/coordination/pooling/limiter.go
+++ b/internal/coordination/pooling/limiter.go
@@ -19,7 +19,7 @@
 	// limit is at least 1 where it holds, else 0.
 	limit       float64
 	decreasedAt time.Time
-	// peak is the most in flight when the limit began.
+	// peak is how many were in flight when the limit began.
 	peak int
 }
 
@@ -50,13 +50,13 @@
 
 // answered takes in that the database served a statement. The limit grows by
 // one each time that it was used up and served whole, and ends where it has
-// doubled what was once refused.
+// reached what was first refused.
 func (l *limiter) answered(inFlight int) {
 	if l.limit == 0 || inFlight < int(l.limit) {
 		return
 	}
 	l.limit += 1 / l.limit
-	if l.limit > 2*float64(l.peak) {
+	if l.limit >= float64(l.peak) {
 		l.limit = 0
 	}
 }
--- a/internal/coordination/pooling/link.go
+++ b/internal/coordination/pooling/link.go
@@ -40,6 +40,9 @@
 // Dialer opens connections.
 type Dialer interface {
 	Dial(ctx context.Context, server state.Server) (Conn, error)
+	// Detour opens one through another instance. The error is
+	// state.ErrNoDetour where none is known that reaches the database.
+	Detour(ctx context.Context, server state.Server) (Conn, error)
 }
 
 // Values are the session values of a client or of a connection.
@@ -90,10 +93,13 @@
 	// starting is set from the hand-over to the first statement. The pool's
 	// lock guards it.
 	starting bool
+	// detoured connections lead through another instance, so they tell nothing
+	// of the way from here.
+	detoured bool
 }
 
-func newLink(conn Conn, server state.Server) *Link {
-	return &Link{Conn: conn, Server: server, prepared: make(map[string]bool), lastUsed: time.Now()}
+func newLink(conn Conn, server state.Server, detoured bool) *Link {
+	return &Link{Conn: conn, Server: server, detoured: detoured, prepared: make(map[string]bool), lastUsed: time.Now()}
 }
 
 // Adopt gives the connection exactly the session values of a client. The
--- a/internal/coordination/pooling/manager.go
+++ b/internal/coordination/pooling/manager.go
@@ -167,10 +167,7 @@
 		deadline = time.Now().Add(dialTimeout)
 	}
 	pool := m.Pool(server)
-	pool.mu.Lock()
-	link := pool.takeIdle("")
-	pool.mu.Unlock()
-	if link != nil {
+	if link := pool.takeDirect(); link != nil {
 		status, err := question(link, deadline)
 		pool.Release(link, err == nil)
 		return status, err
--- a/internal/coordination/pooling/pool.go
+++ b/internal/coordination/pooling/pool.go
@@ -45,6 +45,8 @@
 	Success(id state.DatabaseID)
 	Failure(id state.DatabaseID)
 	Doubt(id state.DatabaseID)
+	// Suspected databases can't be reached from here.
+	Suspected(id state.DatabaseID) bool
 }
 
 // Pool holds the connections to one database.
@@ -130,6 +132,7 @@
 // takeIdle must be called with the lock held. It prefers the last used
 // connection with the same session values, then the last used one without any.
 func (p *Pool) takeIdle(valuesKey string) *Link {
+	suspected := p.health.Suspected(p.server.ID)
 	for len(p.idle) > 0 {
 		chosen := len(p.idle) - 1
 		for i := len(p.idle) - 1; i >= 0; i-- {
@@ -143,7 +146,7 @@
 		}
 		link := p.idle[chosen]
 		p.idle = append(p.idle[:chosen], p.idle[chosen+1:]...)
-		if link.Alive() {
+		if link.Alive() && (link.detoured || !suspected) {
 			return link
 		}
 		link.Close()
@@ -152,6 +155,19 @@
 	return nil
 }
 
+// takeDirect takes an idle connection that shows whether the database can be
+// reached from here, nil where there is none.
+func (p *Pool) takeDirect() *Link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	link := p.takeIdle("")
+	if link != nil && link.detoured {
+		p.keep(link)
+		return nil
+	}
+	return link
+}
+
 // hopeless must be called with the lock held. It returns a refusal where the
 // queue ahead takes longer than the deadline leaves.
 func (p *Pool) hopeless(deadline time.Time) *Refusal {
@@ -220,7 +236,7 @@
 	defer p.mu.Unlock()
 	p.settle(link)
 	p.held += time.Duration(latencyWeight * float64(time.Since(link.acquired)-p.held))
-	if reusable && !p.closed {
+	if reusable && !p.closed && (!link.detoured || p.health.Suspected(p.server.ID)) {
 		p.keep(link)
 	} else {
 		p.open--
@@ -242,11 +258,18 @@
 	p.running++
 	p.mu.Unlock()
 	started := time.Now()
-	reply, err := link.Run(statement, deadline, func() { p.health.Doubt(p.server.ID) })
+	late := func() {
+		if !link.detoured {
+			p.health.Doubt(p.server.ID)
+		}
+	}
+	reply, err := link.Run(statement, deadline, late)
 	p.account(time.Since(started), reply, err)
-	if err != nil {
+	switch {
+	case link.detoured:
+	case err != nil:
 		p.health.Failure(p.server.ID)
-	} else {
+	default:
 		p.health.Success(p.server.ID)
 	}
 	return reply, err
--- a/internal/coordination/relay/engine.go
+++ b/internal/coordination/relay/engine.go
@@ -27,6 +27,8 @@
 	Changed() <-chan struct{}
 	Primary(group state.GroupID) (state.DatabaseID, bool)
 	Start(group state.GroupID) state.Position
+	// Reaching returns other instances that can use the primary.
+	Reaching(group state.GroupID) []string
 	// Ready reports whether primaries may be used, or might have been since
 	// the start.
 	Ready() bool
--- a/internal/coordination/relay/reads.go
+++ b/internal/coordination/relay/reads.go
@@ -56,7 +56,8 @@
 	primary, _ := e.Leadership.Primary(r.route.Group)
 	found := choices{need: need}
 	for _, entry := range e.Directory.Servers(r.route.Group) {
-		if entry.Leaving && entry.ID != primary || e.Health.Suspected(entry.ID) {
+		suspected := e.Health.Suspected(entry.ID)
+		if entry.Leaving && entry.ID != primary || suspected && !s.detourable(r, entry.ID, primary) {
 			continue
 		}
 		pool := e.Pools.Pool(entry.Server)
@@ -76,7 +77,7 @@
 		if e.distant(entry.DataCentre) {
 			candidate.cost += distancePenalty
 		}
-		if e.Health.Doubted(entry.ID) {
+		if suspected || e.Health.Doubted(entry.ID) {
 			candidate.cost += doubtPenalty
 		}
 		found.options = append(found.options, candidate)
@@ -88,6 +89,13 @@
 	return found
 }
 
+// detourable reports whether a database that can't be reached from here may be
+// used through another instance. Other replicas are tried before a suspected
+// one, and the primary has no other.
+func (s *Session) detourable(r *request, id, primary state.DatabaseID) bool {
+	return id == primary && len(s.engine.Leadership.Reaching(r.route.Group)) > 0
+}
+
 // distancePenalty keeps reads within the region until its database is busy:
 // bytes between regions cost more than the time of a short queue.
 const distancePenalty = 60 * time.Millisecond
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -26,6 +26,7 @@
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/relay"
 	"github.com/cyclamenpin/cyclamenpin/internal/transport/datagram"
 	"github.com/cyclamenpin/cyclamenpin/internal/transport/lineserver"
+	"github.com/cyclamenpin/cyclamenpin/internal/transport/tunnel"
 	"github.com/cyclamenpin/cyclamenpin/platform"
 )
 
@@ -73,11 +74,13 @@
 	store      *platform.Store
 	followers  *followers
 	positions  *freshness.Exchange
+	carrier    *tunnel.Server
 
 	clients  net.Listener
 	probes   net.Listener
 	metrics  net.Listener
 	peers    *datagram.Socket
+	tunnels  net.Listener
 	stopping atomic.Bool
 }
 
@@ -108,7 +111,7 @@
 		fx.Supply(settings, i),
 		fx.Provide(func() context.Context { return background }, func() (zerolog.Logger, requestLog) { return i.logs.Logger, i.logs.requests }),
 		modules(),
-		fx.Populate(&i.directory, &i.leadership, &i.pools, &i.engine, &i.server, &i.store, &i.followers, &i.positions),
+		fx.Populate(&i.directory, &i.leadership, &i.pools, &i.engine, &i.server, &i.store, &i.followers, &i.positions, &i.carrier),
 		fx.Invoke(func(lifecycle fx.Lifecycle) {
 			lifecycle.Append(fx.Hook{OnStart: func(context.Context) error { i.runAll(background); return nil }})
 		}),
@@ -137,6 +140,10 @@
 		i.closeListeners()
 		return eris.Wrap(err, "listen for readiness probes")
 	}
+	if i.tunnels, err = net.Listen("tcp", peerAddress(settings)); err != nil {
+		i.closeListeners()
+		return eris.Wrap(err, "listen for tunnels")
+	}
 	if i.peers, err = datagram.Listen(peerAddress(settings), i.logs.Logger); err != nil {
 		i.closeListeners()
 		return err
@@ -153,7 +160,7 @@
 }
 
 func (i *Instance) closeListeners() {
-	for _, listener := range []net.Listener{i.clients, i.probes, i.metrics} {
+	for _, listener := range []net.Listener{i.clients, i.probes, i.metrics, i.tunnels} {
 		if listener != nil {
 			_ = listener.Close()
 		}
@@ -174,6 +181,7 @@
 	go i.pools.Run(ctx)
 	go i.server.Serve(i.clients)
 	go i.serveHTTP(i.probes)
+	go i.carrier.Serve(i.tunnels)
 	go i.peers.Serve(map[datagram.Topic]func([]byte) []byte{
 		topicVouches: i.leadership.Receive, topicPositions: i.positions.Receive,
 	})
--- a/internal/entry/modules.go
+++ b/internal/entry/modules.go
@@ -18,6 +18,7 @@
 	"github.com/cyclamenpin/cyclamenpin/internal/transport/datagram"
 	"github.com/cyclamenpin/cyclamenpin/internal/transport/linebackend"
 	"github.com/cyclamenpin/cyclamenpin/internal/transport/lineserver"
+	"github.com/cyclamenpin/cyclamenpin/internal/transport/tunnel"
 	"github.com/cyclamenpin/cyclamenpin/platform"
 )
 
@@ -50,12 +51,17 @@
 		fx.Module("coordination", fx.Provide(
 			rowstore.NewLink, health.NewTracker, newFollowers, newExchange, newDirectory, newPools, newLeadership, newEngine,
 		)),
-		fx.Module("transport", fx.Provide(newDialer, newServer)),
+		fx.Module("transport", fx.Provide(newDialer, newCarrier, newServer)),
 	)
 }
 
-func newDialer(codec platform.Codec) *linebackend.Dialer {
-	return &linebackend.Dialer{Codec: codec, Who: reportName}
+func newDialer(instance *Instance, codec platform.Codec) *linebackend.Dialer {
+	carriers := func(group state.GroupID) []string { return instance.leadership.Reaching(group) }
+	return &linebackend.Dialer{Codec: codec, Who: reportName, Carriers: carriers}
+}
+
+func newCarrier(dir *directory.Directory, log zerolog.Logger) *tunnel.Server {
+	return tunnel.NewServer(dir.AddressOf, log)
 }
 
 func newDirectory(instance *Instance, codec platform.Codec, clock state.Clock, tracker *health.Tracker, log zerolog.Logger) *directory.Directory {
--- a/internal/standin/platform/council/conn.go
+++ b/internal/standin/platform/council/conn.go
@@ -16,6 +16,10 @@
 	Groups []*Group
 	// Delay is the time of a message in each direction.
 	Delay time.Duration
+	// Carriers returns the callers that reach a group's primary, and Separated
+	// tells which callers can't reach each other. Both may be nil.
+	Carriers  func(state.GroupID) []string
+	Separated func(a, b string) bool
 }
 
 // errNoListener is the error of an address at which nothing listens.
@@ -23,13 +27,34 @@
 
 // Dial implements pooling.Dialer.
 func (d *Dialer) Dial(ctx context.Context, server state.Server) (pooling.Conn, error) {
+	return d.dialAs(ctx, d.Caller, server)
+}
+
+// Detour implements pooling.Dialer.
+func (d *Dialer) Detour(ctx context.Context, server state.Server) (pooling.Conn, error) {
+	if d.Carriers == nil {
+		return nil, state.ErrNoDetour
+	}
+	failure := state.ErrNoDetour
+	for _, carrier := range d.Carriers(server.Group) {
+		wait(ctx, 2*d.Delay)
+		if d.Separated(d.Caller, carrier) {
+			failure = errNoListener
+			continue
+		}
+		return d.dialAs(ctx, carrier, server)
+	}
+	return nil, failure
+}
+
+func (d *Dialer) dialAs(ctx context.Context, caller string, server state.Server) (pooling.Conn, error) {
 	for _, group := range d.Groups {
 		for _, database := range group.databases {
 			if database.Address != server.Address {
 				continue
 			}
 			wait(ctx, 2*d.Delay)
-			session, reply, err := database.Connect(ctx, d.Caller, server.Group, server.ID)
+			session, reply, err := database.Connect(ctx, caller, server.Group, server.ID)
 			if err != nil {
 				return nil, err
 			}
--- a/internal/transport/linebackend/conn.go
+++ b/internal/transport/linebackend/conn.go
@@ -7,16 +7,19 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"syscall"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/pooling"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 	"github.com/cyclamenpin/cyclamenpin/internal/transport/socket"
+	"github.com/cyclamenpin/cyclamenpin/internal/transport/tunnel"
 )
 
 // Codec writes and reads the messages.
@@ -51,6 +54,8 @@
 	Who string
 	// DialFunc replaces the operating system's, where set.
 	DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+	// Carriers returns the instances that reach the primary of a group.
+	Carriers func(state.GroupID) []string
 }
 
 // Dial opens a connection to a database. Where another database, or one of
@@ -66,6 +71,38 @@
 		return nil, eris.Wrapf(err, "dial database %s at %s", server.ID, server.Address)
 	}
 	socket.SetUserTimeout(raw, userTimeout)
+	return d.start(ctx, raw, server)
+}
+
+// maxCarriers is how many other instances are tried for one connection.
+const maxCarriers = 2
+
+// Detour implements pooling.Dialer.
+func (d *Dialer) Detour(ctx context.Context, server state.Server) (pooling.Conn, error) {
+	carriers := d.Carriers(server.Group)
+	if len(carriers) == 0 {
+		return nil, state.ErrNoDetour
+	}
+	rand.Shuffle(len(carriers), func(i, j int) { carriers[i], carriers[j] = carriers[j], carriers[i] })
+	var failures error
+	for _, carrier := range carriers[:min(maxCarriers, len(carriers))] {
+		raw, err := tunnel.Open(ctx, carrier, server.ID)
+		if err == nil {
+			detours("opened").Inc()
+			return d.start(ctx, raw, server)
+		}
+		detours("failed").Inc()
+		failures = errors.Join(failures, err)
+	}
+	return nil, failures
+}
+
+func detours(result string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(`cyclamenpin_detours_total{result="` + result + `"}`)
+}
+
+// start begins a session on a new connection.
+func (d *Dialer) start(ctx context.Context, raw net.Conn, server state.Server) (pooling.Conn, error) {
 	conn := &Conn{raw: raw, reader: bufio.NewReaderSize(raw, readerBytes), codec: d.Codec, peer: string(server.ID)}
 	deadline, _ := ctx.Deadline()
 	conn.buffer = d.Codec.AppendConnect(conn.buffer, server.Group, d.Who, server.ID)
--- a/test/council/failover_test.go
+++ b/test/council/failover_test.go
@@ -364,3 +364,38 @@
 		require.Equal(w.t, state.CodeNone, reply.Code, reply.Detail)
 	})
 }
+
+// Pattern: half of the instances lose their way to the primary, so that it is
+// not replaced. They use it through the others.
+func TestPrimaryIsUsedThroughAnotherInstance(t *testing.T) {
+	run(t, four, func(w *world) {
+		first := string(w.group.Database(1).ID)
+		w.partition(between([]string{"a", "b"}, []string{first}))
+		for _, name := range []string{"a", "b"} {
+			gap := w.eventually(3*time.Second, "a way around the cut", w.instances[name].writable)
+			w.t.Logf("gap at %s: %s", name, gap)
+		}
+		for range 20 {
+			time.Sleep(200 * time.Millisecond)
+			for _, name := range four {
+				require.True(w.t, w.instances[name].writable(), name)
+			}
+		}
+		require.Equal(w.t, first, string(w.group.Leader().ID))
+	})
+}
+
+// Pattern: the same, and then the primary goes dark for all. Nobody waits for a
+// way around, and another database leads soon.
+func TestDarkPrimaryIsReplacedDuringACut(t *testing.T) {
+	run(t, four, func(w *world) {
+		w.partition(between([]string{"a", "b"}, []string{string(w.group.Database(1).ID)}))
+		time.Sleep(3 * time.Second)
+		w.group.Database(1).Crash(true)
+		for _, name := range four {
+			go w.keepWriting(w.ctx, name)
+		}
+		w.eventually(4*time.Second, "a new primary", w.instances["a"].writable)
+		w.requireSoundPromotions()
+	})
+}
