Isolated instances let their clients go; fewer calls while a primary is in question

Their leases lapse, they refuse what needs a primary, and their clients stay. While a primary was in question, every instance read all rows ten times a second, although suspicions are told directly.

An instance that neither the store nor half of the others answer leaves the balancer's rotation, and once that is so, ends idle sessions. Rows are read once a second while a primary is in question.

--- a/internal/coordination/leadership/beat.go
+++ b/internal/coordination/leadership/beat.go
@@ -130,12 +130,15 @@
 // noteRenewal logs the first failure to renew the lease and the end of the
 // failures.
 func (m *Manager) noteRenewal(err error) {
+	now := m.Clock.Now()
 	m.mu.Lock()
 	before := m.renewalFailures
 	if m.renewalFailures++; err == nil {
 		m.renewalFailures = 0
+	} else if before == 0 {
+		m.failingSince = now
 	}
-	left := m.lease.left(m.Clock.Now())
+	left := m.lease.left(now)
 	m.mu.Unlock()
 	switch {
 	case err != nil && before == 0:
@@ -190,7 +193,11 @@
 func (m *Manager) memberLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait := membersInterval
-		if !m.readMembers(ctx) || m.anyInQuestion() {
+		switch read := m.readMembers(ctx); {
+		case !read && !m.Ready():
+			// Nothing is served before the first read.
+			wait = firstRetryBeat
+		case !read || m.anyInQuestion():
 			wait = voteInterval
 		}
 		timer := time.NewTimer(wait)
--- a/internal/coordination/leadership/manager.go
+++ b/internal/coordination/leadership/manager.go
@@ -89,6 +89,9 @@
 	beats      uint64
 	// renewalFailures counts the failures to renew the lease in a row.
 	renewalFailures int
+	// failingSince is when the first of them ended, supportedAt when half of
+	// the instances last answered.
+	failingSince, supportedAt state.Instant
 	// joined is when this run first wrote its row, on the store's clock.
 	joined int64
 	// changed is closed and replaced at each change of a record or the lease.
--- a/internal/coordination/leadership/options.go
+++ b/internal/coordination/leadership/options.go
@@ -47,8 +47,10 @@
 	// membersInterval is the time between two reads of the instances' rows
 	// while nothing changes.
 	membersInterval = 4 * time.Second
-	// voteInterval is that time while a primary is suspected.
-	voteInterval = 100 * time.Millisecond
+	// voteInterval is that time while a primary is suspected or changed. The
+	// instances tell each other their suspicions directly; the rows make up
+	// for messages that are lost.
+	voteInterval = time.Second
 	// retryBeat is the time between two tries to renew the lease while the
 	// store refuses; several fit into what is left of the lease.
 	retryBeat      = 400 * time.Millisecond
@@ -71,6 +73,9 @@
 	// liveIntervals is how many renewals an instance may miss before it no
 	// longer counts as live.
 	liveIntervals = 2
+	// isolatedAfter is how long nobody may answer before an instance counts as
+	// isolated: three questions to the others, and a round trip each.
+	isolatedAfter = 800 * time.Millisecond
 	// reachingWithin is how old the last renewal may be of an instance that is
 	// asked to carry a connection.
 	reachingWithin = 8 * time.Second
--- a/internal/coordination/leadership/vouch.go
+++ b/internal/coordination/leadership/vouch.go
@@ -77,13 +77,13 @@
 }
 
 // nextQuestion returns the question to ask and whom, none while the lease is
-// fresh and nothing is suspected.
+// renewed and nothing is suspected.
 func (m *Manager) nextQuestion() ([]string, []byte) {
 	now := m.Clock.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	suspected := m.suspectedGroups()
-	if !m.lease.based || m.lease.left(now) > vouchBefore && len(suspected) == 0 {
+	if !m.lease.based || m.lease.left(now) > vouchBefore && len(suspected) == 0 && m.renewalFailures == 0 {
 		return nil, nil
 	}
 	m.vouches = vouches{nonce: m.vouches.nonce + 1, askedAt: now, from: map[state.InstanceID]bool{m.Self: true}}
@@ -116,10 +116,21 @@
 // countVouches must be called with the lock held.
 func (m *Manager) countVouches() {
 	if 2*len(m.vouches.from) >= len(m.members.byName) {
+		m.supportedAt = max(m.supportedAt, m.vouches.askedAt)
 		m.lease.vouchedUntil = max(m.lease.vouchedUntil, m.vouches.askedAt.Add(vouchLasts))
 	}
 }
 
+// Isolated reports whether neither the store nor half of the instances answer
+// this one. Its lease lapses soon or has lapsed, and clients are served better
+// elsewhere. While the store is away for all, instances answer each other.
+func (m *Manager) Isolated() bool {
+	now := m.Clock.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.lease.based && m.renewalFailures > 0 && now.Sub(max(m.supportedAt, m.failingSince)) > isolatedAfter
+}
+
 // Receive handles a datagram of another instance and returns the answer, nil
 // for none.
 func (m *Manager) Receive(datagram []byte) []byte {
--- a/internal/coordination/rowstore/follow.go
+++ b/internal/coordination/rowstore/follow.go
@@ -32,7 +32,7 @@
 	retryMost  = 400 * time.Millisecond
 	// lostPause is the time between two calls while the link is lost; its
 	// return ends the wait.
-	lostPause = time.Second
+	lostPause = 3 * time.Second
 	// absenceMemory is how long after an outage rows may be missing that come
 	// back by themselves.
 	absenceMemory = 5 * time.Second
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -40,6 +40,9 @@
 	// outOfRotation is how long the balancer needs to stop sending new
 	// connections: it asks once a second and leaves after two refusals.
 	outOfRotation = 2300 * time.Millisecond
+	// shedInterval is the time between two looks whether the instance is
+	// isolated.
+	shedInterval = 250 * time.Millisecond
 	// stopReserve is kept of the stop's grace for the last steps.
 	stopReserve = 600 * time.Millisecond
 	// startTimeout and stopTimeout bound the wiring's own hooks.
@@ -189,6 +192,36 @@
 		go i.serveHTTP(i.metrics)
 	}
 	go i.housekeeping(ctx)
+	go i.shedWhileIsolated(ctx)
+}
+
+// shedWhileIsolated lets the clients of an instance that can't serve them find
+// another one, once the balancer has left it.
+func (i *Instance) shedWhileIsolated(ctx context.Context) {
+	ticker := time.NewTicker(shedInterval)
+	defer ticker.Stop()
+	var isolatedSince time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		isolated := i.leadership.Isolated()
+		if isolated != !isolatedSince.IsZero() {
+			i.logs.Info().Bool("isolated", isolated).Int("clients", i.server.Clients()).Msg("isolation from the store and the other instances changed")
+		}
+		switch {
+		case !isolated:
+			isolatedSince = time.Time{}
+		case isolatedSince.IsZero():
+			isolatedSince = time.Now()
+		case time.Since(isolatedSince) > outOfRotation:
+			if closed := i.server.CloseIdle(); closed > 0 {
+				i.logs.Info().Int("closed", closed).Msg("idle sessions ended, this instance is isolated")
+			}
+		}
+	}
 }
 
 // housekeeping reports what the log left out and notices changed settings.
@@ -233,7 +266,7 @@
 
 // Ready reports whether the instance can serve new sessions.
 func (i *Instance) Ready() bool {
-	if i.stopping.Load() || i.directory.Routes() == nil {
+	if i.stopping.Load() || i.directory.Routes() == nil || i.leadership.Isolated() {
 		return false
 	}
 	return len(i.directory.Groups()) > 0
--- a/internal/transport/lineserver/client.go
+++ b/internal/transport/lineserver/client.go
@@ -38,6 +38,9 @@
 	// until transactionsUntil.
 	closing           bool
 	transactionsUntil time.Time
+	// idle is set while the client has no open transaction and is owed no
+	// answer; leaving, once such a session is to end.
+	idle, leaving bool
 }
 
 func newClient(server *Server, raw net.Conn) *client {
@@ -109,12 +112,17 @@
 // read waits for the next statement, for as long as the session may be idle.
 func (c *client) read() (state.Statement, error) {
 	c.mu.Lock()
+	c.idle = !c.session.InTransaction()
 	err := c.raw.SetReadDeadline(c.idleDeadline())
 	c.mu.Unlock()
 	if err != nil {
 		return state.Statement{}, err
 	}
-	if _, err := c.reader.Peek(1); err != nil {
+	_, err = c.reader.Peek(1)
+	c.mu.Lock()
+	c.idle = false
+	c.mu.Unlock()
+	if err != nil {
 		return state.Statement{}, err
 	}
 	if err := c.raw.SetReadDeadline(time.Now().Add(startupTimeout)); err != nil {
@@ -142,6 +150,28 @@
 	return deadline
 }
 
+// closeIdle ends the session if it is idle, and reports whether it was. A
+// statement that arrives at this moment is served first.
+func (c *client) closeIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.idle {
+		return false
+	}
+	c.leaving = true
+	_ = c.raw.SetReadDeadline(time.Now())
+	return true
+}
+
+// stay reports whether a session that was to end has a statement to serve
+// after all.
+func (c *client) stay() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaving = false
+	return !socket.Quiet(c.raw)
+}
+
 // startClosing wakes a session that waits for its client.
 func (c *client) startClosing(transactionsUntil time.Time) {
 	c.mu.Lock()
@@ -162,9 +192,11 @@
 		return false
 	}
 	c.mu.Lock()
-	closing, until := c.closing, c.transactionsUntil
+	closing, until, leaving := c.closing, c.transactionsUntil, c.leaving
 	c.mu.Unlock()
 	switch {
+	case leaving && !c.session.InTransaction():
+		return c.stay()
 	case closing && !c.session.InTransaction():
 		return false
 	case closing && !time.Now().Before(until):
--- a/internal/transport/lineserver/server.go
+++ b/internal/transport/lineserver/server.go
@@ -137,6 +137,21 @@
 	return len(s.clients)
 }
 
+// CloseIdle ends the sessions that are outside a transaction and wait for no
+// answer, so that their clients open new ones elsewhere. It returns their
+// number.
+func (s *Server) CloseIdle() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	closed := 0
+	for c := range s.clients {
+		if c.closeIdle() {
+			closed++
+		}
+	}
+	return closed
+}
+
 func (s *Server) isClosing() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/test/council/entry_test.go
+++ b/test/council/entry_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/leadership"
 	"github.com/cyclamenpin/cyclamenpin/internal/entry"
 	standin "github.com/cyclamenpin/cyclamenpin/internal/standin/platform/council"
 )
@@ -58,7 +59,16 @@
 }
 
 func install(t *testing.T) *installation {
+	return installBeside(t)
+}
+
+// installBeside installs an instance beside others that have rows in the store
+// and never answer.
+func installBeside(t *testing.T, silent ...string) *installation {
 	i := &installation{t: t, store: standin.NewStore(), group: standin.NewGroup(groupOptions()), log: &lockedBuffer{}}
+	for _, name := range silent {
+		i.store.Put(leadership.TableInstances, name, nil)
+	}
 	store := httptest.NewServer(i.store)
 	t.Cleanup(store.Close)
 	promotions := httptest.NewServer(http.HandlerFunc(i.group.ServePromotions))
@@ -231,3 +241,23 @@
 	<-stopped
 	require.Contains(t, i.log.String(), `"cut_off":0`)
 }
+
+// Pattern: an instance is cut off from the store and from all other instances.
+// It leaves the balancer's rotation and ends idle sessions, so that its clients
+// find another instance; a transaction in progress goes on.
+func TestIsolatedInstanceLetsItsClientsGo(t *testing.T) {
+	t.Parallel()
+	i := installBeside(t, "silent-1", "silent-2", "silent-3")
+	defer i.instance.Stop(context.Background())
+	idle, _ := i.connect("desk")
+	busy, _ := i.connect("desk")
+	busy.must("BEGIN")
+	i.store.SetFaults(func(string, string) standin.Fault { return standin.FaultSilent })
+	_, err := idle.reader.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	require.False(t, i.instance.Ready())
+	_, _, after := busy.query("ROLLBACK")
+	require.True(t, strings.HasPrefix(after, "I "), after)
+	i.store.SetFaults(nil)
+	require.Eventually(t, i.instance.Ready, 10*time.Second, 10*time.Millisecond)
+}
--- a/test/council/failover_test.go
+++ b/test/council/failover_test.go
@@ -399,3 +399,32 @@
 		w.requireSoundPromotions()
 	})
 }
+
+// Pattern: one instance is cut off from everything but the databases. It alone
+// counts as isolated, and no longer once it is healed.
+func TestInstanceCutOffFromStoreAndOthersIsIsolated(t *testing.T) {
+	run(t, four, func(w *world) {
+		time.Sleep(5 * time.Second) // until all know each other
+		w.partition(between([]string{"a"}, []string{"b", "c", "d", "store"}))
+		w.eventually(4*time.Second, "the isolation of the instance that is cut off", w.instances["a"].leadership.Isolated)
+		for _, name := range []string{"b", "c", "d"} {
+			require.False(w.t, w.instances[name].leadership.Isolated(), name)
+		}
+		w.partition(nil)
+		w.eventually(2*time.Second, "the end of the isolation", func() bool { return !w.instances["a"].leadership.Isolated() })
+	})
+}
+
+// Pattern: the store is away for all. The instances answer each other, so none
+// of them sends its clients away.
+func TestNobodyIsIsolatedWhileTheStoreIsAway(t *testing.T) {
+	run(t, four, func(w *world) {
+		w.partition(between(four, []string{"store"}))
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			for _, name := range four {
+				require.False(w.t, w.instances[name].leadership.Isolated(), name)
+			}
+		}
+	})
+}
