Registrations that change in quick succession come in few answers

The first change is told at once, the following ones at most four times a second. One Pause for coordination instead of two.

--- a/internal/coordination/leadership/beat.go
+++ b/internal/coordination/leadership/beat.go
@@ -256,15 +256,6 @@
 	return true
 }
 
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func changesTotal(result string) *metrics.Counter {
 	return metrics.GetOrCreateCounter(`cyclamenpin_primary_changes_total{result="` + result + `"}`)
 }
--- a/internal/coordination/leadership/change.go
+++ b/internal/coordination/leadership/change.go
@@ -79,7 +79,7 @@
 		Uint64("epoch", attempt.epoch).Uint64("token", attempt.token).Bool("planned", attempt.planned).Stringer("target", attempt.target).
 		Dur("held_ms", m.Clock.Now().Sub(started)).Str("result", result).Msg("change of primary ended")
 	if err != nil {
-		pause(ctx, evaluateInterval)
+		state.Pause(ctx, evaluateInterval)
 	}
 }
 
@@ -219,7 +219,7 @@
 			return eris.Wrapf(err, "wait for %v and %v to give up the old primary", left.leased, left.vouched)
 		}
 		m.tellHoldouts(attempt.group, append(left.leased, left.vouched...))
-		pause(ctx, acknowledgementInterval)
+		state.Pause(ctx, acknowledgementInterval)
 	}
 }
 
@@ -268,7 +268,7 @@
 		if late || ctx.Err() != nil {
 			return candidate{}, false, eris.Wrapf(errNoCandidate, "group %s", attempt.group)
 		}
-		pause(ctx, statusInterval)
+		state.Pause(ctx, statusInterval)
 	}
 }
 
@@ -330,7 +330,7 @@
 		if ctx.Err() != nil || m.Clock.Now() >= deadline {
 			return state.ServerStatus{}, eris.Errorf("%s does not lead %s after its promotion", server.ID, confirmTimeout)
 		}
-		pause(ctx, statusInterval)
+		state.Pause(ctx, statusInterval)
 	}
 }
 
--- a/internal/coordination/leadership/duty.go
+++ b/internal/coordination/leadership/duty.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/rowstore"
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
 )
 
 // errDutyTaken is the error of a duty that another instance holds.
@@ -128,7 +129,7 @@
 		if err == nil || errors.Is(err, rowstore.ErrConflict) || ctx.Err() != nil {
 			return err
 		}
-		pause(ctx, 2*acknowledgementInterval)
+		state.Pause(ctx, 2*acknowledgementInterval)
 	}
 }
 
--- a/internal/coordination/rowstore/follow.go
+++ b/internal/coordination/rowstore/follow.go
@@ -21,6 +21,9 @@
 	// store it stays below the time in which a leaving database must be given
 	// up.
 	UncheckedWait = 6 * time.Second
+	// BatchSpacing suits rows of which many change together, as databases do
+	// that start; it is far below the seconds within which one must be noticed.
+	BatchSpacing = 250 * time.Millisecond
 	// SettlingWait suits rows that come back within two seconds of an outage.
 	SettlingWait = time.Second
 )
@@ -61,9 +64,12 @@
 	// Settling is that time after an outage of the store, where the reader
 	// waits for rows to come back; 0 for Wait.
 	Settling time.Duration
-	Link     *Link
-	Clock    state.Clock
-	Log      zerolog.Logger
+	// Spacing is the least time between two calls, so that changes in quick
+	// succession come in one answer.
+	Spacing time.Duration
+	Link    *Link
+	Clock   state.Clock
+	Log     zerolog.Logger
 	// Apply is called with each answer, also one without rows.
 	Apply func(Update)
 }
@@ -108,7 +114,11 @@
 		case ctx.Err() != nil:
 			return
 		case err == nil:
+			listed := f.listed
 			f.take(snapshot, asked)
+			if listed && len(snapshot.Rows) > 0 {
+				state.Pause(ctx, f.Spacing-f.Clock.Now().Sub(asked))
+			}
 		case errors.Is(err, ErrHistoryLost):
 			f.Log.Info().Str("table", f.Table).Uint64("after", f.after).Msg("history lost, listing the table again")
 			f.listed = false
--- a/internal/entry/followers.go
+++ b/internal/entry/followers.go
@@ -26,7 +26,7 @@
 	return &followers{
 		configuration: follower(rowstore.FollowerConfig{Table: platform.ConfigurationTable, Wait: rowstore.CheckedWait, Apply: dir.ApplyOperators}),
 		servers: follower(rowstore.FollowerConfig{
-			Table: platform.ServersTable, Wait: rowstore.UncheckedWait, Settling: rowstore.SettlingWait, Apply: dir.ApplyServers,
+			Table: platform.ServersTable, Wait: rowstore.UncheckedWait, Settling: rowstore.SettlingWait, Spacing: rowstore.BatchSpacing, Apply: dir.ApplyServers,
 		}),
 		primaries: follower(rowstore.FollowerConfig{Table: leadership.TablePrimaries, Wait: rowstore.CheckedWait, Apply: leaders.Apply}),
 	}
--- a/internal/state/clock.go
+++ b/internal/state/clock.go
@@ -1,6 +1,9 @@
 package state
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // Instant is a moment on a Clock, as the time since an unknown start.
 type Instant time.Duration
@@ -21,3 +24,16 @@
 type Clock interface {
 	Now() Instant
 }
+
+// Pause waits for a time or until ctx ends, whatever comes first.
+func Pause(ctx context.Context, wait time.Duration) {
+	if wait <= 0 {
+		return
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/test/council/follow_test.go
+++ b/test/council/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -37,7 +38,7 @@
 		r := &reader{store: standin.NewStore(), link: rowstore.NewLink(), values: make(map[string]string)}
 		r.store.Put(followed, "a", []byte("1"))
 		r.Follower = rowstore.NewFollower(rowstore.FollowerConfig{
-			Store: r.store.Client("self"), Table: followed, Wait: rowstore.CheckedWait, Settling: rowstore.SettlingWait,
+			Store: r.store.Client("self"), Table: followed, Wait: rowstore.CheckedWait, Settling: rowstore.SettlingWait, Spacing: rowstore.BatchSpacing,
 			Link: r.link, Clock: virtualClock{time.Now()}, Log: zerolog.Nop(), Apply: r.apply,
 		})
 		go r.Run(ctx)
@@ -166,3 +167,22 @@
 		mu.Unlock()
 	})
 }
+
+// Pattern: many databases start one after the other. Their registrations come
+// in few answers, and the first of them at once.
+func TestChangesInQuickSuccessionAreBatched(t *testing.T) {
+	follow(t, func(r *reader) {
+		time.Sleep(time.Second)
+		told := len(r.updates)
+		r.store.Put(followed, "b0", []byte("1"))
+		time.Sleep(20 * time.Millisecond)
+		require.Equal(t, "1", r.value("b0"))
+		for n := range 50 {
+			r.store.Put(followed, "b"+strconv.Itoa(n), []byte("2"))
+			time.Sleep(20 * time.Millisecond)
+		}
+		time.Sleep(rowstore.BatchSpacing)
+		require.Equal(t, "2", r.value("b49"))
+		require.LessOrEqual(t, len(r.updates)-told, 7)
+	})
+}
--- a/test/council/world_test.go
+++ b/test/council/world_test.go
@@ -293,7 +293,7 @@
 		return follower
 	}
 	i.configuration = follow(rowstore.FollowerConfig{Table: tableRoutes, Wait: rowstore.CheckedWait, Apply: i.directory.ApplyOperators})
-	follow(rowstore.FollowerConfig{Table: tableServers, Wait: rowstore.UncheckedWait, Settling: rowstore.SettlingWait, Apply: i.directory.ApplyServers})
+	follow(rowstore.FollowerConfig{Table: tableServers, Wait: rowstore.UncheckedWait, Settling: rowstore.SettlingWait, Spacing: rowstore.BatchSpacing, Apply: i.directory.ApplyServers})
 	follow(rowstore.FollowerConfig{Table: leadership.TablePrimaries, Wait: rowstore.CheckedWait, Apply: i.leadership.Apply})
 	go i.leadership.Run(ctx)
 	go i.pools.Run(ctx)
