--- /dev/null
+++ b/internal/coordination/leadership/apply.go
@@ -0,0 +1,100 @@
+package leadership
+
+import (
+	"time"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/rowstore"
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// Apply takes over changes of TablePrimaries.
+func (m *Manager) Apply(update rowstore.Update) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, row := range update.Rows {
+		m.applyRow(row, update.Answered)
+		m.generation = max(m.generation, row.Version)
+	}
+	m.lease.clock.observe(update.Asked, update.Answered, update.Now)
+	m.lease.seen = max(m.lease.seen, update.Version)
+	m.ready = true
+	m.broadcast()
+}
+
+// applyRow must be called with the lock held.
+func (m *Manager) applyRow(row rowstore.Row, now state.Instant) {
+	id := state.GroupID(row.Key)
+	g := m.group(id)
+	if row.Removed || row.Version <= g.version {
+		return
+	}
+	var record Record
+	if err := decode(row.Key, row.Value, &record); err != nil {
+		m.Log.Error().Err(err).Str("group", row.Key).Msg("primary's record can't be read, the primary is not used")
+		record = Record{Epoch: g.record.Epoch + 1, Changing: true, Primary: g.record.Primary}
+	}
+	m.applyRecord(id, record, row.Version, now)
+}
+
+// applyRecord must be called with the lock held.
+func (m *Manager) applyRecord(id state.GroupID, record Record, version uint64, now state.Instant) {
+	g := m.group(id)
+	if version <= g.version {
+		return
+	}
+	if record.Changing && !g.record.Changing {
+		g.changingSince = now
+	}
+	g.record, g.version, g.seenAt, g.suspected = record, version, now, false
+	m.Log.Info().Str("group", string(id)).Uint64("epoch", record.Epoch).Bool("changing", record.Changing).Bool("planned", record.Planned).
+		Str("primary", string(record.Primary)).Str("promoter", record.Promoter).Int("grants", len(g.grants)).Msg("primary's record changed")
+	if record.Changing && record.Epoch > max(g.acknowledged, g.revoking) {
+		g.revoking = record.Epoch
+		go m.revoke(id, record.Epoch, record.Planned)
+	}
+}
+
+// broadcast must be called with the lock held.
+func (m *Manager) broadcast() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// revoke gives up the old primary's grants and then acknowledges the epoch.
+func (m *Manager) revoke(id state.GroupID, epoch uint64, planned bool) {
+	if planned {
+		m.awaitRelease(id)
+	}
+	m.mu.Lock()
+	g := m.group(id)
+	closers := make([]func(), 0, len(g.grants))
+	for grant := range g.grants {
+		if closer := grant.revoke(); closer != nil {
+			closers = append(closers, closer)
+		}
+		delete(g.grants, grant)
+	}
+	m.mu.Unlock()
+	for _, closer := range closers {
+		closer()
+	}
+	m.mu.Lock()
+	g.acknowledged = max(g.acknowledged, epoch)
+	m.mu.Unlock()
+	m.Log.Info().Str("group", string(id)).Uint64("epoch", epoch).Int("closed", len(closers)).Msg("old primary given up")
+	m.askBeat()
+}
+
+// awaitRelease waits until no grant of a group is left, or Options.PlannedDrain.
+func (m *Manager) awaitRelease(id state.GroupID) {
+	deadline := m.Clock.Now().Add(m.Options.PlannedDrain)
+	for m.Clock.Now() < deadline {
+		m.mu.Lock()
+		left := len(m.group(id).grants)
+		m.mu.Unlock()
+		if left == 0 {
+			return
+		}
+		time.Sleep(acknowledgementInterval)
+	}
+}
--- a/internal/coordination/leadership/change.go
+++ b/internal/coordination/leadership/change.go
@@ -1,16 +1,13 @@
 package leadership
 
 import (
-	"cmp"
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 
-	"github.com/cyclamenpin/cyclamenpin/internal/coordination/directory"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/rowstore"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 )
@@ -19,9 +16,6 @@
 // has changed the primary, or is about to.
 var errOvertaken = errors.New("another instance changes the primary")
 
-// errNoCandidate is the error of a group without a replica to promote.
-var errNoCandidate = errors.New("no replica answers")
-
 // changeAttempt is one attempt to give a group another primary.
 type changeAttempt struct {
 	group    state.GroupID
@@ -241,148 +235,3 @@
 	}
 	attempt.target = status.Received
 }
-
-// candidate is a database that answered.
-type candidate struct {
-	server state.Server
-	status state.ServerStatus
-}
-
-// choose returns the replica that received most, after it had time to receive
-// what the old primary wrote last. done tells that it is primary already, by
-// an earlier attempt.
-func (m *Manager) choose(ctx context.Context, attempt *changeAttempt) (chosen candidate, done bool, err error) {
-	deadline := m.Clock.Now().Add(catchUpTimeout)
-	for {
-		candidates := m.ask(ctx, attempt)
-		for _, found := range candidates {
-			if attempt.succeeded(found) {
-				return found, true, nil
-			}
-		}
-		late := m.Clock.Now() >= deadline
-		candidates = slices.DeleteFunc(candidates, func(c candidate) bool { return !attempt.acceptable(c.status) })
-		if len(candidates) > 0 && (late || candidates[0].status.Received.Covers(attempt.target)) {
-			return candidates[0], false, nil
-		}
-		if late || ctx.Err() != nil {
-			return candidate{}, false, eris.Wrapf(errNoCandidate, "group %s", attempt.group)
-		}
-		state.Pause(ctx, statusInterval)
-	}
-}
-
-// ask returns the replicas that answer, the one that received most first.
-func (m *Manager) ask(ctx context.Context, attempt *changeAttempt) []candidate {
-	var mu sync.Mutex
-	var asking sync.WaitGroup
-	var found []candidate
-	for _, entry := range m.Directory.Servers(attempt.group) {
-		if entry.ID == attempt.old || entry.Leaving {
-			continue
-		}
-		asking.Go(func() {
-			if answer, ok := m.askOne(ctx, entry); ok {
-				mu.Lock()
-				found = append(found, answer)
-				mu.Unlock()
-			}
-		})
-	}
-	asking.Wait()
-	slices.SortFunc(found, func(a, b candidate) int {
-		if c := b.status.Received.Compare(a.status.Received); c != 0 {
-			return c
-		}
-		return cmp.Compare(a.server.ID, b.server.ID)
-	})
-	return found
-}
-
-func (m *Manager) askOne(ctx context.Context, entry directory.Entry) (candidate, bool) {
-	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
-	defer cancel()
-	status, err := m.Databases.Status(ctx, entry.Server)
-	if err != nil {
-		m.Log.Warn().Err(err).Str("database", string(entry.ID)).Msg("candidate does not answer")
-		return candidate{}, false
-	}
-	return candidate{server: entry.Server, status: status}, true
-}
-
-// promote orders the promotion and waits until the database leads.
-func (m *Manager) promote(ctx context.Context, attempt *changeAttempt, server state.Server) (state.ServerStatus, error) {
-	deadline := m.Clock.Now().Add(confirmTimeout)
-	var ordered bool
-	var nextOrder state.Instant
-	for {
-		now := m.Clock.Now()
-		if !ordered && now >= nextOrder {
-			var err error
-			if ordered, err = m.orderPromotion(ctx, attempt, server); err != nil {
-				return state.ServerStatus{}, err
-			}
-			nextOrder = m.Clock.Now().Add(promoteInterval)
-		}
-		if answer, ok := m.askOne(ctx, directory.Entry{Server: server}); ok && attempt.succeeded(answer) {
-			return answer.status, nil
-		}
-		if ctx.Err() != nil || m.Clock.Now() >= deadline {
-			return state.ServerStatus{}, eris.Errorf("%s does not lead %s after its promotion", server.ID, confirmTimeout)
-		}
-		state.Pause(ctx, statusInterval)
-	}
-}
-
-// orderPromotion sends one promotion. It returns false where it is to be
-// repeated.
-func (m *Manager) orderPromotion(ctx context.Context, attempt *changeAttempt, server state.Server) (bool, error) {
-	if !m.dutyValid() {
-		return false, eris.New("the promotion duty has lapsed")
-	}
-	sent := m.Clock.Now()
-	err := m.Promoter.Promote(ctx, attempt.group, server.ID, m.Self, attempt.token)
-	m.Log.Info().Err(err).Str("group", string(attempt.group)).Str("database", string(server.ID)).Uint64("epoch", attempt.epoch).
-		Uint64("token", attempt.token).Dur("held_ms", m.Clock.Now().Sub(sent)).Msg("promotion ordered")
-	if errors.Is(err, state.ErrNotRunning) {
-		return false, err
-	}
-	if err != nil && !errors.Is(err, state.ErrTooManyCalls) {
-		m.markUnsure()
-	}
-	return err == nil, nil
-}
-
-// publish ends the change: from now on the new primary is used.
-func (m *Manager) publish(ctx context.Context, attempt *changeAttempt, primary state.DatabaseID, status state.ServerStatus) error {
-	record := Record{Epoch: attempt.epoch, Primary: primary, Term: status.Term, Start: status.Received, Promoter: m.runName}
-	return m.withRetries(ctx, func(ctx context.Context) error {
-		_, err := m.writeRecord(ctx, attempt.group, record, m.versionOf(attempt.group))
-		if errors.Is(err, rowstore.ErrConflict) && m.published(attempt) {
-			return nil
-		}
-		return err
-	})
-}
-
-func (m *Manager) versionOf(id state.GroupID) uint64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.group(id).version
-}
-
-// published reports whether the end of the attempt is known to be written, by
-// a call whose answer was lost.
-func (m *Manager) published(attempt *changeAttempt) bool {
-	deadline := m.Clock.Now().Add(time.Second)
-	for m.Clock.Now() < deadline {
-		m.mu.Lock()
-		record := m.group(attempt.group).record
-		m.mu.Unlock()
-		if record.Epoch > attempt.epoch || record.Epoch == attempt.epoch && !record.Changing {
-			return record.Epoch == attempt.epoch
-		}
-		time.Sleep(acknowledgementInterval)
-	}
-	return false
-}
--- /dev/null
+++ b/internal/coordination/leadership/choose.go
@@ -0,0 +1,85 @@
+package leadership
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"sync"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/directory"
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// errNoCandidate is the error of a group without a replica to promote.
+var errNoCandidate = errors.New("no replica answers")
+
+// candidate is a database that answered.
+type candidate struct {
+	server state.Server
+	status state.ServerStatus
+}
+
+// choose returns the replica that received most, after it had time to receive
+// what the old primary wrote last. done tells that it is primary already, by
+// an earlier attempt.
+func (m *Manager) choose(ctx context.Context, attempt *changeAttempt) (chosen candidate, done bool, err error) {
+	deadline := m.Clock.Now().Add(catchUpTimeout)
+	for {
+		candidates := m.ask(ctx, attempt)
+		for _, found := range candidates {
+			if attempt.succeeded(found) {
+				return found, true, nil
+			}
+		}
+		late := m.Clock.Now() >= deadline
+		candidates = slices.DeleteFunc(candidates, func(c candidate) bool { return !attempt.acceptable(c.status) })
+		if len(candidates) > 0 && (late || candidates[0].status.Received.Covers(attempt.target)) {
+			return candidates[0], false, nil
+		}
+		if late || ctx.Err() != nil {
+			return candidate{}, false, eris.Wrapf(errNoCandidate, "group %s", attempt.group)
+		}
+		state.Pause(ctx, statusInterval)
+	}
+}
+
+// ask returns the replicas that answer, the one that received most first.
+func (m *Manager) ask(ctx context.Context, attempt *changeAttempt) []candidate {
+	var mu sync.Mutex
+	var asking sync.WaitGroup
+	var found []candidate
+	for _, entry := range m.Directory.Servers(attempt.group) {
+		if entry.ID == attempt.old || entry.Leaving {
+			continue
+		}
+		asking.Go(func() {
+			if answer, ok := m.askOne(ctx, entry); ok {
+				mu.Lock()
+				found = append(found, answer)
+				mu.Unlock()
+			}
+		})
+	}
+	asking.Wait()
+	slices.SortFunc(found, func(a, b candidate) int {
+		if c := b.status.Received.Compare(a.status.Received); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.server.ID, b.server.ID)
+	})
+	return found
+}
+
+func (m *Manager) askOne(ctx context.Context, entry directory.Entry) (candidate, bool) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	status, err := m.Databases.Status(ctx, entry.Server)
+	if err != nil {
+		m.Log.Warn().Err(err).Str("database", string(entry.ID)).Msg("candidate does not answer")
+		return candidate{}, false
+	}
+	return candidate{server: entry.Server, status: status}, true
+}
--- /dev/null
+++ b/internal/coordination/leadership/promote.go
@@ -0,0 +1,90 @@
+package leadership
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/directory"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/rowstore"
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// promote orders the promotion and waits until the database leads.
+func (m *Manager) promote(ctx context.Context, attempt *changeAttempt, server state.Server) (state.ServerStatus, error) {
+	deadline := m.Clock.Now().Add(confirmTimeout)
+	var ordered bool
+	var nextOrder state.Instant
+	for {
+		now := m.Clock.Now()
+		if !ordered && now >= nextOrder {
+			var err error
+			if ordered, err = m.orderPromotion(ctx, attempt, server); err != nil {
+				return state.ServerStatus{}, err
+			}
+			nextOrder = m.Clock.Now().Add(promoteInterval)
+		}
+		if answer, ok := m.askOne(ctx, directory.Entry{Server: server}); ok && attempt.succeeded(answer) {
+			return answer.status, nil
+		}
+		if ctx.Err() != nil || m.Clock.Now() >= deadline {
+			return state.ServerStatus{}, eris.Errorf("%s does not lead %s after its promotion", server.ID, confirmTimeout)
+		}
+		state.Pause(ctx, statusInterval)
+	}
+}
+
+// orderPromotion sends one promotion. It returns false where it is to be
+// repeated.
+func (m *Manager) orderPromotion(ctx context.Context, attempt *changeAttempt, server state.Server) (bool, error) {
+	if !m.dutyValid() {
+		return false, eris.New("the promotion duty has lapsed")
+	}
+	sent := m.Clock.Now()
+	err := m.Promoter.Promote(ctx, attempt.group, server.ID, m.Self, attempt.token)
+	m.Log.Info().Err(err).Str("group", string(attempt.group)).Str("database", string(server.ID)).Uint64("epoch", attempt.epoch).
+		Uint64("token", attempt.token).Dur("held_ms", m.Clock.Now().Sub(sent)).Msg("promotion ordered")
+	if errors.Is(err, state.ErrNotRunning) {
+		return false, err
+	}
+	if err != nil && !errors.Is(err, state.ErrTooManyCalls) {
+		m.markUnsure()
+	}
+	return err == nil, nil
+}
+
+// publish ends the change: from now on the new primary is used.
+func (m *Manager) publish(ctx context.Context, attempt *changeAttempt, primary state.DatabaseID, status state.ServerStatus) error {
+	record := Record{Epoch: attempt.epoch, Primary: primary, Term: status.Term, Start: status.Received, Promoter: m.runName}
+	return m.withRetries(ctx, func(ctx context.Context) error {
+		_, err := m.writeRecord(ctx, attempt.group, record, m.versionOf(attempt.group))
+		if errors.Is(err, rowstore.ErrConflict) && m.published(attempt) {
+			return nil
+		}
+		return err
+	})
+}
+
+func (m *Manager) versionOf(id state.GroupID) uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.group(id).version
+}
+
+// published reports whether the end of the attempt is known to be written, by
+// a call whose answer was lost.
+func (m *Manager) published(attempt *changeAttempt) bool {
+	deadline := m.Clock.Now().Add(time.Second)
+	for m.Clock.Now() < deadline {
+		m.mu.Lock()
+		record := m.group(attempt.group).record
+		m.mu.Unlock()
+		if record.Epoch > attempt.epoch || record.Epoch == attempt.epoch && !record.Changing {
+			return record.Epoch == attempt.epoch
+		}
+		time.Sleep(acknowledgementInterval)
+	}
+	return false
+}
--- /dev/null
+++ b/internal/coordination/leadership/view.go
@@ -0,0 +1,95 @@
+package leadership
+
+import (
+	"time"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// Primary returns the primary that the newest record names, whether or not it
+// may be used now.
+func (m *Manager) Primary(id state.GroupID) (state.DatabaseID, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.primaryOf(id, m.group(id))
+}
+
+// Ready reports whether this instance has had the lease, so that it may be
+// asked for primaries.
+func (m *Manager) Ready() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.lease.based && m.members.now > 0
+}
+
+// Start returns the position at which the present primary's reign began.
+func (m *Manager) Start(id state.GroupID) state.Position {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.group(id).record.Start
+}
+
+// Members returns how many instances may be using databases, at least 1. An
+// instance that is cut off from the store counts for as long as its lease may
+// last.
+func (m *Manager) Members() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.members.live(m.Options.LongestLease)
+}
+
+// DemandOf returns how many instances may be using a group's databases, and how
+// much of the demand for them is this instance's.
+func (m *Manager) DemandOf(id state.GroupID) (instances, own, all int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	within := m.Options.LongestLease
+	own, all = m.members.demand(m.Self, id, within)
+	return m.members.live(within), own, all
+}
+
+// StoreOffsets bounds the difference between the store's clock and the local
+// one.
+func (m *Manager) StoreOffsets() (lower, upper time.Duration, known bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	upper, known = m.lease.clock.atMost(0)
+	return m.lease.clock.atLeast(0), upper, known
+}
+
+// Reaching returns the addresses of the other instances that can use a group's
+// primary, as far as is known here.
+func (m *Manager) Reaching(id state.GroupID) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.members.reaching(m.Self, id, m.group(id).record.Epoch, reachingWithin)
+}
+
+// Peers returns the addresses of the other instances.
+func (m *Manager) Peers() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.peerAddresses()
+}
+
+// Status is what the dump shows of a group.
+type Status struct {
+	Group    state.GroupID    `json:"group"`
+	Epoch    uint64           `json:"epoch"`
+	Changing bool             `json:"changing"`
+	Primary  state.DatabaseID `json:"primary"`
+	Grants   int              `json:"grants"`
+}
+
+// Snapshot returns the state of all groups and how long the lease still runs.
+func (m *Manager) Snapshot() (groups []Status, leaseLeft time.Duration) {
+	now := m.Clock.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, id := range m.Directory.Groups() {
+		g := m.group(id)
+		primary, _ := m.primaryOf(id, g)
+		groups = append(groups, Status{Group: id, Epoch: g.record.Epoch, Changing: g.record.Changing, Primary: primary, Grants: len(g.grants)})
+	}
+	return groups, m.lease.left(now)
+}
