--- a/internal/coordination/freshness/freshness.go
+++ b/internal/coordination/freshness/freshness.go
@@ -78,6 +78,18 @@
 	return position, known
 }
 
+// Newest returns the latest moment up to which a position is known that covers
+// commits.
+func (t *Tracker) Newest(group state.GroupID) (state.Instant, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	history := t.groups[group]
+	if len(history) == 0 {
+		return 0, false
+	}
+	return history[len(history)-1].asked, true
+}
+
 // Earliest returns that position with the moment up to which it covers commits.
 func (t *Tracker) Earliest(group state.GroupID, notBefore state.Instant) (state.Instant, state.Position, bool) {
 	t.mu.Lock()
--- a/internal/coordination/leadership/doc.go
+++ b/internal/coordination/leadership/doc.go
@@ -3,8 +3,8 @@
 //
 // The shared store holds one row for each group whose primary was ever
 // changed. An instance may use a group's primary while it holds a lease, and
-// renews the lease by writing its own row and then having seen every change of
-// the primaries' table up to that write. A promoter first announces the change
+// renews the lease by writing its own row on the condition that it has seen
+// every change of a primary. A promoter first announces the change
 // in the group's row. It goes on when each instance has either acknowledged
 // that it no longer uses the old primary, or can no longer hold a lease. So no
 // instance uses a superseded primary, whichever machines can reach it.
--- a/internal/coordination/leadership/view.go
+++ b/internal/coordination/leadership/view.go
@@ -74,13 +74,22 @@
 
 // Status is what the dump shows of a group.
 type Status struct {
-	Group    state.GroupID    `json:"group"`
-	Epoch    uint64           `json:"epoch"`
+	Group state.GroupID `json:"group"`
+	Epoch uint64        `json:"epoch"`
+	// Term is the primary's, 0 where it was never changed.
+	Term     state.Term       `json:"term"`
 	Changing bool             `json:"changing"`
 	Primary  state.DatabaseID `json:"primary"`
 	Grants   int              `json:"grants"`
 }
 
+// DutyHeld reports whether this instance holds the duty of promotions and uses it.
+func (m *Manager) DutyHeld() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.duty.held && m.duty.users > 0
+}
+
 // Snapshot returns the state of all groups and how long the lease still runs.
 func (m *Manager) Snapshot() (groups []Status, leaseLeft time.Duration) {
 	now := m.Clock.Now()
@@ -89,7 +98,7 @@
 	for _, id := range m.Directory.Groups() {
 		g := m.group(id)
 		primary, _ := m.primaryOf(id, g)
-		groups = append(groups, Status{Group: id, Epoch: g.record.Epoch, Changing: g.record.Changing, Primary: primary, Grants: len(g.grants)})
+		groups = append(groups, Status{Group: id, Epoch: g.record.Epoch, Term: g.record.Term, Changing: g.record.Changing, Primary: primary, Grants: len(g.grants)})
 	}
 	return groups, m.lease.left(now)
 }
--- a/internal/coordination/pooling/dial.go
+++ b/internal/coordination/pooling/dial.go
@@ -92,6 +92,9 @@
 func (p *Pool) connect(ctx context.Context) (conn Conn, detoured bool, err error) {
 	if p.health.Suspected(p.server.ID) {
 		conn, err = p.dialer.Detour(ctx, p.server)
+		if err == nil {
+			p.log.Info().Str("database", string(p.server.ID)).Msg("connection opened through another instance")
+		}
 		if !errors.Is(err, state.ErrNoDetour) {
 			return conn, true, err
 		}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,6 +24,7 @@
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/leadership"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/pooling"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/relay"
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
 	"github.com/cyclamenpin/cyclamenpin/internal/transport/datagram"
 	"github.com/cyclamenpin/cyclamenpin/internal/transport/lineserver"
 	"github.com/cyclamenpin/cyclamenpin/internal/transport/tunnel"
@@ -75,6 +76,7 @@
 	engine     *relay.Engine
 	server     *lineserver.Server
 	store      *platform.Store
+	clock      state.Clock
 	followers  *followers
 	positions  *freshness.Exchange
 	carrier    *tunnel.Server
@@ -114,7 +116,7 @@
 		fx.Supply(settings, i),
 		fx.Provide(func() context.Context { return background }, func() (zerolog.Logger, requestLog) { return i.logs.Logger, i.logs.requests }),
 		modules(),
-		fx.Populate(&i.directory, &i.leadership, &i.pools, &i.engine, &i.server, &i.store, &i.followers, &i.positions, &i.carrier),
+		fx.Populate(&i.directory, &i.leadership, &i.pools, &i.engine, &i.server, &i.store, &i.clock, &i.followers, &i.positions, &i.carrier),
 		fx.Invoke(func(lifecycle fx.Lifecycle) {
 			lifecycle.Append(fx.Hook{OnStart: func(context.Context) error { i.runAll(background); return nil }})
 		}),
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -43,12 +43,7 @@
 func (i *Instance) gauges() *metrics.Set {
 	set := metrics.NewSet()
 	set.NewGauge(`cyclamenpin_entry_clients`, func() float64 { return float64(i.server.Clients()) })
-	set.NewGauge(`cyclamenpin_entry_ready`, func() float64 {
-		if i.Ready() {
-			return 1
-		}
-		return 0
-	})
+	set.NewGauge(`cyclamenpin_entry_ready`, oneIf(i.Ready))
 	set.NewGauge(`cyclamenpin_entry_configuration_version`, func() float64 {
 		if routes := i.directory.Routes(); routes != nil {
 			return float64(routes.Version)
@@ -56,6 +51,8 @@
 		return 0
 	})
 	set.NewGauge(`cyclamenpin_entry_instances_live`, func() float64 { return float64(i.leadership.Members()) })
+	set.NewGauge(`cyclamenpin_entry_promotion_duty_held`, oneIf(i.leadership.DutyHeld))
+	set.NewGauge(`cyclamenpin_entry_isolated`, oneIf(i.leadership.Isolated))
 	set.NewGauge(`cyclamenpin_entry_lease_left_seconds`, func() float64 {
 		_, left := i.leadership.Snapshot()
 		return left.Seconds()
@@ -63,6 +60,16 @@
 	return set
 }
 
+// oneIf makes a gauge of a condition.
+func oneIf(holds func() bool) func() float64 {
+	return func() float64 {
+		if holds() {
+			return 1
+		}
+		return 0
+	}
+}
+
 // Dump is the state of an instance.
 type Dump struct {
 	Instance      state.InstanceID    `json:"instance"`
--- a/internal/transport/linebackend/conn.go
+++ b/internal/transport/linebackend/conn.go
@@ -71,7 +71,7 @@
 		return nil, eris.Wrapf(err, "dial database %s at %s", server.ID, server.Address)
 	}
 	socket.SetUserTimeout(raw, userTimeout)
-	return d.start(ctx, raw, server)
+	return d.start(ctx, raw, server, string(server.ID))
 }
 
 // maxCarriers is how many other instances are tried for one connection.
@@ -89,7 +89,7 @@
 		raw, err := tunnel.Open(ctx, carrier, server.ID)
 		if err == nil {
 			detours("opened").Inc()
-			return d.start(ctx, raw, server)
+			return d.start(ctx, raw, server, string(server.ID)+" through "+carrier)
 		}
 		detours("failed").Inc()
 		failures = errors.Join(failures, err)
@@ -101,9 +101,9 @@
 	return metrics.GetOrCreateCounter(`cyclamenpin_detours_total{result="` + result + `"}`)
 }
 
-// start begins a session on a new connection.
-func (d *Dialer) start(ctx context.Context, raw net.Conn, server state.Server) (pooling.Conn, error) {
-	conn := &Conn{raw: raw, reader: bufio.NewReaderSize(raw, readerBytes), codec: d.Codec, peer: string(server.ID)}
+// start begins a session on a new connection. Errors name the peer.
+func (d *Dialer) start(ctx context.Context, raw net.Conn, server state.Server, peer string) (pooling.Conn, error) {
+	conn := &Conn{raw: raw, reader: bufio.NewReaderSize(raw, readerBytes), codec: d.Codec, peer: peer}
 	deadline, _ := ctx.Deadline()
 	conn.buffer = d.Codec.AppendConnect(conn.buffer, server.Group, d.Who, server.ID)
 	reply, err := conn.exchange("startup", deadline, nil)
