--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -61,6 +61,20 @@
 	return text
 }
 
+// countsSamplesOnly reports whether the line says that only lines of ordinary
+// requests were left out, as happens each second under load.
+func (l logLine) countsSamplesOnly() bool {
+	if _, counts := l.fields["ordinary"]; !counts {
+		return false
+	}
+	for _, kind := range []string{"failures", "beliefs", "lost"} {
+		if n, _ := l.fields[kind].(float64); n > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 func readLogs(files []string, stdin io.Reader) ([]logLine, error) {
 	if len(files) == 0 {
 		return parseLog(stdin)
@@ -131,6 +145,9 @@
 	if request := line.text("request"); request != "" {
 		return request == id
 	}
+	if line.countsSamplesOnly() {
+		return false
+	}
 	for _, mine := range own {
 		if line.at.Sub(mine.at).Abs() > around {
 			continue
--- a/internal/cli/explain_test.go
+++ b/internal/cli/explain_test.go
@@ -36,3 +36,16 @@
 	require.Contains(t, stderr.String(), "no line on request r9")
 	require.Equal(t, ExitUsage, Run([]string{"explain"}, &stdout, &stderr))
 }
+
+// Lines that count what was left out matter where a failure may be among it.
+func TestExplainShowsWhatWasLeftOutOnlyWhereItMatters(t *testing.T) {
+	lines, err := parseLog(strings.NewReader(recordedLog + `
+{"instance":"entry-1","ordinary":41,"failures":0,"beliefs":0,"lost":0,"time":"2026-12-04T00:00:07.4Z","message":"log lines left out"}
+{"instance":"entry-1","ordinary":41,"failures":3,"beliefs":0,"lost":0,"time":"2026-12-04T00:00:08.4Z","message":"log lines left out"}
+`))
+	require.NoError(t, err)
+	var output bytes.Buffer
+	require.NoError(t, explain(&output, "r1", lines, 5e9))
+	require.Equal(t, 1, strings.Count(output.String(), "log lines left out"))
+	require.Contains(t, output.String(), "failures=3")
+}
