--- a/test/council/entry_test.go
+++ b/test/council/entry_test.go
@@ -24,14 +24,16 @@
 
 // installation is one entry instance over loopback sockets, with stand-ins.
 type installation struct {
-	t        *testing.T
+	t        testing.TB
 	store    *standin.Store
 	group    *standin.Group
 	settings string
 	address  string
-	ready    string
-	instance *entry.Instance
-	log      *lockedBuffer
+	// databases are the addresses of the databases.
+	databases []string
+	ready     string
+	instance  *entry.Instance
+	log       *lockedBuffer
 }
 
 type lockedBuffer struct {
@@ -51,7 +53,7 @@
 	return b.text.String()
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer listener.Close()
@@ -59,13 +61,13 @@
 }
 
 func install(t *testing.T) *installation {
-	return installBeside(t)
+	return installBeside(t, groupOptions())
 }
 
 // installBeside installs an instance beside others that have rows in the store
 // and never answer.
-func installBeside(t *testing.T, silent ...string) *installation {
-	i := &installation{t: t, store: standin.NewStore(), group: standin.NewGroup(groupOptions()), log: &lockedBuffer{}}
+func installBeside(t testing.TB, options standin.Options, silent ...string) *installation {
+	i := &installation{t: t, store: standin.NewStore(), group: standin.NewGroup(options), log: &lockedBuffer{}}
 	for _, name := range silent {
 		i.store.Put(leadership.TableInstances, name, nil)
 	}
@@ -79,6 +81,7 @@
 		t.Cleanup(func() { _ = listener.Close() })
 		database := i.group.Database(n)
 		go database.Serve(listener)
+		i.databases = append(i.databases, listener.Addr().String())
 		i.store.Put(tableServers, string(database.ID), database.Registration(listener.Addr().String()))
 	}
 	i.store.Put(tableServers, "other-writer", []byte("\xffnot a database"))
@@ -110,14 +113,19 @@
 
 // wireClient speaks the wire as a requester does.
 type wireClient struct {
-	t      *testing.T
+	t      testing.TB
 	conn   net.Conn
 	reader *bufio.Reader
 	ids    int
 }
 
 func (i *installation) connect(name string) (*wireClient, string) {
-	conn, err := net.Dial("tcp", i.address)
+	return i.connectTo(i.address, name)
+}
+
+// connectTo opens a session at an instance or a database.
+func (i *installation) connectTo(address, name string) (*wireClient, string) {
+	conn, err := net.Dial("tcp", address)
 	require.NoError(i.t, err)
 	i.t.Cleanup(func() { _ = conn.Close() })
 	require.NoError(i.t, conn.SetDeadline(time.Now().Add(20*time.Second)))
@@ -247,7 +255,7 @@
 // find another instance; a transaction in progress goes on.
 func TestIsolatedInstanceLetsItsClientsGo(t *testing.T) {
 	t.Parallel()
-	i := installBeside(t, "silent-1", "silent-2", "silent-3")
+	i := installBeside(t, groupOptions(), "silent-1", "silent-2", "silent-3")
 	defer i.instance.Stop(context.Background())
 	idle, _ := i.connect("desk")
 	busy, _ := i.connect("desk")
