--- a/test/soak/proxy_test.go
+++ b/test/soak/proxy_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,7 +28,12 @@
 
 func newProxy(t *testing.T, target string) *proxy {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	return newProxyAt(t, "127.0.0.1:0", target)
+}
+
+func newProxyAt(t *testing.T, address, target string) *proxy {
+	t.Helper()
+	listener, err := net.Listen("tcp", address)
 	require.NoError(t, err)
 	p := &proxy{listener: listener, target: target, conns: make(map[net.Conn]struct{})}
 	p.changed = sync.NewCond(&p.mu)
@@ -116,3 +122,68 @@
 		}
 	}
 }
+
+// peerProxy leads from one instance to another: datagrams and tunnels. What is
+// sent while it is cut is lost.
+type peerProxy struct {
+	tunnels *proxy
+	conn    *net.UDPConn
+	target  *net.UDPAddr
+	cut     atomic.Bool
+}
+
+func newPeerProxy(t *testing.T, target string) *peerProxy {
+	t.Helper()
+	address := "127.0.0.1:" + freePort(t)
+	local, err := net.ResolveUDPAddr("udp4", address)
+	require.NoError(t, err)
+	conn, err := net.ListenUDP("udp4", local)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	remote, err := net.ResolveUDPAddr("udp4", target)
+	require.NoError(t, err)
+	p := &peerProxy{tunnels: newProxyAt(t, address, target), conn: conn, target: remote}
+	go p.serve()
+	return p
+}
+
+func (p *peerProxy) address() string { return p.tunnels.address() }
+
+func (p *peerProxy) setCut(cut bool) {
+	p.cut.Store(cut)
+	p.tunnels.silence(cut, cut)
+}
+
+func (p *peerProxy) serve() {
+	buffer := make([]byte, 64<<10)
+	for {
+		n, from, err := p.conn.ReadFromUDP(buffer)
+		if err != nil {
+			return
+		}
+		if !p.cut.Load() {
+			go p.exchange(append([]byte(nil), buffer[:n]...), from)
+		}
+	}
+}
+
+// exchange sends one datagram on, and the answer back if one comes soon.
+func (p *peerProxy) exchange(message []byte, from *net.UDPAddr) {
+	far, err := net.DialUDP("udp4", nil, p.target)
+	if err != nil {
+		return
+	}
+	defer far.Close()
+	if _, err := far.Write(message); err != nil {
+		return
+	}
+	_ = far.SetReadDeadline(time.Now().Add(answerWait))
+	buffer := make([]byte, 64<<10)
+	n, err := far.Read(buffer)
+	if err == nil && !p.cut.Load() {
+		_, _ = p.conn.WriteToUDP(buffer[:n], from)
+	}
+}
+
+// answerWait is how long a datagram's answer is waited for.
+const answerWait = 500 * time.Millisecond
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -70,12 +70,13 @@
 	for seed := first; seed < first+fromEnvironment("SOAK_RUNS", soakRuns); seed++ {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Parallel()
-			soak(t, uint64(seed))
+			soak(t, uint64(seed), true)
 		})
 	}
 }
 
-// regressionSeeds once failed, each with its cause.
+// regressionSeeds once failed, each with its cause. Instances could not be cut
+// off from each other then.
 var regressionSeeds = map[uint64]string{
 	135: "a change was announced of a primary that another instance had just replaced, and never ended",
 }
@@ -84,13 +85,61 @@
 	for seed, cause := range regressionSeeds {
 		t.Run(cause, func(t *testing.T) {
 			t.Parallel()
-			soak(t, seed)
+			soak(t, seed, false)
 		})
 	}
 }
 
-func soak(t *testing.T, seed uint64) {
+// soak plays a seed, with cuts between instances beside the other troubles or
+// without.
+func soak(t *testing.T, seed uint64, cuts bool) {
 	s := newSystem(t, soakInstances)
+	s.cutsPeers = cuts
+	s.play(seed, func() {
+		var running sync.WaitGroup
+		if cuts {
+			running.Go(func() { s.cutsOfPeers(rand.New(rand.NewPCG(seed, 99))) })
+		}
+		s.troubles(rand.New(rand.NewPCG(seed, 1)))
+		running.Wait()
+		s.heal()
+	})
+}
+
+// cutsOfPeers cuts instances off from the others, one after the other.
+func (s *system) cutsOfPeers(random *rand.Rand) {
+	for range 3 {
+		i := s.instances[random.IntN(len(s.instances))]
+		time.Sleep(time.Duration(random.IntN(4000)) * time.Millisecond)
+		s.cutPeers(i, true)
+		time.Sleep(time.Duration(random.IntN(4000)) * time.Millisecond)
+		s.cutPeers(i, false)
+	}
+}
+
+// An instance stands still, alone with the primary, until its lease has ended
+// and another database leads. All know each other by then, so that nobody waits
+// for it longer than that.
+func TestInstanceThatStoodStillLeavesTheOldPrimary(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t, soakInstances)
+	s.play(1, func() {
+		time.Sleep(untilEstablished)
+		first := s.group.Leader()
+		begin, end := s.aloneWithPrimary(s.instances[0], true)
+		begin()
+		end()
+		require.NotEqual(t, first.ID, s.group.Leader().ID, "another database leads")
+	})
+}
+
+// untilEstablished is how long instances run before all of them count as known
+// to each other: two reads of their rows, four seconds apart, and a margin.
+const untilEstablished = 11 * time.Second
+
+// play lets troubles happen under load, and checks what clients were told.
+func (s *system) play(seed uint64, troubles func()) {
+	t := s.t
 	defer s.end()
 	history := standin.NewHistory()
 	s.awaitService(history)
@@ -99,7 +148,7 @@
 	for n := range soakClients {
 		clients.Go(func() { s.load(rand.New(rand.NewPCG(seed, uint64(n)+2)), history, stop) })
 	}
-	s.troubles(rand.New(rand.NewPCG(seed, 1)))
+	troubles()
 	s.awaitService(history)
 	close(stop)
 	clients.Wait()
@@ -172,11 +221,16 @@
 		})
 	}
 	running.Wait()
+}
+
+// heal ends what may be left of the troubles.
+func (s *system) heal() {
 	s.store.SetFaults(nil)
 	for _, i := range s.instances {
 		for _, p := range i.proxies {
 			p.heal()
 		}
+		s.cutPeers(i, false)
 		i.signal(syscall.SIGCONT)
 		i.start()
 	}
@@ -234,8 +288,15 @@
 	return func() { s.store.SetFaults(faults) }, func() { s.store.SetFaults(nil) }
 }
 
-// aloneWithPrimary leaves the primary to one instance, which loses the store.
-func (s *system) aloneWithPrimary(alone *instance) (begin, end func()) {
+// pastTheLease is how much longer the instance alone with the primary stands
+// still: until its lease has ended and another database leads.
+const pastTheLease = 9 * time.Second
+
+// aloneWithPrimary leaves the primary to one instance, which loses the store. If
+// it also stands still and loses the other instances, its clients' statements
+// and its connections to the old primary are still there when it goes on, and it
+// has heard of no change.
+func (s *system) aloneWithPrimary(alone *instance, still bool) (begin, end func()) {
 	cut := []*proxy{alone.proxies[0]}
 	for n := 1; n <= databases; n++ {
 		if s.group.Database(n) != s.group.Leader() {
@@ -251,8 +312,18 @@
 		for _, p := range cut {
 			p.silence(true, true)
 		}
+		if still {
+			s.cutPeers(alone, true)
+			alone.signal(syscall.SIGSTOP)
+		}
 	}
 	end = func() {
+		if still {
+			time.Sleep(pastTheLease)
+			alone.signal(syscall.SIGCONT)
+			time.Sleep(2 * time.Second)
+			s.cutPeers(alone, false)
+		}
 		for _, p := range cut {
 			p.heal()
 		}
@@ -260,6 +331,17 @@
 	return begin, end
 }
 
+// cutPeers cuts an instance off from the others, or ends that.
+func (s *system) cutPeers(from *instance, cut bool) {
+	for _, i := range s.instances {
+		for address, peer := range i.peers {
+			if i == from || address == from.peerAddress {
+				peer.setCut(cut)
+			}
+		}
+	}
+}
+
 // aroundInstance lets something go wrong with an instance's process or with
 // its connections.
 func (s *system) aroundInstance(i *instance, random *rand.Rand) (begin, end func()) {
@@ -268,7 +350,7 @@
 	case 0:
 		return func() { i.end(syscall.SIGKILL) }, i.start
 	case 8:
-		return s.aloneWithPrimary(i)
+		return s.aloneWithPrimary(i, s.cutsPeers)
 	case 1:
 		return func() { go i.end(syscall.SIGTERM) }, func() { i.end(syscall.SIGTERM); i.start() }
 	case 2:
--- a/test/soak/system_test.go
+++ b/test/soak/system_test.go
@@ -47,6 +47,8 @@
 	version   uint64
 	instances []*instance
 	stopped   chan struct{}
+	// cutsPeers lets troubles cut instances off from each other.
+	cutsPeers bool
 }
 
 // instance is one entry instance with the proxies around it.
@@ -55,8 +57,12 @@
 	name     string
 	settings string
 	address  string
-	// proxies lead to the store and then to each database.
+	// peerAddress is where other instances would reach it without a proxy.
+	peerAddress string
+	// proxies lead to the store and then to each database, peers to the other
+	// instances by their peerAddress.
 	proxies []*proxy
+	peers   map[string]*peerProxy
 
 	// life is held while the program starts or ends, and is taken before mu.
 	life    sync.Mutex
@@ -87,6 +93,13 @@
 	for n := range instances {
 		s.instances = append(s.instances, s.newInstance(fmt.Sprintf("entry-%d", n+1), promotions.Listener.Addr().String()))
 	}
+	for _, i := range s.instances {
+		for _, other := range s.instances {
+			if other != i {
+				i.peers[other.peerAddress] = newPeerProxy(t, other.peerAddress)
+			}
+		}
+	}
 	for _, i := range s.instances {
 		i.start()
 	}
@@ -147,7 +160,11 @@
 }
 
 func (s *system) newInstance(name, promotions string) *instance {
-	i := &instance{system: s, name: name, address: "127.0.0.1:" + freePort(s.t), settings: filepath.Join(s.t.TempDir(), name+".toml")}
+	peerPort := freePort(s.t)
+	i := &instance{
+		system: s, name: name, address: "127.0.0.1:" + freePort(s.t), settings: filepath.Join(s.t.TempDir(), name+".toml"),
+		peerAddress: "127.0.0.1:" + peerPort, peers: make(map[string]*peerProxy),
+	}
 	endpoint := httptest.NewServer(standin.Endpoint{Store: s.store, Caller: name, Rewrite: i.rewrite})
 	s.t.Cleanup(endpoint.Close)
 	i.proxies = append(i.proxies, newProxy(s.t, endpoint.Listener.Addr().String()))
@@ -155,13 +172,18 @@
 		i.proxies = append(i.proxies, newProxy(s.t, address))
 	}
 	i.writeSettings(standin.SettingsFile(state.InstanceID(name), standin.Addresses{
-		Clients: i.address, Ready: "127.0.0.1:" + freePort(s.t), Store: i.proxies[0].address(), Promotions: promotions, PeerPort: freePort(s.t),
+		Clients: i.address, Ready: "127.0.0.1:" + freePort(s.t), Store: i.proxies[0].address(), Promotions: promotions, PeerPort: peerPort,
 	}))
 	return i
 }
 
-// rewrite shows the instance its own proxies as the databases' addresses.
+// rewrite shows the instance its own proxies as the addresses of databases and
+// other instances. All addresses have the same length, so that rows in which a
+// length precedes the text stay whole.
 func (i *instance) rewrite(row rowstore.Row) rowstore.Row {
+	for address, peer := range i.peers {
+		row.Value = bytes.ReplaceAll(row.Value, []byte(address), []byte(peer.address()))
+	}
 	for n, address := range i.system.addresses {
 		row.Value = bytes.ReplaceAll(row.Value, []byte(fmt.Sprintf("%q", address)), []byte(fmt.Sprintf("%q", i.proxies[n+1].address())))
 	}
