--- a/internal/coordination/pooling/pool.go
+++ b/internal/coordination/pooling/pool.go
@@ -147,6 +147,7 @@
 		link := p.idle[chosen]
 		p.idle = append(p.idle[:chosen], p.idle[chosen+1:]...)
 		if link.Alive() && (link.detoured || !suspected) {
+			link.acquired = time.Now()
 			return link
 		}
 		link.Close()
@@ -214,7 +215,7 @@
 			p.openMore()
 			return
 		}
-		link.acquired, link.starting = time.Now(), true
+		link.starting = true
 		p.starting++
 		w := heap.Pop(&p.queue).(*waiter)
 		w.result <- waitResult{link: link}
--- a/internal/coordination/pooling/pool_test.go
+++ b/internal/coordination/pooling/pool_test.go
@@ -237,3 +237,20 @@
 		served.Wait()
 	})
 }
+
+// Pattern: a probe uses a connection that was idle for long. The idle time must
+// not count as time for which requests hold connections, or the next ones are
+// taken for hopeless.
+func TestProbeOnAnIdleConnectionDoesNotLookLikeALongRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := testPool(&fakeDialer{}, 1)
+		link, err := p.Acquire(t.Context(), 1, "", time.Now().Add(time.Second))
+		require.NoError(t, err)
+		p.Release(link, true)
+		time.Sleep(2 * time.Second)
+		probed := p.takeDirect()
+		require.NotNil(t, probed)
+		p.Release(probed, true)
+		require.LessOrEqual(t, p.held, initialLatency)
+	})
+}
