--- a/test/processes/process_test.go
+++ b/test/processes/process_test.go
@@ -8,7 +8,6 @@
 	"io"
 	"os"
 	"os/exec"
-	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -16,6 +15,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/cyclamenpin/cyclamenpin/test/program"
 )
 
 const (
@@ -39,22 +40,13 @@
 }
 
 func buildAndRun(m *testing.M) int {
-	if binary = os.Getenv("CYCLAMENPIN_BINARY"); binary != "" {
-		return m.Run()
-	}
-	folder, err := os.MkdirTemp("", "cyclamenpin-processes")
+	path, remove, err := program.Build("CYCLAMENPIN_BINARY")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
-	defer os.RemoveAll(folder)
-	binary = filepath.Join(folder, "cyclamenpin")
-	build := exec.Command("go", "build", "-o", binary, "github.com/cyclamenpin/cyclamenpin/cmd/cyclamenpin")
-	build.Stdout, build.Stderr = os.Stderr, os.Stderr
-	if err := build.Run(); err != nil {
-		fmt.Fprintln(os.Stderr, "build the program:", err)
-		return 1
-	}
+	defer remove()
+	binary = path
 	return m.Run()
 }
 
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"strconv"
 	"sync"
 	"syscall"
@@ -15,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	standin "github.com/cyclamenpin/cyclamenpin/internal/standin/platform/council"
+	"github.com/cyclamenpin/cyclamenpin/test/program"
 )
 
 const (
@@ -38,22 +37,13 @@
 }
 
 func buildAndRun(m *testing.M) int {
-	if binary = os.Getenv("SOAK_BINARY"); binary != "" {
-		return m.Run()
-	}
-	folder, err := os.MkdirTemp("", "cyclamenpin-soak")
+	path, remove, err := program.Build("SOAK_BINARY")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
-	defer os.RemoveAll(folder)
-	binary = filepath.Join(folder, "cyclamenpin")
-	build := exec.Command("go", "build", "-o", binary, "github.com/cyclamenpin/cyclamenpin/cmd/cyclamenpin")
-	build.Stdout, build.Stderr = os.Stderr, os.Stderr
-	if err := build.Run(); err != nil {
-		fmt.Fprintln(os.Stderr, "build the program:", err)
-		return 1
-	}
+	defer remove()
+	binary = path
 	return m.Run()
 }
 
--- a/test/soak/system_test.go
+++ b/test/soak/system_test.go
@@ -96,7 +96,7 @@
 	for _, i := range s.instances {
 		for _, other := range s.instances {
 			if other != i {
-				i.peers[other.peerAddress] = newPeerProxy(t, other.peerAddress)
+				i.reach(other.peerAddress)
 			}
 		}
 	}
@@ -167,20 +167,33 @@
 	}
 	endpoint := httptest.NewServer(standin.Endpoint{Store: s.store, Caller: name, Rewrite: i.rewrite})
 	s.t.Cleanup(endpoint.Close)
-	i.proxies = append(i.proxies, newProxy(s.t, endpoint.Listener.Addr().String()))
+	proxies := []*proxy{newProxy(s.t, endpoint.Listener.Addr().String())}
 	for _, address := range s.addresses {
-		i.proxies = append(i.proxies, newProxy(s.t, address))
+		proxies = append(proxies, newProxy(s.t, address))
 	}
+	i.mu.Lock()
+	i.proxies = proxies
+	i.mu.Unlock()
 	i.writeSettings(standin.SettingsFile(state.InstanceID(name), standin.Addresses{
 		Clients: i.address, Ready: "127.0.0.1:" + freePort(s.t), Store: i.proxies[0].address(), Promotions: promotions, PeerPort: peerPort,
 	}))
 	return i
 }
 
+// reach leads the way to another instance through a proxy.
+func (i *instance) reach(peerAddress string) {
+	peer := newPeerProxy(i.system.t, peerAddress)
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.peers[peerAddress] = peer
+}
+
 // rewrite shows the instance its own proxies as the addresses of databases and
 // other instances. All addresses have the same length, so that rows in which a
 // length precedes the text stay whole.
 func (i *instance) rewrite(row rowstore.Row) rowstore.Row {
+	i.mu.Lock()
+	defer i.mu.Unlock()
 	for address, peer := range i.peers {
 		row.Value = bytes.ReplaceAll(row.Value, []byte(address), []byte(peer.address()))
 	}
