Waits and loops have one piece of code each

Four loops over a ticker call state.Every, the waits that something may cut short state.PauseUnless, and the stop and the stand-ins the state.Pause that was there. The epochs that an instance has acknowledged are collected in one place. When half of the instances last answered follows from how long they vouch, so it is no longer kept. The entry no longer keeps parts that nothing asks it for. No behaviour changes.

--- a/internal/coordination/leadership/apply.go
+++ b/internal/coordination/leadership/apply.go
@@ -82,7 +82,7 @@
 	g.acknowledged = max(g.acknowledged, epoch)
 	m.mu.Unlock()
 	m.Log.Info().Str("group", string(id)).Uint64("epoch", epoch).Int("closed", len(closers)).Msg("old primary given up")
-	m.askBeat()
+	ask(m.beatNow)
 }
 
 // awaitRelease waits until no grant of a group is left, or Options.PlannedDrain.
--- a/internal/coordination/leadership/beat.go
+++ b/internal/coordination/leadership/beat.go
@@ -55,13 +55,7 @@
 		} else if !m.beat(ctx) {
 			interval = m.retryBeatAfter()
 		}
-		timer := time.NewTimer(interval)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		case <-m.beatNow:
-		}
-		timer.Stop()
+		state.PauseUnless(ctx, interval, m.beatNow)
 	}
 }
 
@@ -181,13 +175,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.beats++
-	next := beat{Demand: demand, Run: m.Config.Run, Address: m.Address, Joined: m.joined, Count: m.beats, Acknowledged: map[state.GroupID]uint64{}, Suspected: m.suspectedGroups()}
-	for id, g := range m.groups {
-		if g.record.Changing && g.acknowledged > 0 {
-			next.Acknowledged[id] = g.acknowledged
-		}
+	return beat{
+		Demand: demand, Run: m.Config.Run, Address: m.Address, Joined: m.joined, Count: m.beats,
+		Acknowledged: m.acknowledgedGroups(), Suspected: m.suspectedGroups(),
 	}
-	return next
 }
 
 func (m *Manager) memberLoop(ctx context.Context) {
@@ -200,13 +191,7 @@
 		case !read || m.anyInQuestion():
 			wait = voteInterval
 		}
-		timer := time.NewTimer(wait)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		case <-m.readNow:
-		}
-		timer.Stop()
+		state.PauseUnless(ctx, wait, m.readNow)
 	}
 }
 
@@ -237,7 +222,7 @@
 	unreadable := m.members.update(snapshot)
 	var abandoned []rowstore.Transaction
 	for name, entry := range m.members.byName {
-		if name != m.Self && m.members.now-entry.seenAt > forgetAfter {
+		if name != m.Self && !m.members.renewed(entry, forgetAfter) {
 			row := rowstore.Row{Table: TableInstances, Key: string(name)}
 			abandoned = append(abandoned, rowstore.Transaction{
 				Conditions: []rowstore.Condition{{Table: row.Table, Key: row.Key, Version: entry.version}}, Deletes: []rowstore.Row{row},
--- a/internal/coordination/leadership/duty.go
+++ b/internal/coordination/leadership/duty.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -132,9 +131,3 @@
 		state.Pause(ctx, 2*acknowledgementInterval)
 	}
 }
-
-// sinceSeen is how long ago the group's newest record was first seen here. It
-// must be called with the lock held.
-func (m *Manager) sinceSeen(g *group) time.Duration {
-	return m.Clock.Now().Sub(g.seenAt)
-}
--- a/internal/coordination/leadership/evaluate.go
+++ b/internal/coordination/leadership/evaluate.go
@@ -21,18 +21,11 @@
 )
 
 func (m *Manager) evaluateLoop(ctx context.Context) {
-	ticker := time.NewTicker(evaluateInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	state.Every(ctx, evaluateInterval, func() {
 		for _, id := range m.Directory.Groups() {
 			m.evaluate(ctx, id)
 		}
-	}
+	})
 }
 
 // evaluate starts a change of a group's primary where one is due.
@@ -73,7 +66,7 @@
 		if g.record.Promoter == m.runName {
 			return causeResume, true
 		}
-		since := m.sinceSeen(g) - stagger
+		since := m.Clock.Now().Sub(g.seenAt) - stagger
 		return causeTakeOver, since > m.Options.TakeOver || since > m.liveWithin() && m.members.ended(g.record.Promoter, m.liveWithin())
 	}
 	if !m.hasCandidate(id, primary) {
@@ -136,7 +129,7 @@
 		return
 	}
 	m.Log.Info().Str("group", string(id)).Str("database", string(primary)).Uint64("epoch", epoch).Bool("suspected", suspected).Msg("opinion of the primary changed")
-	m.askBeat()
+	ask(m.beatNow)
 	ask(m.readNow)
 }
 
--- a/internal/coordination/leadership/manager.go
+++ b/internal/coordination/leadership/manager.go
@@ -89,9 +89,8 @@
 	beats      uint64
 	// renewalFailures counts the failures to renew the lease in a row.
 	renewalFailures int
-	// failingSince is when the first of them ended, supportedAt when half of
-	// the instances last answered.
-	failingSince, supportedAt state.Instant
+	// failingSince is when the first of them ended.
+	failingSince state.Instant
 	// joined is when this run first wrote its row, on the store's clock.
 	joined int64
 	// changed is closed and replaced at each change of a record or the lease.
@@ -210,10 +209,6 @@
 	return found, found != ""
 }
 
-func (m *Manager) askBeat() {
-	ask(m.beatNow)
-}
-
 func ask(now chan<- struct{}) {
 	select {
 	case now <- struct{}{}:
--- a/internal/coordination/leadership/members.go
+++ b/internal/coordination/leadership/members.go
@@ -47,12 +47,17 @@
 	return unreadable
 }
 
+// renewed reports whether a row has changed lately.
+func (m *members) renewed(entry member, within time.Duration) bool {
+	return m.now-entry.seenAt <= within
+}
+
 // live counts the instances whose row changed lately, and at least one: the
 // reader itself.
 func (m *members) live(within time.Duration) int {
 	count := 0
 	for _, entry := range m.byName {
-		if m.now-entry.seenAt <= within {
+		if m.renewed(entry, within) {
 			count++
 		}
 	}
@@ -63,7 +68,7 @@
 // instances.
 func (m *members) demand(self state.InstanceID, id state.GroupID, within time.Duration) (own, all int) {
 	for name, entry := range m.byName {
-		if m.now-entry.seenAt > within {
+		if !m.renewed(entry, within) {
 			continue
 		}
 		demand := int(entry.beat.Demand[id])
@@ -79,7 +84,7 @@
 // primary of the group's epoch.
 func (m *members) votes(id state.GroupID, epoch uint64, within time.Duration) (suspecting, live int) {
 	for _, entry := range m.byName {
-		if m.now-entry.seenAt > within {
+		if !m.renewed(entry, within) {
 			continue
 		}
 		live++
@@ -96,7 +101,7 @@
 	var addresses []string
 	for name, entry := range m.byName {
 		suspected, suspects := entry.beat.Suspected[id]
-		if name == self || entry.beat.Address == "" || suspects && suspected == epoch || m.now-entry.seenAt > within {
+		if name == self || entry.beat.Address == "" || suspects && suspected == epoch || !m.renewed(entry, within) {
 			continue
 		}
 		addresses = append(addresses, entry.beat.Address)
@@ -109,7 +114,7 @@
 func (m *members) ended(runName string, within time.Duration) bool {
 	for name, entry := range m.byName {
 		if nameOfRun(name, entry.beat.Run) == runName {
-			return m.now-entry.seenAt > within
+			return !m.renewed(entry, within)
 		}
 	}
 	return true
@@ -119,7 +124,7 @@
 func (m *members) rank(self state.InstanceID, within time.Duration) int {
 	rank := 0
 	for name, entry := range m.byName {
-		if name < self && m.now-entry.seenAt <= within {
+		if name < self && m.renewed(entry, within) {
 			rank++
 		}
 	}
--- a/internal/coordination/leadership/vouch.go
+++ b/internal/coordination/leadership/vouch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -60,20 +59,13 @@
 // vouchLoop asks the other instances while the store does not renew the lease,
 // and while this instance suspects a primary, so that they look for themselves.
 func (m *Manager) vouchLoop(ctx context.Context) {
-	ticker := time.NewTicker(vouchInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	state.Every(ctx, vouchInterval, func() {
 		if addresses, question := m.nextQuestion(); question != nil {
 			for _, address := range addresses {
 				m.Messenger.Send(address, question)
 			}
 		}
-	}
+	})
 }
 
 // nextQuestion returns the question to ask and whom, none while the lease is
@@ -116,7 +108,6 @@
 // countVouches must be called with the lock held.
 func (m *Manager) countVouches() {
 	if 2*len(m.vouches.from) >= len(m.members.byName) {
-		m.supportedAt = max(m.supportedAt, m.vouches.askedAt)
 		m.lease.vouchedUntil = max(m.lease.vouchedUntil, m.vouches.askedAt.Add(vouchLasts))
 	}
 }
@@ -128,7 +119,8 @@
 	now := m.Clock.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.lease.based && m.renewalFailures > 0 && now.Sub(max(m.supportedAt, m.failingSince)) > isolatedAfter
+	supportedAt := m.lease.vouchedUntil.Add(-vouchLasts)
+	return m.lease.based && m.renewalFailures > 0 && now.Sub(max(supportedAt, m.failingSince)) > isolatedAfter
 }
 
 // Receive handles a datagram of another instance and returns the answer, nil
@@ -164,16 +156,25 @@
 	if !m.ready {
 		return nil
 	}
-	answer := vouchMessage{Kind: kindAnswer, Nonce: question.Nonce, From: m.Self, Acknowledged: map[state.GroupID]uint64{}, Suspected: m.suspectedGroups()}
+	answer := vouchMessage{Kind: kindAnswer, Nonce: question.Nonce, From: m.Self, Acknowledged: m.acknowledgedGroups(), Suspected: m.suspectedGroups()}
 	for id, g := range m.groups {
 		if g.version > question.Seen {
 			answer.Rows = append(answer.Rows, vouchRow{Group: id, Version: g.version, Record: g.record})
 		}
+	}
+	return m.encodeMessage(answer)
+}
+
+// acknowledgedGroups must be called with the lock held. It returns the epochs
+// of the groups in change whose old primary this instance no longer uses.
+func (m *Manager) acknowledgedGroups() map[state.GroupID]uint64 {
+	acknowledged := make(map[state.GroupID]uint64)
+	for id, g := range m.groups {
 		if g.record.Changing && g.acknowledged > 0 {
-			answer.Acknowledged[id] = g.acknowledged
+			acknowledged[id] = g.acknowledged
 		}
 	}
-	return m.encodeMessage(answer)
+	return acknowledged
 }
 
 // suspectedGroups must be called with the lock held. It returns the epochs of
--- a/internal/coordination/relay/single.go
+++ b/internal/coordination/relay/single.go
@@ -147,15 +147,10 @@
 		if hopeless(err) || !time.Now().Before(deadline) {
 			return nil, r.busy("no primary is available", retryAfterChange)
 		}
-		timer := time.NewTimer(time.Until(deadline))
-		select {
-		case <-changed:
-		case <-timer.C:
-		case <-s.engine.ctx.Done():
-			timer.Stop()
+		state.PauseUnless(s.engine.ctx, time.Until(deadline), changed)
+		if s.engine.ctx.Err() != nil {
 			return nil, r.busy("the instance is stopping", retryAfterChange)
 		}
-		timer.Stop()
 		r.queued = time.Since(r.started)
 	}
 }
--- a/internal/coordination/rowstore/follow.go
+++ b/internal/coordination/rowstore/follow.go
@@ -208,11 +208,5 @@
 	if lost {
 		wait = lostPause
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-changed:
-	}
+	state.PauseUnless(ctx, wait, changed)
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -23,7 +23,6 @@
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/freshness"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/leadership"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/pooling"
-	"github.com/cyclamenpin/cyclamenpin/internal/coordination/relay"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 	"github.com/cyclamenpin/cyclamenpin/internal/transport/datagram"
 	"github.com/cyclamenpin/cyclamenpin/internal/transport/lineserver"
@@ -46,7 +45,7 @@
 	shedInterval = 250 * time.Millisecond
 	// stopReserve is kept of the stop's grace for the last steps.
 	stopReserve = 600 * time.Millisecond
-	// startTimeout and stopTimeout bound the wiring's own hooks.
+	// startTimeout bounds the wiring's own hooks.
 	startTimeout = 10 * time.Second
 )
 
@@ -73,9 +72,7 @@
 	directory  *directory.Directory
 	leadership *leadership.Manager
 	pools      *pooling.Manager
-	engine     *relay.Engine
 	server     *lineserver.Server
-	store      *platform.Store
 	clock      state.Clock
 	followers  *followers
 	positions  *freshness.Exchange
@@ -116,7 +113,7 @@
 		fx.Supply(settings, i),
 		fx.Provide(func() context.Context { return background }, func() (zerolog.Logger, requestLog) { return i.logs.Logger, i.logs.requests }),
 		modules(),
-		fx.Populate(&i.directory, &i.leadership, &i.pools, &i.engine, &i.server, &i.store, &i.clock, &i.followers, &i.positions, &i.carrier),
+		fx.Populate(&i.directory, &i.leadership, &i.pools, &i.server, &i.clock, &i.followers, &i.positions, &i.carrier),
 		fx.Invoke(func(lifecycle fx.Lifecycle) {
 			lifecycle.Append(fx.Hook{OnStart: func(context.Context) error { i.runAll(background); return nil }})
 		}),
@@ -200,15 +197,8 @@
 // shedWhileIsolated lets the clients of an instance that can't serve them find
 // another one, once the balancer has left it.
 func (i *Instance) shedWhileIsolated(ctx context.Context) {
-	ticker := time.NewTicker(shedInterval)
-	defer ticker.Stop()
 	var isolatedSince time.Time
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	state.Every(ctx, shedInterval, func() {
 		isolated := i.leadership.Isolated()
 		if isolated != !isolatedSince.IsZero() {
 			i.logs.Info().Bool("isolated", isolated).Int("clients", i.server.Clients()).Msg("isolation from the store and the other instances changed")
@@ -223,26 +213,19 @@
 				i.logs.Info().Int("closed", closed).Msg("idle sessions ended, this instance is isolated")
 			}
 		}
-	}
+	})
 }
 
 // housekeeping reports what the log left out and notices changed settings.
 func (i *Instance) housekeeping(ctx context.Context) {
-	ticker := time.NewTicker(logPeriod)
-	defer ticker.Stop()
 	modified := modifiedAt(i.options.SettingsPath)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	state.Every(ctx, logPeriod, func() {
 		i.logs.report()
 		if now := modifiedAt(i.options.SettingsPath); !now.Equal(modified) {
 			modified = now
 			i.Reload("the file changed")
 		}
-	}
+	})
 }
 
 func modifiedAt(path string) time.Time {
@@ -284,12 +267,7 @@
 	i.logs.Info().Int("clients", i.server.Clients()).Dur("grace_ms", grace).Msg("stopping")
 	ctx, cancel := context.WithDeadline(ctx, begun.Add(grace-stopReserve))
 	defer cancel()
-	wait := time.NewTimer(min(outOfRotation, grace/2))
-	select {
-	case <-wait.C:
-	case <-ctx.Done():
-	}
-	wait.Stop()
+	state.Pause(ctx, min(outOfRotation, grace/2))
 	_ = i.clients.Close()
 	cut := i.server.Drain(ctx, begun.Add(grace/2))
 	leaving, done := context.WithTimeout(context.WithoutCancel(ctx), stopReserve/2)
--- a/internal/standin/platform/council/conn.go
+++ b/internal/standin/platform/council/conn.go
@@ -37,7 +37,7 @@
 	}
 	failure := state.ErrNoDetour
 	for _, carrier := range d.Carriers(server.Group) {
-		wait(ctx, 2*d.Delay)
+		state.Pause(ctx, 2*d.Delay)
 		if d.Separated(d.Caller, carrier) {
 			failure = errNoListener
 			continue
@@ -53,7 +53,7 @@
 			if database.Address != server.Address {
 				continue
 			}
-			wait(ctx, 2*d.Delay)
+			state.Pause(ctx, 2*d.Delay)
 			session, reply, err := database.Connect(ctx, caller, server.Group, server.ID)
 			if err != nil {
 				return nil, err
@@ -84,9 +84,9 @@
 	}
 	done := make(chan result, 1)
 	go func() {
-		wait(ctx, c.delay)
+		state.Pause(ctx, c.delay)
 		reply, err := c.session.Execute(ctx, id, text)
-		wait(ctx, c.delay)
+		state.Pause(ctx, c.delay)
 		done <- result{reply, err}
 	}()
 	if late != nil {
--- a/internal/standin/platform/council/group.go
+++ b/internal/standin/platform/council/group.go
@@ -350,7 +350,7 @@
 
 // Promote implements leadership.Promoter.
 func (p *Promoter) Promote(ctx context.Context, _ state.GroupID, id state.DatabaseID, holder state.InstanceID, token uint64) error {
-	wait(ctx, callTime)
+	state.Pause(ctx, callTime)
 	g := p.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/standin/platform/council/session.go
+++ b/internal/standin/platform/council/session.go
@@ -211,7 +211,7 @@
 		return false
 	}
 	d.slots <- struct{}{}
-	wait(ctx, d.group.options.Work)
+	state.Pause(ctx, d.group.options.Work)
 	d.group.mu.Lock()
 	d.waiting--
 	d.group.mu.Unlock()
--- a/internal/standin/platform/council/store.go
+++ b/internal/standin/platform/council/store.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/rowstore"
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
 )
 
 // Fault is what goes wrong with a call to the store.
@@ -149,25 +150,16 @@
 	}
 	c.store.mu.Unlock()
 	if fault == FaultSilent {
-		wait(ctx, patience)
+		state.Pause(ctx, patience)
 		return fault, errNoAnswer
 	}
-	wait(ctx, callTime)
+	state.Pause(ctx, callTime)
 	if fault == FaultRefused {
 		return fault, rowstore.ErrRefused
 	}
 	return fault, ctx.Err()
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // List implements rowstore.Store.
 func (c *StoreClient) List(ctx context.Context, table string) (rowstore.Snapshot, error) {
 	if _, err := c.begin(ctx, "list"); err != nil {
@@ -190,7 +182,7 @@
 	if fault, err := c.begin(ctx, "watch"); err != nil {
 		if fault == FaultSilent {
 			// The caller can't tell it from a watch without changes.
-			wait(ctx, longest)
+			state.Pause(ctx, longest)
 		}
 		return rowstore.Snapshot{}, err
 	}
@@ -238,7 +230,7 @@
 			defer c.store.mu.Unlock()
 			c.store.apply(transaction)
 		})
-		wait(ctx, patience)
+		state.Pause(ctx, patience)
 		return rowstore.Commit{}, errNoAnswer
 	}
 	c.store.mu.Lock()
@@ -247,12 +239,12 @@
 	commit := rowstore.Commit{Version: c.store.version, Now: c.store.now()}
 	c.store.mu.Unlock()
 	if fault == FaultAnswerLost {
-		wait(ctx, patience)
+		state.Pause(ctx, patience)
 		return rowstore.Commit{}, errNoAnswer
 	}
 	if !applied {
 		return rowstore.Commit{}, &rowstore.Conflict{Step: "transact", Rows: present}
 	}
-	wait(ctx, callTime/2)
+	state.Pause(ctx, callTime/2)
 	return commit, nil
 }
--- a/internal/state/clock.go
+++ b/internal/state/clock.go
@@ -27,6 +27,11 @@
 
 // Pause waits for a time or until ctx ends, whatever comes first.
 func Pause(ctx context.Context, wait time.Duration) {
+	PauseUnless(ctx, wait, nil)
+}
+
+// PauseUnless is Pause that also ends when wake can be received from.
+func PauseUnless(ctx context.Context, wait time.Duration, wake <-chan struct{}) {
 	if wait <= 0 {
 		return
 	}
@@ -35,5 +40,20 @@
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
+	case <-wake:
+	}
+}
+
+// Every calls action after each interval until ctx ends.
+func Every(ctx context.Context, interval time.Duration, action func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			action()
+		}
 	}
 }
