Relay, pools and stand-ins: what was written twice is one piece now

A refused statement is noted, a connection judged reusable, and a transaction taken up again in one place each; failures and doubts of a database share their bookkeeping; a pool's share lies under the lock under which it was always read; the platform's two HTTP clients are made alike. Parameters and fields that nobody set are gone, and the two packages that run the program as processes share how they build it. No behaviour, bound or assertion changes.

--- a/internal/coordination/health/health.go
+++ b/internal/coordination/health/health.go
@@ -72,28 +72,25 @@
 // Failure records that the database could not be reached, broke the
 // connection off or did not answer in time.
 func (t *Tracker) Failure(id state.DatabaseID) {
-	now := t.clock.Now()
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	r := t.record(id)
-	r.failures++
-	r.sign(now)
-}
-
-func (r *record) sign(now state.Instant) {
-	if r.firstSign == 0 {
-		r.firstSign = now
-	}
+	t.sign(id, 1, 0)
 }
 
 // Doubt records that an answer is late, so that the database is probed.
 func (t *Tracker) Doubt(id state.DatabaseID) {
+	t.sign(id, 0, 1)
+}
+
+// sign records signs that the database may have failed.
+func (t *Tracker) sign(id state.DatabaseID, failures, late int) {
 	now := t.clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.record(id)
-	r.late++
-	r.sign(now)
+	r.failures += failures
+	r.late += late
+	if r.firstSign == 0 {
+		r.firstSign = now
+	}
 }
 
 // Doubted reports whether the database has failed or been late since its last
--- a/internal/coordination/pooling/dial.go
+++ b/internal/coordination/pooling/dial.go
@@ -55,7 +55,7 @@
 	if time.Now().Before(p.dialAfter) {
 		return
 	}
-	most := min(p.queue.Len(), max(1, p.open/growthPart), int(p.share.Load())-p.open)
+	most := min(p.queue.Len(), max(1, p.open/growthPart), p.share-p.open)
 	for p.opening < most {
 		p.opening++
 		go p.dial()
--- a/internal/coordination/pooling/limiter.go
+++ b/internal/coordination/pooling/limiter.go
@@ -28,7 +28,7 @@
 	if l.limit == 0 {
 		return possible
 	}
-	return int(l.limit)
+	return min(possible, int(l.limit))
 }
 
 // allows reports whether another statement may be sent.
--- a/internal/coordination/pooling/manager.go
+++ b/internal/coordination/pooling/manager.go
@@ -74,12 +74,11 @@
 func (m *Manager) measure() {
 	shares := make(map[state.GroupID]int)
 	for _, pool := range m.all() {
-		pool.sample()
 		group := pool.server.Group
 		if _, known := shares[group]; !known {
 			shares[group] = m.shareOf(group)
 		}
-		pool.share.Store(int64(shares[group]))
+		pool.sample(shares[group])
 	}
 }
 
--- a/internal/coordination/pooling/pool.go
+++ b/internal/coordination/pooling/pool.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -55,10 +54,10 @@
 	dialer Dialer
 	health Health
 	log    zerolog.Logger
-	// share is how many connections this pool may have open.
-	share atomic.Int64
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// share is how many connections this pool may have open.
+	share    int
 	idle     []*Link // the last one was used last
 	open     int     // including those in use, without those being opened
 	opening  int
@@ -79,9 +78,7 @@
 }
 
 func newPool(server state.Server, dialer Dialer, health Health, share int, log zerolog.Logger) *Pool {
-	p := &Pool{server: server, dialer: dialer, health: health, log: log, latency: initialLatency, held: initialLatency}
-	p.share.Store(int64(share))
-	return p
+	return &Pool{server: server, dialer: dialer, health: health, log: log, share: share, latency: initialLatency, held: initialLatency}
 }
 
 // Acquire returns a connection, preferring one with the given session values.
@@ -183,7 +180,7 @@
 	if p.queue.Len() == 0 {
 		return 0
 	}
-	return p.held * time.Duration(p.queue.Len()) / time.Duration(max(1, min(p.open, p.limiter.most(p.open))))
+	return p.held * time.Duration(p.queue.Len()) / time.Duration(max(1, p.limiter.most(p.open)))
 }
 
 func (p *Pool) refusal() *Refusal {
@@ -303,7 +300,7 @@
 func (p *Pool) Crowded() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	full := len(p.idle) == 0 && p.open+p.opening >= int(p.share.Load())
+	full := len(p.idle) == 0 && p.open+p.opening >= p.share
 	return full || p.queue.Len() > 0 || !p.limiter.allows(p.inFlight())
 }
 
@@ -332,10 +329,11 @@
 	p.idle = kept
 }
 
-// sample takes the present demand into its average.
-func (p *Pool) sample() {
+// sample takes the present demand into its average, and sets the share anew.
+func (p *Pool) sample(share int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.share = share
 	now := float64(p.open - len(p.idle) + p.queue.Len())
 	p.demand += demandWeight * (now - p.demand)
 }
@@ -382,6 +380,6 @@
 	return Stats{
 		Database: p.server.ID, Group: p.server.Group, Open: p.open, Idle: len(p.idle),
 		Waiting: p.queue.Len(), Running: p.running, Latency: p.latency,
-		Share: int(p.share.Load()), Limit: p.limiter.limit,
+		Share: p.share, Limit: p.limiter.limit,
 	}
 }
--- a/internal/coordination/relay/engine.go
+++ b/internal/coordination/relay/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -133,7 +134,7 @@
 	defer s.mu.Unlock()
 	name, ok := s.names[of]
 	if !ok {
-		name = "p" + formatCount(len(s.names)+1)
+		name = "p" + strconv.Itoa(len(s.names)+1)
 		s.names[of] = name
 	}
 	return name
--- a/internal/coordination/relay/reads.go
+++ b/internal/coordination/relay/reads.go
@@ -164,13 +164,12 @@
 	sent := time.Now()
 	reply, err = pool.Run(link, r.forward(link, need), r.tryDeadline(pool))
 	r.ran = time.Since(sent)
-	pool.Release(link, err == nil && reply.Transaction == state.TransactionNone && reply.Code != state.CodeMisdirected)
+	pool.Release(link, reusable(reply, err))
 	if err != nil {
 		r.lastFail = err
-		reply, again = s.lostAnswer(r)
-		return reply, again
+		return s.lostAnswer(r)
 	}
-	return s.replicaReply(r, option, need, reply)
+	return s.replicaReply(r, pool, option.server.ID, need, reply)
 }
 
 func (s *Session) tryReadOnPrimary(r *request) (reply state.Reply, again bool) {
@@ -185,18 +184,18 @@
 }
 
 // replicaReply takes over what a replica's answer shows.
-func (s *Session) replicaReply(r *request, option choice, need state.Position, reply state.Reply) (state.Reply, bool) {
+func (s *Session) replicaReply(r *request, pool *pooling.Pool, id state.DatabaseID, need state.Position, reply state.Reply) (state.Reply, bool) {
 	switch reply.Code {
 	case state.CodeNone:
-		s.engine.replicas.applied(option.server.ID, reply.Position)
+		s.engine.replicas.applied(id, reply.Position)
 		return reply, false
 	case state.CodeLagging:
-		s.engine.replicas.lagging(option.server.ID, need, s.engine.Clock.Now())
-		r.lastFail = &pooling.RefusedError{Code: reply.Code, Detail: reply.Detail}
+		s.engine.replicas.lagging(id, need, s.engine.Clock.Now())
+		r.noteRefusal(reply)
 		return r.busy("the replica is behind", retryAfterChange), true
 	case state.CodeBusy, state.CodeMisdirected:
-		r.lastFail = &pooling.RefusedError{Code: reply.Code, Detail: reply.Detail}
-		return r.busy("the database is overloaded", s.engine.Pools.Pool(option.server).Cost()), true
+		r.noteRefusal(reply)
+		return r.busy("the database is overloaded", pool.Cost()), true
 	default:
 		return reply, false
 	}
--- a/internal/coordination/relay/request.go
+++ b/internal/coordination/relay/request.go
@@ -92,6 +92,16 @@
 	return time.Duration(queueShare * float64(objective))
 }
 
+// noteRefusal keeps a database's refusal for the log.
+func (r *request) noteRefusal(reply state.Reply) {
+	r.lastFail = &pooling.RefusedError{Code: reply.Code, Detail: reply.Detail}
+}
+
+// reusable reports whether a connection may serve others after an exchange.
+func reusable(reply state.Reply, err error) bool {
+	return err == nil && reply.Transaction == state.TransactionNone && reply.Code != state.CodeMisdirected
+}
+
 // refused makes an answer of the proxy's own.
 func (r *request) refused(code state.ErrorCode, detail string) state.Reply {
 	return state.Reply{Code: code, Detail: detail}
--- a/internal/coordination/relay/session.go
+++ b/internal/coordination/relay/session.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"strconv"
 	"time"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/pooling"
@@ -158,7 +157,3 @@
 	}
 	return s.engine.Directory.Routes().IdleInTransaction
 }
-
-func formatCount(n int) string {
-	return strconv.Itoa(n)
-}
--- a/internal/coordination/relay/single.go
+++ b/internal/coordination/relay/single.go
@@ -64,7 +64,7 @@
 	sent := time.Now()
 	reply, err = pool.Run(link, r.forward(link, state.Position{}), r.tryDeadline(pool))
 	r.ran = time.Since(sent)
-	pool.Release(link, err == nil && reply.Transaction == state.TransactionNone && reply.Code != state.CodeMisdirected)
+	pool.Release(link, reusable(reply, err))
 	if err != nil {
 		r.lastFail = err
 		return s.lostAnswer(r)
@@ -99,7 +99,7 @@
 // client's to see: each keeps what its code promises.
 func (s *Session) notePrimaryReply(r *request, reply state.Reply, asked state.Instant) {
 	if reply.Code != state.CodeNone {
-		r.lastFail = &pooling.RefusedError{Code: reply.Code, Detail: reply.Detail}
+		r.noteRefusal(reply)
 		return
 	}
 	s.engine.Freshness.Observe(r.route.Group, asked, reply.Position)
--- a/internal/coordination/relay/transaction.go
+++ b/internal/coordination/relay/transaction.go
@@ -92,13 +92,8 @@
 		return reply
 	}
 	tx := s.tx
-	r.server = tx.link.Server.ID
-	if tx.grant != nil {
-		r.onPrimary(tx.grant)
-		if !tx.grant.Valid() {
-			tx.discard()
-			return s.refuse(r, state.CodeAborted, "the primary was changed, the transaction was rolled back")
-		}
+	if !tx.resume(r) {
+		return s.refuse(r, state.CodeAborted, "the primary was changed, the transaction was rolled back")
 	}
 	if err := tx.link.Adopt(&s.values, time.Now().Add(cleanupTimeout)); err != nil {
 		r.lastFail = err
@@ -125,11 +120,26 @@
 		s.tx.discard()
 		return s.refuse(r, state.CodeAborted, "the database ended the transaction")
 	}
-	r.lastFail = &pooling.RefusedError{Code: reply.Code, Detail: reply.Detail}
+	r.noteRefusal(reply)
 	s.failTransaction()
 	return reply
 }
 
+// resume notes where the transaction goes on. It returns false, with the
+// connection closed, where the primary may no longer be used.
+func (t *transaction) resume(r *request) bool {
+	r.server = t.link.Server.ID
+	if t.grant == nil {
+		return true
+	}
+	r.onPrimary(t.grant)
+	if !t.grant.Valid() {
+		t.discard()
+		return false
+	}
+	return true
+}
+
 // send runs a statement of a transaction. A database that is overloaded leaves
 // the transaction open, so the statement is sent again after a pause: its
 // failure would waste what the transaction has done so far.
@@ -146,7 +156,7 @@
 		if !overloaded || time.Now().Add(pause).After(r.queueDeadline()) {
 			return reply, nil
 		}
-		r.lastFail = &pooling.RefusedError{Code: reply.Code, Detail: reply.Detail}
+		r.noteRefusal(reply)
 		time.Sleep(pause)
 	}
 }
@@ -246,8 +256,8 @@
 		return r.busy("the database did not answer", retryAfterChange), s.timeLeft(r)
 	}
 	if reply.Code != state.CodeNone || reply.Transaction != state.TransactionOpen {
-		r.lastFail = &pooling.RefusedError{Code: reply.Code, Detail: reply.Detail}
-		pool.Release(link, reply.Transaction == state.TransactionNone && reply.Code != state.CodeMisdirected)
+		r.noteRefusal(reply)
+		pool.Release(link, reusable(reply, nil))
 		if reply.Code == state.CodeBusy {
 			return r.busy("the database is overloaded", pool.Cost()), s.pauseBusy(r)
 		}
@@ -274,13 +284,8 @@
 	}
 	tx := s.tx
 	s.tx = nil
-	r.server = tx.link.Server.ID
-	if tx.grant != nil {
-		r.onPrimary(tx.grant)
-		if !tx.grant.Valid() {
-			tx.discard()
-			return r.refused(state.CodeAborted, "the primary was changed, the transaction was rolled back")
-		}
+	if !tx.resume(r) {
+		return r.refused(state.CodeAborted, "the primary was changed, the transaction was rolled back")
 	}
 	return s.sendCommit(r, tx)
 }
@@ -296,7 +301,7 @@
 		return r.refused(state.CodeUnknown, "the connection to the database was lost at the commit")
 	}
 	if reply.Code != state.CodeNone {
-		r.lastFail = &pooling.RefusedError{Code: reply.Code, Detail: reply.Detail}
+		r.noteRefusal(reply)
 		tx.release(reply.Transaction == state.TransactionNone)
 		return reply
 	}
--- a/internal/entry/modules.go
+++ b/internal/entry/modules.go
@@ -45,8 +45,8 @@
 		fx.Module("state", fx.Provide(func() state.Clock { return state.BootClock{} })),
 		fx.Module("platform", fx.Provide(
 			func() platform.Codec { return platform.Codec{} },
-			func(s platform.Settings) *platform.Store { return platform.NewStore(s.StoreAddress, nil) },
-			func(s platform.Settings) *platform.Promoter { return platform.NewPromoter(s.PromoteAddress, nil) },
+			func(s platform.Settings) *platform.Store { return platform.NewStore(s.StoreAddress) },
+			func(s platform.Settings) *platform.Promoter { return platform.NewPromoter(s.PromoteAddress) },
 		)),
 		fx.Module("coordination", fx.Provide(
 			rowstore.NewLink, health.NewTracker, newFollowers, newExchange, newDirectory, newPools, newLeadership, newEngine,
--- a/internal/standin/platform/council/session.go
+++ b/internal/standin/platform/council/session.go
@@ -109,36 +109,26 @@
 	if err := s.database.reach(ctx, s.caller); err != nil {
 		return state.Reply{}, err
 	}
-	if s.brokenOff(id) {
+	if s.spend(&s.database.breakOff, id) {
 		s.Close()
 		return state.Reply{}, errEnded
 	}
-	if s.answerLost(id) {
+	if s.spend(&s.database.loseAnswers, id) {
 		<-ctx.Done()
 		return state.Reply{}, errDark
 	}
 	return reply, nil
 }
 
-func (s *Session) brokenOff(id string) bool {
-	d := s.database
-	d.group.mu.Lock()
-	defer d.group.mu.Unlock()
-	if d.breakOff == 0 || id == "-" {
-		return false
-	}
-	d.breakOff--
-	return true
-}
-
-func (s *Session) answerLost(id string) bool {
-	d := s.database
-	d.group.mu.Lock()
-	defer d.group.mu.Unlock()
-	if d.loseAnswers == 0 || id == "-" {
+// spend takes one of the faults left for a client's statement, and reports
+// whether there was one.
+func (s *Session) spend(left *int, id string) bool {
+	s.database.group.mu.Lock()
+	defer s.database.group.mu.Unlock()
+	if *left == 0 || id == "-" {
 		return false
 	}
-	d.loseAnswers--
+	*left--
 	return true
 }
 
--- a/internal/transport/linebackend/conn.go
+++ b/internal/transport/linebackend/conn.go
@@ -37,9 +37,6 @@
 }
 
 const (
-	// userTimeout ends a connection whose other machine no longer confirms
-	// what was sent; it is above the longest round trip and its repeats.
-	userTimeout = 2 * time.Second
 	// lateAfter is when an answer counts as late, so that the database is
 	// probed.
 	lateAfter = 300 * time.Millisecond
@@ -52,8 +49,6 @@
 	Codec Codec
 	// Who is the name under which the connections are made.
 	Who string
-	// DialFunc replaces the operating system's, where set.
-	DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 	// Carriers returns the instances that reach the primary of a group.
 	Carriers func(state.GroupID) []string
 }
@@ -62,15 +57,11 @@
 // another group, answers at its address, the error is a
 // *pooling.RefusedError.
 func (d *Dialer) Dial(ctx context.Context, server state.Server) (pooling.Conn, error) {
-	dial := d.DialFunc
-	if dial == nil {
-		dial = (&net.Dialer{}).DialContext
-	}
-	raw, err := dial(ctx, "tcp", server.Address)
+	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", server.Address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "dial database %s at %s", server.ID, server.Address)
 	}
-	socket.SetUserTimeout(raw, userTimeout)
+	socket.SetUserTimeout(raw, socket.BackendUserTimeout)
 	return d.start(ctx, raw, server, string(server.ID))
 }
 
--- a/internal/transport/socket/socket.go
+++ b/internal/transport/socket/socket.go
@@ -7,6 +7,11 @@
 	"time"
 )
 
+// BackendUserTimeout ends a connection to a database, or a part of the way there,
+// whose other machine no longer confirms what was sent; it is above the longest
+// round trip and its repeats.
+const BackendUserTimeout = 2 * time.Second
+
 // SetUserTimeout bounds how long sent data may stay unconfirmed by the other
 // machine before the kernel ends the connection. Connections that are not TCP,
 // as in tests, have no such bound; a kernel that refuses the option leaves its
--- a/internal/transport/tunnel/tunnel.go
+++ b/internal/transport/tunnel/tunnel.go
@@ -31,9 +31,6 @@
 	// descriptors of the few hundred that are kept for other things than
 	// clients.
 	maxTunnels = 150
-	// userTimeout ends a tunnel whose other side no longer confirms what was
-	// sent; it is that of connections to databases.
-	userTimeout = 2 * time.Second
 )
 
 // request opens a tunnel.
@@ -65,7 +62,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "tunnel to %s through %s", database, peer)
 	}
-	socket.SetUserTimeout(conn, userTimeout)
+	socket.SetUserTimeout(conn, socket.BackendUserTimeout)
 	if deadline, ok := ctx.Deadline(); ok {
 		conn.SetDeadline(deadline)
 	}
@@ -117,16 +114,14 @@
 
 // Server carries connections of other instances to databases.
 type Server struct {
-	// Find returns the address of a database that may be connected to.
-	Find func(id state.DatabaseID) (address string, known bool)
-	Log  zerolog.Logger
-
+	find func(id state.DatabaseID) (address string, known bool)
+	log  zerolog.Logger
 	open chan struct{}
 }
 
-// NewServer returns a server.
+// NewServer returns a server for the databases whose address find returns.
 func NewServer(find func(id state.DatabaseID) (string, bool), log zerolog.Logger) *Server {
-	return &Server{Find: find, Log: log, open: make(chan struct{}, maxTunnels)}
+	return &Server{find: find, log: log, open: make(chan struct{}, maxTunnels)}
 }
 
 // Serve accepts tunnels until the listener is closed.
@@ -142,12 +137,12 @@
 
 func (s *Server) carry(peer net.Conn) {
 	defer peer.Close()
-	socket.SetUserTimeout(peer, userTimeout)
+	socket.SetUserTimeout(peer, socket.BackendUserTimeout)
 	peer.SetDeadline(time.Now().Add(2 * openTimeout))
 	reader := bufio.NewReader(peer)
 	var asked request
 	if err := readFrame(reader, &asked); err != nil {
-		s.Log.Warn().Err(err).Stringer("peer", peer.RemoteAddr()).Msg("tunnel not opened")
+		s.log.Warn().Err(err).Stringer("peer", peer.RemoteAddr()).Msg("tunnel not opened")
 		return
 	}
 	database, err := s.connect(asked.Database)
@@ -159,7 +154,7 @@
 		defer func() { <-s.open }()
 	}
 	if err := writeFrame(peer, answer); err != nil || answer.Reason != "" {
-		s.Log.Warn().AnErr("error", err).Str("reason", answer.Reason).Str("database", string(asked.Database)).
+		s.log.Warn().AnErr("error", err).Str("reason", answer.Reason).Str("database", string(asked.Database)).
 			Stringer("peer", peer.RemoteAddr()).Msg("tunnel not opened")
 		return
 	}
@@ -169,7 +164,7 @@
 
 // connect connects to a database and counts the tunnel.
 func (s *Server) connect(id state.DatabaseID) (net.Conn, error) {
-	address, known := s.Find(id)
+	address, known := s.find(id)
 	if !known {
 		return nil, eris.Errorf("database %s is not registered", id)
 	}
@@ -183,7 +178,7 @@
 		<-s.open
 		return nil, eris.Wrapf(err, "connect to %s", id)
 	}
-	socket.SetUserTimeout(conn, userTimeout)
+	socket.SetUserTimeout(conn, socket.BackendUserTimeout)
 	return conn, nil
 }
 
--- a/test/processes/process_test.go
+++ b/test/processes/process_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"os"
 	"os/exec"
@@ -36,18 +35,7 @@
 var binary string
 
 func TestMain(m *testing.M) {
-	os.Exit(buildAndRun(m))
-}
-
-func buildAndRun(m *testing.M) int {
-	path, remove, err := program.Build("CYCLAMENPIN_BINARY")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer remove()
-	binary = path
-	return m.Run()
+	os.Exit(program.Run(m, "CYCLAMENPIN_BINARY", &binary))
 }
 
 // process is one running program of the test. It is ended by its own id.
--- a/test/program/program.go
+++ b/test/program/program.go
@@ -8,24 +8,25 @@
 	"path/filepath"
 )
 
-// Build returns the path of the program under test, and removes it again. The
-// named environment variable replaces it by another build, such as a
-// deliberately broken variant.
-func Build(variable string) (path string, remove func(), err error) {
-	if path = os.Getenv(variable); path != "" {
-		return path, func() {}, nil
+// Run builds the program, sets path to it, runs the tests of a package and
+// returns their exit code. The named environment variable replaces the program
+// by another build, such as a deliberately broken variant.
+func Run(tests interface{ Run() int }, variable string, path *string) int {
+	if *path = os.Getenv(variable); *path != "" {
+		return tests.Run()
 	}
 	folder, err := os.MkdirTemp("", "cyclamenpin")
 	if err != nil {
-		return "", nil, fmt.Errorf("build the program: %w", err)
+		fmt.Fprintln(os.Stderr, "build the program:", err)
+		return 1
 	}
-	remove = func() { _ = os.RemoveAll(folder) }
-	path = filepath.Join(folder, "cyclamenpin")
-	build := exec.Command("go", "build", "-o", path, "github.com/cyclamenpin/cyclamenpin/cmd/cyclamenpin") //nolint:gosec // the path is ours
+	defer func() { _ = os.RemoveAll(folder) }()
+	*path = filepath.Join(folder, "cyclamenpin")
+	build := exec.Command("go", "build", "-o", *path, "github.com/cyclamenpin/cyclamenpin/cmd/cyclamenpin") //nolint:gosec // the path is ours
 	build.Stdout, build.Stderr = os.Stderr, os.Stderr
 	if err := build.Run(); err != nil {
-		remove()
-		return "", nil, fmt.Errorf("build the program: %w", err)
+		fmt.Fprintln(os.Stderr, "build the program:", err)
+		return 1
 	}
-	return path, remove, nil
+	return tests.Run()
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -33,18 +33,7 @@
 var binary string
 
 func TestMain(m *testing.M) {
-	os.Exit(buildAndRun(m))
-}
-
-func buildAndRun(m *testing.M) int {
-	path, remove, err := program.Build("SOAK_BINARY")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer remove()
-	binary = path
-	return m.Run()
+	os.Exit(program.Run(m, "SOAK_BINARY", &binary))
 }
 
 func fromEnvironment(name string, otherwise int) int {
