Few instances watch each group; a refusal shows that a database runs

Pattern: what the instances spend on finding out grows with their number times the databases. Databases refused the questions as busy; a refusal of STATUS on an open connection counted as a failure, because only refusals while connecting were recognised (RefusedByDatabase). Healthy primaries were suspected and replaced from before traffic on.

Change: - Nine instances watch each group: a rendezvous hash over the instances' rows, one of each data centre in turn. They probe its primary, their votes count, and the order is that in which instances start a change. Others probe what fails for them at a rate that all together bound, and tell the watchers once. - A vote needs a replica that has replied since the primary's last reply: what a saturated link or a partition of the instance does to all databases says nothing about one, and a change would not help. While a primary fails, watchers probe its replicas. - Probes use connections of the pool, keep them, and open one only within the share. A refusal, also on an open connection, is a reply; the connection stays open, and the next probe waits a second. - Leases last two renewals at least. At 79 instances the time between renewals was 3.95 s of a lease of 4 s, so that all asked all for confirmations most of the time. The length stands in the row and never decreases during a run. - Instances' rows are read less often with more of them, and again one second after the start, when the others have written theirs.

Probing by hash alone: a dark primary would lack a majority of all instances. TestCausesCanBeReadFromTheLog: probes now hold a connection, so its one instance cut from the primary used a tunnel at once and was not refused. It is now cut from the other instances as well, which leaves a refusal as the only way; all that is asserted is as before.

Result: the six tests of test/council/fleet_test.go fail on the code before (722 status queries in ten seconds at 80 instances and 194 at 20, 646 refusals, changes of healthy primaries).

--- a/internal/coordination/leadership/confirmation.go
+++ b/internal/coordination/leadership/confirmation.go
@@ -26,6 +26,7 @@
 const (
 	kindRequest  = 1
 	kindResponse = 2
+	kindNotice   = 3 // suspicions, without a response
 )
 
 // peerMessage is one datagram. Rows holds the rows of TablePrimaries that the
@@ -61,27 +62,60 @@
 }
 
 // confirmationLoop sends requests to the other instances while the lease cannot be
-// renewed in the store, and while this instance suspects a primary, so that they
-// probe that primary too.
+// renewed in the store. While this instance watches a group whose primary it
+// suspects, it notifies the group's other watchers.
 func (m *Manager) confirmationLoop(ctx context.Context) {
 	state.Every(ctx, confirmationInterval, func() {
 		if addresses, request := m.startRequest(); request != nil {
-			for _, address := range addresses {
-				m.Messenger.Send(address, request)
-			}
+			m.sendAll(addresses, request)
+			return
 		}
+		m.sendAll(m.repeatedNotice())
 	})
 }
 
+func (m *Manager) sendAll(addresses []string, message []byte) {
+	for _, address := range addresses {
+		m.Messenger.Send(address, message)
+	}
+}
+
+// notifyWatchers sends this instance's suspicions to those who watch a group, so
+// that they probe its primary too.
+func (m *Manager) notifyWatchers(id state.GroupID) {
+	m.mu.Lock()
+	addresses := m.otherWatcherAddresses(map[state.GroupID]uint64{id: 0})
+	notice := m.encodeMessage(peerMessage{Kind: kindNotice, From: m.Self, Suspected: m.suspectedGroups()})
+	m.mu.Unlock()
+	m.sendAll(addresses, notice)
+}
+
+// repeatedNotice returns the message that repeats this instance's suspicions of the
+// groups that it watches, and the addresses of their other watchers.
+func (m *Manager) repeatedNotice() ([]string, []byte) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	suspected := m.suspectedGroups()
+	watched := make(map[state.GroupID]uint64)
+	for id, epoch := range suspected {
+		if m.rankingOf(id).watches(m.Self) {
+			watched[id] = epoch
+		}
+	}
+	if len(watched) == 0 {
+		return nil, nil
+	}
+	return m.otherWatcherAddresses(watched), m.encodeMessage(peerMessage{Kind: kindNotice, From: m.Self, Suspected: suspected})
+}
+
 // startRequest begins a new round of confirmations. It returns the request and the
-// addresses to send it to, or nil while the lease is renewed regularly and no
-// primary is suspected.
+// addresses to send it to, or nil while the lease is renewed regularly.
 func (m *Manager) startRequest() ([]string, []byte) {
 	now := m.Clock.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	suspectedEpochs := m.suspectedGroups()
-	if !m.lease.acquired || m.lease.remaining(now) > confirmationLead && len(suspectedEpochs) == 0 && m.renewalFailures == 0 {
+	if !m.lease.acquired || m.lease.remaining(now) > confirmationLead && m.renewalFailures == 0 {
 		return nil, nil
 	}
 	m.confirmations = confirmations{nonce: m.confirmations.nonce + 1, requestedAt: now, from: map[state.InstanceID]bool{m.Self: true}}
@@ -244,7 +278,5 @@
 		}
 	}
 	m.mu.Unlock()
-	for _, address := range addresses {
-		m.Messenger.Send(address, request)
-	}
+	m.sendAll(addresses, request)
 }
--- a/internal/coordination/leadership/heartbeat.go
+++ b/internal/coordination/leadership/heartbeat.go
@@ -15,7 +15,7 @@
 // until ctx ends.
 func (m *Manager) Run(ctx context.Context) {
 	m.mu.Lock()
-	m.lease.length, m.lease.maxLength = m.Options.Lease, m.Options.MaxLease
+	m.lease.maxLength = m.Options.MaxLease
 	m.mu.Unlock()
 	go m.heartbeatLoop(ctx)
 	go m.memberLoop(ctx)
@@ -44,7 +44,14 @@
 // number of instances above FullRateMembers. The caller must hold m.mu.
 func (m *Manager) heartbeatInterval() time.Duration {
 	load := float64(len(m.members.byName)) / float64(m.Options.FullRateMembers)
-	return time.Duration(float64(m.Options.HeartbeatInterval) * max(1, load))
+	interval := time.Duration(float64(m.Options.HeartbeatInterval) * max(1, load))
+	return min(interval, m.Options.MaxHeartbeatInterval)
+}
+
+// nextLease returns the length of the lease that the next renewal requests. The
+// caller must hold m.mu.
+func (m *Manager) nextLease() time.Duration {
+	return max(m.lease.length, m.Options.Lease, leaseIntervals*m.heartbeatInterval())
 }
 
 func (m *Manager) heartbeatLoop(ctx context.Context) {
@@ -65,17 +72,18 @@
 // sendHeartbeat writes this instance's row and reports whether the store
 // committed it.
 func (m *Manager) sendHeartbeat(ctx context.Context) bool {
-	value, err := encode(m.nextHeartbeat())
+	next := m.nextHeartbeat()
+	value, err := encode(next)
 	if err != nil {
 		m.Log.Error().Err(err).Msg("failed to encode the instance's row")
 		return false
 	}
 	conditions := append(m.primariesCondition(), m.WatchedRows()...)
-	err = m.renew(ctx, value, conditions)
+	err = m.renew(ctx, value, next.Lease, conditions)
 	var conflict *rowstore.ConflictError
 	if errors.As(err, &conflict) {
 		m.refreshOutdated(ctx, conflict, conditions)
-		err = m.renew(ctx, value, m.primariesCondition())
+		err = m.renew(ctx, value, next.Lease, m.primariesCondition())
 	}
 	m.recordRenewal(err)
 	return err == nil
@@ -90,8 +98,8 @@
 }
 
 // renew writes this instance's row if the conditions hold, which renews the
-// lease.
-func (m *Manager) renew(ctx context.Context, value []byte, conditions []rowstore.Condition) error {
+// lease for the given length.
+func (m *Manager) renew(ctx context.Context, value []byte, length time.Duration, conditions []rowstore.Condition) error {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	sent := m.Clock.Now()
@@ -107,7 +115,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.lease.clock.observe(sent, received, commit.Now)
-	m.lease.recordRenewal(commit.Version, commit.Now)
+	m.lease.recordRenewal(commit.Version, commit.Now, length)
 	if m.joined == 0 {
 		m.joined = int64(commit.Now)
 	}
@@ -182,31 +190,42 @@
 	defer m.mu.Unlock()
 	m.heartbeats++
 	return heartbeat{
-		Demand: demand, Run: m.Config.Run, Address: m.Address, Joined: m.joined, Count: m.heartbeats,
+		Demand: demand, Run: m.Config.Run, Address: m.Address, DataCentre: m.DataCentre, Lease: m.nextLease(), Joined: m.joined, Count: m.heartbeats,
 		Acknowledged: m.acknowledgedGroups(), Suspected: m.suspectedGroups(),
 	}
 }
 
 func (m *Manager) memberLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		wait := membersInterval
-		switch read := m.readMembers(ctx); {
-		case !read && !m.Ready():
-			// Requests are served only after the first read.
-			wait = initialRetryInterval
-		case !read || m.anySuspectedOrChanging():
-			wait = fastMembersInterval
-		}
+		read := m.readMembers(ctx)
+		wait := m.membersWait(read)
 		state.PauseOrWake(ctx, wait, m.readMembersNow)
 	}
 }
 
-// anySuspectedOrChanging reports whether a primary is suspected or being changed.
-func (m *Manager) anySuspectedOrChanging() bool {
+// membersWait returns the time until the next read of the instances' rows. read
+// is whether the last one succeeded.
+func (m *Manager) membersWait(read bool) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, g := range m.groups {
-		if g.suspected || g.record.Changing {
+	switch {
+	case !read && m.members.now == 0:
+		// Requests are served only after the first read.
+		return initialRetryInterval
+	case !m.membersSettled:
+		return membersSettledAfter
+	case !read || m.watchesSuspectedOrChanging():
+		return fastMembersInterval
+	default:
+		return m.members.readInterval()
+	}
+}
+
+// watchesSuspectedOrChanging reports whether this instance watches a group whose
+// primary is suspected or being changed. The caller must hold m.mu.
+func (m *Manager) watchesSuspectedOrChanging() bool {
+	for id, g := range m.groups {
+		if (g.suspected || g.record.Changing) && m.rankingOf(id).watches(m.Self) {
 			return true
 		}
 	}
@@ -226,6 +245,7 @@
 	m.mu.Lock()
 	m.lease.clock.observe(sent, received, snapshot.Now)
 	unreadable := m.members.update(snapshot)
+	m.membersSettled = m.membersSettled || m.joined != 0 && snapshot.Now-time.Duration(m.joined) >= membersSettledAfter/2
 	var abandoned []rowstore.Transaction
 	for name, entry := range m.members.byName {
 		if name != m.Self && !m.members.renewedWithin(entry, staleRowAge) {
--- a/internal/coordination/leadership/lease.go
+++ b/internal/coordination/leadership/lease.go
@@ -8,7 +8,9 @@
 
 // lease is this instance's permission to use the primaries of all groups.
 type lease struct {
-	clock  storeClock
+	clock storeClock
+	// length is that of the last renewal. It never decreases, as the store may
+	// have committed a later renewal whose response was lost.
 	length time.Duration
 	// seenVersion is the store's version up to which this instance has seen all
 	// changes of TablePrimaries.
@@ -26,7 +28,8 @@
 
 // recordRenewal records that the instance's row was written at the given version.
 // The store allows that only if all earlier changes of primaries have been seen.
-func (l *lease) recordRenewal(version uint64, storeNow time.Duration) {
+func (l *lease) recordRenewal(version uint64, storeNow, length time.Duration) {
+	l.length = max(l.length, length)
 	l.seenVersion = max(l.seenVersion, version)
 	l.renewedAt, l.acquired = max(l.renewedAt, storeNow), true
 }
--- a/internal/coordination/leadership/lease_test.go
+++ b/internal/coordination/leadership/lease_test.go
@@ -42,7 +42,7 @@
 	storeNow := 10 * time.Second
 	woke := sent.Add(30 * time.Second)
 	l.clock.observe(sent, woke, storeNow)
-	l.recordRenewal(7, storeNow)
+	l.recordRenewal(7, storeNow, l.length)
 	require.False(t, l.valid(woke))
 	require.Zero(t, l.remaining(woke))
 }
@@ -52,7 +52,7 @@
 	l := lease{length: 4 * time.Second, maxLength: 20 * time.Second}
 	now := state.Instant(time.Minute)
 	l.clock.observe(now, now, 10*time.Second)
-	l.recordRenewal(9, 10*time.Second)
+	l.recordRenewal(9, 10*time.Second, l.length)
 	later := now.Add(10 * time.Second)
 	require.False(t, l.valid(later))
 	l.confirmedUntil = later.Add(time.Second)
--- a/internal/coordination/leadership/manager.go
+++ b/internal/coordination/leadership/manager.go
@@ -22,6 +22,9 @@
 
 // Databases sends control queries to databases.
 type Databases interface {
+	// Probe finds out whether a database replies. The error is
+	// state.ErrNotProbed if no connection is available for the question.
+	Probe(ctx context.Context, server state.Server) error
 	Status(ctx context.Context, server state.Server) (state.ServerStatus, error)
 	StepDown(ctx context.Context, server state.Server, term state.Term) (state.ServerStatus, error)
 }
@@ -65,8 +68,11 @@
 	// which this one receives them.
 	Messenger Messenger
 	Address   string
-	Clock     state.Clock
-	Log       zerolog.Logger
+	// DataCentre is this instance's. The instances that watch a group are spread
+	// over the data centres.
+	DataCentre state.DataCentre
+	Clock      state.Clock
+	Log        zerolog.Logger
 }
 
 // Manager holds the records of all groups' primaries and this instance's lease,
@@ -80,9 +86,12 @@
 	members members
 	// probing holds the databases with a running query of probeOnce.
 	probing map[state.DatabaseID]bool
-	// probedAt is when probeReplicas last probed a replica.
-	probedAt map[state.DatabaseID]state.Instant
-	lease    lease
+	// nextProbe is the earliest time of the next probe of a database.
+	nextProbe map[state.DatabaseID]state.Instant
+	// membersSettled is set once the instances' rows have been read long enough
+	// after this run joined that instances started with it are among them.
+	membersSettled bool
+	lease          lease
 	// generation is the version of the newest change of a primary received from
 	// the store; all earlier changes have been seen too.
 	generation    uint64
@@ -129,7 +138,7 @@
 		Config: config, runName: nameOfRun(config.Self, config.Run),
 		groups: make(map[state.GroupID]*group), changed: make(chan struct{}),
 		heartbeatNow: make(chan struct{}, 1), readMembersNow: make(chan struct{}, 1), members: newMembers(),
-		probing: make(map[state.DatabaseID]bool), probedAt: make(map[state.DatabaseID]state.Instant),
+		probing: make(map[state.DatabaseID]bool), nextProbe: make(map[state.DatabaseID]state.Instant),
 	}
 }
 
--- a/internal/coordination/leadership/members.go
+++ b/internal/coordination/leadership/members.go
@@ -21,10 +21,12 @@
 type members struct {
 	byName map[state.InstanceID]member
 	now    time.Duration
+	// rankings caches ranking until the next update.
+	rankings map[state.GroupID]ranking
 }
 
 func newMembers() members {
-	return members{byName: make(map[state.InstanceID]member)}
+	return members{byName: make(map[state.InstanceID]member), rankings: make(map[state.GroupID]ranking)}
 }
 
 // update replaces the members with a snapshot of all rows. Rows that cannot be
@@ -45,9 +47,16 @@
 		next[name] = entry
 	}
 	m.byName, m.now = next, max(m.now, snapshot.Now)
+	clear(m.rankings)
 	return unreadable
 }
 
+// readInterval returns the time between two reads of the rows by one instance
+// while nothing changes.
+func (m *members) readInterval() time.Duration {
+	return time.Duration(float64(membersInterval) * max(1, float64(len(m.byName))/fullReadRateMembers))
+}
+
 // renewedWithin reports whether a row has changed within the given time.
 func (m *members) renewedWithin(entry member, within time.Duration) bool {
 	return m.now-entry.seenAt <= within
@@ -81,19 +90,15 @@
 	return own, all
 }
 
-// votes returns the number of live instances, and how many of them cannot reach
-// the primary of the group's epoch.
-func (m *members) votes(id state.GroupID, epoch uint64, within time.Duration) (suspecting, live int) {
-	for _, entry := range m.byName {
-		if !m.renewedWithin(entry, within) {
-			continue
-		}
-		live++
-		if suspected, ok := entry.heartbeat.Suspected[id]; ok && suspected == epoch {
+// votes returns how many of a group's watchers cannot reach the primary of the
+// group's epoch. The caller is one of those that cannot.
+func (m *members) votes(watchers []state.InstanceID, self state.InstanceID, id state.GroupID, epoch uint64) (suspecting int) {
+	for _, name := range watchers {
+		if suspected, ok := m.byName[name].heartbeat.Suspected[id]; name == self || ok && suspected == epoch {
 			suspecting++
 		}
 	}
-	return suspecting, live
+	return suspecting
 }
 
 // reachingPrimary returns the addresses of the live instances that do not suspect the
@@ -121,18 +126,6 @@
 	return true
 }
 
-// rank returns the position of an instance among the live ones, ordered by name.
-// It staggers actions that several instances would start.
-func (m *members) rank(self state.InstanceID, within time.Duration) int {
-	rank := 0
-	for name, entry := range m.byName {
-		if name < self && m.renewedWithin(entry, within) {
-			rank++
-		}
-	}
-	return rank
-}
-
 // recordAcknowledgement records an acknowledgement received in a peer message.
 func (m *members) recordAcknowledgement(name state.InstanceID, id state.GroupID, epoch uint64) {
 	entry := m.byName[name]
@@ -193,15 +186,16 @@
 			renewed = min(renewed, entry.seenAt)
 		}
 		earliest = min(earliest, renewed)
+		lease := max(options.Lease, entry.heartbeat.Lease)
 		switch {
-		case storeNow <= renewed+options.Lease+leaseMargin:
+		case storeNow <= renewed+lease+leaseMargin:
 			found.leased = append(found.leased, name)
 		case storeNow <= renewed+options.MaxLease+leaseMargin:
 			found.confirmed = append(found.confirmed, name)
 		}
 	}
 	for _, entry := range m.byName {
-		if joined := time.Duration(entry.heartbeat.Joined); joined != 0 && joined < earliest-2*membersInterval {
+		if joined := time.Duration(entry.heartbeat.Joined); joined != 0 && joined < earliest-2*m.readInterval() {
 			found.established++
 		}
 	}
--- a/internal/coordination/leadership/options.go
+++ b/internal/coordination/leadership/options.go
@@ -5,7 +5,8 @@
 // Options holds the timings of leases and changes.
 type Options struct {
 	// Lease is how long an instance may use primaries after its last renewal
-	// without confirmations from others. A change of a primary waits this long
+	// without confirmations from others, or twice the time between two renewals if
+	// that is longer. A change of a primary waits this long
 	// for an instance that does not respond, so it bounds the failover time if
 	// a primary fails together with an instance.
 	Lease time.Duration
@@ -13,8 +14,9 @@
 	// while half of the instances confirm its lease. It exceeds the usual
 	// outages of the store, 6 to 12 s.
 	MaxLease time.Duration
-	// HeartbeatInterval is the time between two renewals of the lease.
-	HeartbeatInterval time.Duration
+	// HeartbeatInterval is the time between two renewals of the lease, and
+	// MaxHeartbeatInterval the limit of its growth with the number of instances.
+	HeartbeatInterval, MaxHeartbeatInterval time.Duration
 	// DutyLease is how long a promoter holds the promotion duty without renewing
 	// it. It covers a change: acknowledgements, promotion and the check that the
 	// database leads.
@@ -30,26 +32,31 @@
 	// promoter's run has ended, the change is taken over sooner.
 	TakeOverAfter time.Duration
 	// FullRateMembers is the largest number of instances that renew at
-	// HeartbeatInterval; with more, each renews less often, which bounds the load
-	// on the store.
+	// HeartbeatInterval; with more, each renews less often and its lease is longer,
+	// which bounds the load on the store.
 	FullRateMembers int
 }
 
-// DefaultOptions returns the options for up to a few dozen instances.
+// DefaultOptions returns the default options.
 func DefaultOptions() Options {
 	return Options{
-		Lease: 4 * time.Second, MaxLease: 20 * time.Second, HeartbeatInterval: 2 * time.Second,
+		Lease: 4 * time.Second, MaxLease: 20 * time.Second, HeartbeatInterval: 2 * time.Second, MaxHeartbeatInterval: 8 * time.Second,
 		DutyLease: 5 * time.Second, PlannedDrain: 400 * time.Millisecond,
-		TakeOverAfter: 15 * time.Second, FullRateMembers: 40,
+		TakeOverAfter: 15 * time.Second, FullRateMembers: 100,
 	}
 }
 
 const (
 	// evaluateInterval is the time between two evaluations of all primaries.
 	evaluateInterval = 100 * time.Millisecond
-	// membersInterval is the time between two reads of the instances' rows
-	// while nothing changes.
-	membersInterval = 4 * time.Second
+	// membersInterval is the least time between two reads of the instances' rows
+	// while nothing changes; with more than fullReadRateMembers instances it grows
+	// in proportion, so that the reads of all instances together do not.
+	membersInterval     = 4 * time.Second
+	fullReadRateMembers = 40
+	// membersSettledAfter is how long after its start an instance reads the rows
+	// again; instances that were started together have written theirs by then.
+	membersSettledAfter = time.Second
 	// fastMembersInterval replaces membersInterval while a primary is suspected or
 	// being changed. The instances also send each other their suspicions
 	// directly; reading the rows compensates for lost messages.
@@ -76,6 +83,8 @@
 	confirmationLead     = 1500 * time.Millisecond
 	confirmationInterval = 250 * time.Millisecond
 	confirmationTTL      = time.Second
+	// leaseIntervals is the least number of heartbeat intervals in a lease.
+	leaseIntervals = 2
 	// liveIntervals is the number of heartbeat intervals without a renewal after
 	// which an instance no longer counts as live.
 	liveIntervals = 2
@@ -116,6 +125,13 @@
 	// replicaProbeInterval is the time between two probes of a replica with recent
 	// failures; other replicas serve its reads in the meantime.
 	replicaProbeInterval = 500 * time.Millisecond
+	// overloadedProbePause is the least time between two probes of a database that
+	// runs but refuses or closes connections.
+	overloadedProbePause = time.Second
+	// replicaReplyMaxAge is the maximum age of a replica's reply that counts as
+	// evidence against the primary. Replicas are probed more often than this
+	// while the primary fails.
+	replicaReplyMaxAge = 2 * time.Second
 	// idleProbeAfter is the time without a reply after which a primary is probed.
 	idleProbeAfter = time.Second
 	// staggerStep is the delay between instances that would start the same
--- /dev/null
+++ b/internal/coordination/leadership/probe.go
@@ -0,0 +1,161 @@
+package leadership
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// probe queries those of a group's databases that need it: a primary without a
+// recent reply, and databases with recent failures or warnings. Databases that
+// fail get hardly any requests, so without probes their recovery would go
+// unnoticed.
+func (m *Manager) probe(ctx context.Context, id state.GroupID, primary state.DatabaseID) {
+	watches := m.Watches(id)
+	primaryDegraded := m.Health.Degraded(primary)
+	for _, entry := range m.Directory.Servers(id) {
+		isPrimary := entry.ID == primary
+		degraded := m.Health.Degraded(entry.ID)
+		silent := m.Health.SinceLastReply(entry.ID)
+		var due bool
+		switch {
+		case watches && isPrimary:
+			due = degraded || silent > idleProbeAfter
+		case watches && primaryDegraded && !entry.Leaving:
+			// A vote against the primary needs a replica that replies.
+			due = degraded || silent > replicaProbeInterval
+		default:
+			due = degraded && (isPrimary || !entry.Leaving)
+		}
+		if m.reserveProbe(entry.ID, due, isPrimary, watches) {
+			m.probeOnce(ctx, entry.Server)
+		}
+	}
+}
+
+// reserveProbe reports whether a database is to be probed now, and if so sets the
+// time of the next probe. An instance that does not watch the group waits for a
+// random time before the first probe, because all such instances may have seen
+// the same failure.
+func (m *Manager) reserveProbe(id state.DatabaseID, due, isPrimary, watches bool) bool {
+	now := m.Clock.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	next, scheduled := m.nextProbe[id]
+	if !due {
+		if now >= next {
+			delete(m.nextProbe, id)
+		}
+		return false
+	}
+	interval := evaluateInterval
+	if !isPrimary {
+		interval = replicaProbeInterval
+	}
+	if sparse := m.sparseProbeInterval(); !watches && sparse > interval {
+		interval = sparse
+		if !scheduled {
+			next = now.Add(rand.N(interval))
+			m.nextProbe[id] = next
+		}
+	}
+	if now < next {
+		return false
+	}
+	m.nextProbe[id] = now.Add(interval)
+	return true
+}
+
+// delayProbe puts off the next probe of a database that runs but is overloaded.
+func (m *Manager) delayProbe(id state.DatabaseID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.nextProbe[id] = max(m.nextProbe[id], m.Clock.Now().Add(overloadedProbePause))
+}
+
+// probeOnce queries a database in the background, unless a probe of that database
+// is still running.
+func (m *Manager) probeOnce(ctx context.Context, server state.Server) {
+	m.mu.Lock()
+	busy := m.probing[server.ID]
+	m.probing[server.ID] = true
+	m.mu.Unlock()
+	if busy {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+		defer cancel()
+		m.recordProbe(server.ID, m.Databases.Probe(ctx, server))
+		m.mu.Lock()
+		delete(m.probing, server.ID)
+		m.mu.Unlock()
+	}()
+}
+
+// recordProbe records the result of a probe. A database that closes the
+// connection at startup may only have run out of connections or may be
+// unusable, so this counts as a warning and not as a failure.
+func (m *Manager) recordProbe(id state.DatabaseID, err error) {
+	switch {
+	case errors.Is(err, state.ErrNotProbed):
+	case err == nil:
+		m.Health.RecordSuccess(id)
+	case refusedByDatabase(err):
+		m.Health.RecordSuccess(id)
+		m.delayProbe(id)
+	case errors.Is(err, state.ErrClosedAtStartup):
+		m.Log.Debug().Err(err).Str("database", string(id)).Msg("probe failed")
+		m.Health.RecordWarning(id)
+		m.delayProbe(id)
+	default:
+		m.Log.Debug().Err(err).Str("database", string(id)).Msg("probe failed")
+		m.Health.RecordFailure(id)
+	}
+}
+
+// refusedByDatabase reports whether an error is a refusal sent by the database
+// itself, which shows that it runs, even if it is overloaded. It recognises the
+// errors of package pooling by their method.
+func refusedByDatabase(err error) bool {
+	var refusal interface{ RefusedByDatabase() bool }
+	return errors.As(err, &refusal) && refusal.RefusedByDatabase()
+}
+
+// updateSuspicion updates this instance's suspicion of a primary. If it changes,
+// the instance sends a heartbeat, notifies the watchers and reads the instances'
+// rows at once.
+func (m *Manager) updateSuspicion(id state.GroupID, primary state.DatabaseID) {
+	suspected := m.Health.Suspected(primary) && m.replicaReplies(id, primary)
+	m.mu.Lock()
+	g := m.group(id)
+	changed := suspected != g.suspected && !g.record.Changing
+	if changed {
+		g.suspected = suspected
+	}
+	epoch := g.record.Epoch
+	m.mu.Unlock()
+	if !changed {
+		return
+	}
+	m.Log.Info().Str("group", string(id)).Str("database", string(primary)).Uint64("epoch", epoch).Bool("suspected", suspected).Msg("opinion of the primary changed")
+	m.notifyWatchers(id)
+	signal(m.heartbeatNow)
+	signal(m.readMembersNow)
+}
+
+// replicaReplies reports whether a replica of the group has replied since the
+// primary's last reply. If none has, the cause may be on this instance's side,
+// such as a partition or a saturated link, and a change would not help it.
+func (m *Manager) replicaReplies(id state.GroupID, primary state.DatabaseID) bool {
+	primarySilent := m.Health.SinceLastReply(primary)
+	for _, entry := range m.Directory.Servers(id) {
+		silent := m.Health.SinceLastReply(entry.ID)
+		if entry.ID != primary && silent < replicaReplyMaxAge && silent < primarySilent {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/coordination/leadership/record.go
+++ b/internal/coordination/leadership/record.go
@@ -1,6 +1,8 @@
 package leadership
 
 import (
+	"time"
+
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -44,7 +46,12 @@
 	// Run distinguishes the runs (processes) of an instance.
 	Run int64 `msgpack:"run"`
 	// Address is the host:port at which other instances reach this one.
-	Address string `msgpack:"address"`
+	Address    string           `msgpack:"address"`
+	DataCentre state.DataCentre `msgpack:"dc"`
+	// Lease is how long this run may use primaries after this renewal without
+	// confirmations from others. It never decreases during a run, so that the
+	// lease of the newest row is the last to expire. 0 means Options.Lease.
+	Lease time.Duration `msgpack:"lease"`
 	// Joined is when the run first wrote its row, on the store's clock, in
 	// nanoseconds; 0 in its first row.
 	Joined int64 `msgpack:"joined"`
--- a/internal/coordination/leadership/view.go
+++ b/internal/coordination/leadership/view.go
@@ -57,6 +57,14 @@
 	return m.lease.clock.lowerBound(0), upper, known
 }
 
+// Watches reports whether this instance watches a group, that is, probes its
+// primary and votes on its replacement.
+func (m *Manager) Watches(id state.GroupID) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.membersSettled && m.rankingOf(id).watches(m.Self)
+}
+
 // PeersReachingPrimary returns the addresses of the other instances that are
 // believed to reach a group's primary.
 func (m *Manager) PeersReachingPrimary(id state.GroupID) []string {
@@ -81,6 +89,8 @@
 	Changing bool             `json:"changing"`
 	Primary  state.DatabaseID `json:"primary"`
 	Grants   int              `json:"grants"`
+	// Watched is set if this instance watches the group.
+	Watched bool `json:"watched"`
 }
 
 // DutyHeld reports whether this instance holds the promotion duty and has a
@@ -99,7 +109,7 @@
 	for _, id := range m.Directory.Groups() {
 		g := m.group(id)
 		primary, _ := m.primaryOf(id, g)
-		groups = append(groups, Status{Group: id, Epoch: g.record.Epoch, Term: g.record.Term, Changing: g.record.Changing, Primary: primary, Grants: len(g.grants)})
+		groups = append(groups, Status{Group: id, Epoch: g.record.Epoch, Term: g.record.Term, Changing: g.record.Changing, Primary: primary, Grants: len(g.grants), Watched: m.rankingOf(id).watches(m.Self)})
 	}
 	return groups, m.lease.remaining(now)
 }
--- a/internal/coordination/pooling/conn.go
+++ b/internal/coordination/pooling/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"strings"
@@ -149,6 +150,17 @@
 	return "refused by the database: " + e.Code.String() + " " + e.Detail
 }
 
+// RefusedByDatabase reports that the database itself refused the call, which
+// shows that it is running.
+func (e *RefusedError) RefusedByDatabase() bool { return true }
+
+// answered reports whether a call got a reply, even if that was a refusal. The
+// connection may then be used again.
+func answered(err error) bool {
+	var refused *RefusedError
+	return err == nil || errors.As(err, &refused)
+}
+
 func replyError(reply state.Reply, err error) error {
 	if err != nil {
 		return err
--- a/internal/coordination/pooling/dial.go
+++ b/internal/coordination/pooling/dial.go
@@ -90,6 +90,32 @@
 	p.mu.Unlock()
 }
 
+// takeOrDial returns an idle direct connection, or opens one if the share allows.
+// The error is state.ErrNotProbed if it does not.
+func (p *Pool) takeOrDial(ctx context.Context) (*Conn, error) {
+	if conn := p.takeDirect(); conn != nil {
+		return conn, nil
+	}
+	p.mu.Lock()
+	if p.closed || p.open+p.opening+p.openingForProbe >= p.share {
+		p.mu.Unlock()
+		return nil, state.ErrNotProbed
+	}
+	p.openingForProbe++
+	p.mu.Unlock()
+	raw, err := p.dialer.Dial(ctx, p.server)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.openingForProbe--
+	if err != nil {
+		return nil, &DialError{Database: p.server.ID, Cause: err}
+	}
+	p.open++
+	conn := newConn(raw, p.server, false)
+	conn.acquired = time.Now()
+	return conn, nil
+}
+
 // connect opens a connection. If the database is suspected, it connects through
 // another instance where one is known that reaches the database.
 func (p *Pool) connect(ctx context.Context) (conn ServerConn, tunnelled bool, err error) {
--- a/internal/coordination/pooling/manager.go
+++ b/internal/coordination/pooling/manager.go
@@ -150,6 +150,19 @@
 	return all
 }
 
+// Probe finds out whether a database replies. It uses a connection of the pool,
+// which is kept for the next probe, and opens one only within the pool's share.
+func (m *Manager) Probe(ctx context.Context, server state.Server) error {
+	pool := m.Pool(server)
+	conn, err := pool.takeOrDial(ctx)
+	if err != nil {
+		return err
+	}
+	_, err = conn.Status(m.queryDeadline(ctx))
+	pool.Release(conn, answered(err))
+	return err
+}
+
 // Status requests the status of a database, on an idle direct connection if there
 // is one.
 func (m *Manager) Status(ctx context.Context, server state.Server) (state.ServerStatus, error) {
@@ -165,15 +178,20 @@
 	})
 }
 
-func (m *Manager) query(ctx context.Context, server state.Server, request func(ServerConn, time.Time) (state.ServerStatus, error)) (state.ServerStatus, error) {
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		deadline = time.Now().Add(dialTimeout)
+// queryDeadline returns the deadline of a control query.
+func (m *Manager) queryDeadline(ctx context.Context) time.Time {
+	if deadline, ok := ctx.Deadline(); ok {
+		return deadline
 	}
+	return time.Now().Add(dialTimeout)
+}
+
+func (m *Manager) query(ctx context.Context, server state.Server, request func(ServerConn, time.Time) (state.ServerStatus, error)) (state.ServerStatus, error) {
+	deadline := m.queryDeadline(ctx)
 	pool := m.Pool(server)
 	if conn := pool.takeDirect(); conn != nil {
 		status, err := request(conn, deadline)
-		pool.Release(conn, err == nil)
+		pool.Release(conn, answered(err))
 		return status, err
 	}
 	conn, err := m.dialer.Dial(ctx, server)
--- a/internal/coordination/pooling/pool.go
+++ b/internal/coordination/pooling/pool.go
@@ -60,13 +60,16 @@
 
 	mu sync.Mutex
 	// share is how many connections this pool may have open.
-	share    int
-	idle     []*Conn // the last one was used last
-	open     int     // including those in use, without those being opened
-	opening  int
-	queue    waiters
-	sequence uint64
-	closed   bool
+	share   int
+	idle    []*Conn // the last one was used last
+	open    int     // including those in use, without those being opened
+	opening int
+	// openingForProbe is the number of connections being opened for probes. They
+	// may hang, so the connections for requests are opened regardless of them.
+	openingForProbe int
+	queue           waiters
+	sequence        uint64
+	closed          bool
 	// dialAfter is when the next connection may be opened after a failure.
 	dialAfter time.Time
 	// dialFailures counts the failures to open a connection since the last
--- a/internal/entry/modules.go
+++ b/internal/entry/modules.go
@@ -100,7 +100,8 @@
 	return leadership.New(leadership.Config{
 		Self: settings.Instance, Run: instance.run, Options: options, Store: store, Availability: availability, Directory: dir, Databases: pools,
 		WatchedRows: dir.WatchedRows, OnWatchedRowChange: func() { instance.followers.configuration.Refresh() },
-		Promoter: promoter, Health: tracker, Demand: pools.Demand, Messenger: instance.peers.Sender(topicConfirmations), Address: peerAddress(settings), Clock: clock, Log: log,
+		Promoter: promoter, Health: tracker, Demand: pools.Demand, Messenger: instance.peers.Sender(topicConfirmations), Address: peerAddress(settings),
+		DataCentre: settings.DataCentre, Clock: clock, Log: log,
 	})
 }
 
--- a/internal/standin/platform/council/group.go
+++ b/internal/standin/platform/council/group.go
@@ -22,6 +22,8 @@
 	MaxQueued int
 	// ServiceTime is how long a statement takes once it holds a slot.
 	ServiceTime time.Duration
+	// ConnectTime is how long opening a connection occupies a slot.
+	ConnectTime time.Duration
 	// ReceiveDelay is how long a commit takes to reach a replica, and ApplyDelay
 	// how long the replica then takes to apply it.
 	ReceiveDelay, ApplyDelay time.Duration
@@ -99,6 +101,24 @@
 	dropReplies     int
 	dropConnections int
 	refuseNext      int
+	load            Load
+}
+
+// Load counts what a database was asked.
+type Load struct {
+	// Opened is the number of connections that were opened, Rejected of those
+	// that were refused because there were too many.
+	Opened, Rejected int
+	// StatusQueries is the number of status queries, Refused of statements that
+	// were refused because the queue was full.
+	StatusQueries, Refused int
+}
+
+// Load returns the load on the database since its start.
+func (d *Database) Load() Load {
+	d.group.mu.Lock()
+	defer d.group.mu.Unlock()
+	return d.load
 }
 
 // NewGroup returns a group whose first database is primary in term 1.
--- a/internal/standin/platform/council/session.go
+++ b/internal/standin/platform/council/session.go
@@ -46,6 +46,11 @@
 	if err := d.checkReachable(ctx, caller); err != nil {
 		return nil, state.Reply{}, err
 	}
+	if d.group.options.ConnectTime > 0 {
+		d.slots <- struct{}{}
+		state.Pause(ctx, d.group.options.ConnectTime)
+		<-d.slots
+	}
 	d.group.mu.Lock()
 	defer d.group.mu.Unlock()
 	if d.down {
@@ -55,12 +60,14 @@
 		return nil, state.Reply{Code: state.CodeMisdirected, Detail: string(d.ID)}, nil
 	}
 	if len(d.connections) >= d.group.options.MaxConnections {
+		d.load.Rejected++
 		return nil, state.Reply{Code: state.CodeTooManyConnections}, nil
 	}
 	session := &Session{
 		database: d, caller: caller, ended: make(chan struct{}),
 		values: make(map[string]string), prepared: make(map[string]preparedShape), writes: make(map[string]string),
 	}
+	d.load.Opened++
 	d.connections[session] = struct{}{}
 	return session, state.Reply{Position: d.visiblePosition()}, nil
 }
@@ -196,7 +203,9 @@
 	if d.refuseNext > 0 {
 		d.refuseNext--
 	}
-	if !full {
+	if full {
+		d.load.Refused++
+	} else {
 		d.waiting++
 	}
 	d.group.mu.Unlock()
@@ -238,6 +247,7 @@
 	case "COMMIT":
 		return s.commit(id, isPrimary)
 	case "STATUS":
+		d.load.StatusQueries++
 		return s.status()
 	case "STEPDOWN":
 		term, err := strconv.ParseUint(rest, 10, 64)
--- a/internal/state/group.go
+++ b/internal/state/group.go
@@ -40,6 +40,10 @@
 // instance, because none is known that reaches the database.
 var ErrNoTunnel = errors.New("no other instance reaches the database")
 
+// ErrNotProbed means that a database was not probed because all connections that
+// this instance may open to it are in use.
+var ErrNotProbed = errors.New("no connection is free for the probe")
+
 // ErrClosedAtStartup means that a database accepted a connection and closed it
 // before its startup was complete. A database that has no connection left may
 // do so.
--- a/test/council/cluster_test.go
+++ b/test/council/cluster_test.go
@@ -49,10 +49,13 @@
 	started   time.Time
 	store     *standin.Store
 	group     *standin.Group
+	options   standin.Options
 	instances map[string]*instance
 	log       zerolog.Logger
 
 	mu sync.Mutex
+	// datagrams is the number of messages sent between instances.
+	datagrams int
 	// unreachable reports whether two parties can't reach each other. Parties are
 	// the names of instances and databases, and "store".
 	unreachable func(a, b string) bool
@@ -101,11 +104,17 @@
 
 // runWithLogger is like run, with a logger made by the test.
 func runWithLogger(t *testing.T, names []string, log func(t *testing.T) zerolog.Logger, body func(tc *testCluster)) {
+	t.Helper()
+	runWith(t, groupOptions(), names, log, body)
+}
+
+// runWith is like run, with the given databases and logger.
+func runWith(t *testing.T, options standin.Options, names []string, log func(t *testing.T) zerolog.Logger, body func(tc *testCluster)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		tc := &testCluster{
-			t: t, ctx: ctx, started: time.Now(), store: standin.NewStore(), group: standin.NewGroup(groupOptions()),
+			t: t, ctx: ctx, started: time.Now(), store: standin.NewStore(), group: standin.NewGroup(options), options: options,
 			instances: make(map[string]*instance), log: log(t),
 		}
 		tc.group.SetPartition(tc.partitioned)
@@ -142,7 +151,7 @@
 func (tc *testCluster) configure(version uint64, names ...string) {
 	table := state.RoutingTable{
 		Version: version, Routes: make(map[string]state.Route), IdleInTransaction: 3 * time.Second,
-		Groups: map[state.GroupID]state.GroupLimits{"g": {MaxConnections: 22}},
+		Groups: map[state.GroupID]state.GroupLimits{"g": {MaxConnections: tc.options.MaxConnections}},
 	}
 	for _, name := range names {
 		table.Routes[name] = state.Route{
@@ -165,7 +174,7 @@
 	}
 	last := make(map[string]seen)
 	for ctx.Err() == nil {
-		for n := 1; n <= groupOptions().Databases; n++ {
+		for n := 1; n <= tc.options.Databases; n++ {
 			database := tc.group.Database(n)
 			key := string(database.ID)
 			if database.Running() && !tc.partitioned(key, "store") {
@@ -235,6 +244,7 @@
 
 func (m messenger) Send(to string, message []byte) {
 	m.cluster.mu.Lock()
+	m.cluster.datagrams++
 	receiver := m.cluster.instances[to]
 	m.cluster.mu.Unlock()
 	if receiver == nil || m.cluster.partitioned(m.from, to) {
@@ -274,12 +284,13 @@
 		TunnelInstances: func(id state.GroupID) []string { return i.leadership.PeersReachingPrimary(id) }, Partitioned: tc.partitioned,
 	}
 	i.pools = pooling.NewManager(dialer, tracker,
-		func(state.GroupID) int { return 22 }, i.division, log)
+		func(state.GroupID) int { return tc.options.MaxConnections }, i.division, log)
 	i.leadership = leadership.New(leadership.Config{
 		Self: state.InstanceID(name), Run: time.Now().UnixNano(), Options: leadership.DefaultOptions(), Store: store, Availability: availability,
 		WatchedRows: i.directory.WatchedRows, OnWatchedRowChange: func() { i.configuration.Refresh() },
 		Directory: i.directory, Databases: i.pools, Promoter: tc.group.Promoter(), Health: tracker, Demand: i.pools.Demand,
-		Messenger: messenger{tc, name, confirmations}, Address: name, Clock: clock, Log: log,
+		Messenger: messenger{tc, name, confirmations}, Address: name,
+		DataCentre: state.DataCentre(name[len(name)-1:]), Clock: clock, Log: log,
 	})
 	i.positions = freshness.NewExchange(freshness.NewTracker(), i.leadership, clock, i.leadership.Peers, messenger{tc, name, positions}, log)
 	i.engine = relay.New(ctx, relay.Config{
--- a/test/council/explain_test.go
+++ b/test/council/explain_test.go
@@ -51,7 +51,8 @@
 
 func (tc *testCluster) refusedAtOnce(log *lockedBuffer) {
 	leader := string(tc.group.Leader().ID)
-	tc.partition(between([]string{"d"}, []string{leader}))
+	// Without the other instances, there is no tunnel to the primary either.
+	tc.partition(between([]string{"d"}, []string{leader, "a", "b", "c"}))
 	var id string
 	tc.eventually(5*time.Second, "a refusal", func() bool {
 		c := tc.instances["d"].open("desk")
--- /dev/null
+++ b/test/council/fleet_test.go
@@ -0,0 +1,164 @@
+package council
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	standin "github.com/cyclamenpin/cyclamenpin/internal/standin/platform/council"
+)
+
+const fleetSize = 80
+
+// fleet returns the names of n instances in six data centres.
+func fleet(n int) []string {
+	names := make([]string, n)
+	for i := range names {
+		names[i] = fmt.Sprintf("e%03d-%c", i, 'a'+i%6)
+	}
+	return names
+}
+
+// fleetOptions describes databases whose connections are scarce for a fleet and
+// take long to open.
+func fleetOptions() standin.Options {
+	options := groupOptions()
+	options.MaxConnections, options.ConnectTime = 108, 12*time.Millisecond
+	return options
+}
+
+func runFleet(t *testing.T, size int, body func(tc *testCluster)) {
+	t.Helper()
+	runWith(t, fleetOptions(), fleet(size), testLog, body)
+}
+
+// loadDuring returns the load on the group's first database during an interval.
+func (tc *testCluster) loadDuring(interval time.Duration) standin.Load {
+	before := tc.group.Database(1).Load()
+	time.Sleep(interval)
+	after := tc.group.Database(1).Load()
+	return standin.Load{
+		Opened: after.Opened - before.Opened, Rejected: after.Rejected - before.Rejected,
+		StatusQueries: after.StatusQueries - before.StatusQueries, Refused: after.Refused - before.Refused,
+	}
+}
+
+func (tc *testCluster) requireNoChange() {
+	require.Equal(tc.t, tc.group.Database(1), tc.group.Leader())
+	for _, i := range tc.instances {
+		groups, _ := i.leadership.Snapshot()
+		require.Zero(tc.t, groups[0].Epoch, "a change of primary was announced")
+	}
+}
+
+// Many instances start at once before databases that take long to open a
+// connection. If each of them probed the idle primary, the probes would fill its
+// queue, and the primary would be replaced for not responding to them.
+func TestProbesOfManyInstancesDoNotOverloadAnIdlePrimary(t *testing.T) {
+	runFleet(t, fleetSize, func(tc *testCluster) {
+		time.Sleep(5 * time.Second)
+		load := tc.loadDuring(10 * time.Second)
+		require.Zero(tc.t, load.Refused)
+		require.Zero(tc.t, tc.group.Database(1).Load().Rejected)
+		require.Less(tc.t, load.StatusQueries, 20*10, "status queries in ten seconds")
+		require.Less(tc.t, load.Opened, 10, "connections opened for them")
+		tc.requireNoChange()
+	})
+}
+
+// What instances at rest ask of the databases and send to each other must not
+// grow with their number.
+func TestLoadAtRestDoesNotGrowWithTheInstances(t *testing.T) {
+	perSize := func(size int) (load standin.Load, datagrams int) {
+		runFleet(t, size, func(tc *testCluster) {
+			time.Sleep(5 * time.Second)
+			datagrams -= tc.datagrams
+			load = tc.loadDuring(10 * time.Second)
+			datagrams += tc.datagrams
+		})
+		return load, datagrams
+	}
+	small, _ := perSize(20)
+	large, datagrams := perSize(fleetSize)
+	require.LessOrEqual(t, large.StatusQueries, small.StatusQueries*11/10)
+	require.Zero(t, datagrams, "leases lapse or primaries are suspected at rest")
+}
+
+// The primary's machine stops responding while many instances use it. It is
+// replaced as quickly as with few instances, and once.
+func TestUnresponsivePrimaryOfManyInstancesIsReplacedOnce(t *testing.T) {
+	runFleet(t, fleetSize, func(tc *testCluster) {
+		time.Sleep(5 * time.Second)
+		for _, name := range fleet(fleetSize) {
+			go tc.keepWriting(tc.ctx, name)
+		}
+		time.Sleep(2 * time.Second)
+		tc.group.Database(1).Crash(true)
+		tc.eventually(4*time.Second, "a new primary", tc.instances[fleet(1)[0]].writable)
+		time.Sleep(5 * time.Second)
+		groups, _ := tc.instances[fleet(1)[0]].leadership.Snapshot()
+		require.EqualValues(tc.t, 1, groups[0].Epoch)
+		tc.requireValidPromotions()
+	})
+}
+
+// The links of all instances are saturated for a while, as when all read a large
+// configuration at once: no database responds to any of them. No other database
+// would respond either, so no primary is changed.
+func TestSilenceOfAllDatabasesChangesNoPrimary(t *testing.T) {
+	run(t, fourInstances, func(tc *testCluster) {
+		time.Sleep(5 * time.Second)
+		var databases []string
+		for n := 1; n <= 3; n++ {
+			databases = append(databases, string(tc.group.Database(n).ID))
+		}
+		for _, name := range fourInstances {
+			go tc.keepWriting(tc.ctx, name)
+		}
+		tc.partition(between(fourInstances, databases))
+		time.Sleep(3 * time.Second)
+		tc.partition(nil)
+		tc.eventually(2*time.Second, "writes", tc.instances["a"].writable)
+		tc.requireNoChange()
+	})
+}
+
+// The primary is overloaded and refuses status queries: it runs, so it is not
+// replaced.
+func TestPrimaryThatRefusesStatusQueriesIsNotReplaced(t *testing.T) {
+	run(t, fourInstances, func(tc *testCluster) {
+		time.Sleep(2 * time.Second)
+		tc.group.Database(1).RefuseNext(200)
+		time.Sleep(10 * time.Second)
+		tc.requireNoChange()
+	})
+}
+
+// A group's watchers are spread over the data centres, also when one of these has
+// few instances, and a watcher is replaced when it is gone.
+func TestWatcherThatIsGoneIsReplaced(t *testing.T) {
+	runFleet(t, 24, func(tc *testCluster) {
+		time.Sleep(5 * time.Second)
+		before := tc.watchers()
+		require.GreaterOrEqual(tc.t, len(before), 9)
+		tc.instances[before[0]].kill()
+		time.Sleep(30 * time.Second)
+		after := tc.watchers()
+		require.Len(tc.t, after, len(before))
+		require.NotContains(tc.t, after, before[0])
+	})
+}
+
+// watchers returns the running instances that probe the idle primary.
+func (tc *testCluster) watchers() []string {
+	var names []string
+	for _, name := range fleet(24) {
+		i := tc.instances[name]
+		if i.ctx.Err() == nil && i.leadership.Watches("g") {
+			names = append(names, name)
+		}
+	}
+	return names
+}
