--- a/internal/coordination/leadership/options.go
+++ b/internal/coordination/leadership/options.go
@@ -42,7 +42,7 @@
 	return Options{
 		Lease: 4 * time.Second, MaxLease: 20 * time.Second, HeartbeatInterval: 2 * time.Second, MaxHeartbeatInterval: 8 * time.Second,
 		DutyLease: 5 * time.Second, PlannedDrain: 400 * time.Millisecond,
-		TakeOverAfter: 15 * time.Second, FullRateMembers: 100,
+		TakeOverAfter: 15 * time.Second, FullRateMembers: 60,
 	}
 }
 
--- a/internal/coordination/relay/engine.go
+++ b/internal/coordination/relay/engine.go
@@ -115,7 +115,7 @@
 	// leavingPrimaryUse is how long a leaving primary is still used while its
 	// successor is chosen. A leaving database stays up for at least seven
 	// seconds.
-	leavingPrimaryUse = 6 * time.Second
+	leavingPrimaryUse = 5500 * time.Millisecond
 )
 
 func (e *Engine) inOtherRegion(dataCentre state.DataCentre) bool {
--- a/internal/coordination/rowstore/follower.go
+++ b/internal/coordination/rowstore/follower.go
@@ -25,7 +25,7 @@
 	// BatchInterval is a FollowerConfig.MinInterval for tables where many rows
 	// change together, as when databases start. It is far below the seconds
 	// within which a change must be noticed.
-	BatchInterval = 250 * time.Millisecond
+	BatchInterval = 500 * time.Millisecond
 	// OutageWait is a FollowerConfig.WaitAfterOutage for rows that are written
 	// again within two seconds of an outage.
 	OutageWait = time.Second
--- a/internal/standin/platform/council/store.go
+++ b/internal/standin/platform/council/store.go
@@ -195,6 +195,10 @@
 	for expired := false; ; {
 		snapshot, changed, err := c.since(table, after)
 		if err != nil || len(snapshot.Rows) > 0 || expired {
+			if c.unreachable() {
+				state.Pause(ctx, maxWait)
+				return rowstore.Snapshot{}, errStoreTimeout
+			}
 			return snapshot, err
 		}
 		select {
@@ -207,6 +211,14 @@
 	}
 }
 
+// unreachable reports whether the caller can't reach the store now, so that the
+// response to an earlier call is lost, too.
+func (c *StoreClient) unreachable() bool {
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	return c.store.faults != nil && c.store.faults(c.caller, "watch response") == FaultRequestLost
+}
+
 func (c *StoreClient) since(table string, after uint64) (rowstore.Snapshot, <-chan struct{}, error) {
 	c.store.mu.Lock()
 	defer c.store.mu.Unlock()
--- a/test/council/cluster_test.go
+++ b/test/council/cluster_test.go
@@ -54,6 +54,9 @@
 	log       zerolog.Logger
 
 	mu sync.Mutex
+	// delays holds the one-way latency between an instance and the databases where
+	// it is not oneWayDelay.
+	delays map[string]time.Duration
 	// datagrams is the number of messages sent between instances.
 	datagrams int
 	// unreachable reports whether two parties can't reach each other. Parties are
@@ -279,8 +282,12 @@
 	store := tc.store.Client(name)
 	availability := rowstore.NewAvailability()
 	i.directory = directory.New(jsonDecoder{}, rowstore.Row{Table: tableRoutes, Key: "config"}, clock, log, func(id state.DatabaseID) { i.pools.Remove(id) })
+	delay := oneWayDelay
+	if other, ok := tc.delays[name]; ok {
+		delay = other
+	}
 	dialer := &standin.Dialer{
-		Caller: name, Groups: []*standin.Group{tc.group}, Delay: oneWayDelay,
+		Caller: name, Groups: []*standin.Group{tc.group}, Delay: delay,
 		TunnelInstances: func(id state.GroupID) []string { return i.leadership.PeersReachingPrimary(id) }, Partitioned: tc.partitioned,
 	}
 	i.pools = pooling.NewManager(dialer, tracker,
