Reads ask a neighbour for the primary's position

Pattern: each of many instances reads too seldom from a group to know a position that is young enough, so it asks the primary, mostly in another region. Change: what an instance observes at a primary it sends to two instances of its data centre, chosen by the group's ranking (at most every 250 ms a group); a read without a position asks these and waits 5 ms at most. Replies to probes of primaries count as observations as well, under the same conditions as those of statements. Times are converted as before, with both bounds at their worst. Ruled out: asking instances of other data centres (bytes between regions are dear, 24 ms); pushing positions to all.

--- a/internal/coordination/leadership/manager.go
+++ b/internal/coordination/leadership/manager.go
@@ -22,9 +22,9 @@
 
 // Databases sends control queries to databases.
 type Databases interface {
-	// Probe finds out whether a database replies. The error is
-	// state.ErrNotProbed if no connection is available for the question.
-	Probe(ctx context.Context, server state.Server) error
+	// Probe requests a database's status to find out whether it replies. The error
+	// is state.ErrNotProbed if no connection is available for the question.
+	Probe(ctx context.Context, server state.Server) (state.ServerStatus, error)
 	Status(ctx context.Context, server state.Server) (state.ServerStatus, error)
 	StepDown(ctx context.Context, server state.Server, term state.Term) (state.ServerStatus, error)
 }
@@ -57,10 +57,13 @@
 	// OnWatchedRowChange.
 	WatchedRows        func() []rowstore.Condition
 	OnWatchedRowChange func()
-	Directory          Directory
-	Databases          Databases
-	Promoter           Promoter
-	Health             Health
+	// OnPrimaryPosition is called with the position in a primary's reply to a
+	// probe that was sent at requestedAt under a valid lease.
+	OnPrimaryPosition func(group state.GroupID, requestedAt state.Instant, position state.Position)
+	Directory         Directory
+	Databases         Databases
+	Promoter          Promoter
+	Health            Health
 	// Demand returns the recent demand for connections of each group, in tenths
 	// of a connection; Demand is nil if all instances get equal shares.
 	Demand func() map[state.GroupID]uint16
--- a/internal/coordination/leadership/options.go
+++ b/internal/coordination/leadership/options.go
@@ -95,6 +95,9 @@
 	// tunnelInstanceMaxAge is the maximum age of the last heartbeat of an instance
 	// that is used to tunnel a connection.
 	tunnelInstanceMaxAge = 8 * time.Second
+	// maxNeighbours is how many instances of the same data centre are asked about
+	// a group.
+	maxNeighbours = 2
 	// staleRowAge is the time since its last renewal after which an instance's row
 	// is removed.
 	staleRowAge = time.Minute
--- a/internal/coordination/leadership/probe.go
+++ b/internal/coordination/leadership/probe.go
@@ -30,7 +30,7 @@
 			due = degraded && (isPrimary || !entry.Leaving)
 		}
 		if m.reserveProbe(entry.ID, due, isPrimary, watches) {
-			m.probeOnce(ctx, entry.Server)
+			m.probeOnce(ctx, id, entry.Server)
 		}
 	}
 }
@@ -77,7 +77,7 @@
 
 // probeOnce queries a database in the background, unless a probe of that database
 // is still running.
-func (m *Manager) probeOnce(ctx context.Context, server state.Server) {
+func (m *Manager) probeOnce(ctx context.Context, group state.GroupID, server state.Server) {
 	m.mu.Lock()
 	busy := m.probing[server.ID]
 	m.probing[server.ID] = true
@@ -88,13 +88,29 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 		defer cancel()
-		m.recordProbe(server.ID, m.Databases.Probe(ctx, server))
+		requestedAt := m.Clock.Now()
+		usable := m.mayUse(group, server.ID)
+		status, err := m.Databases.Probe(ctx, server)
+		m.recordProbe(server.ID, err)
+		if err == nil && usable && status.Role == state.RolePrimary {
+			m.OnPrimaryPosition(group, requestedAt, status.Received)
+		}
 		m.mu.Lock()
 		delete(m.probing, server.ID)
 		m.mu.Unlock()
 	}()
 }
 
+// mayUse reports whether a database is the group's primary and may be used now.
+func (m *Manager) mayUse(group state.GroupID, id state.DatabaseID) bool {
+	grant, err := m.Acquire(group)
+	if err != nil {
+		return false
+	}
+	defer grant.Release()
+	return grant.Primary == id
+}
+
 // recordProbe records the result of a probe. A database that closes the
 // connection at startup may only have run out of connections or may be
 // unusable, so this counts as a warning and not as a failure.
--- a/internal/coordination/leadership/view.go
+++ b/internal/coordination/leadership/view.go
@@ -73,6 +73,25 @@
 	return m.members.reachingPrimary(m.Self, id, m.group(id).record.Epoch, tunnelInstanceMaxAge)
 }
 
+// Neighbours returns the addresses of the other instances of this data centre that
+// come first in a group's ranking. They watch the group or are asked about it by
+// the others, so they most likely know its primary's position.
+func (m *Manager) Neighbours(id state.GroupID) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var addresses []string
+	for _, name := range m.rankingOf(id).local[m.DataCentre] {
+		address := m.members.byName[name].heartbeat.Address
+		if name != m.Self && address != "" {
+			addresses = append(addresses, address)
+		}
+		if len(addresses) == maxNeighbours {
+			break
+		}
+	}
+	return addresses
+}
+
 // Peers returns the addresses of the other instances.
 func (m *Manager) Peers() []string {
 	m.mu.Lock()
--- a/internal/coordination/leadership/watchers.go
+++ b/internal/coordination/leadership/watchers.go
@@ -28,6 +28,8 @@
 type ranking struct {
 	order     []state.InstanceID
 	positions map[state.InstanceID]int
+	// local holds the order within each data centre.
+	local map[state.DataCentre][]state.InstanceID
 }
 
 // watchers returns the instances that watch the group.
@@ -81,10 +83,12 @@
 	slices.SortFunc(all, func(a, b rankedInstance) int {
 		return cmp.Or(cmp.Compare(a.round, b.round), cmp.Compare(a.hash, b.hash))
 	})
-	result := ranking{positions: make(map[state.InstanceID]int, len(all))}
+	result := ranking{positions: make(map[state.InstanceID]int, len(all)), local: make(map[state.DataCentre][]state.InstanceID, len(byDataCentre))}
 	for n, instance := range all {
 		result.order = append(result.order, instance.name)
 		result.positions[instance.name] = n
+		dc := m.byName[instance.name].heartbeat.DataCentre
+		result.local[dc] = append(result.local[dc], instance.name)
 	}
 	m.rankings[group] = result
 	return result
--- a/internal/coordination/pooling/manager.go
+++ b/internal/coordination/pooling/manager.go
@@ -150,17 +150,17 @@
 	return all
 }
 
-// Probe finds out whether a database replies. It uses a connection of the pool,
+// Probe requests the status of a database to find out whether it replies. It uses a connection of the pool,
 // which is kept for the next probe, and opens one only within the pool's share.
-func (m *Manager) Probe(ctx context.Context, server state.Server) error {
+func (m *Manager) Probe(ctx context.Context, server state.Server) (state.ServerStatus, error) {
 	pool := m.Pool(server)
 	conn, err := pool.takeOrDial(ctx)
 	if err != nil {
-		return err
+		return state.ServerStatus{}, err
 	}
-	_, err = conn.Status(m.queryDeadline(ctx))
+	status, err := conn.Status(m.queryDeadline(ctx))
 	pool.Release(conn, answered(err))
-	return err
+	return status, err
 }
 
 // Status requests the status of a database, on an idle direct connection if there
--- a/internal/coordination/relay/engine.go
+++ b/internal/coordination/relay/engine.go
@@ -42,6 +42,9 @@
 	// RequestPosition requests such a position from other instances without
 	// waiting. MinPosition returns it some milliseconds later if one has it.
 	RequestPosition(group state.GroupID, notBefore state.Instant)
+	// AwaitPosition requests such a position from instances nearby and waits
+	// briefly for it.
+	AwaitPosition(ctx context.Context, group state.GroupID, notBefore state.Instant)
 }
 
 // Pools provides the connection pool of each database.
--- a/internal/coordination/relay/reads.go
+++ b/internal/coordination/relay/reads.go
@@ -54,7 +54,7 @@
 func (s *Session) readOptions(r *request) readOptions {
 	e := s.engine
 	now := e.Clock.Now()
-	notBefore := r.arrivedAt.Add(stalenessMargin - r.route.MaxStaleness)
+	notBefore := s.notBefore(r)
 	minPosition, known := e.Freshness.MinPosition(r.route.Group, notBefore)
 	minPosition = state.MaxPosition(minPosition, s.sessionMinPosition(r))
 	primary, _ := e.Leadership.Primary(r.route.Group)
@@ -93,6 +93,12 @@
 	return found
 }
 
+// notBefore returns the time before which a read must see every acknowledged
+// commit.
+func (s *Session) notBefore(r *request) state.Instant {
+	return r.arrivedAt.Add(stalenessMargin - r.route.MaxStaleness)
+}
+
 // canTunnel reports whether a database that can't be reached from this instance
 // may be used through another one. Only the primary may: a suspected replica
 // can be replaced by another replica.
@@ -128,8 +134,12 @@
 // saturated primary shortens.
 func (s *Session) tryReadOptions(r *request, try func(*request, readOption, state.Position) (reply state.Reply, retry bool)) state.Reply {
 	last := r.busyReply("no database can serve the read", retryAfterChange)
-	for {
+	for round := 0; ; round++ {
 		found := s.readOptions(r)
+		if found.unproven && round == 0 {
+			s.engine.Freshness.AwaitPosition(s.engine.ctx, r.route.Group, s.notBefore(r))
+			found = s.readOptions(r)
+		}
 		r.minPosition = found.minPosition
 		behind := found.behind || found.unproven && time.Since(r.started) < minPositionWait
 		for _, option := range found.options {
--- a/internal/entry/modules.go
+++ b/internal/entry/modules.go
@@ -99,6 +99,9 @@
 	options.DutyReleaseDelay = settings.DutyReleaseDelay
 	return leadership.New(leadership.Config{
 		Self: settings.Instance, Run: instance.run, Options: options, Store: store, Availability: availability, Directory: dir, Databases: pools,
+		OnPrimaryPosition: func(group state.GroupID, requestedAt state.Instant, position state.Position) {
+			instance.positions.Observe(group, requestedAt, position)
+		},
 		WatchedRows: dir.WatchedRows, OnWatchedRowChange: func() { instance.followers.configuration.Refresh() },
 		Promoter: promoter, Health: tracker, Demand: pools.Demand, Messenger: instance.peers.Sender(topicConfirmations), Address: peerAddress(settings),
 		DataCentre: settings.DataCentre, Clock: clock, Log: log,
@@ -106,7 +109,7 @@
 }
 
 func newExchange(instance *Instance, leaders *leadership.Manager, clock state.Clock, log zerolog.Logger) *freshness.Exchange {
-	return freshness.NewExchange(freshness.NewTracker(), leaders, clock, leaders.Peers, instance.peers.Sender(topicPositions), log)
+	return freshness.NewExchange(freshness.NewTracker(), leaders, clock, leaders, instance.peers.Sender(topicPositions), log)
 }
 
 func newEngine(ctx context.Context, settings platform.Settings, codec platform.Codec, dir *directory.Directory, leaders *leadership.Manager, exchange *freshness.Exchange,
