A large configuration is transferred once

Pattern: a configuration of 1,448 routes takes longer to arrive on a slow link than the time between two renewals of the lease. Renewals are conditional on the configuration's row. While the feed's response was arriving, each renewal was refused with a body that holds the configuration again, timed out for it, was repeated after 400 ms, and the refusal that did arrive cancelled the feed's response and began a further one. The link stayed full, leases and statements went with it, and every further change of the configuration started it anew. Change: the store's client tells when a response starts to arrive. For up to two seconds from then renewals leave that condition out, and the call is not cancelled. Ruled out: no condition on the configuration at all (a lost response would go unseen for 20 s); a small row beside it (operators write only the large one, so the first reader would have to, and four silent connections of four instances would still hide the change).

--- a/internal/coordination/rowstore/follower.go
+++ b/internal/coordination/rowstore/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -39,6 +40,10 @@
 	// unavailableRetryWait is the time between two calls while the store is
 	// unavailable. The wait ends early when the store becomes available.
 	unavailableRetryWait = 3 * time.Second
+	// maxReceiveTime is how long a response may take to arrive before its
+	// connection counts as dead. The largest configuration takes 1.5 s on the
+	// slowest links.
+	maxReceiveTime = 2 * time.Second
 	// outageMemory is how long after an outage updates are marked AfterOutage,
 	// because rows may be missing that their owners write again.
 	outageMemory = 5 * time.Second
@@ -84,6 +89,9 @@
 type Follower struct {
 	FollowerConfig
 	refresh chan struct{}
+	// receivingSince is when the response under way started to arrive; 0 if there
+	// is none.
+	receivingSince atomic.Int64
 
 	// The following fields are used by Run only. afterVersion is the newest
 	// version that was read, listed whether the next call can be a watch.
@@ -104,9 +112,20 @@
 	}
 }
 
+// Receiving reports whether a response is arriving. On a slow link a large one
+// takes seconds.
+func (f *Follower) Receiving() bool {
+	since := state.Instant(f.receivingSince.Load())
+	return since != 0 && f.Clock.Now().Sub(since) < maxReceiveTime
+}
+
 // Refresh makes Run cancel the call under way and read the changes at once, on
-// another connection.
+// another connection. It has no effect while a response is arriving, since that
+// holds the changes and a further one would only share the link with it.
 func (f *Follower) Refresh() {
+	if f.Receiving() {
+		return
+	}
 	select {
 	case f.refresh <- struct{}{}:
 	default:
@@ -144,7 +163,9 @@
 func (f *Follower) call(ctx context.Context) (Snapshot, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	defer f.receivingSince.Store(0)
 	go f.cancelStaleCall(ctx, cancel)
+	ctx = WithResponseHook(ctx, func() { f.receivingSince.Store(int64(f.Clock.Now())) })
 	var snapshot Snapshot
 	var err error
 	if f.listed {
--- a/internal/entry/followers.go
+++ b/internal/entry/followers.go
@@ -33,6 +33,16 @@
 	}
 }
 
+// watchedRows returns the condition of renewals on the configuration's row. There is
+// none while a new configuration is arriving: the store's refusal would hold the
+// configuration once more, and on a slow link neither would arrive in time.
+func (i *Instance) watchedRows() []rowstore.Condition {
+	if i.followers.configuration.Receiving() {
+		return nil
+	}
+	return i.directory.WatchedRows()
+}
+
 // run starts all followers, which run until ctx ends.
 func (f *followers) run(ctx context.Context) {
 	for _, follower := range []*rowstore.Follower{f.configuration, f.servers, f.primaries} {
--- a/internal/entry/modules.go
+++ b/internal/entry/modules.go
@@ -102,7 +102,7 @@
 		OnPrimaryPosition: func(group state.GroupID, requestedAt state.Instant, position state.Position) {
 			instance.positions.Observe(group, requestedAt, position)
 		},
-		WatchedRows: dir.WatchedRows, OnWatchedRowChange: func() { instance.followers.configuration.Refresh() },
+		WatchedRows: instance.watchedRows, OnWatchedRowChange: func() { instance.followers.configuration.Refresh() },
 		Promoter: promoter, Health: tracker, Demand: pools.Demand, Messenger: instance.peers.Sender(topicConfirmations), Address: peerAddress(settings),
 		DataCentre: settings.DataCentre, Clock: clock, Log: log,
 	})
--- a/internal/standin/platform/council/store.go
+++ b/internal/standin/platform/council/store.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -54,11 +55,15 @@
 	version          uint64
 	changed          chan struct{}
 	faults           func(caller, call string) Fault
+	// transferTimes holds how long a response with rows of a table takes to
+	// arrive, transfers how many such responses were sent to each caller.
+	transferTimes map[string]time.Duration
+	transfers     map[string]int
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{started: time.Now(), rows: make(map[rowKey]rowstore.Row), changed: make(chan struct{})}
+	return &Store{started: time.Now(), rows: make(map[rowKey]rowstore.Row), changed: make(chan struct{}), transferTimes: make(map[string]time.Duration), transfers: make(map[string]int)}
 }
 
 // SetFaults sets the function that selects the fault of each call from now on;
@@ -69,6 +74,41 @@
 	s.faults = faults
 }
 
+// SetTransferTime sets how long a response with rows of a table takes to arrive,
+// as a large one does on a slow link.
+func (s *Store) SetTransferTime(table string, duration time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.transferTimes[table] = duration
+}
+
+// Transfers returns how many responses with rows of a table that has a transfer
+// time were sent to each caller.
+func (s *Store) Transfers() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.transfers)
+}
+
+// transfer simulates the arrival of a response with the given rows.
+func (c *StoreClient) transfer(ctx context.Context, rows []rowstore.Row) error {
+	c.store.mu.Lock()
+	var takes time.Duration
+	for _, row := range rows {
+		takes = max(takes, c.store.transferTimes[row.Table])
+	}
+	if takes > 0 {
+		c.store.transfers[c.caller]++
+	}
+	c.store.mu.Unlock()
+	if takes == 0 {
+		return nil
+	}
+	rowstore.ResponseStarted(ctx)
+	state.Pause(ctx, takes)
+	return ctx.Err()
+}
+
 // ForgetHistory discards the history, so that watches from earlier versions fail.
 func (s *Store) ForgetHistory() {
 	s.mu.Lock()
@@ -199,6 +239,9 @@
 				state.Pause(ctx, maxWait)
 				return rowstore.Snapshot{}, errStoreTimeout
 			}
+			if err == nil {
+				err = c.transfer(ctx, snapshot.Rows)
+			}
 			return snapshot, err
 		}
 		select {
@@ -259,6 +302,9 @@
 		return rowstore.Commit{}, errStoreTimeout
 	}
 	if !applied {
+		if err := c.transfer(ctx, present); err != nil {
+			return rowstore.Commit{}, err
+		}
 		return rowstore.Commit{}, &rowstore.ConflictError{Step: "transact", Rows: present}
 	}
 	state.Pause(ctx, callLatency/2)
--- a/test/council/cluster_test.go
+++ b/test/council/cluster_test.go
@@ -298,7 +298,7 @@
 		OnPrimaryPosition: func(group state.GroupID, requestedAt state.Instant, position state.Position) {
 			i.positions.Observe(group, requestedAt, position)
 		},
-		WatchedRows: i.directory.WatchedRows, OnWatchedRowChange: func() { i.configuration.Refresh() },
+		WatchedRows: i.watchedRows, OnWatchedRowChange: func() { i.configuration.Refresh() },
 		Directory: i.directory, Databases: i.pools, Promoter: tc.group.Promoter(), Health: tracker, Demand: i.pools.Demand,
 		Messenger: messenger{tc, name, "confirmations", confirmations}, Address: name,
 		DataCentre: state.DataCentre(name[len(name)-1:]), Clock: clock, Log: log,
@@ -324,6 +324,14 @@
 	go i.pools.Run(ctx)
 }
 
+// watchedRows is like that of an entry instance.
+func (i *instance) watchedRows() []rowstore.Condition {
+	if i.configuration.Receiving() {
+		return nil
+	}
+	return i.directory.WatchedRows()
+}
+
 // kill stops an instance at once, without a graceful stop.
 func (i *instance) kill() { i.cancel() }
 
--- a/test/council/follow_test.go
+++ b/test/council/follow_test.go
@@ -193,3 +193,25 @@
 		require.LessOrEqual(t, r.updateCount()-before, 7)
 	})
 }
+
+// A new configuration takes longer to arrive than the time between two renewals.
+// If each renewal asked the store whether the configuration has changed, each
+// refusal would hold the configuration again and saturate the link further, until
+// leases end.
+func TestLargeConfigurationIsTransferredOnce(t *testing.T) {
+	run(t, fourInstances, func(tc *testCluster) {
+		time.Sleep(5 * time.Second)
+		tc.store.SetTransferTime(tableRoutes, 1500*time.Millisecond)
+		for version := uint64(2); version < 6; version++ {
+			tc.configure(version, "desk", "portal", "cab")
+			time.Sleep(4300 * time.Millisecond)
+			for _, name := range fourInstances {
+				require.EqualValues(tc.t, version, tc.instances[name].directory.Routes().Version, name)
+				require.True(tc.t, tc.instances[name].writable(), name)
+			}
+		}
+		for name, transfers := range tc.store.Transfers() {
+			require.LessOrEqual(tc.t, transfers, 4+1, "transfers of 4 configurations to %s", name)
+		}
+	})
+}
