The transfer of a configuration outlasts failed renewals

Pattern: while a large configuration arrives it uses up the link, renewals fail, and the first one that succeeds ended the feed's call as one of before an outage: the transfer began anew. A read does not wait for neighbours where the question could not be sent. Result: TestTransferOfAConfigurationOutlastsFailedRenewals fails without it.

--- a/internal/coordination/freshness/exchange.go
+++ b/internal/coordination/freshness/exchange.go
@@ -133,15 +133,17 @@
 	x.send(peers[:min(requestFanOut, len(peers))], group, notBefore)
 }
 
-func (x *Exchange) send(peers []string, group state.GroupID, notBefore state.Instant) {
+// send sends a request. It returns false if the shared clock is not known yet.
+func (x *Exchange) send(peers []string, group state.GroupID, notBefore state.Instant) bool {
 	_, upper, known := x.clock.StoreOffsets()
 	if !known {
-		return
+		return false
 	}
 	request := x.encode(positionMessage{Group: group, NotBefore: int64(notBefore) + int64(upper)})
 	for _, peer := range peers {
 		x.messenger.Send(peer, request)
 	}
+	return true
 }
 
 // AwaitPosition requests a position that covers every commit acknowledged before
@@ -155,8 +157,9 @@
 		return
 	}
 	received := x.nextReceived(group)
-	x.send(neighbours, group, notBefore)
-	state.PauseOrWake(ctx, neighbourWait, received)
+	if x.send(neighbours, group, notBefore) {
+		state.PauseOrWake(ctx, neighbourWait, received)
+	}
 }
 
 // nextReceived returns a channel that is closed when a position of the group is
--- a/internal/coordination/rowstore/follower.go
+++ b/internal/coordination/rowstore/follower.go
@@ -200,6 +200,7 @@
 			return
 		case <-changed:
 			if unavailable {
+				f.awaitReceived(ctx)
 				cancel(errCallRestarted)
 				return
 			}
@@ -207,6 +208,14 @@
 	}
 }
 
+// awaitReceived gives a response that is arriving the time to do so: its connection
+// works, even if other calls failed meanwhile because it used up the link.
+func (f *Follower) awaitReceived(ctx context.Context) {
+	if f.Receiving() {
+		state.Pause(ctx, maxReceiveTime)
+	}
+}
+
 // applySnapshot passes a response to Apply and resets the retry waits.
 func (f *Follower) applySnapshot(snapshot Snapshot, requestedAt state.Instant) {
 	if !f.storeAvailable {
--- a/test/council/follow_test.go
+++ b/test/council/follow_test.go
@@ -215,3 +215,24 @@
 		}
 	})
 }
+
+// While a new configuration arrives, it uses up the link, so that renewals fail. The
+// first one that succeeds must not end the transfer as one of before an outage.
+func TestTransferOfAConfigurationOutlastsFailedRenewals(t *testing.T) {
+	run(t, fourInstances, func(tc *testCluster) {
+		time.Sleep(5 * time.Second)
+		tc.store.SetTransferTime(tableRoutes, 1800*time.Millisecond)
+		tc.configure(2, "desk", "portal", "cab")
+		until := time.Now().Add(1200 * time.Millisecond)
+		tc.store.SetFaults(func(_, call string) standin.Fault {
+			if call == "transact" && time.Now().Before(until) {
+				return standin.FaultRefused
+			}
+			return standin.FaultNone
+		})
+		time.Sleep(2500 * time.Millisecond)
+		for _, name := range fourInstances {
+			require.EqualValues(tc.t, 2, tc.instances[name].directory.Routes().Version, name)
+		}
+	})
+}
