A start during an outage of the store asks again soon

Each waited 1.5 s for the call's timeout, then read it at once, so nobody was served for longer than the outage. Change: a list whose response has not started to arrive within 0.5 s is sent again on another connection; the same holds for the first read of the instances' rows. Ruled out: a shorter timeout of the whole call (a large configuration takes 1.5 s to arrive on slow links).

--- a/internal/coordination/leadership/heartbeat.go
+++ b/internal/coordination/leadership/heartbeat.go
@@ -232,11 +232,24 @@
 	return false
 }
 
+// membersContext bounds a read of the instances' rows. Until the first one has
+// succeeded, this instance serves nothing, so that it asks again soon.
+func (m *Manager) membersContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.members.now == 0 {
+		return context.WithTimeout(ctx, heartbeatTimeout)
+	}
+	return context.WithCancel(ctx)
+}
+
 // readMembers reads the instances' rows and deletes those that have not been
 // renewed for staleRowAge. It reports whether the rows could be read.
 func (m *Manager) readMembers(ctx context.Context) bool {
+	listCtx, cancel := m.membersContext(ctx)
+	defer cancel()
 	sent := m.Clock.Now()
-	snapshot, err := m.Store.List(ctx, TableInstances)
+	snapshot, err := m.Store.List(listCtx, TableInstances)
 	received := m.Clock.Now()
 	if err != nil {
 		m.Log.Debug().Err(err).Msg("failed to read the instances table")
--- a/internal/coordination/rowstore/follower.go
+++ b/internal/coordination/rowstore/follower.go
@@ -40,6 +40,10 @@
 	// unavailableRetryWait is the time between two calls while the store is
 	// unavailable. The wait ends early when the store becomes available.
 	unavailableRetryWait = 3 * time.Second
+	// firstResponseTimeout is how long a list waits for the start of its response.
+	// An instance that has just started serves nothing before it has read the
+	// tables, so it asks again soon. A slow store responds within 0.3 s.
+	firstResponseTimeout = 500 * time.Millisecond
 	// maxReceiveTime is how long a response may take to arrive before its
 	// connection counts as dead. The largest configuration takes 1.5 s on the
 	// slowest links.
@@ -52,6 +56,10 @@
 // errCallRestarted cancels a call whose connection may be dead.
 var errCallRestarted = errors.New("call cancelled to read the table again")
 
+// errNoResponse is the error of a list whose response has not started to arrive
+// within firstResponseTimeout.
+var errNoResponse = errors.New("no response from the store")
+
 // Update is a change of a followed table.
 type Update struct {
 	Snapshot
@@ -165,16 +173,22 @@
 	defer cancel(nil)
 	defer f.receivingSince.Store(0)
 	go f.cancelStaleCall(ctx, cancel)
-	ctx = WithResponseHook(ctx, func() { f.receivingSince.Store(int64(f.Clock.Now())) })
+	noResponse := time.AfterFunc(firstResponseTimeout, func() { cancel(errNoResponse) })
+	defer noResponse.Stop()
+	ctx = WithResponseHook(ctx, func() {
+		noResponse.Stop()
+		f.receivingSince.Store(int64(f.Clock.Now()))
+	})
 	var snapshot Snapshot
 	var err error
 	if f.listed {
+		noResponse.Stop() // the store may wait for a change
 		snapshot, err = f.Store.Watch(ctx, f.Table, f.afterVersion, f.watchWait())
 	} else {
 		snapshot, err = f.Store.List(ctx, f.Table)
 	}
-	if err != nil && errors.Is(context.Cause(ctx), errCallRestarted) {
-		return Snapshot{}, errCallRestarted
+	if cause := context.Cause(ctx); err != nil && (errors.Is(cause, errCallRestarted) || errors.Is(cause, errNoResponse)) {
+		return Snapshot{}, cause
 	}
 	return snapshot, err
 }
--- a/test/council/failover_test.go
+++ b/test/council/failover_test.go
@@ -430,3 +430,25 @@
 		}
 	})
 }
+
+// All instances are restarted while the store responds to no reads. They serve soon
+// after it does again, instead of waiting for their first reads to time out.
+func TestStartWhileTheStoreIsSilent(t *testing.T) {
+	run(t, fourInstances, func(tc *testCluster) {
+		time.Sleep(5 * time.Second)
+		for _, name := range fourInstances {
+			tc.instances[name].kill()
+		}
+		silentUntil := time.Now().Add(700 * time.Millisecond)
+		tc.store.SetFaults(func(_, call string) standin.Fault {
+			if call == "list" && time.Now().Before(silentUntil) {
+				return standin.FaultRequestLost
+			}
+			return standin.FaultNone
+		})
+		for _, name := range fourInstances {
+			tc.start(name)
+		}
+		tc.eventually(1200*time.Millisecond, "the first write", tc.instances["a"].writable)
+	})
+}
