Soak: a send that fails is not an acknowledgement

The harness returned the zero code when a statement could not be sent, which its own history takes for success. Change: the code is unknown, as it is when the reply can't be read. Result: TestSendThatFailsIsNotAnAcknowledgement fails without it.

--- a/test/soak/client_test.go
+++ b/test/soak/client_test.go
@@ -7,8 +7,11 @@
 	"net"
 	"strconv"
 	"sync/atomic"
+	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	standin "github.com/cyclamenpin/cyclamenpin/internal/standin/platform/council"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 	"github.com/cyclamenpin/cyclamenpin/platform"
@@ -52,13 +55,13 @@
 	return c, nil
 }
 
-// execute sends a statement and returns its request id and the reply. If reading
-// the reply fails, it returns the error and CodeUnknown in the reply.
+// execute sends a statement and returns its request id and the reply. If sending it
+// or reading the reply fails, it returns the error and CodeUnknown in the reply.
 func (c *client) execute(statement string) (id string, reply state.Reply, err error) {
 	id = "s" + strconv.FormatUint(lastStatement.Add(1), 10)
 	_ = c.conn.SetDeadline(time.Now().Add(replyTimeout))
 	if _, err = fmt.Fprintf(c.conn, "QUERY %s %s\r\n", id, statement); err != nil {
-		return id, reply, err
+		return id, state.Reply{Code: state.CodeUnknown}, err
 	}
 	reply, err = platform.Codec{}.ReadReply(c.reader)
 	if err != nil {
@@ -135,3 +138,13 @@
 	}
 	return err
 }
+
+// An instance dies before a write is sent. A send that fails was not acknowledged.
+func TestSendThatFailsIsNotAnAcknowledgement(t *testing.T) {
+	conn, peer := net.Pipe()
+	require.NoError(t, peer.Close())
+	c := &client{conn: conn, reader: bufio.NewReader(conn), history: standin.NewHistory()}
+	_, reply, err := c.execute("WRITE 1 x")
+	require.Error(t, err)
+	require.Equal(t, state.CodeUnknown, reply.Code)
+}
