--- a/internal/coordination/leadership/doc.go
+++ b/internal/coordination/leadership/doc.go
@@ -10,6 +10,10 @@
 // hold a lease. So no instance uses a superseded primary, whatever the
 // reachability between instances and databases.
 //
+// A few instances, the watchers, probe each group's primary and vote on its
+// replacement. They are chosen from the instances' rows by a rule that all share.
+// The leases keep a change safe whoever starts it.
+//
 // Only one instance at a time makes promotions: the holder of the promotion
 // duty, a row in the store with a lease and a fencing token that only
 // increases.
--- a/internal/coordination/leadership/probe.go
+++ b/internal/coordination/leadership/probe.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/directory"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 )
 
@@ -14,27 +15,32 @@
 // unnoticed.
 func (m *Manager) probe(ctx context.Context, id state.GroupID, primary state.DatabaseID) {
 	watches := m.Watches(id)
-	primaryDegraded := m.Health.Degraded(primary)
+	primaryFails := m.Health.Degraded(primary)
 	for _, entry := range m.Directory.Servers(id) {
 		isPrimary := entry.ID == primary
-		degraded := m.Health.Degraded(entry.ID)
-		silent := m.Health.SinceLastReply(entry.ID)
-		var due bool
-		switch {
-		case watches && isPrimary:
-			due = degraded || silent > idleProbeAfter
-		case watches && primaryDegraded && !entry.Leaving:
-			// A vote against the primary needs a replica that replies.
-			due = degraded || silent > replicaProbeInterval
-		default:
-			due = degraded && (isPrimary || !entry.Leaving)
-		}
+		due := m.probeDue(entry, isPrimary, watches, primaryFails)
 		if m.reserveProbe(entry.ID, due, isPrimary, watches) {
 			m.probeOnce(ctx, id, entry.Server)
 		}
 	}
 }
 
+// probeDue reports whether a database needs a probe, regardless of when it was last
+// probed.
+func (m *Manager) probeDue(entry directory.Entry, isPrimary, watches, primaryFails bool) bool {
+	degraded := m.Health.Degraded(entry.ID)
+	silent := m.Health.SinceLastReply(entry.ID)
+	switch {
+	case isPrimary:
+		return degraded || watches && silent > idleProbeAfter
+	case entry.Leaving:
+		return false
+	default:
+		// A vote against the primary needs a replica that replies.
+		return degraded || watches && primaryFails && silent > replicaProbeInterval
+	}
+}
+
 // reserveProbe reports whether a database is to be probed now, and if so sets the
 // time of the next probe. An instance that does not watch the group waits for a
 // random time before the first probe, because all such instances may have seen
--- a/internal/coordination/pooling/manager.go
+++ b/internal/coordination/pooling/manager.go
@@ -150,8 +150,9 @@
 	return all
 }
 
-// Probe requests the status of a database to find out whether it replies. It uses a connection of the pool,
-// which is kept for the next probe, and opens one only within the pool's share.
+// Probe requests the status of a database to find out whether it replies. It uses a
+// connection of the pool, which is kept for the next probe, and opens one only
+// within the pool's share.
 func (m *Manager) Probe(ctx context.Context, server state.Server) (state.ServerStatus, error) {
 	pool := m.Pool(server)
 	conn, err := pool.takeOrDial(ctx)
