Probes of an idle primary keep up with its routes' tightest staleness bound

Cause: a group's watchers probed an idle primary each 1.1 s whatever its routes allow.

Change: the interval follows the group's tightest bound, between 0.2 and 1 s.

Ruled out: a neighbour that asks the primary on a read's behalf (more status queries than the reads that it saves, and 24 ms between regions).

--- a/internal/coordination/directory/directory.go
+++ b/internal/coordination/directory/directory.go
@@ -54,6 +54,8 @@
 	// read, 0 if the row did not exist.
 	configurationRowVersion atomic.Uint64
 	configurationRead       atomic.Bool
+	// stalenessBounds holds the tightest staleness bound of each group's routes.
+	stalenessBounds atomic.Pointer[map[state.GroupID]time.Duration]
 
 	mu      sync.Mutex
 	servers map[state.DatabaseID]Entry
@@ -68,6 +70,7 @@
 func New(decoder Decoder, configurationKey rowstore.Row, clock state.Clock, log zerolog.Logger, onRemoved func(state.DatabaseID)) *Directory {
 	d := &Directory{decoder: decoder, configurationKey: configurationKey, clock: clock, log: log, servers: make(map[state.DatabaseID]Entry), onRemoved: onRemoved}
 	d.byGroup.Store(&map[state.GroupID][]Entry{})
+	d.stalenessBounds.Store(&map[state.GroupID]time.Duration{})
 	return d
 }
 
@@ -77,6 +80,13 @@
 	return d.routes.Load()
 }
 
+// StalenessBound returns the tightest staleness bound of the routes to a group
+// that replicas may serve. It returns false if there is none.
+func (d *Directory) StalenessBound(group state.GroupID) (time.Duration, bool) {
+	bound, ok := (*d.stalenessBounds.Load())[group]
+	return bound, ok
+}
+
 // Servers returns the registered databases of a group, ordered by id. The
 // caller must not modify the slice.
 func (d *Directory) Servers(group state.GroupID) []Entry {
@@ -145,9 +155,26 @@
 		return
 	}
 	d.routes.Store(table)
+	bounds := stalenessBounds(table)
+	d.stalenessBounds.Store(&bounds)
 	d.log.Info().Uint64("version", table.Version).Int("routes", len(table.Routes)).Int("groups", len(table.Groups)).Msg("configuration in force")
 }
 
+// stalenessBounds returns the tightest staleness bound of each group's routes that
+// replicas may serve.
+func stalenessBounds(table *state.RoutingTable) map[state.GroupID]time.Duration {
+	bounds := make(map[state.GroupID]time.Duration)
+	for _, route := range table.Routes {
+		if route.Consistency == state.ConsistencyPrimary {
+			continue
+		}
+		if bound, ok := bounds[route.Group]; !ok || route.MaxStaleness < bound {
+			bounds[route.Group] = route.MaxStaleness
+		}
+	}
+	return bounds
+}
+
 // ApplyServers applies changed registrations. Databases whose registration
 // disappears after a recent outage of the store get time to register again.
 func (d *Directory) ApplyServers(update rowstore.Update) {
--- a/internal/coordination/leadership/manager.go
+++ b/internal/coordination/leadership/manager.go
@@ -18,6 +18,8 @@
 	Groups() []state.GroupID
 	Servers(group state.GroupID) []directory.Entry
 	Server(group state.GroupID, id state.DatabaseID) (directory.Entry, bool)
+	// StalenessBound returns the tightest staleness bound of a group's routes.
+	StalenessBound(group state.GroupID) (time.Duration, bool)
 }
 
 // Databases sends control queries to databases.
--- a/internal/coordination/leadership/options.go
+++ b/internal/coordination/leadership/options.go
@@ -135,8 +135,14 @@
 	// evidence against the primary. Replicas are probed more often than this
 	// while the primary fails.
 	replicaReplyMaxAge = 2 * time.Second
-	// idleProbeAfter is the time without a reply after which a primary is probed.
-	idleProbeAfter = time.Second
+	// minIdleProbe and maxIdleProbe bound the time without a reply after which a
+	// primary is probed.
+	minIdleProbe = 200 * time.Millisecond
+	maxIdleProbe = time.Second
+	// positionTransit is how much older than idleProbeAfter an observed position
+	// may be when a read uses it: an interval of the evaluation, a reply from
+	// another region, shareInterval of the exchange and the reads' own margin.
+	positionTransit = 500 * time.Millisecond
 	// staggerStep is the delay between instances that would start the same
 	// change. It covers a few calls to the store and a message between regions.
 	staggerStep = 120 * time.Millisecond
--- a/internal/coordination/leadership/probe.go
+++ b/internal/coordination/leadership/probe.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"time"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/directory"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
@@ -32,7 +33,7 @@
 	silent := m.Health.SinceLastReply(entry.ID)
 	switch {
 	case isPrimary:
-		return degraded || watches && silent > idleProbeAfter
+		return degraded || watches && silent > m.idleProbeAfter(entry.Group)
 	case entry.Leaving:
 		return false
 	default:
@@ -41,6 +42,18 @@
 	}
 }
 
+// idleProbeAfter returns the time without a reply after which a group's primary is
+// probed. Reads of a route with a tight staleness bound need positions that are
+// younger than maxIdleProbe: while replicas serve the reads, no others are
+// observed.
+func (m *Manager) idleProbeAfter(group state.GroupID) time.Duration {
+	bound, ok := m.Directory.StalenessBound(group)
+	if !ok {
+		return maxIdleProbe
+	}
+	return min(maxIdleProbe, max(minIdleProbe, bound-positionTransit))
+}
+
 // reserveProbe reports whether a database is to be probed now, and if so sets the
 // time of the next probe. An instance that does not watch the group waits for a
 // random time before the first probe, because all such instances may have seen
--- a/test/council/fleet_test.go
+++ b/test/council/fleet_test.go
@@ -202,3 +202,28 @@
 	}
 	return names
 }
+
+// Replicas serve the reads of a group and nobody writes, so the watchers' probes are
+// the only observations of its primary. They must be frequent enough for the route
+// with the tightest staleness bound.
+func TestProbesKeepUpWithTheTightestStalenessBound(t *testing.T) {
+	runFleet(t, 12, func(tc *testCluster) {
+		time.Sleep(5 * time.Second)
+		clock := virtualClock{tc.started}
+		known := make(map[string]int)
+		const samples = 200
+		for range samples {
+			time.Sleep(37 * time.Millisecond)
+			for _, name := range fleet(12) {
+				if _, ok := tc.instances[name].positions.MinPosition("g", clock.Now().Add(50*time.Millisecond-maxStaleness)); ok {
+					known[name]++
+				}
+			}
+		}
+		for _, name := range fleet(12) {
+			if tc.instances[name].leadership.Watches("g") {
+				require.Equal(tc.t, samples, known[name], "%s knows a position that is fresh enough", name)
+			}
+		}
+	})
+}
