--- a/internal/coordination/directory/directory.go
+++ b/internal/coordination/directory/directory.go
@@ -23,6 +23,16 @@
 // again within about two seconds of the store's return.
 const reregistrationGrace = 2500 * time.Millisecond
 
+const (
+	// removedRunMemory is how long a removed database is remembered, so that a copy
+	// of the store that still lists it does not bring it back.
+	removedRunMemory = time.Minute
+	// unconfirmedTime is how long a registration that had been removed before an era
+	// of the store is not used. Until then a live database has written it again, and
+	// that of a database that is gone has expired.
+	unconfirmedTime = 5 * time.Second
+)
+
 // Decoder decodes the operators' configuration and the databases' registrations.
 type Decoder interface {
 	ParseConfiguration(value []byte) (*state.RoutingTable, error)
@@ -40,6 +50,12 @@
 	missingSince state.Instant
 }
 
+// removedRun is a run of a database that was removed.
+type removedRun struct {
+	born int64
+	at   state.Instant
+}
+
 // Directory is the cache of the routing table and of the registered databases.
 // It is safe for concurrent use.
 type Directory struct {
@@ -59,6 +75,13 @@
 
 	mu      sync.Mutex
 	servers map[state.DatabaseID]Entry
+	// removed holds the last runs of databases that were removed lately.
+	removed map[state.DatabaseID]removedRun
+	// unconfirmed holds registrations that were read again after their removal,
+	// because the store was restored from a copy.
+	unconfirmed map[state.DatabaseID]state.Server
+	// eraBegan is when the newest era of the store was first seen.
+	eraBegan state.Instant
 	// byGroup is replaced whenever servers changes.
 	byGroup atomic.Pointer[map[state.GroupID][]Entry]
 	// onRemoved is called with each database that is no longer registered.
@@ -69,6 +92,7 @@
 // the row that holds the configuration.
 func New(decoder Decoder, configurationKey rowstore.Row, clock state.Clock, log zerolog.Logger, onRemoved func(state.DatabaseID)) *Directory {
 	d := &Directory{decoder: decoder, configurationKey: configurationKey, clock: clock, log: log, servers: make(map[state.DatabaseID]Entry), onRemoved: onRemoved}
+	d.removed, d.unconfirmed = make(map[state.DatabaseID]removedRun), make(map[state.DatabaseID]state.Server)
 	d.byGroup.Store(&map[state.GroupID][]Entry{})
 	d.stalenessBounds.Store(&map[state.GroupID]time.Duration{})
 	return d
@@ -126,6 +150,15 @@
 	d.configurationRead.Store(true)
 }
 
+// BeginEra ends the use of row versions, and of registrations in the copy that the
+// store was restored from. It is a listener of rowstore.EraStore.OnNewEra.
+func (d *Directory) BeginEra(uint64) {
+	d.configurationRead.Store(false)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.eraBegan = d.clock.Now()
+}
+
 // WatchedRows returns a condition that holds while the configuration's row has
 // the version that was last read. Transactions that include it detect a newer
 // configuration. It returns nil before the first read.
@@ -185,6 +218,7 @@
 		d.applyServers(update, now)
 	}
 	d.removeExpired(now)
+	d.acceptUnconfirmed(now)
 	d.publish()
 }
 
@@ -194,6 +228,7 @@
 	listed := make(map[state.DatabaseID]bool, len(update.Rows))
 	for _, row := range update.Rows {
 		id := state.DatabaseID(row.Key)
+		delete(d.unconfirmed, id)
 		if row.Removed {
 			d.handleMissing(id, now, update.AfterOutage)
 			continue
@@ -204,6 +239,11 @@
 			continue
 		}
 		listed[id] = true
+		if update.Complete && d.wasRemoved(server, now) {
+			d.unconfirmed[id] = server
+			d.log.Info().Str("database", row.Key).Msg("registration of a removed database read from the restored store, not used yet")
+			continue
+		}
 		d.register(server, now)
 	}
 	if !update.Complete {
@@ -216,10 +256,41 @@
 	}
 }
 
-// register adds or updates an entry. The lock must be held.
+// wasRemoved reports whether a registration is that of a run which was removed before
+// the store was restored. The lock must be held.
+func (d *Directory) wasRemoved(server state.Server, now state.Instant) bool {
+	if d.eraBegan == 0 || now.Sub(d.eraBegan) > unconfirmedTime {
+		return false
+	}
+	run, found := d.removed[server.ID]
+	return found && server.Born != 0 && server.Born <= run.born
+}
+
+// acceptUnconfirmed registers the databases whose registration is still there although
+// that of a gone database would have expired. The lock must be held.
+func (d *Directory) acceptUnconfirmed(now state.Instant) {
+	if now.Sub(d.eraBegan) <= unconfirmedTime {
+		return
+	}
+	for id, server := range d.unconfirmed {
+		delete(d.unconfirmed, id)
+		d.register(server, now)
+	}
+}
+
+// register adds or updates an entry. A run that was leaving stays so, and a run is not
+// replaced by an earlier one: such registrations come from a copy that the store was
+// restored from. The lock must be held.
 func (d *Directory) register(server state.Server, now state.Instant) {
-	entry := Entry{Server: server}
 	old, known := d.servers[server.ID]
+	if known && server.Born != 0 && server.Born < old.Born {
+		d.log.Info().Str("database", string(server.ID)).Int64("born", server.Born).Int64("known", old.Born).Msg("registration of an earlier run ignored")
+		return
+	}
+	if known && server.Born != 0 && server.Born == old.Born && old.Leaving {
+		server.Leaving = true
+	}
+	entry := Entry{Server: server}
 	if server.Leaving {
 		entry.LeavingSince = now
 		if known && old.LeavingSince != 0 {
@@ -254,6 +325,12 @@
 // remove drops an entry and calls onRemoved in the background. The lock must be
 // held.
 func (d *Directory) remove(id state.DatabaseID, reason string) {
+	for other, run := range d.removed {
+		if d.clock.Now().Sub(run.at) > removedRunMemory {
+			delete(d.removed, other)
+		}
+	}
+	d.removed[id] = removedRun{born: d.servers[id].Born, at: d.clock.Now()}
 	delete(d.servers, id)
 	d.log.Info().Str("database", string(id)).Str("reason", reason).Msg("database removed from the directory")
 	if d.onRemoved != nil {
--- a/internal/coordination/freshness/exchange.go
+++ b/internal/coordination/freshness/exchange.go
@@ -33,7 +33,7 @@
 type SharedClock interface {
 	// StoreOffsets returns bounds of how far the shared clock is ahead of the
 	// local one. known is false before the first measurement.
-	StoreOffsets() (lower, upper time.Duration, known bool)
+	StoreOffsets() (offsets state.ClockOffsets, known bool)
 }
 
 // Messenger sends datagrams to other instances. Datagrams may be lost.
@@ -93,17 +93,19 @@
 	// CoveredAt is the time before which Position covers every commit.
 	CoveredAt int64          `msgpack:"c"`
 	Position  state.Position `msgpack:"p"`
+	// Era is the era of the shared clock that the times refer to.
+	Era uint64 `msgpack:"e"`
 }
 
 // Observe records an observation and sends it to the neighbours that are asked
 // about the group.
 func (x *Exchange) Observe(group state.GroupID, requestedAt state.Instant, position state.Position) {
 	x.Tracker.Observe(group, requestedAt, position)
-	lower, _, known := x.clock.StoreOffsets()
+	offsets, known := x.clock.StoreOffsets()
 	if !known || position.IsZero() || !x.reserveShare(group, requestedAt) {
 		return
 	}
-	message := x.encode(positionMessage{Group: group, CoveredAt: int64(requestedAt) + int64(lower), Position: position})
+	message := x.encode(positionMessage{Group: group, CoveredAt: int64(requestedAt) + int64(offsets.Lower), Position: position, Era: offsets.Era})
 	for _, neighbour := range x.peers.Neighbours(group) {
 		x.messenger.Send(neighbour, message)
 	}
@@ -135,11 +137,11 @@
 
 // send sends a request. It returns false if the shared clock is not known yet.
 func (x *Exchange) send(peers []string, group state.GroupID, notBefore state.Instant) bool {
-	_, upper, known := x.clock.StoreOffsets()
+	offsets, known := x.clock.StoreOffsets()
 	if !known {
 		return false
 	}
-	request := x.encode(positionMessage{Group: group, NotBefore: int64(notBefore) + int64(upper)})
+	request := x.encode(positionMessage{Group: group, NotBefore: int64(notBefore) + int64(offsets.Upper), Era: offsets.Era})
 	for _, peer := range peers {
 		x.messenger.Send(peer, request)
 	}
@@ -216,19 +218,19 @@
 		x.log.Warn().Err(err).Int("bytes", len(datagram)).Msg("undecodable position message ignored")
 		return nil
 	}
-	lower, upper, known := x.clock.StoreOffsets()
-	if !known {
+	offsets, known := x.clock.StoreOffsets()
+	if !known || message.Era != offsets.Era {
 		return nil
 	}
 	if !message.Position.IsZero() {
-		x.InsertObserved(message.Group, state.Instant(message.CoveredAt-int64(upper)), message.Position)
+		x.InsertObserved(message.Group, state.Instant(message.CoveredAt-int64(offsets.Upper)), message.Position)
 		x.wakeWaiting(message.Group)
 		return nil
 	}
-	coveredAt, position, found := x.Earliest(message.Group, state.Instant(message.NotBefore-int64(lower)))
+	coveredAt, position, found := x.Earliest(message.Group, state.Instant(message.NotBefore-int64(offsets.Lower)))
 	if !found {
 		return nil
 	}
-	message.CoveredAt, message.Position = int64(coveredAt)+int64(lower), position
+	message.CoveredAt, message.Position = int64(coveredAt)+int64(offsets.Lower), position
 	return x.encode(message)
 }
--- a/internal/coordination/freshness/exchange_test.go
+++ b/internal/coordination/freshness/exchange_test.go
@@ -18,14 +18,15 @@
 	ahead        time.Duration
 	below, above time.Duration
 	unknown      bool
+	era          uint64
 }
 
 func (c skewedClock) Now() state.Instant { return state.Instant(*c.truth + c.ahead) }
 
 func (c skewedClock) at(truth time.Duration) state.Instant { return state.Instant(truth + c.ahead) }
 
-func (c skewedClock) StoreOffsets() (lower, upper time.Duration, known bool) {
-	return -c.ahead - c.below, -c.ahead + c.above, !c.unknown
+func (c skewedClock) StoreOffsets() (offsets state.ClockOffsets, known bool) {
+	return state.ClockOffsets{Lower: -c.ahead - c.below, Upper: -c.ahead + c.above, Era: c.era}, !c.unknown
 }
 
 // directMessenger delivers each message to the other exchange at once, and the
--- a/internal/coordination/leadership/apply.go
+++ b/internal/coordination/leadership/apply.go
@@ -11,13 +11,19 @@
 func (m *Manager) Apply(update rowstore.Update) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if update.Era != m.era.number {
+		return
+	}
 	for _, row := range update.Rows {
 		m.applyRow(row, update.RespondedAt)
 		m.generation = max(m.generation, row.Version)
 	}
-	m.lease.clock.observe(update.RequestedAt, update.RespondedAt, update.Now)
+	m.observeStore(update.RequestedAt, update.RespondedAt, update.Now)
 	m.lease.seenVersion = max(m.lease.seenVersion, update.Version)
-	m.ready = true
+	if update.Complete {
+		m.findUnsavedRecords()
+		m.ready = true
+	}
 	m.broadcast()
 }
 
@@ -38,26 +44,53 @@
 	m.applyRecord(id, record, row.Version, now)
 }
 
-// applyRecord stores a record that is newer than the current one. If it
-// announces a change, the grants for the old primary are revoked in the
-// background. The caller must hold m.mu.
+// applyRecord applies a record that the store holds at the given version, or that
+// another instance knows if version is 0. A record that is older than the known one
+// is not applied: it was written in an earlier era, or on conditions of one, and is
+// replaced by restoreRecords. The caller must hold m.mu.
 func (m *Manager) applyRecord(id state.GroupID, record Record, version uint64, now state.Instant) {
 	g := m.group(id)
-	if version <= g.version {
+	if version != 0 {
+		if version <= g.version {
+			return
+		}
+		g.version, g.unsaved = version, false
+	}
+	if !record.newerThan(g.record) {
+		g.unsaved = g.unsaved || g.record.newerThan(record)
 		return
 	}
+	g.unsaved = version == 0
 	if record.Changing && !g.record.Changing {
 		g.changingSince = now
 	}
-	g.record, g.version, g.seenAt, g.suspected = record, version, now, false
+	g.record, g.seenAt, g.suspected = record, now, false
 	m.Log.Info().Str("group", string(id)).Uint64("epoch", record.Epoch).Bool("changing", record.Changing).Bool("planned", record.Planned).
 		Str("primary", string(record.Primary)).Str("promoter", record.Promoter).Int("grants", len(g.grants)).Msg("primary's record changed")
-	if record.Changing && record.Epoch > max(g.acknowledged, g.revoking) {
+	switch {
+	case !record.Changing:
+		m.revokeSuperseded(g)
+	case record.Epoch > max(g.acknowledged, g.revoking):
 		g.revoking = record.Epoch
 		go m.revoke(id, record.Epoch, record.Planned)
 	}
 }
 
+// revokeSuperseded revokes the grants of earlier epochs than the record's. There are
+// some if this instance had no lease during the change and did not see its
+// announcement. The caller must hold m.mu.
+func (m *Manager) revokeSuperseded(g *group) {
+	for grant := range g.grants {
+		if grant.Epoch >= g.record.Epoch {
+			continue
+		}
+		if closer := grant.revoke(); closer != nil {
+			go closer()
+		}
+		delete(g.grants, grant)
+	}
+}
+
 // broadcast wakes those who wait on Changed. The caller must hold m.mu.
 func (m *Manager) broadcast() {
 	close(m.changed)
--- a/internal/coordination/leadership/change.go
+++ b/internal/coordination/leadership/change.go
@@ -34,6 +34,11 @@
 	lastResort bool
 	// oldTerm is the term of the old primary; 0 if none was recorded.
 	oldTerm state.Term
+	// era is the era of the store in which the change was announced.
+	era uint64
+	// uncertain is set if a promotion may have been forgotten, so that the database
+	// that leads is promoted once more.
+	uncertain bool
 }
 
 // isSuccessor reports whether a database leads the group after the old primary.
@@ -61,12 +66,12 @@
 	started := m.Clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
-	attempt := &changeAttempt{group: id, old: old, planned: why == causeLeaving || why == causeGone}
+	attempt := &changeAttempt{group: id, old: old, planned: why == causeLeaving || why == causeGone, uncertain: why == causeUnconfirmed}
 	promoted, err := m.attemptChange(ctx, attempt, why)
 	event := m.Log.Info()
 	result := "done"
 	switch {
-	case errors.Is(err, errDutyTaken), errors.Is(err, errSuperseded), errors.Is(err, rowstore.ErrConflict):
+	case errors.Is(err, errDutyTaken), errors.Is(err, errSuperseded), errors.Is(err, rowstore.ErrConflict), errors.Is(err, rowstore.ErrEraChanged):
 		event, result = m.Log.Debug(), "yielded"
 	case err != nil:
 		event, result = m.Log.Warn().Err(err), "failed"
@@ -121,6 +126,8 @@
 	m.mu.Lock()
 	g := m.group(attempt.group)
 	record, version := g.record, g.version
+	attempt.era = m.era.number
+	lowest := m.era.lowest()
 	lasts := time.Duration(0)
 	if record.Changing {
 		lasts = m.Clock.Now().Sub(g.changingSince)
@@ -128,30 +135,37 @@
 	m.mu.Unlock()
 	// The record may have changed while this instance waited for the duty.
 	continues := why == causeResume || why == causeTakeOver
-	if version != 0 && (record.Primary != attempt.old || record.Changing != continues) {
+	differs := record.Primary != attempt.old && !attempt.uncertain
+	if record.Epoch != 0 && (differs || record.Changing != continues) {
 		return eris.Wrapf(errSuperseded, "group %s, epoch %d", attempt.group, record.Epoch)
 	}
 	if why == causeResume {
 		attempt.planned = false
 	}
+	old := attempt.old
+	if attempt.uncertain {
+		old = record.Primary
+	}
 	record = Record{
-		Epoch: record.Epoch + 1, Changing: true, Planned: attempt.planned,
-		Primary: attempt.old, Term: record.Term, Start: record.Start, Promoter: m.runName,
+		Epoch: max(record.Epoch, lowest) + 1, Changing: true, Planned: attempt.planned,
+		Primary: old, Term: record.Term, Start: record.Start, Promoter: m.runName,
 	}
 	attempt.epoch, attempt.oldTerm, attempt.oldTermStart = record.Epoch, record.Term, record.Start
 	attempt.lastResort = lasts > lastResortAfter
-	commit, err := m.writeRecord(ctx, attempt.group, record, version)
+	commit, err := m.writeRecord(ctx, attempt.group, record, attempt.era, version)
 	attempt.announceCommit = commit
 	return err
 }
 
-// writeRecord writes a group's row and applies it locally at once.
-func (m *Manager) writeRecord(ctx context.Context, id state.GroupID, record Record, version uint64) (rowstore.Commit, error) {
+// writeRecord writes a group's row, which has the given version in the given era, and
+// applies it locally at once.
+func (m *Manager) writeRecord(ctx context.Context, id state.GroupID, record Record, number, version uint64) (rowstore.Commit, error) {
 	value, err := encode(record)
 	if err != nil {
 		return rowstore.Commit{}, err
 	}
 	commit, err := m.commitOnce(ctx, rowstore.Transaction{
+		Era:        number,
 		Conditions: []rowstore.Condition{{Table: TablePrimaries, Key: string(id), Version: version}},
 		Puts: []rowstore.Row{
 			{Table: TablePrimaries, Key: string(id), Value: value},
@@ -163,6 +177,9 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.era.number != number {
+		return rowstore.Commit{}, eris.Wrapf(rowstore.ErrEraChanged, "record of group %s in era %d", id, number)
+	}
 	m.applyRow(rowstore.Row{Table: TablePrimaries, Key: string(id), Value: value, Version: commit.Version}, m.Clock.Now())
 	m.broadcast()
 	return commit, nil
@@ -203,9 +220,16 @@
 		m.readMembers(ctx)
 		now := m.Clock.Now()
 		m.mu.Lock()
-		storeNow := m.lease.clock.lowerBound(now)
+		if m.era.number != attempt.era {
+			m.mu.Unlock()
+			return eris.Wrapf(rowstore.ErrEraChanged, "change announced in era %d", attempt.era)
+		}
+		// An instance whose lease is valid when it sees a new era goes on. So a lease
+		// has expired only if the store's own time says so in the announcement's era.
+		storeNow := m.members.now
+		announced.earlierLeases = !m.earlierLeasesOver(storeNow, m.Options.MaxLease)
 		pending := m.members.pending(m.Self, announced, m.Options, storeNow)
-		own := m.group(attempt.group).acknowledged >= attempt.epoch
+		own := m.group(attempt.group).acknowledged >= attempt.epoch && m.earlierLeasesOver(storeNow, m.nextLease())
 		m.mu.Unlock()
 		if !own || len(pending.leased) > 0 || !pending.isMinority() {
 			minoritySince = 0
--- a/internal/coordination/leadership/choose.go
+++ b/internal/coordination/leadership/choose.go
@@ -30,10 +30,8 @@
 	deadline := m.Clock.Now().Add(catchUpTimeout)
 	for {
 		candidates := m.queryCandidates(ctx, attempt)
-		for _, found := range candidates {
-			if attempt.isSuccessor(found) {
-				return found, true, nil
-			}
+		if successor, ok := attempt.newestSuccessor(candidates); ok {
+			return successor, !attempt.uncertain, nil
 		}
 		late := m.Clock.Now() >= deadline
 		candidates = slices.DeleteFunc(candidates, func(c candidate) bool { return !attempt.acceptable(c.status) })
@@ -47,6 +45,17 @@
 	}
 }
 
+// newestSuccessor returns the database that leads the group in the highest term after
+// the old primary, if there is one.
+func (a *changeAttempt) newestSuccessor(candidates []candidate) (newest candidate, ok bool) {
+	for _, found := range candidates {
+		if a.isSuccessor(found) && (!ok || found.status.Term > newest.status.Term) {
+			newest, ok = found, true
+		}
+	}
+	return newest, ok
+}
+
 // queryCandidates returns the replicas that respond, ordered by received
 // position, the newest first.
 func (m *Manager) queryCandidates(ctx context.Context, attempt *changeAttempt) []candidate {
--- a/internal/coordination/leadership/confirmation.go
+++ b/internal/coordination/leadership/confirmation.go
@@ -32,9 +32,12 @@
 // peerMessage is one datagram. Rows holds the rows of TablePrimaries that the
 // receiver has not seen.
 type peerMessage struct {
-	Kind  uint8            `msgpack:"k"`
-	Nonce uint64           `msgpack:"n"`
-	From  state.InstanceID `msgpack:"f"`
+	Kind  uint8  `msgpack:"k"`
+	Nonce uint64 `msgpack:"n"`
+	// Era is the newest era of the store that the sender has seen; Seen and the
+	// versions of Rows belong to it.
+	Era  uint64           `msgpack:"e"`
+	From state.InstanceID `msgpack:"f"`
 	// Seen is the store's version up to which the sender of a request has seen
 	// all changes of TablePrimaries.
 	Seen uint64      `msgpack:"s"`
@@ -121,7 +124,7 @@
 	m.confirmations = confirmations{nonce: m.confirmations.nonce + 1, requestedAt: now, from: map[state.InstanceID]bool{m.Self: true}}
 	m.extendLeaseIfConfirmed()
 	return m.peerAddresses(), m.encodeMessage(peerMessage{
-		Kind: kindRequest, Nonce: m.confirmations.nonce, From: m.Self, Seen: m.lease.seenVersion, Suspected: suspectedEpochs,
+		Kind: kindRequest, Nonce: m.confirmations.nonce, Era: m.era.number, From: m.Self, Seen: m.lease.seenVersion, Suspected: suspectedEpochs,
 	})
 }
 
@@ -178,6 +181,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, row := range message.Rows {
+		if message.Era != m.era.number {
+			row.Version = 0
+		}
 		m.applyRecord(row.Group, row.Record, row.Version, now)
 	}
 	if len(message.Rows) > 0 {
@@ -200,9 +206,9 @@
 	if !m.ready {
 		return nil
 	}
-	response := peerMessage{Kind: kindResponse, Nonce: request.Nonce, From: m.Self, Acknowledged: m.acknowledgedGroups(), Suspected: m.suspectedGroups()}
+	response := peerMessage{Kind: kindResponse, Nonce: request.Nonce, Era: m.era.number, From: m.Self, Acknowledged: m.acknowledgedGroups(), Suspected: m.suspectedGroups()}
 	for id, g := range m.groups {
-		if g.version > request.Seen {
+		if g.version > request.Seen || request.Era != m.era.number && g.record.Epoch != 0 {
 			response.Rows = append(response.Rows, recordRow{Group: id, Version: g.version, Record: g.record})
 		}
 	}
@@ -258,7 +264,7 @@
 	for id, epoch := range response.Acknowledged {
 		m.members.recordAcknowledgement(response.From, id, epoch)
 	}
-	if response.Nonce == m.confirmations.nonce && m.confirmations.from != nil {
+	if response.Era == m.era.number && response.Nonce == m.confirmations.nonce && m.confirmations.from != nil {
 		m.confirmations.from[response.From] = true
 		m.extendLeaseIfConfirmed()
 	}
@@ -270,7 +276,7 @@
 	m.mu.Lock()
 	g := m.group(id)
 	row := recordRow{Group: id, Version: g.version, Record: g.record}
-	request := m.encodeMessage(peerMessage{Kind: kindRequest, From: m.Self, Seen: m.lease.seenVersion, Rows: []recordRow{row}})
+	request := m.encodeMessage(peerMessage{Kind: kindRequest, Era: m.era.number, From: m.Self, Seen: m.lease.seenVersion, Rows: []recordRow{row}})
 	var addresses []string
 	for _, name := range names {
 		if address := m.members.byName[name].heartbeat.Address; address != "" {
--- a/internal/coordination/leadership/duty.go
+++ b/internal/coordination/leadership/duty.go
@@ -45,31 +45,42 @@
 			return 0, err
 		}
 	}
-	mine := current.Holder == m.runName
-	if !mine && row.Version != 0 && int64(snapshot.Now) < current.FreeAt {
+	m.mu.Lock()
+	lowest, age := m.era.lowest(), m.eraAge(snapshot.Now)
+	m.mu.Unlock()
+	// A holder of an earlier era may be missing from the row.
+	unknown := current.Token < lowest || row.Version == 0
+	if unknown && age <= m.Options.DutyLease+leaseMargin {
+		return 0, eris.Wrap(errDutyTaken, "another instance may hold it since before the store was restored")
+	}
+	mine := current.Holder == m.runName && !unknown
+	if !mine && !unknown && int64(snapshot.Now) < current.FreeAt {
 		return 0, eris.Wrapf(errDutyTaken, "held by %s", current.Holder)
 	}
-	next := dutyRecord{Holder: m.runName, Token: current.Token, FreeAt: int64(snapshot.Now + m.Options.DutyLease + leaseMargin)}
+	next := dutyRecord{Holder: m.runName, Token: max(current.Token, lowest), FreeAt: int64(snapshot.Now + m.Options.DutyLease + leaseMargin)}
 	if !mine {
 		next.Token++
 	}
-	return next.Token, m.writeDuty(ctx, next, row.Version)
+	return next.Token, m.writeDuty(ctx, next, snapshot.Era, row.Version)
 }
 
-func (m *Manager) writeDuty(ctx context.Context, next dutyRecord, version uint64) error {
+func (m *Manager) writeDuty(ctx context.Context, next dutyRecord, number, version uint64) error {
 	value, err := encode(next)
 	if err != nil {
 		return err
 	}
 	commit, err := m.commitOnce(ctx, rowstore.Transaction{
-		Conditions: []rowstore.Condition{{Table: TableDuties, Key: dutyPromotion, Version: version}},
-		Puts:       []rowstore.Row{{Table: TableDuties, Key: dutyPromotion, Value: value}},
+		Era: number, Conditions: []rowstore.Condition{{Table: TableDuties, Key: dutyPromotion, Version: version}},
+		Puts: []rowstore.Row{{Table: TableDuties, Key: dutyPromotion, Value: value}},
 	})
 	if err != nil {
 		return err
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.era.number != number {
+		return eris.Wrapf(rowstore.ErrEraChanged, "promotion duty of era %d", number)
+	}
 	m.duty.held, m.duty.record, m.duty.version = true, next, commit.Version
 	return nil
 }
@@ -97,7 +108,7 @@
 	m.mu.Lock()
 	m.duty.users--
 	release := m.duty.users == 0 && m.duty.held && !m.duty.uncertain
-	record, version := m.duty.record, m.duty.version
+	record, version, number := m.duty.record, m.duty.version, m.era.number
 	storeNow, _ := m.lease.clock.upperBound(m.Clock.Now())
 	if m.duty.users == 0 {
 		m.duty.uncertain = false
@@ -107,7 +118,7 @@
 		return
 	}
 	record.FreeAt = int64(storeNow + m.Options.DutyReleaseDelay)
-	if err := m.writeDuty(ctx, record, version); err != nil {
+	if err := m.writeDuty(ctx, record, number, version); err != nil {
 		m.Log.Warn().Err(err).Msg("failed to release the promotion duty, it expires on its own")
 	}
 	m.mu.Lock()
--- a/internal/coordination/leadership/evaluate.go
+++ b/internal/coordination/leadership/evaluate.go
@@ -17,6 +17,7 @@
 	causeUnreachable cause = "unreachable" // more than half of its watchers cannot reach it
 	causeResume      cause = "resume"      // a change announced by this run is unfinished
 	causeTakeOver    cause = "take_over"   // a change by another instance does not progress
+	causeUnconfirmed cause = "unconfirmed" // the store was restored, and nobody knows whether it was replaced
 )
 
 func (m *Manager) evaluateLoop(ctx context.Context) {
--- a/internal/coordination/leadership/heartbeat.go
+++ b/internal/coordination/leadership/heartbeat.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/rotisserie/eris"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/rowstore"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
@@ -26,9 +27,10 @@
 // Leave removes this instance's row. It must be called after the last request.
 func (m *Manager) Leave(ctx context.Context) {
 	m.mu.Lock()
-	m.lease.acquired = false
+	m.lease.acquired, m.lease.carriedUntil = false, 0
+	number := m.era.number
 	m.mu.Unlock()
-	_, err := m.Store.Transact(ctx, rowstore.Transaction{Deletes: []rowstore.Row{{Table: TableInstances, Key: string(m.Self)}}})
+	_, err := m.Store.Transact(ctx, rowstore.Transaction{Era: number, Deletes: []rowstore.Row{{Table: TableInstances, Key: string(m.Self)}}})
 	if err != nil {
 		m.Log.Warn().Err(err).Msg("failed to remove the instance's row, it expires on its own")
 	}
@@ -62,6 +64,8 @@
 		if !ready {
 			// The lease is not renewed before the primaries have been read.
 			interval = acknowledgementInterval
+		} else if !m.prepareRenewal(ctx) {
+			interval = m.settlementRetryDelay()
 		} else if !m.sendHeartbeat(ctx) {
 			interval = m.heartbeatRetryDelay()
 		}
@@ -78,35 +82,41 @@
 		m.Log.Error().Err(err).Msg("failed to encode the instance's row")
 		return false
 	}
-	conditions := append(m.primariesCondition(), m.WatchedRows()...)
-	err = m.renew(ctx, value, next.Lease, conditions)
+	era, conditions := m.primariesCondition()
+	conditions = append(conditions, m.WatchedRows()...)
+	err = m.renew(ctx, value, next.Lease, era, conditions)
 	var conflict *rowstore.ConflictError
 	if errors.As(err, &conflict) {
 		m.refreshOutdated(ctx, conflict, conditions)
-		err = m.renew(ctx, value, next.Lease, m.primariesCondition())
+		era, conditions = m.primariesCondition()
+		err = m.renew(ctx, value, next.Lease, era, conditions)
 	}
 	m.recordRenewal(err)
 	return err == nil
 }
 
 // primariesCondition returns the condition that no primary has changed since
-// the last change that this instance has seen.
-func (m *Manager) primariesCondition() []rowstore.Condition {
+// the last change that this instance has seen, and the era of its version.
+func (m *Manager) primariesCondition() (era uint64, conditions []rowstore.Condition) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return []rowstore.Condition{{Table: TableGenerations, Key: rowPrimaries, Version: m.generation}}
+	return m.era.number, []rowstore.Condition{{Table: TableGenerations, Key: rowPrimaries, Version: m.generation}}
 }
 
 // renew writes this instance's row if the conditions hold, which renews the
-// lease for the given length.
-func (m *Manager) renew(ctx context.Context, value []byte, length time.Duration, conditions []rowstore.Condition) error {
+// lease for the given length. The first renewal after an era that began while the
+// lease was valid states that the records of the era are known.
+func (m *Manager) renew(ctx context.Context, value []byte, length time.Duration, number uint64, conditions []rowstore.Condition) error {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
+	transaction := rowstore.Transaction{
+		Era: number, Conditions: conditions, Puts: []rowstore.Row{{Table: TableInstances, Key: string(m.Self), Value: value}},
+	}
+	if err := m.addEraStatement(&transaction); err != nil {
+		return err
+	}
 	sent := m.Clock.Now()
-	commit, err := m.Store.Transact(ctx, rowstore.Transaction{
-		Conditions: conditions,
-		Puts:       []rowstore.Row{{Table: TableInstances, Key: string(m.Self), Value: value}},
-	})
+	commit, err := m.Store.Transact(ctx, transaction)
 	received := m.Clock.Now()
 	m.Availability.Record(err)
 	if err != nil {
@@ -114,7 +124,11 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.lease.clock.observe(sent, received, commit.Now)
+	if m.era.number != number {
+		return eris.Wrapf(rowstore.ErrEraChanged, "renewal in era %d", number)
+	}
+	m.observeStore(sent, received, commit.Now)
+	m.era.stated = m.era.carried
 	m.lease.recordRenewal(commit.Version, commit.Now, length)
 	if m.joined == 0 {
 		m.joined = int64(commit.Now)
@@ -190,7 +204,7 @@
 	defer m.mu.Unlock()
 	m.heartbeats++
 	return heartbeat{
-		Demand: demand, Run: m.Config.Run, Address: m.Address, DataCentre: m.DataCentre, Lease: m.nextLease(), Joined: m.joined, Count: m.heartbeats,
+		Demand: demand, Run: m.Config.Run, Era: m.era.number, Address: m.Address, DataCentre: m.DataCentre, Lease: m.nextLease(), Joined: m.joined, Count: m.heartbeats,
 		Acknowledged: m.acknowledgedGroups(), Suspected: m.suspectedGroups(),
 	}
 }
@@ -256,7 +270,11 @@
 		return false
 	}
 	m.mu.Lock()
-	m.lease.clock.observe(sent, received, snapshot.Now)
+	if m.era.number != snapshot.Era {
+		m.mu.Unlock()
+		return false
+	}
+	m.observeStore(sent, received, snapshot.Now)
 	unreadable := m.members.update(snapshot)
 	m.membersSettled = m.membersSettled || m.joined != 0 && snapshot.Now-time.Duration(m.joined) >= membersSettledAfter/2
 	var abandoned []rowstore.Transaction
@@ -264,7 +282,7 @@
 		if name != m.Self && !m.members.renewedWithin(entry, staleRowAge) {
 			row := rowstore.Row{Table: TableInstances, Key: string(name)}
 			abandoned = append(abandoned, rowstore.Transaction{
-				Conditions: []rowstore.Condition{{Table: row.Table, Key: row.Key, Version: entry.version}}, Deletes: []rowstore.Row{row},
+				Era: snapshot.Era, Conditions: []rowstore.Condition{{Table: row.Table, Key: row.Key, Version: entry.version}}, Deletes: []rowstore.Row{row},
 			})
 		}
 	}
--- a/internal/coordination/leadership/lease.go
+++ b/internal/coordination/leadership/lease.go
@@ -19,6 +19,8 @@
 	// renewedAt is the store's time of the last renewal.
 	acquired  bool
 	renewedAt time.Duration
+	// carriedUntil is when the lease of an earlier era expires.
+	carriedUntil state.Instant
 	// confirmedUntil is the time until which the confirmations of other
 	// instances extend the lease without a renewal, limited to maxLength after
 	// the last renewal.
@@ -35,7 +37,17 @@
 }
 
 func (l *lease) valid(now state.Instant) bool {
-	return l.remaining(now) > 0 || l.confirmed(now)
+	return l.remaining(now) > 0 || l.confirmed(now) || now < l.carriedUntil
+}
+
+// beginEra forgets the store's clock and versions. What is left of the lease stays
+// valid, since it ends by the local clock.
+func (l *lease) beginEra(now state.Instant) {
+	until := max(l.carriedUntil, now.Add(l.remaining(now)))
+	if l.confirmed(now) {
+		until = max(until, l.confirmedUntil)
+	}
+	*l = lease{length: l.length, maxLength: l.maxLength, carriedUntil: until}
 }
 
 // confirmed reports whether confirmations of other instances extend the lease.
@@ -55,6 +67,9 @@
 }
 
 func (l *lease) expiredFor(now state.Instant) time.Duration {
+	if !l.acquired && l.carriedUntil != 0 {
+		return max(0, now.Sub(l.carriedUntil))
+	}
 	storeNow, known := l.clock.upperBound(now)
 	if !known || !l.acquired {
 		return 0
--- a/internal/coordination/leadership/manager.go
+++ b/internal/coordination/leadership/manager.go
@@ -97,6 +97,8 @@
 	// after this run joined that instances started with it are among them.
 	membersSettled bool
 	lease          lease
+	// era is the era of the store to which all versions belong.
+	era era
 	// generation is the version of the newest change of a primary received from
 	// the store; all earlier changes have been seen too.
 	generation    uint64
@@ -122,8 +124,11 @@
 // group is the state of one group's primary.
 type group struct {
 	record Record
-	// version is the version of the group's row; 0 while no row exists.
+	// version is the version of the group's row; 0 while no row exists or none was
+	// read in this era.
 	version uint64
+	// unsaved is set if the store holds an older record or none.
+	unsaved bool
 	seenAt  state.Instant
 	grants  map[*Grant]struct{}
 	// acknowledged is the newest epoch whose old primary this instance no longer
@@ -212,7 +217,7 @@
 // primary changed; its primary is then the only database that reports itself as
 // primary. The caller must hold m.mu.
 func (m *Manager) primaryOf(id state.GroupID, g *group) (state.DatabaseID, bool) {
-	if g.version != 0 {
+	if g.record.Epoch != 0 {
 		return g.record.Primary, true
 	}
 	var found state.DatabaseID
--- a/internal/coordination/leadership/members.go
+++ b/internal/coordination/leadership/members.go
@@ -20,13 +20,56 @@
 // members are the instances' rows as last read.
 type members struct {
 	byName map[state.InstanceID]member
-	now    time.Duration
+	// now is the store's time of the last read, 0 before the first one in an era.
+	now time.Duration
+	// remembered are the instances of earlier eras that have no row in this one.
+	remembered map[state.InstanceID]bool
+	// restarted is set until the first read in an era.
+	restarted bool
 	// rankings caches ranking until the next update.
 	rankings map[state.GroupID]ranking
 }
 
 func newMembers() members {
-	return members{byName: make(map[state.InstanceID]member), rankings: make(map[state.GroupID]ranking)}
+	return members{
+		byName: make(map[state.InstanceID]member), rankings: make(map[state.GroupID]ranking), remembered: make(map[state.InstanceID]bool),
+	}
+}
+
+// beginEra ends the use of the rows' versions and times. The instances stay known
+// until the next read.
+func (m *members) beginEra() {
+	for name := range m.byName {
+		m.remembered[name] = true
+	}
+	m.restarted = true
+}
+
+// afterRestore reports whether an instance wrote its row before the given era, as far
+// as the rows show.
+func (m *members) afterRestore(era uint64) bool {
+	for _, entry := range m.byName {
+		if entry.heartbeat.Era != era || entry.heartbeat.AfterRestore {
+			return true
+		}
+	}
+	return len(m.remembered) > 0
+}
+
+// allWait reports whether the rows of all other instances show that they know of the
+// era and have no lease.
+func (m *members) allWait(self state.InstanceID, era uint64) bool {
+	for name, entry := range m.byName {
+		if name != self && !entry.waitsIn(era) {
+			return false
+		}
+	}
+	return len(m.remembered) == 0 || len(m.remembered) == 1 && m.remembered[self]
+}
+
+// waitsIn reports whether the row shows that the instance has no lease in an era.
+func (e member) waitsIn(era uint64) bool {
+	return e.heartbeat.Waiting && e.heartbeat.Era == era
 }
 
 // update replaces the members with a snapshot of all rows. Rows that cannot be
@@ -36,7 +79,8 @@
 	next := make(map[state.InstanceID]member, len(snapshot.Rows))
 	for _, row := range snapshot.Rows {
 		name := state.InstanceID(row.Key)
-		if old, known := m.byName[name]; known && old.version == row.Version {
+		delete(m.remembered, name)
+		if old, known := m.byName[name]; known && old.version == row.Version && !m.restarted {
 			next[name] = old
 			continue
 		}
@@ -46,6 +90,9 @@
 		}
 		next[name] = entry
 	}
+	if m.restarted {
+		m.now, m.restarted = 0, false
+	}
 	m.byName, m.now = next, max(m.now, snapshot.Now)
 	clear(m.rankings)
 	return unreadable
@@ -150,6 +197,9 @@
 	group  state.GroupID
 	epoch  uint64
 	commit rowstore.Commit
+	// earlierLeases is set while an instance without a row of the announcement's era
+	// may hold a lease of an earlier one.
+	earlierLeases bool
 }
 
 // pendingInstances are the instances that have not acknowledged a change and may
@@ -175,7 +225,11 @@
 	var found pendingInstances
 	earliest := announced.commit.Now
 	for name, entry := range m.byName {
-		if name == self || entry.heartbeat.Acknowledged[announced.group] >= announced.epoch {
+		if name == self || entry.heartbeat.Acknowledged[announced.group] >= announced.epoch || entry.waitsIn(announced.commit.Era) {
+			continue
+		}
+		if announced.earlierLeases && entry.heartbeat.Era != announced.commit.Era {
+			found.leased = append(found.leased, name)
 			continue
 		}
 		// The last renewal that can keep the old primary in use was made before
@@ -194,6 +248,11 @@
 			found.confirmed = append(found.confirmed, name)
 		}
 	}
+	for name := range m.remembered {
+		if name != self && announced.earlierLeases {
+			found.leased = append(found.leased, name)
+		}
+	}
 	for _, entry := range m.byName {
 		if joined := time.Duration(entry.heartbeat.Joined); joined != 0 && joined < earliest-2*m.readInterval() {
 			found.established++
--- a/internal/coordination/leadership/options.go
+++ b/internal/coordination/leadership/options.go
@@ -83,6 +83,15 @@
 	confirmationLead     = 1500 * time.Millisecond
 	confirmationInterval = 250 * time.Millisecond
 	confirmationTTL      = time.Second
+	// maxRestoreDelay bounds the wait of an instance for others to write back a record
+	// that the store has lost.
+	maxRestoreDelay = time.Second
+	// settlementInterval is the time between two reads of TableEras while an instance
+	// waits for the records of an era to be known.
+	settlementInterval = 200 * time.Millisecond
+	// promotionSettles is how long the promotion of a database that may be the primary
+	// already may take to take effect.
+	promotionSettles = 1500 * time.Millisecond
 	// leaseIntervals is the least number of heartbeat intervals in a lease.
 	leaseIntervals = 2
 	// liveIntervals is the number of heartbeat intervals without a renewal after
--- a/internal/coordination/leadership/promote.go
+++ b/internal/coordination/leadership/promote.go
@@ -23,6 +23,11 @@
 				return state.ServerStatus{}, err
 			}
 			nextRequest = m.Clock.Now().Add(promoteInterval)
+			if accepted && attempt.uncertain {
+				// The database may report itself as primary of a superseded term
+				// until the promotion takes effect.
+				state.Pause(ctx, promotionSettles)
+			}
 		}
 		if reply, ok := m.queryCandidate(ctx, directory.Entry{Server: server}); ok && attempt.isSuccessor(reply) {
 			return reply.status, nil
@@ -56,15 +61,11 @@
 // publish ends the change with a record of the new primary. From then on
 // instances use it.
 func (m *Manager) publish(ctx context.Context, attempt *changeAttempt, primary state.DatabaseID, status state.ServerStatus) error {
+	// The condition on the announcement's version fails if another instance has taken
+	// the change over meanwhile.
 	record := Record{Epoch: attempt.epoch, Primary: primary, Term: status.Term, Start: status.Received, Promoter: m.runName}
 	return m.withRetries(ctx, func(ctx context.Context) error {
-		_, err := m.writeRecord(ctx, attempt.group, record, m.recordVersion(attempt.group))
+		_, err := m.writeRecord(ctx, attempt.group, record, attempt.era, attempt.announceCommit.Version)
 		return err
 	})
 }
-
-func (m *Manager) recordVersion(id state.GroupID) uint64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.group(id).version
-}
--- a/internal/coordination/leadership/record.go
+++ b/internal/coordination/leadership/record.go
@@ -14,6 +14,9 @@
 	TablePrimaries = "primaries" // one row for each group
 	TableInstances = "instances" // one row for each running instance
 	TableDuties    = "duties"    // one row for each duty, held by one instance at a time
+	// TableEras has one row, rowEra, for the newest era of the store in which the
+	// records of all primaries are known to be right.
+	TableEras = "eras"
 	// TableGenerations has one row, rowPrimaries, which is written in the same
 	// transaction as any row of TablePrimaries. Its version is therefore that of
 	// the newest change of a primary, and one condition on it covers all groups.
@@ -21,8 +24,14 @@
 
 	dutyPromotion = "promotion"
 	rowPrimaries  = "primaries"
+	rowEra        = "current"
 )
 
+// eraNumbers is how many epochs and fencing tokens each era of the store has. They
+// start at the era's number times eraNumbers, so that those of a later era are higher
+// although the store has lost the last ones of the era before.
+const eraNumbers = 1_000_000_000
+
 // Record is a group's row in TablePrimaries.
 type Record struct {
 	// Epoch counts the announced changes of the group's primary.
@@ -41,6 +50,12 @@
 	Promoter string `msgpack:"promoter"`
 }
 
+// newerThan reports whether a record was written after another one. Epochs only
+// increase, and a change ends in the epoch of its announcement.
+func (r Record) newerThan(other Record) bool {
+	return r.Epoch > other.Epoch || r.Epoch == other.Epoch && other.Changing && !r.Changing
+}
+
 // heartbeat is an instance's row in TableInstances.
 type heartbeat struct {
 	// Run distinguishes the runs (processes) of an instance.
@@ -66,6 +81,22 @@
 	// Suspected holds the epochs of the groups whose primary this instance
 	// cannot reach.
 	Suspected map[state.GroupID]uint64 `msgpack:"suspect"`
+	// Era is the era of the store that the instance had seen when it wrote the row.
+	Era uint64 `msgpack:"era"`
+	// Waiting is set if the row renews no lease, because the instance waits for the
+	// records of the era to be known.
+	Waiting bool `msgpack:"waiting"`
+	// AfterRestore is set in a waiting row if the table held a row of an earlier era
+	// before.
+	AfterRestore bool `msgpack:"after_restore"`
+}
+
+// eraRecord is the row in TableEras.
+type eraRecord struct {
+	Era uint64 `msgpack:"era"`
+	// Began is a reading of the store's clock, in nanoseconds, by which the era had
+	// begun.
+	Began int64 `msgpack:"began"`
 }
 
 // dutyRecord is a row in TableDuties.
--- a/internal/coordination/leadership/transact.go
+++ b/internal/coordination/leadership/transact.go
@@ -23,7 +23,7 @@
 		switch {
 		case errors.As(err, &conflict) && lost:
 			return m.earlierCommit(transaction, conflict)
-		case err == nil, errors.Is(err, rowstore.ErrConflict), errors.Is(err, rowstore.ErrRefused) && !lost, ctx.Err() != nil:
+		case err == nil, errors.Is(err, rowstore.ErrConflict), errors.Is(err, rowstore.ErrEraChanged), errors.Is(err, rowstore.ErrRefused) && !lost, ctx.Err() != nil:
 			return commit, err
 		}
 		m.Log.Info().Err(err).Str("table", transaction.Puts[0].Table).Msg("no response to a write of a change, sending it again")
@@ -47,7 +47,7 @@
 			m.mu.Lock()
 			defer m.mu.Unlock()
 			latest, _ := m.lease.clock.upperBound(m.Clock.Now())
-			return rowstore.Commit{Version: row.Version, Now: latest}, nil
+			return rowstore.Commit{Version: row.Version, Now: latest, Era: transaction.Era}, nil
 		}
 	}
 	return rowstore.Commit{}, conflict
--- a/internal/coordination/leadership/transact_test.go
+++ b/internal/coordination/leadership/transact_test.go
@@ -78,3 +78,48 @@
 	require.ErrorIs(t, m.announceChange(t.Context(), &changeAttempt{group: "g", old: "d1"}, causeLeaving), rowstore.ErrConflict)
 	require.Zero(t, store.commits)
 }
+
+// Another instance takes a change over while its promoter is paused between the
+// promotion and the publication. The promoter must not end the other's change.
+func TestPromoterDoesNotPublishAChangeThatWasTakenOver(t *testing.T) {
+	clock := &manualClock{now: state.Instant(time.Minute)}
+	store := &lossyStore{clock: clock, version: 10, rows: map[string]rowstore.Row{}}
+	m, _ := newTestManager(clock, &fakeStore{clock: clock})
+	m.Store = store
+	attempt := &changeAttempt{group: "g", old: "d1"}
+	require.NoError(t, m.announceChange(t.Context(), attempt, causeUnreachable))
+
+	value, err := encode(Record{Epoch: 2, Changing: true, Primary: "d1", Promoter: "b#1"})
+	require.NoError(t, err)
+	row := rowstore.Row{Table: TablePrimaries, Key: "g", Value: value, Version: 20}
+	store.version, store.rows["g"] = 20, row
+	m.Apply(rowstore.Update{Snapshot: rowstore.Snapshot{Rows: []rowstore.Row{row}, Version: 20}})
+
+	require.ErrorIs(t, m.publish(t.Context(), attempt, "d2", state.ServerStatus{Term: 2}), rowstore.ErrConflict)
+	require.Equal(t, row, store.rows["g"])
+}
+
+// A record that was written on conditions of an earlier era replaces a newer one in the
+// store. It is not applied, and the newer one is written again.
+func TestOlderRecordInTheStoreIsReplaced(t *testing.T) {
+	clock := &manualClock{now: state.Instant(time.Minute)}
+	newer := Record{Epoch: 7, Primary: "d2", Promoter: "a#1"}
+	store := &lossyStore{clock: clock, version: 10, rows: map[string]rowstore.Row{}}
+	m, _ := newTestManager(clock, &fakeStore{clock: clock})
+	m.Store = store
+	for version, record := range map[uint64]Record{11: newer, 12: {Epoch: 6, Primary: "d3", Promoter: "b#1"}} {
+		value, err := encode(record)
+		require.NoError(t, err)
+		if row := (rowstore.Row{Table: TablePrimaries, Key: "g", Value: value, Version: version}); version == 12 {
+			store.version, store.rows["g"] = 12, row
+		} else {
+			m.Apply(rowstore.Update{Snapshot: rowstore.Snapshot{Rows: []rowstore.Row{row}, Version: version}})
+		}
+	}
+	m.Apply(rowstore.Update{Snapshot: rowstore.Snapshot{Rows: []rowstore.Row{store.rows["g"]}, Version: 12}})
+	require.Equal(t, newer, m.group("g").record)
+	require.True(t, m.restoreRecords(t.Context()))
+	var stored Record
+	require.NoError(t, decode("g", store.rows["g"].Value, &stored))
+	require.Equal(t, newer, stored)
+}
--- a/internal/coordination/leadership/view.go
+++ b/internal/coordination/leadership/view.go
@@ -19,7 +19,7 @@
 func (m *Manager) Ready() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.lease.acquired && m.members.now > 0
+	return (m.lease.acquired || m.lease.carriedUntil != 0) && m.members.now > 0
 }
 
 // TermStart returns the position at which the current primary's term began.
@@ -50,11 +50,11 @@
 
 // StoreOffsets returns bounds of the difference between the store's clock and
 // the local one. known is false before the first response of the store.
-func (m *Manager) StoreOffsets() (lower, upper time.Duration, known bool) {
+func (m *Manager) StoreOffsets() (offsets state.ClockOffsets, known bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	upper, known = m.lease.clock.upperBound(0)
-	return m.lease.clock.lowerBound(0), upper, known
+	upper, known := m.lease.clock.upperBound(0)
+	return state.ClockOffsets{Lower: m.lease.clock.lowerBound(0), Upper: upper, Era: m.era.number}, known
 }
 
 // Watches reports whether this instance watches a group, that is, probes its
--- a/internal/coordination/rowstore/follower.go
+++ b/internal/coordination/rowstore/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -30,6 +31,9 @@
 	// OutageWait is a FollowerConfig.WaitAfterOutage for rows that are written
 	// again within two seconds of an outage.
 	OutageWait = time.Second
+	// EraSpread is a FollowerConfig.EraSpread for tables that the lease does not
+	// depend on.
+	EraSpread = 500 * time.Millisecond
 )
 
 const (
@@ -65,8 +69,8 @@
 	Snapshot
 	// Complete is true if Rows are all rows of the table.
 	Complete bool
-	// AfterOutage is true if the store was unavailable within the last
-	// outageMemory.
+	// AfterOutage is true if the store was unavailable, or an era began, within the
+	// last outageMemory.
 	AfterOutage bool
 	// RequestedAt and RespondedAt are when the call began and ended.
 	RequestedAt, RespondedAt state.Instant
@@ -85,7 +89,9 @@
 	// MinInterval is the least time between two calls of which the first
 	// returned changes, so that changes in quick succession come in one
 	// response.
-	MinInterval  time.Duration
+	MinInterval time.Duration
+	// EraSpread bounds the random wait before the table is listed in a new era.
+	EraSpread    time.Duration
 	Availability *Availability
 	Clock        state.Clock
 	Log          zerolog.Logger
@@ -100,10 +106,17 @@
 	// receivingSince is when the response under way started to arrive; 0 if there
 	// is none.
 	receivingSince atomic.Int64
+	// newestEra is the newest era of the store, eraBegan when it was first seen.
+	newestEra atomic.Uint64
+	eraBegan  atomic.Int64
+	// everListed is set once the table has been listed.
+	everListed atomic.Bool
 
 	// The following fields are used by Run only. afterVersion is the newest
-	// version that was read, listed whether the next call can be a watch.
+	// version that was read, era the era of that version, and listed whether the
+	// next call can be a watch.
 	afterVersion   uint64
+	era            uint64
 	listed         bool
 	storeAvailable bool
 	lastFailure    state.Instant
@@ -140,20 +153,61 @@
 	}
 }
 
+// BeginEra makes Run list the table again, since a watch cannot continue from an
+// earlier era. It is a listener of EraStore.OnNewEra.
+func (f *Follower) BeginEra(era uint64) {
+	f.newestEra.Store(era)
+	if !f.everListed.Load() {
+		return
+	}
+	f.eraBegan.Store(int64(f.Clock.Now()))
+	select {
+	case f.refresh <- struct{}{}:
+	default:
+	}
+}
+
+// enterNewestEra ends the use of what was read in an earlier era. Tables that the
+// lease does not depend on are listed after a random wait, so that the instances do
+// not list them all at once.
+func (f *Follower) enterNewestEra(ctx context.Context) {
+	newest := f.newestEra.Load()
+	if f.era == newest {
+		return
+	}
+	if f.listed && f.EraSpread > 0 {
+		state.Pause(ctx, rand.N(f.EraSpread))
+	}
+	f.era, f.listed, f.afterVersion = newest, false, 0
+	// The list that follows is the one that BeginEra asked for.
+	select {
+	case <-f.refresh:
+	default:
+	}
+}
+
 // Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		f.enterNewestEra(ctx)
 		requestedAt := f.Clock.Now()
 		snapshot, err := f.call(ctx)
 		switch {
 		case ctx.Err() != nil:
 			return
+		case err == nil && snapshot.Era != f.newestEra.Load():
+			f.Log.Debug().Str("table", f.Table).Uint64("era", snapshot.Era).Msg("response of an earlier era of the store ignored")
+		case err == nil && snapshot.Era != f.era && f.listed:
+			// The watch began in an earlier era.
 		case err == nil:
+			f.era = snapshot.Era
 			listed := f.listed
 			f.applySnapshot(snapshot, requestedAt)
 			if listed && len(snapshot.Rows) > 0 {
 				state.Pause(ctx, f.MinInterval-f.Clock.Now().Sub(requestedAt))
 			}
+		case errors.Is(err, ErrHistoryLost) && f.newestEra.Load() != f.era:
+			// The versions of the watch belong to an earlier era.
 		case errors.Is(err, ErrHistoryLost):
 			f.Log.Info().Str("table", f.Table).Uint64("after", f.afterVersion).Msg("watch history no longer available, listing the table again")
 			f.listed = false
@@ -242,12 +296,16 @@
 		Snapshot: snapshot, Complete: !f.listed, RequestedAt: requestedAt, RespondedAt: now, AfterOutage: f.afterRecentOutage(now),
 	})
 	f.afterVersion, f.listed = max(f.afterVersion, snapshot.Version), true
+	f.everListed.Store(true)
 }
 
-// afterRecentOutage reports whether the store was unavailable, or a call
-// failed, within the last outageMemory. It updates lastFailure while the store is
+// afterRecentOutage reports whether the store was unavailable, a call failed, or an
+// era began, within the last outageMemory. It updates lastFailure while the store is
 // unavailable.
 func (f *Follower) afterRecentOutage(now state.Instant) bool {
+	if began := state.Instant(f.eraBegan.Load()); began != 0 && now.Sub(began) < outageMemory {
+		return true
+	}
 	if unavailable, _ := f.Availability.status(); unavailable {
 		f.lastFailure = now
 	}
--- a/internal/coordination/rowstore/rowstore.go
+++ b/internal/coordination/rowstore/rowstore.go
@@ -39,6 +39,8 @@
 	Rows    []Row
 	Version uint64
 	Now     time.Duration
+	// Era is the era of the response; 0 if the store has not reported one.
+	Era uint64
 }
 
 // ConflictError is the error of a transaction with a failed condition. Rows are the
@@ -46,6 +48,8 @@
 type ConflictError struct {
 	Step string
 	Rows []Row
+	// Era is the era of the response.
+	Era uint64
 }
 
 // Error returns the step and the present versions of the rows.
@@ -80,6 +84,8 @@
 
 // Transaction applies all its writes if all conditions hold, otherwise none.
 type Transaction struct {
+	// Era is the era in which the versions of the conditions were read.
+	Era        uint64
 	Conditions []Condition
 	Puts       []Row
 	Deletes    []Row
@@ -89,9 +95,12 @@
 type Commit struct {
 	Version uint64
 	Now     time.Duration
+	// Era is the era of the response.
+	Era uint64
 }
 
-// Store is a client of the store. List returns all rows of a table. Watch
+// Store is a client of the store. A snapshot that is returned with an error holds only
+// the era of the store's response, if there was one. List returns all rows of a table. Watch
 // returns the rows that changed after a version; without changes the store
 // delays its response by up to wait.
 type Store interface {
@@ -109,6 +118,8 @@
 		return "conflict"
 	case errors.Is(err, ErrHistoryLost):
 		return "history_lost"
+	case errors.Is(err, ErrEraChanged):
+		return "era_changed"
 	case errors.Is(err, ErrRefused):
 		return "refused"
 	default:
--- a/internal/entry/followers.go
+++ b/internal/entry/followers.go
@@ -19,15 +19,17 @@
 	configuration, servers, primaries *rowstore.Follower
 }
 
-func newFollowers(store *platform.Store, availability *rowstore.Availability, dir *directory.Directory, leaders *leadership.Manager, clock state.Clock, log zerolog.Logger) *followers {
+func newFollowers(store *rowstore.EraStore, availability *rowstore.Availability, dir *directory.Directory, leaders *leadership.Manager, clock state.Clock, log zerolog.Logger) *followers {
 	follower := func(config rowstore.FollowerConfig) *rowstore.Follower {
 		config.Store, config.Availability, config.Clock, config.Log = store, availability, clock, log
-		return rowstore.NewFollower(config)
+		follower := rowstore.NewFollower(config)
+		store.OnNewEra(follower.BeginEra)
+		return follower
 	}
 	return &followers{
-		configuration: follower(rowstore.FollowerConfig{Table: platform.ConfigurationTable, Wait: rowstore.LongWait, Apply: dir.ApplyConfiguration}),
+		configuration: follower(rowstore.FollowerConfig{Table: platform.ConfigurationTable, Wait: rowstore.LongWait, EraSpread: rowstore.EraSpread, Apply: dir.ApplyConfiguration}),
 		servers: follower(rowstore.FollowerConfig{
-			Table: platform.ServersTable, Wait: rowstore.ShortWait, WaitAfterOutage: rowstore.OutageWait, MinInterval: rowstore.BatchInterval, Apply: dir.ApplyServers,
+			Table: platform.ServersTable, Wait: rowstore.ShortWait, WaitAfterOutage: rowstore.OutageWait, MinInterval: rowstore.BatchInterval, EraSpread: rowstore.EraSpread, Apply: dir.ApplyServers,
 		}),
 		primaries: follower(rowstore.FollowerConfig{Table: leadership.TablePrimaries, Wait: rowstore.LongWait, Apply: leaders.Apply}),
 	}
--- a/internal/entry/modules.go
+++ b/internal/entry/modules.go
@@ -49,7 +49,9 @@
 		fx.Module("state", fx.Provide(func() state.Clock { return state.BootClock{} })),
 		fx.Module("platform", fx.Provide(
 			func() platform.Codec { return platform.Codec{} },
-			func(s platform.Settings) *platform.Store { return platform.NewStore(s.StoreAddress) },
+			func(s platform.Settings, log zerolog.Logger) *rowstore.EraStore {
+				return rowstore.NewEraStore(platform.NewStore(s.StoreAddress), log)
+			},
 			func(s platform.Settings) *platform.Promoter { return platform.NewPromoter(s.PromoteAddress) },
 		)),
 		fx.Module("coordination", fx.Provide(
@@ -92,12 +94,12 @@
 	return pooling.NewManager(dialer, tracker, maxConnections, divisionOf, log)
 }
 
-func newLeadership(instance *Instance, settings platform.Settings, store *platform.Store, promoter *platform.Promoter, dir *directory.Directory,
+func newLeadership(instance *Instance, settings platform.Settings, store *rowstore.EraStore, promoter *platform.Promoter, dir *directory.Directory,
 	pools *pooling.Manager, tracker *health.Tracker, availability *rowstore.Availability, clock state.Clock, log zerolog.Logger,
 ) *leadership.Manager {
 	options := leadership.DefaultOptions()
 	options.DutyReleaseDelay = settings.DutyReleaseDelay
-	return leadership.New(leadership.Config{
+	manager := leadership.New(leadership.Config{
 		Self: settings.Instance, Run: instance.run, Options: options, Store: store, Availability: availability, Directory: dir, Databases: pools,
 		OnPrimaryPosition: func(group state.GroupID, requestedAt state.Instant, position state.Position) {
 			instance.positions.Observe(group, requestedAt, position)
@@ -106,6 +108,9 @@
 		Promoter: promoter, Health: tracker, Demand: pools.Demand, Messenger: instance.peers.Sender(topicConfirmations), Address: peerAddress(settings),
 		DataCentre: settings.DataCentre, Clock: clock, Log: log,
 	})
+	store.OnNewEra(manager.BeginEra)
+	store.OnNewEra(dir.BeginEra)
+	return manager
 }
 
 func newExchange(instance *Instance, leaders *leadership.Manager, clock state.Clock, log zerolog.Logger) *freshness.Exchange {
--- a/internal/standin/platform/council/group.go
+++ b/internal/standin/platform/council/group.go
@@ -88,10 +88,12 @@
 	slots   chan struct{}
 
 	// The fields below are guarded by Group.mu.
-	role            state.Role
-	term            state.Term
-	log             []entry
-	applied         int
+	role    state.Role
+	term    state.Term
+	log     []entry
+	applied int
+	// restarts counts the runs after the first one.
+	restarts        int64
 	applyDelay      time.Duration
 	down            bool
 	leaving         bool
@@ -190,7 +192,7 @@
 	defer d.group.mu.Unlock()
 	return state.Server{
 		Database: state.Database{ID: d.ID, Address: d.Address, Slots: d.group.options.Slots, Leaving: d.leaving},
-		Group:    d.group.options.Group, Role: d.role,
+		Group:    d.group.options.Group, Role: d.role, Born: 1 + d.restarts,
 	}
 }
 
@@ -218,6 +220,7 @@
 	d.group.mu.Lock()
 	defer d.group.mu.Unlock()
 	d.down, d.unresponsive = false, false
+	d.restarts++
 	if d != d.group.leader {
 		d.follow(d.group.leader)
 	}
@@ -229,6 +232,7 @@
 	d.group.mu.Lock()
 	defer d.group.mu.Unlock()
 	d.down, d.unresponsive = false, false
+	d.restarts++
 }
 
 // Running reports whether the database has not crashed.
--- a/internal/standin/platform/council/serve.go
+++ b/internal/standin/platform/council/serve.go
@@ -53,19 +53,35 @@
 	switch r.URL.Path {
 	case "/cyclamenpin/rows-get":
 		snapshot, err := client.List(r.Context(), query.Get("Table"))
-		respond(w, e.rewritten(snapshot), err)
+		e.Store.respond(w, e.rewritten(snapshot), err)
 	case "/cyclamenpin/rows-feed":
 		after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
 		maxWait, _ := strconv.Atoi(query.Get("WaitMs"))
 		snapshot, err := client.Watch(r.Context(), query.Get("Table"), after, time.Duration(maxWait)*time.Millisecond)
-		respond(w, e.rewritten(snapshot), err)
+		e.Store.respond(w, e.rewritten(snapshot), err)
 	case "/cyclamenpin/rows-tx":
-		serveTransaction(w, r, client)
+		e.Store.serveTransaction(w, r, client)
 	default:
 		http.NotFound(w, r)
 	}
 }
 
+// stateEra states the era of a response in its header. Errors without an era get
+// the present one.
+func (s *Store) stateEra(w http.ResponseWriter, snapshot rowstore.Snapshot, err error) {
+	era := snapshot.Era
+	var conflict *rowstore.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		era = conflict.Era
+	case err != nil:
+		era = s.Era()
+	}
+	if era != 0 {
+		w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
+	}
+}
+
 func (e Endpoint) rewritten(snapshot rowstore.Snapshot) rowstore.Snapshot {
 	if e.Rewrite != nil {
 		for i, row := range snapshot.Rows {
@@ -75,7 +91,7 @@
 	return snapshot
 }
 
-func serveTransaction(w http.ResponseWriter, r *http.Request, client *StoreClient) {
+func (s *Store) serveTransaction(w http.ResponseWriter, r *http.Request, client *StoreClient) {
 	var request struct{ ExpectRev, Puts, Deletes []wireRow }
 	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -92,10 +108,11 @@
 		transaction.Deletes = append(transaction.Deletes, rowstore.Row{Table: row.Table, Key: row.Key})
 	}
 	commit, err := client.Transact(r.Context(), transaction)
-	respond(w, rowstore.Snapshot{Version: commit.Version, Now: commit.Now}, err)
+	s.respond(w, rowstore.Snapshot{Version: commit.Version, Now: commit.Now, Era: commit.Era}, err)
 }
 
-func respond(w http.ResponseWriter, snapshot rowstore.Snapshot, err error) {
+func (s *Store) respond(w http.ResponseWriter, snapshot rowstore.Snapshot, err error) {
+	s.stateEra(w, snapshot, err)
 	var conflict *rowstore.ConflictError
 	switch {
 	case errors.As(err, &conflict):
--- a/internal/standin/platform/council/store.go
+++ b/internal/standin/platform/council/store.go
@@ -53,8 +53,10 @@
 	// forgottenVersion is the version up to which the history was discarded.
 	forgottenVersion uint64
 	version          uint64
-	changed          chan struct{}
-	faults           func(caller, call string) Fault
+	// era is 0 until the first Restore, and then reported with each response.
+	era     uint64
+	changed chan struct{}
+	faults  func(caller, call string) Fault
 	// transferTimes holds how long a response with rows of a table takes to
 	// arrive, transfers how many such responses were sent to each caller.
 	transferTimes map[string]time.Duration
@@ -116,6 +118,37 @@
 	s.history, s.forgottenVersion = nil, s.version
 }
 
+// Copy is a copy of a store's rows, from which the store can be restored.
+type Copy struct {
+	rows    map[rowKey]rowstore.Row
+	version uint64
+}
+
+// Copy returns a copy of the present rows.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{rows: maps.Clone(s.rows), version: s.version}
+}
+
+// Restore replaces all rows by those of a copy, and begins a new era: versions after
+// the copy's are assigned again, and watches from these fail.
+func (s *Store) Restore(from Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows, s.version, s.history, s.forgottenVersion = maps.Clone(from.rows), from.version, nil, from.version
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Era returns the number of the present era.
+func (s *Store) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // Put writes a row unconditionally, as the operators and the databases do.
 func (s *Store) Put(table, key string, value []byte) {
 	s.mu.Lock()
@@ -211,7 +244,7 @@
 	}
 	c.store.mu.Lock()
 	defer c.store.mu.Unlock()
-	snapshot := rowstore.Snapshot{Version: c.store.version, Now: c.store.now()}
+	snapshot := rowstore.Snapshot{Version: c.store.version, Now: c.store.now(), Era: c.store.era}
 	for key, row := range c.store.rows {
 		if key.table == table {
 			snapshot.Rows = append(snapshot.Rows, row)
@@ -265,10 +298,10 @@
 func (c *StoreClient) since(table string, after uint64) (rowstore.Snapshot, <-chan struct{}, error) {
 	c.store.mu.Lock()
 	defer c.store.mu.Unlock()
-	if after < c.store.forgottenVersion {
-		return rowstore.Snapshot{}, nil, rowstore.ErrHistoryLost
+	if after < c.store.forgottenVersion || after > c.store.version {
+		return rowstore.Snapshot{Era: c.store.era}, nil, rowstore.ErrHistoryLost
 	}
-	snapshot := rowstore.Snapshot{Version: c.store.version, Now: c.store.now()}
+	snapshot := rowstore.Snapshot{Version: c.store.version, Now: c.store.now(), Era: c.store.era}
 	for _, row := range c.store.history {
 		if row.Table == table && row.Version > after {
 			snapshot.Rows = append(snapshot.Rows, row)
@@ -295,7 +328,7 @@
 	c.store.mu.Lock()
 	applied := c.store.apply(transaction)
 	present := c.store.existingRows(transaction.Conditions)
-	commit := rowstore.Commit{Version: c.store.version, Now: c.store.now()}
+	commit := rowstore.Commit{Version: c.store.version, Now: c.store.now(), Era: c.store.era}
 	c.store.mu.Unlock()
 	if fault == FaultResponseLost {
 		state.Pause(ctx, callTimeout)
@@ -305,7 +338,7 @@
 		if err := c.transfer(ctx, present); err != nil {
 			return rowstore.Commit{}, err
 		}
-		return rowstore.Commit{}, &rowstore.ConflictError{Step: "transact", Rows: present}
+		return rowstore.Commit{}, &rowstore.ConflictError{Step: "transact", Rows: present, Era: commit.Era}
 	}
 	state.Pause(ctx, callLatency/2)
 	return commit, nil
--- a/internal/state/clock.go
+++ b/internal/state/clock.go
@@ -25,6 +25,13 @@
 	Now() Instant
 }
 
+// ClockOffsets are bounds of how far a shared clock is ahead of the local one.
+type ClockOffsets struct {
+	Lower, Upper time.Duration
+	// Era identifies the shared clock: readings of different eras are not comparable.
+	Era uint64
+}
+
 // Pause waits for a time or until ctx ends, whichever comes first.
 func Pause(ctx context.Context, wait time.Duration) {
 	PauseOrWake(ctx, wait, nil)
--- a/test/council/cluster_test.go
+++ b/test/council/cluster_test.go
@@ -30,8 +30,11 @@
 	// registrationExpiry is the time after which the registration of a database
 	// that no longer renews it is removed.
 	registrationExpiry = 3600 * time.Millisecond
-	oneWayDelay        = 2 * time.Millisecond
-	maxStaleness       = time.Second
+	// rewriteDelay is how long after a restoration of the store the operators and the
+	// databases write their rows again.
+	rewriteDelay = time.Second
+	oneWayDelay  = 2 * time.Millisecond
+	maxStaleness = time.Second
 )
 
 // virtualClock reads the virtual time of the synctest bubble.
@@ -52,6 +55,8 @@
 	options   standin.Options
 	instances map[string]*instance
 	log       zerolog.Logger
+	// lastConfiguration is the newest value that the operators wrote.
+	lastConfiguration []byte
 
 	mu sync.Mutex
 	// delays holds the one-way latency between an instance and the databases where
@@ -164,9 +169,17 @@
 	}
 	value, err := json.Marshal(table)
 	require.NoError(tc.t, err)
+	tc.lastConfiguration = value
 	tc.store.Put(tableRoutes, "config", value)
 }
 
+// restore restores the store from a copy. The operators write their last
+// configuration again after a while.
+func (tc *testCluster) restore(from standin.Copy) {
+	tc.store.Restore(from)
+	time.AfterFunc(rewriteDelay, func() { tc.store.Put(tableRoutes, "config", tc.lastConfiguration) })
+}
+
 // maintainRegistrations writes the databases' registrations to the store on their
 // behalf until ctx ends, and removes that of a database that is down or can't reach
 // the store for longer than registrationExpiry.
@@ -176,7 +189,16 @@
 		at    time.Time
 	}
 	last := make(map[string]seen)
+	var era uint64
+	var rewriteAt time.Time
 	for ctx.Err() == nil {
+		if now := tc.store.Era(); now != era {
+			// Live databases notice after a while. The rows of others expire.
+			era, rewriteAt = now, time.Now().Add(rewriteDelay)
+			for key := range last {
+				last[key] = seen{"restored", time.Now()}
+			}
+		}
 		for n := 1; n <= tc.options.Databases; n++ {
 			database := tc.group.Database(n)
 			key := string(database.ID)
@@ -185,6 +207,9 @@
 				value, err := json.Marshal(server)
 				require.NoError(tc.t, err)
 				if last[key].value != string(value) {
+					if time.Now().Before(rewriteAt) {
+						continue
+					}
 					tc.store.Put(tableServers, key, value)
 				}
 				last[key] = seen{string(value), time.Now()}
@@ -280,7 +305,7 @@
 	log := tc.log.With().Str("instance", name).Logger()
 	i := &instance{name: name, cluster: tc, ctx: ctx, cancel: cancel}
 	tracker := health.NewTracker(clock)
-	store := tc.store.Client(name)
+	store := rowstore.NewEraStore(tc.store.Client(name), log)
 	availability := rowstore.NewAvailability()
 	i.directory = directory.New(jsonDecoder{}, rowstore.Row{Table: tableRoutes, Key: "config"}, clock, log, func(id state.DatabaseID) { i.pools.Remove(id) })
 	delay := oneWayDelay
@@ -308,17 +333,20 @@
 		Directory: i.directory, Leadership: i.leadership, Freshness: i.positions, Pools: i.pools, Health: tracker,
 		Statements: platform.Codec{}, Clock: clock, Log: log,
 	})
+	store.OnNewEra(i.leadership.BeginEra)
+	store.OnNewEra(i.directory.BeginEra)
 	tc.mu.Lock()
 	tc.instances[name] = i
 	tc.mu.Unlock()
 	follow := func(config rowstore.FollowerConfig) *rowstore.Follower {
 		config.Store, config.Availability, config.Clock, config.Log = store, availability, clock, log
 		follower := rowstore.NewFollower(config)
+		store.OnNewEra(follower.BeginEra)
 		go follower.Run(ctx)
 		return follower
 	}
-	i.configuration = follow(rowstore.FollowerConfig{Table: tableRoutes, Wait: rowstore.LongWait, Apply: i.directory.ApplyConfiguration})
-	follow(rowstore.FollowerConfig{Table: tableServers, Wait: rowstore.ShortWait, WaitAfterOutage: rowstore.OutageWait, MinInterval: rowstore.BatchInterval, Apply: i.directory.ApplyServers})
+	i.configuration = follow(rowstore.FollowerConfig{Table: tableRoutes, Wait: rowstore.LongWait, EraSpread: rowstore.EraSpread, Apply: i.directory.ApplyConfiguration})
+	follow(rowstore.FollowerConfig{Table: tableServers, Wait: rowstore.ShortWait, WaitAfterOutage: rowstore.OutageWait, MinInterval: rowstore.BatchInterval, EraSpread: rowstore.EraSpread, Apply: i.directory.ApplyServers})
 	follow(rowstore.FollowerConfig{Table: leadership.TablePrimaries, Wait: rowstore.LongWait, Apply: i.leadership.Apply})
 	go i.leadership.Run(ctx)
 	go i.pools.Run(ctx)
--- /dev/null
+++ b/test/council/era_test.go
@@ -0,0 +1,186 @@
+package council
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	standin "github.com/cyclamenpin/cyclamenpin/internal/standin/platform/council"
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// A primary is changed, and the store returns from a copy of before the change. The
+// new primary must be replaceable in its turn, in the new era.
+func TestPrimaryChangesAgainAfterTheStoreWasRestored(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		t.Run(fmt.Sprintf("all restarted: %v", restarted), func(t *testing.T) {
+			run(t, fourInstances, func(tc *testCluster) {
+				time.Sleep(25 * time.Second)
+				from := tc.store.Copy()
+				first := tc.group.Leader()
+				first.Crash(true)
+				tc.keepWritingThroughAll()
+				tc.eventually(10*time.Second, "a second primary", tc.instances["a"].writable)
+				second := tc.group.Leader()
+				first.Restart()
+				tc.restore(from)
+				if restarted {
+					for _, name := range fourInstances {
+						tc.instances[name].kill()
+						tc.start(name)
+					}
+				}
+				tc.eventually(25*time.Second, "service in the new era", tc.instances["a"].writable)
+				require.Equal(t, second, tc.group.Leader(), "the replaced primary came back")
+				time.Sleep(5 * time.Second)
+				second.Crash(true)
+				tc.eventually(25*time.Second, "a third primary", func() bool { return tc.group.Leader() != second && tc.instances["a"].writable() })
+				tc.requireValidPromotions()
+			})
+		})
+	}
+}
+
+// keepWritingThroughAll writes through each instance until the cluster stops.
+func (tc *testCluster) keepWritingThroughAll() {
+	for _, name := range fourInstances {
+		go tc.keepWriting(tc.ctx, name)
+	}
+}
+
+// The store is restored while nothing else happens. Nobody is refused, an open
+// transaction goes on, and leases are renewed within a second.
+func TestRestoredStoreInterruptsNoSession(t *testing.T) {
+	run(t, fourInstances, func(tc *testCluster) {
+		time.Sleep(25 * time.Second)
+		from := tc.store.Copy()
+		time.Sleep(4 * time.Second)
+		c := tc.instances["a"].open("desk")
+		_, reply := c.do(state.StatementBegin, "BEGIN")
+		require.Equal(t, state.CodeNone, reply.Code)
+		_, reply = c.write("k", "x")
+		require.Equal(t, state.CodeNone, reply.Code)
+
+		var refused atomic.Int64
+		ctx, cancel := context.WithCancel(tc.ctx)
+		for _, name := range fourInstances {
+			go func() {
+				for ctx.Err() == nil {
+					if !tc.instances[name].writable() {
+						refused.Add(1)
+					}
+					time.Sleep(20 * time.Millisecond)
+				}
+			}()
+		}
+		tc.partition(between(fourInstances, []string{"store"}))
+		time.Sleep(1500 * time.Millisecond)
+		tc.restore(from)
+		tc.partition(nil)
+		time.Sleep(time.Second)
+		for _, name := range fourInstances {
+			_, left := tc.instances[name].leadership.Snapshot()
+			require.Positive(t, left, "%s renewed its lease in the new era", name)
+		}
+		time.Sleep(10 * time.Second)
+		cancel()
+		require.Zero(t, refused.Load(), "writes refused")
+		tc.requireNoChange()
+	})
+}
+
+// A change is made, all who know of it lose power, and the store returns from a copy
+// of before. The old primary still reports itself as such, and the new one is out of
+// reach.
+func TestForgottenPromotionIsNotOverruledByARow(t *testing.T) {
+	run(t, fourInstances, func(tc *testCluster) {
+		time.Sleep(25 * time.Second)
+		from := tc.store.Copy()
+		first, rest := string(tc.group.Database(1).ID), []string{string(tc.group.Database(2).ID), string(tc.group.Database(3).ID)}
+		everyone := append([]string{"store", "a", "b", "c", "d"}, rest...)
+		tc.keepWritingThroughAll()
+		tc.partition(between([]string{first}, everyone))
+		tc.eventually(10*time.Second, "a second primary", tc.instances["a"].writable)
+		for _, name := range fourInstances {
+			tc.instances[name].kill()
+		}
+		tc.restore(from)
+		second := string(tc.group.Leader().ID)
+		without := []string{"store", "a", "b", "c", "d", first}
+		tc.partition(between([]string{second}, without))
+		for _, name := range fourInstances {
+			tc.start(name)
+		}
+		tc.eventually(45*time.Second, "service in the new era", tc.instances["a"].writable)
+		tc.requireValidPromotions()
+	})
+}
+
+// Instances of a large fleet read the tables again after a restoration, but not all at
+// once.
+func TestFleetSpreadsItsListsAfterARestoration(t *testing.T) {
+	runFleet(t, fleetSize, func(tc *testCluster) {
+		time.Sleep(10 * time.Second)
+		from := tc.store.Copy()
+		time.Sleep(4 * time.Second)
+		var mu sync.Mutex
+		perSlot := make(map[time.Duration]int)
+		started := time.Now()
+		tc.store.SetFaults(func(_, call string) standin.Fault {
+			mu.Lock()
+			defer mu.Unlock()
+			if call == "list" {
+				perSlot[time.Since(started).Truncate(100*time.Millisecond)]++
+			}
+			return standin.FaultNone
+		})
+		tc.restore(from)
+		time.Sleep(10 * time.Second)
+		mu.Lock()
+		defer mu.Unlock()
+		total := 0
+		for slot, calls := range perSlot {
+			total += calls
+			require.LessOrEqual(t, calls, 3*fleetSize, "lists in the tenth of a second from %s", slot)
+		}
+		require.LessOrEqual(t, total, 10*fleetSize, "lists in ten seconds")
+	})
+}
+
+// TestRandomFaultsAndRestorationsBreakNoPromise is TestRandomFaultsBreakNoPromise with
+// a store that returns from a copy two or three times.
+func TestRandomFaultsAndRestorationsBreakNoPromise(t *testing.T) {
+	forEachSeed(t, propertyRuns, func(t *testing.T, seed uint64) {
+		random := rand.New(rand.NewPCG(seed, 3))
+		runSeedWith(t, seed, func(tc *testCluster, round int) {
+			if round%3 != 2 {
+				return
+			}
+			from := tc.store.Copy()
+			time.Sleep(time.Duration(500+random.IntN(5000)) * time.Millisecond)
+			tc.injectFault(random)
+			if random.IntN(2) == 0 {
+				tc.partition(between(fourInstances, []string{"store"}))
+				time.Sleep(time.Duration(random.IntN(4000)) * time.Millisecond)
+			}
+			if random.IntN(3) == 0 {
+				for _, name := range fourInstances {
+					tc.instances[name].kill()
+				}
+				time.AfterFunc(time.Duration(100+random.IntN(2000))*time.Millisecond, func() {
+					for _, name := range fourInstances {
+						tc.start(name)
+					}
+				})
+			}
+			tc.restore(from)
+			tc.heal()
+		})
+	})
+}
--- a/test/council/property_test.go
+++ b/test/council/property_test.go
@@ -23,7 +23,14 @@
 // load, and compares the outcomes that clients observed with what the databases
 // did.
 func TestRandomFaultsBreakNoPromise(t *testing.T) {
-	runs, first := propertyRuns, 1
+	forEachSeed(t, propertyRuns, runSeed)
+}
+
+// forEachSeed runs a test body with each seed. The environment overrides the number of
+// runs and the first seed.
+func forEachSeed(t *testing.T, runs int, body func(t *testing.T, seed uint64)) {
+	t.Helper()
+	first := 1
 	if n, err := strconv.Atoi(os.Getenv("COUNCIL_RUNS")); err == nil {
 		runs = n
 	}
@@ -31,7 +38,7 @@
 		first = n
 	}
 	for seed := first; seed < first+runs; seed++ {
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { runSeed(t, uint64(seed)) })
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { body(t, uint64(seed)) })
 	}
 }
 
@@ -49,6 +56,11 @@
 }
 
 func runSeed(t *testing.T, seed uint64) {
+	runSeedWith(t, seed, func(*testCluster, int) {})
+}
+
+// runSeedWith calls extra after each of the faults.
+func runSeedWith(t *testing.T, seed uint64, extra func(tc *testCluster, round int)) {
 	run(t, fourInstances, func(tc *testCluster) {
 		random := rand.New(rand.NewPCG(seed, 1))
 		h := standin.NewHistory()
@@ -58,9 +70,10 @@
 			clientRandom := rand.New(rand.NewPCG(seed, uint64(n)+2))
 			clients.Go(func() { tc.runClient(h, clientRandom, stop) })
 		}
-		for range 8 {
+		for round := range 8 {
 			time.Sleep(time.Duration(500+random.IntN(3000)) * time.Millisecond)
 			tc.injectFault(random)
+			extra(tc, round)
 		}
 		tc.heal()
 		// Long enough for the slowest case: a change of primary that waits for the
