--- a/internal/coordination/leadership/members.go
+++ b/internal/coordination/leadership/members.go
@@ -197,8 +197,8 @@
 	group  state.GroupID
 	epoch  uint64
 	commit rowstore.Commit
-	// earlierLeases is set while an instance without a row of the announcement's era
-	// may hold a lease of an earlier one.
+	// earlierLeases is set while instances whose rows the store has lost may hold a
+	// lease of an earlier era that others confirm.
 	earlierLeases bool
 }
 
@@ -228,10 +228,6 @@
 		if name == self || entry.heartbeat.Acknowledged[announced.group] >= announced.epoch || entry.waitsIn(announced.commit.Era) {
 			continue
 		}
-		if announced.earlierLeases && entry.heartbeat.Era != announced.commit.Era {
-			found.leased = append(found.leased, name)
-			continue
-		}
 		// The last renewal that can keep the old primary in use was made before
 		// the announcement, because a later one succeeds only after the instance
 		// has seen the announcement.
--- a/internal/standin/platform/council/serve.go
+++ b/internal/standin/platform/council/serve.go
@@ -222,6 +222,6 @@
 	if server.Leaving {
 		status = "draining"
 	}
-	return fmt.Appendf(nil, `{"Backend":%q,"Addr":%q,"Zone":"z","Version":"v1","Slots":%d,"State":%q,"ColdLeftMs":0,"DbRole":%q,"Seq":1}`,
-		server.Group, address, server.Slots, status, server.Role)
+	return fmt.Appendf(nil, `{"Backend":%q,"Addr":%q,"Zone":"z","Version":"v1","Slots":%d,"State":%q,"ColdLeftMs":0,"DbRole":%q,"Seq":1,"born":%d}`,
+		server.Group, address, server.Slots, status, server.Role, server.Born)
 }
--- a/test/council/cluster_test.go
+++ b/test/council/cluster_test.go
@@ -1,6 +1,7 @@
 package council
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -55,6 +56,8 @@
 	options   standin.Options
 	instances map[string]*instance
 	log       zerolog.Logger
+	// fullRateMembers overrides leadership.Options.FullRateMembers unless it is 0.
+	fullRateMembers int
 	// lastConfiguration is the newest value that the operators wrote.
 	lastConfiguration []byte
 
@@ -318,8 +321,10 @@
 	}
 	i.pools = pooling.NewManager(dialer, tracker,
 		func(state.GroupID) int { return tc.options.MaxConnections }, i.division, log)
+	options := leadership.DefaultOptions()
+	options.FullRateMembers = cmp.Or(tc.fullRateMembers, options.FullRateMembers)
 	i.leadership = leadership.New(leadership.Config{
-		Self: state.InstanceID(name), Run: time.Now().UnixNano(), Options: leadership.DefaultOptions(), Store: store, Availability: availability,
+		Self: state.InstanceID(name), Run: time.Now().UnixNano(), Options: options, Store: store, Availability: availability,
 		OnPrimaryPosition: func(group state.GroupID, requestedAt state.Instant, position state.Position) {
 			i.positions.Observe(group, requestedAt, position)
 		},
--- a/test/council/entry_test.go
+++ b/test/council/entry_test.go
@@ -232,6 +232,22 @@
 	require.True(t, strings.HasPrefix(c.line(), "ERROR TOOBIG"))
 }
 
+// The store returns from a copy, which its responses state. Sessions go on, and the
+// configuration that was lost takes effect when it is written again.
+func TestEntryGoesOnWithARestoredStore(t *testing.T) {
+	i := install(t)
+	defer i.instance.Stop(context.Background())
+	c, _ := i.connect("desk")
+	c.must("BEGIN")
+	c.must("WRITE k v")
+	i.store.Restore(i.store.Copy())
+	require.Eventually(t, func() bool { return strings.Contains(i.log.String(), `"era":1,"previous_era":0`) }, 10*time.Second, 10*time.Millisecond)
+	c.must("COMMIT")
+	i.store.Put(tableRoutes, "config", standin.Configuration(9, "g"))
+	require.Eventually(t, func() bool { return strings.Contains(i.log.String(), `"version":9`) }, 10*time.Second, 10*time.Millisecond)
+	c.must("WRITE k w")
+}
+
 // A graceful stop lets a transaction in progress end, closes idle sessions, and
 // cuts off none.
 func TestStopLetsATransactionEnd(t *testing.T) {
--- a/test/council/era_test.go
+++ b/test/council/era_test.go
@@ -42,6 +42,8 @@
 				second.Crash(true)
 				tc.eventually(25*time.Second, "a third primary", func() bool { return tc.group.Leader() != second && tc.instances["a"].writable() })
 				tc.requireValidPromotions()
+				tokens, _ := tc.group.Tokens()
+				require.Greater(t, tokens[len(tokens)-1], tokens[0], "a token was given again")
 			})
 		})
 	}
@@ -129,6 +131,8 @@
 		time.Sleep(10 * time.Second)
 		from := tc.store.Copy()
 		time.Sleep(4 * time.Second)
+		tc.configure(2, "desk", "portal", "cab")
+		time.Sleep(100 * time.Millisecond)
 		var mu sync.Mutex
 		perSlot := make(map[time.Duration]int)
 		started := time.Now()
@@ -184,3 +188,113 @@
 		})
 	})
 }
+
+// An instance is cut off with the primary, which it goes on using under a lease of the
+// era before. Whether or not the copy holds its row, a change in the new era waits
+// until that lease has ended.
+func TestChangeWaitsForLeasesOfTheEraBefore(t *testing.T) {
+	for _, listed := range []bool{true, false} {
+		t.Run(fmt.Sprintf("its row is in the copy: %v", listed), func(t *testing.T) {
+			run(t, nil, func(tc *testCluster) {
+				// Leases last longer than the promotion duty, as in a large fleet.
+				tc.fullRateMembers = 1
+				for _, name := range []string{"a", "b", "c"} {
+					tc.start(name)
+				}
+				// The others read the instances' rows each four seconds, next after
+				// the restoration.
+				time.Sleep(26 * time.Second)
+				from := tc.store.Copy()
+				tc.start("d")
+				time.Sleep(700 * time.Millisecond)
+				if listed {
+					from = tc.store.Copy()
+				}
+				old := string(tc.group.Database(1).ID)
+				others := []string{"a", "b", "c", "store", string(tc.group.Database(2).ID), string(tc.group.Database(3).ID)}
+				go tc.keepWriting(tc.ctx, "d")
+				tc.partition(between([]string{"d", old}, others))
+				tc.restore(from)
+				for _, name := range []string{"a", "b", "c"} {
+					go tc.keepWriting(tc.ctx, name)
+				}
+				tc.eventually(45*time.Second, "a second primary", tc.instances["a"].writable)
+				time.Sleep(5 * time.Second)
+				tc.requireValidPromotions()
+			})
+		})
+	}
+}
+
+// An instance misses a change of primary because it is cut off. The instances that
+// know of the change restart without memory, and the store has lost it. They must not
+// confirm the lease of the first, which would go on using the old primary.
+func TestInstancesOfANewEraConfirmNoEarlierLease(t *testing.T) {
+	run(t, fourInstances, func(tc *testCluster) {
+		time.Sleep(25 * time.Second)
+		from := tc.store.Copy()
+		old := string(tc.group.Database(1).ID)
+		replicas := []string{string(tc.group.Database(2).ID), string(tc.group.Database(3).ID)}
+		tc.keepWritingThroughAll()
+		tc.partition(between([]string{"d", old}, append([]string{"a", "b", "c", "store"}, replicas...)))
+		tc.eventually(9*time.Second, "a second primary", tc.instances["a"].writable)
+		for _, name := range []string{"a", "b", "c"} {
+			tc.instances[name].kill()
+		}
+		tc.restore(from)
+		for _, name := range []string{"a", "b", "c"} {
+			tc.start(name)
+		}
+		tc.partition(func(a, b string) bool {
+			return a == "d" && b == "store" || a == old && b != "d"
+		})
+		time.Sleep(20 * time.Second)
+		tc.requireNoSupersededCommit()
+	})
+}
+
+// Two of four instances are cut off with the primary and confirm each other's leases.
+// The copy lacks their rows, but the others remember them.
+func TestInstancesThatTheCopyLacksAreWaitedFor(t *testing.T) {
+	run(t, []string{"a", "b"}, func(tc *testCluster) {
+		time.Sleep(25 * time.Second)
+		from := tc.store.Copy()
+		tc.start("c")
+		tc.start("d")
+		time.Sleep(9 * time.Second)
+		cutOff := []string{"c", "d", string(tc.group.Database(1).ID)}
+		others := []string{"a", "b", "store", string(tc.group.Database(2).ID), string(tc.group.Database(3).ID)}
+		for _, name := range []string{"a", "b", "c", "d"} {
+			go tc.keepWriting(tc.ctx, name)
+		}
+		tc.partition(between(cutOff, others))
+		tc.restore(from)
+		tc.eventually(30*time.Second, "a second primary", tc.instances["a"].writable)
+		time.Sleep(5 * time.Second)
+		tc.requireValidPromotions()
+	})
+}
+
+// The store loses a change of primary that the running instances know of. An instance
+// that starts at once reads a copy in which the old primary leads, and alone reaches
+// that one.
+func TestLostChangeIsKnownToInstancesThatStartLater(t *testing.T) {
+	run(t, []string{"a", "b", "c"}, func(tc *testCluster) {
+		time.Sleep(25 * time.Second)
+		from := tc.store.Copy()
+		old := string(tc.group.Database(1).ID)
+		tc.partition(func(a, b string) bool { return a == old })
+		for _, name := range []string{"a", "b", "c"} {
+			go tc.keepWriting(tc.ctx, name)
+		}
+		tc.eventually(5*time.Second, "a second primary", tc.instances["a"].writable)
+		tc.partition(func(a, b string) bool { return a == old && b != "d" })
+		tc.restore(from)
+		tc.start("d")
+		go tc.keepWriting(tc.ctx, "d")
+		time.Sleep(10 * time.Second)
+		tc.requireValidPromotions()
+		tc.partition(nil)
+		tc.eventually(5*time.Second, "writes through the new instance", tc.instances["d"].writable)
+	})
+}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -72,7 +72,7 @@
 }
 
 // soak runs one seed. With partitions, it also injects partitions between
-// instances.
+// instances, and restores the store from copies.
 func soak(t *testing.T, seed uint64, partitions bool) {
 	s := newSystem(t, soakInstances)
 	s.partitionsPeers = partitions
@@ -80,6 +80,7 @@
 		var running sync.WaitGroup
 		if partitions {
 			running.Go(func() { s.injectPeerPartitions(rand.New(rand.NewPCG(seed, 99))) })
+			running.Go(func() { s.injectRestorations(rand.New(rand.NewPCG(seed, 98))) })
 		}
 		s.injectFaults(rand.New(rand.NewPCG(seed, 1)))
 		running.Wait()
@@ -99,6 +100,22 @@
 	}
 }
 
+// injectRestorations restores the store twice from a copy that is some seconds old. It
+// is unavailable for a moment before.
+func (s *system) injectRestorations(random *rand.Rand) {
+	for range 2 {
+		time.Sleep(time.Duration(random.IntN(4000)) * time.Millisecond)
+		from := s.store.Copy()
+		time.Sleep(time.Duration(500+random.IntN(4000)) * time.Millisecond)
+		s.store.SetFaults(func(string, string) standin.Fault { return standin.FaultRefused })
+		time.Sleep(time.Duration(random.IntN(2000)) * time.Millisecond)
+		s.store.Restore(from)
+		s.store.SetFaults(nil)
+		time.Sleep(time.Second)
+		s.rewriteConfiguration()
+	}
+}
+
 // An instance is suspended while it is the only one that reaches the primary. Its
 // lease expires and another database is promoted. When it resumes, its clients
 // must not be served by the old primary. All instances count as established
--- a/test/soak/system_test.go
+++ b/test/soak/system_test.go
@@ -42,13 +42,14 @@
 // system is the system under test: a store and a group of databases as
 // stand-ins, and instances as processes.
 type system struct {
-	t         *testing.T
-	store     *standin.Store
-	group     *standin.Group
-	addresses []string // of the databases, without proxies
-	version   uint64
-	instances []*instance
-	stopped   chan struct{}
+	t               *testing.T
+	store           *standin.Store
+	group           *standin.Group
+	addresses       []string   // of the databases, without proxies
+	configurationMu sync.Mutex // guards version
+	version         uint64
+	instances       []*instance
+	stopped         chan struct{}
 	// partitionsPeers allows faults that partition instances from each other.
 	partitionsPeers bool
 }
@@ -111,22 +112,40 @@
 
 // writeConfiguration writes the next version of the configuration to the store.
 func (s *system) writeConfiguration() {
+	s.configurationMu.Lock()
+	defer s.configurationMu.Unlock()
 	s.version += 3
 	s.store.Put(platform.ConfigurationTable, platform.ConfigurationRow, standin.Configuration(s.version, group))
 }
 
+// rewriteConfiguration writes the newest configuration again, as operators do after
+// the store was restored.
+func (s *system) rewriteConfiguration() {
+	s.configurationMu.Lock()
+	defer s.configurationMu.Unlock()
+	s.store.Put(platform.ConfigurationTable, platform.ConfigurationRow, standin.Configuration(s.version, group))
+}
+
 // maintainRegistrations writes the databases' registrations to the store on
 // their behalf, and removes that of a database that is down for longer than
 // registrationTimeout.
 func (s *system) maintainRegistrations() {
 	lastSeen := make([]time.Time, databases)
 	last := make([][]byte, databases)
+	var era uint64
 	for {
 		select {
 		case <-s.stopped:
 			return
 		case <-time.After(100 * time.Millisecond):
 		}
+		if now := s.store.Era(); now != era {
+			// Running databases write their rows again, those of others expire.
+			era = now
+			for n := range databases {
+				last[n], lastSeen[n] = []byte{}, time.Now()
+			}
+		}
 		for n := range databases {
 			database := s.group.Database(n + 1)
 			if database.Running() {
