--- a/internal/coordination/leadership/confirm.go
+++ b/internal/coordination/leadership/confirm.go
@@ -26,30 +26,43 @@
 	return unconfirmed.Load() == 0
 }
 
-// confirmPrimary reports whether a group's record is right. If the databases do not
-// all agree with it, their primary with the highest term is promoted once more: only
-// the platform knows of a promotion that no database in reach has heard of.
+// confirmPrimary writes a group's record with an epoch of the present era, so that no
+// record of an earlier era counts any more, and reports whether it did. If the databases
+// do not all agree with the record, their primary with the highest term is promoted once
+// more: only the platform knows of a promotion that no database in reach has heard of.
 func (m *Manager) confirmPrimary(ctx context.Context, id state.GroupID) bool {
 	m.mu.Lock()
 	g := m.group(id)
-	changing := g.record.Changing
+	record, version, number, lowest := g.record, g.version, m.era.number, m.era.lowest()
 	primary, known := m.primaryOf(id, g)
 	m.mu.Unlock()
-	if changing {
-		return true // it is not used, and the change is taken over
-	}
-	if known && m.allFollow(ctx, id, primary) {
+	if record.Epoch > lowest && !record.Changing {
 		return true
 	}
-	m.change(ctx, id, "", causeUnconfirmed)
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return !g.record.Changing && g.record.Epoch > m.era.lowest()
+	term, agreed := state.Term(0), record.Changing
+	if !agreed && known {
+		term, agreed = m.allFollow(ctx, id, primary)
+	}
+	if !agreed {
+		m.change(ctx, id, "", causeUnconfirmed)
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return !g.record.Changing && g.record.Epoch > lowest
+	}
+	if record.Epoch == 0 {
+		record.Primary, record.Term = primary, term
+	}
+	// A change that was in progress stays so, and is carried on.
+	record.Epoch, record.Promoter = max(record.Epoch, lowest)+1, m.runName
+	_, err := m.writeRecord(ctx, id, record, number, version)
+	m.Log.Info().Err(err).Str("group", string(id)).Uint64("epoch", record.Epoch).Str("primary", string(record.Primary)).
+		Bool("changing", record.Changing).Msg("confirmed the record of a primary after the store was restored")
+	return err == nil
 }
 
 // allFollow reports whether all databases of a group reply, and none but the given one
-// leads or has seen a higher term.
-func (m *Manager) allFollow(ctx context.Context, id state.GroupID, primary state.DatabaseID) bool {
+// leads or has seen a higher term. It returns that term.
+func (m *Manager) allFollow(ctx context.Context, id state.GroupID, primary state.DatabaseID) (state.Term, bool) {
 	servers := m.Directory.Servers(id)
 	replies := make([]candidate, len(servers))
 	var queries sync.WaitGroup
@@ -61,12 +74,12 @@
 	for n, reply := range replies {
 		leads := reply.status.Role == state.RolePrimary
 		if reply.server.ID == "" || leads != (servers[n].ID == primary) {
-			return false
+			return 0, false
 		}
 		highest = max(highest, reply.status.Term)
 		if leads {
 			own = reply.status.Term
 		}
 	}
-	return own != 0 && own == highest
+	return own, own != 0 && own == highest
 }
--- a/test/council/era_test.go
+++ b/test/council/era_test.go
@@ -298,3 +298,45 @@
 		tc.eventually(5*time.Second, "writes through the new instance", tc.instances["d"].writable)
 	})
 }
+
+// An instance is cut off after a first change of primary. A second one, and all who know
+// of it, are lost when the store is restored. When the instance is back, its record must
+// not replace what the databases confirmed meanwhile. Found by TestModelOfErasHolds.
+func TestRecordOfAnEarlierEraReplacesNoConfirmedOne(t *testing.T) {
+	run(t, []string{"a", "b", "c"}, func(tc *testCluster) {
+		time.Sleep(25 * time.Second)
+		from := tc.store.Copy()
+		for _, name := range []string{"a", "b", "c"} {
+			go tc.keepWriting(tc.ctx, name)
+		}
+		change := func(name string) {
+			leader := tc.group.Leader()
+			leader.Crash(true)
+			tc.eventually(30*time.Second, "the next primary", func() bool { return tc.group.Leader() != leader && tc.instances[name].writable() })
+			leader.Restart()
+		}
+		change("b")
+		others := []string{"b", "c", "store"}
+		for n := 1; n <= 3; n++ {
+			others = append(others, string(tc.group.Database(n).ID))
+		}
+		tc.partition(between([]string{"a"}, others))
+		change("b")
+		for _, name := range []string{"b", "c"} {
+			tc.instances[name].kill()
+		}
+		tc.restore(from)
+		for _, name := range []string{"b", "c"} {
+			tc.start(name)
+		}
+		tc.eventually(40*time.Second, "service in the new era", tc.instances["b"].writable)
+		leader := tc.group.Leader()
+		tc.partition(nil)
+		time.Sleep(3 * time.Second)
+		for _, name := range []string{"a", "b", "c"} {
+			require.True(t, tc.instances[name].writable(), name)
+		}
+		require.Equal(t, leader, tc.group.Leader())
+		tc.requireValidPromotions()
+	})
+}
