--- a/internal/coordination/leadership/model_test.go
+++ b/internal/coordination/leadership/model_test.go
@@ -267,7 +267,7 @@
 		if row.era != in.era && !rules.noEras {
 			age = min(age, in.eraAge)
 		}
-		if j != i && row.exists && row.acked < in.epoch && !(row.waiting && row.era == in.era) && age <= modelLease {
+		if j != i && row.exists && row.acked < in.epoch && (!row.waiting || row.era != in.era) && age <= modelLease {
 			return false
 		}
 	}
@@ -338,7 +338,7 @@
 				continue
 			}
 			seen[next] = struct{}{}
-			queue, visits = append(queue, next), append(visits, visit{int32(at), int32(n)}) //nolint:gosec // far below 2^31
+			queue, visits = append(queue, next), append(visits, visit{int32(at), int32(n)})
 			if broken := next.violation(); broken != "" {
 				names := []string{broken}
 				for v := visits[len(visits)-1]; v.from >= 0; v = visits[v.from] {
