A change waits no longer than for the lease of a lost instance

Hypothesis: the second for which a minority must have been unable to be confirmed may pass while its own leases still run, because a confirmation needs half of the instances to answer, and those that have acknowledged answer with the change.

Change: the time is counted from when the others have acknowledged, for instances with and without a lease of their own. Safe as before: none is left out while its own lease may be valid, and none could get a confirmation in the last second.

--- a/internal/coordination/leadership/change.go
+++ b/internal/coordination/leadership/change.go
@@ -211,8 +211,8 @@
 
 // awaitAcknowledgements returns when no instance can use the old primary.
 // Instances whose own lease has expired, so that they depend on confirmations
-// from others, are not waited for any more once all others have acknowledged
-// and they have been a minority for longer than a confirmation is valid.
+// from others, are not waited for any more once those that have not acknowledged
+// have been a minority for longer than a confirmation is valid.
 func (m *Manager) awaitAcknowledgements(ctx context.Context, attempt *changeAttempt) error {
 	announced := announcement{group: attempt.group, epoch: attempt.epoch, commit: attempt.announceCommit}
 	var minoritySince state.Instant
@@ -231,12 +231,13 @@
 		pending := m.members.pending(m.Self, announced, m.Options, storeNow)
 		own := m.group(attempt.group).acknowledged >= attempt.epoch && m.earlierLeasesOver(storeNow, m.nextLease())
 		m.mu.Unlock()
-		if !own || len(pending.leased) > 0 || !pending.isMinority() {
+		if !own || !pending.isMinority() {
 			minoritySince = 0
 		} else if minoritySince == 0 {
 			minoritySince = now
 		}
-		if own && len(pending.leased)+len(pending.confirmed) == 0 || minoritySince != 0 && now.Sub(minoritySince) > confirmationTTL {
+		unconfirmed := minoritySince != 0 && now.Sub(minoritySince) > confirmationTTL
+		if own && len(pending.leased) == 0 && (len(pending.confirmed) == 0 || unconfirmed) {
 			return nil
 		}
 		if err := ctx.Err(); err != nil {
--- a/internal/coordination/leadership/members.go
+++ b/internal/coordination/leadership/members.go
@@ -216,7 +216,7 @@
 // isMinority reports whether the pending instances are less than half of the
 // established ones, so that they cannot confirm each other's leases.
 func (p pendingInstances) isMinority() bool {
-	return 2*len(p.confirmed) < p.established
+	return 2*(len(p.leased)+len(p.confirmed)) < p.established
 }
 
 // pending returns the instances that may still use the old primary of an
--- a/test/council/failover_test.go
+++ b/test/council/failover_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/leadership"
 	standin "github.com/cyclamenpin/cyclamenpin/internal/standin/platform/council"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 )
@@ -452,3 +453,20 @@
 		tc.eventually(1200*time.Millisecond, "the first write", tc.instances["a"].writable)
 	})
 }
+
+// A primary and an instance are lost together. Once the others have acknowledged for as
+// long as a confirmation is valid, the lost instance cannot be confirmed any more, so
+// the change ends with its lease: 4 s and the margin for requests that were under way.
+func TestChangeEndsWithTheLeaseOfALostInstance(t *testing.T) {
+	run(t, fourInstances, func(tc *testCluster) {
+		time.Sleep(25 * time.Second)
+		tc.instances["d"].kill()
+		tc.group.Database(1).Crash(true)
+		for _, name := range []string{"a", "b", "c"} {
+			go tc.keepWriting(tc.ctx, name)
+		}
+		lease := leadership.DefaultOptions().Lease
+		tc.eventually(lease+800*time.Millisecond+groupOptions().PromotionDelay, "a new primary", tc.instances["a"].writable)
+		tc.requireValidPromotions()
+	})
+}
