Rows state when a lease expires; requests are woken by registrations

Hypothesis: if the row says when the lease ends, the wait follows the last renewal and not the last reading.

Change: a lease counts from the sending of its renewal and its end stands in the row. A renewal that takes effect late could then replace a later row by an earlier end, so each renewal is conditional on the version of the own row. A lost response costs one conflict, which shows the row, and the renewal counts without being sent again.

Found by TestStartWhileTheStoreIsSilent, which failed on the way (1.59 s of 1.2): a request that waits for a primary was not woken when the databases' registrations arrived, and was refused at half of its objective. Mended, with TestRequestsAtTheStartWaitNoLongerThanForRegistrations (440 ms before, 300 allowed).

--- a/internal/coordination/leadership/era.go
+++ b/internal/coordination/leadership/era.go
@@ -57,7 +57,7 @@
 	m.era = era{number: number, seenAt: now, carried: valid, settled: valid}
 	m.lease.beginEra(now)
 	m.members.beginEra()
-	m.generation, m.ready, m.joined = 0, false, 0
+	m.generation, m.rowVersion, m.ready, m.joined = 0, 0, false, 0
 	m.duty.held = false
 	m.confirmations = confirmations{nonce: m.confirmations.nonce}
 	for _, g := range m.groups {
--- a/internal/coordination/leadership/heartbeat.go
+++ b/internal/coordination/leadership/heartbeat.go
@@ -82,31 +82,35 @@
 		m.Log.Error().Err(err).Msg("failed to encode the instance's row")
 		return false
 	}
-	era, conditions := m.primariesCondition()
+	era, conditions := m.renewalConditions()
 	conditions = append(conditions, m.WatchedRows()...)
-	err = m.renew(ctx, value, next.Lease, era, conditions)
+	err = m.renew(ctx, value, next, era, conditions)
 	var conflict *rowstore.ConflictError
 	if errors.As(err, &conflict) {
 		m.refreshOutdated(ctx, conflict, conditions)
-		era, conditions = m.primariesCondition()
-		err = m.renew(ctx, value, next.Lease, era, conditions)
+		era, conditions = m.renewalConditions()
+		err = m.renew(ctx, value, next, era, conditions)
 	}
 	m.recordRenewal(err)
 	return err == nil
 }
 
-// primariesCondition returns the condition that no primary has changed since
-// the last change that this instance has seen, and the era of its version.
-func (m *Manager) primariesCondition() (era uint64, conditions []rowstore.Condition) {
+// renewalConditions returns the conditions that no primary has changed since the last
+// change that this instance has seen, and that its row is the one that it wrote last.
+// era is that of the versions.
+func (m *Manager) renewalConditions() (era uint64, conditions []rowstore.Condition) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.era.number, []rowstore.Condition{{Table: TableGenerations, Key: rowPrimaries, Version: m.generation}}
+	return m.era.number, []rowstore.Condition{
+		{Table: TableGenerations, Key: rowPrimaries, Version: m.generation},
+		{Table: TableInstances, Key: string(m.Self), Version: m.rowVersion},
+	}
 }
 
 // renew writes this instance's row if the conditions hold, which renews the
-// lease for the given length. The first renewal after an era that began while the
+// lease as the row says. The first renewal after an era that began while the
 // lease was valid states that the records of the era are known.
-func (m *Manager) renew(ctx context.Context, value []byte, length time.Duration, number uint64, conditions []rowstore.Condition) error {
+func (m *Manager) renew(ctx context.Context, value []byte, row heartbeat, number uint64, conditions []rowstore.Condition) error {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	transaction := rowstore.Transaction{
@@ -129,7 +133,8 @@
 	}
 	m.observeStore(sent, received, commit.Now)
 	m.era.stated = m.era.carried
-	m.lease.recordRenewal(commit.Version, commit.Now, length)
+	m.rowVersion = commit.Version
+	m.lease.recordRenewal(commit.Version, row.leaseStart(commit.Now), row.Lease)
 	if m.joined == 0 {
 		m.joined = int64(commit.Now)
 	}
@@ -179,12 +184,39 @@
 		case conflict.Holds(condition):
 		case condition.Table == TableGenerations:
 			m.readPrimaries(ctx)
+		case condition.Table == TableInstances:
+			m.applyOwnRow(conflict, condition)
 		default:
 			m.OnWatchedRowChange()
 		}
 	}
 }
 
+// applyOwnRow takes over the version of this instance's row from a conflict. It differs
+// from the expected one if the response to a renewal was lost, or if the row is that of
+// an earlier run. A renewal whose response was lost counts all the same.
+func (m *Manager) applyOwnRow(conflict *rowstore.ConflictError, condition rowstore.Condition) {
+	row, found := conflict.Row(condition)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if conflict.Era != m.era.number {
+		return
+	}
+	m.rowVersion = row.Version
+	var written heartbeat
+	if !found {
+		return
+	}
+	if err := decode(row.Key, row.Value, &written); err != nil {
+		m.Log.Warn().Err(err).Msg("cannot decode the own row, it is written again")
+		return
+	}
+	if written.Run == m.Config.Run && written.Era == m.era.number && !written.Waiting && written.Until != 0 {
+		m.lease.recordRenewal(row.Version, written.leaseStart(time.Duration(written.Until)), written.Lease)
+		m.broadcast()
+	}
+}
+
 func (m *Manager) readPrimaries(ctx context.Context) {
 	requestedAt := m.Clock.Now()
 	snapshot, err := m.Store.List(ctx, TablePrimaries)
@@ -203,8 +235,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.heartbeats++
+	length := m.nextLease()
 	return heartbeat{
-		Demand: demand, Run: m.Config.Run, Era: m.era.number, Address: m.Address, DataCentre: m.DataCentre, Lease: m.nextLease(), Joined: m.joined, Count: m.heartbeats,
+		Until:  int64(m.lease.nextExpiry(m.Clock.Now(), length)),
+		Demand: demand, Run: m.Config.Run, Era: m.era.number, Address: m.Address, DataCentre: m.DataCentre, Lease: length, Joined: m.joined, Count: m.heartbeats,
 		Acknowledged: m.acknowledgedGroups(), Suspected: m.suspectedGroups(),
 	}
 }
@@ -276,6 +310,7 @@
 	}
 	m.observeStore(sent, received, snapshot.Now)
 	unreadable := m.members.update(snapshot)
+	m.rowVersion = max(m.rowVersion, m.members.byName[m.Self].version)
 	m.membersSettled = m.membersSettled || m.joined != 0 && snapshot.Now-time.Duration(m.joined) >= membersSettledAfter/2
 	var abandoned []rowstore.Transaction
 	for name, entry := range m.members.byName {
--- a/internal/coordination/leadership/lease.go
+++ b/internal/coordination/leadership/lease.go
@@ -28,14 +28,25 @@
 	maxLength      time.Duration
 }
 
-// recordRenewal records that the instance's row was written at the given version.
-// The store allows that only if all earlier changes of primaries have been seen.
+// recordRenewal records that the instance's row was written at the given version,
+// with a lease that counts from storeNow. The store allows that only if all earlier
+// changes of primaries have been seen.
 func (l *lease) recordRenewal(version uint64, storeNow, length time.Duration) {
 	l.length = max(l.length, length)
 	l.seenVersion = max(l.seenVersion, version)
 	l.renewedAt, l.acquired = max(l.renewedAt, storeNow), true
 }
 
+// nextExpiry returns when a lease of the given length that is requested now expires, on
+// the store's clock. It returns 0 if that clock is not known.
+func (l *lease) nextExpiry(now state.Instant, length time.Duration) time.Duration {
+	reached := l.clock.lowerBound(now)
+	if reached <= 0 {
+		return 0
+	}
+	return reached + length
+}
+
 func (l *lease) valid(now state.Instant) bool {
 	return l.remaining(now) > 0 || l.confirmed(now) || now < l.carriedUntil
 }
--- a/internal/coordination/leadership/manager.go
+++ b/internal/coordination/leadership/manager.go
@@ -101,7 +101,9 @@
 	era era
 	// generation is the version of the newest change of a primary received from
 	// the store; all earlier changes have been seen too.
-	generation    uint64
+	generation uint64
+	// rowVersion is the version of this instance's row as it wrote or read it last.
+	rowVersion    uint64
 	confirmations confirmations
 	duty          duty
 	heartbeats    uint64
@@ -172,14 +174,22 @@
 	return fmt.Sprintf("primary of group %s: %s for %s", e.Group, e.Reason, e.Age.Round(time.Millisecond))
 }
 
-// Changed returns a channel that is closed at the next change of a record or of
-// the lease, after which Acquire may return a different result.
+// Changed returns a channel that is closed at the next change of a record, of the
+// lease or of the registrations, after which Acquire may return a different result.
 func (m *Manager) Changed() <-chan struct{} {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.changed
 }
 
+// RegistrationsChanged wakes those who wait on Changed: the primary of a group that was
+// never changed follows from the registrations.
+func (m *Manager) RegistrationsChanged() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.broadcast()
+}
+
 // Acquire grants the use of a group's primary. Its error is always an
 // *UnavailableError.
 func (m *Manager) Acquire(id state.GroupID) (*Grant, error) {
--- a/internal/coordination/leadership/members.go
+++ b/internal/coordination/leadership/members.go
@@ -234,6 +234,9 @@
 		renewed := announced.commit.Now
 		if entry.version < announced.commit.Version {
 			renewed = min(renewed, entry.seenAt)
+			if entry.heartbeat.Era == announced.commit.Era {
+				renewed = entry.heartbeat.leaseStart(renewed)
+			}
 		}
 		earliest = min(earliest, renewed)
 		lease := max(options.Lease, entry.heartbeat.Lease)
--- a/internal/coordination/leadership/record.go
+++ b/internal/coordination/leadership/record.go
@@ -67,6 +67,11 @@
 	// confirmations from others. It never decreases during a run, so that the
 	// lease of the newest row is the last to expire. 0 means Options.Lease.
 	Lease time.Duration `msgpack:"lease"`
+	// Until is when this lease expires, on the store's clock, in nanoseconds; 0 if
+	// the instance did not know that clock. The row is written on the condition of
+	// its own version, so that a renewal that takes effect late does not replace a
+	// later one.
+	Until int64 `msgpack:"until"`
 	// Joined is when the run first wrote its row, on the store's clock, in
 	// nanoseconds; 0 in its first row.
 	Joined int64 `msgpack:"joined"`
@@ -91,6 +96,15 @@
 	AfterRestore bool `msgpack:"after_restore"`
 }
 
+// leaseStart returns the time from which the row's lease counts, on the store's clock.
+// written is when the row was written at the latest.
+func (h heartbeat) leaseStart(written time.Duration) time.Duration {
+	if h.Until == 0 {
+		return written
+	}
+	return min(written, time.Duration(h.Until)-h.Lease)
+}
+
 // eraRecord is the row in TableEras.
 type eraRecord struct {
 	Era uint64 `msgpack:"era"`
--- a/internal/coordination/leadership/transact_test.go
+++ b/internal/coordination/leadership/transact_test.go
@@ -123,3 +123,46 @@
 	require.NoError(t, decode("g", store.rows["g"].Value, &stored))
 	require.Equal(t, newer, stored)
 }
+
+// The response to a renewal is lost. The next one finds the row, so that the lease
+// counts, and a copy of the first that takes effect late is refused.
+func TestRenewalWhoseResponseIsLostCounts(t *testing.T) {
+	clock := &manualClock{now: state.Instant(time.Minute)}
+	store := &lossyStore{clock: clock, version: 10, lose: 1, rows: map[string]rowstore.Row{"config": {Table: "op", Key: "config", Version: 5}}}
+	m, _ := newTestManager(clock, &fakeStore{clock: clock})
+	m.Store = store
+	m.observeStore(clock.now, clock.now, time.Duration(clock.now))
+	require.False(t, m.sendHeartbeat(t.Context()))
+	require.False(t, m.lease.valid(clock.now))
+	first := store.rows["a"]
+
+	clock.now = clock.now.Add(time.Second)
+	_, conditions := m.renewalConditions()
+	conflict := &rowstore.ConflictError{Rows: []rowstore.Row{first}}
+	m.refreshOutdated(t.Context(), conflict, conditions[1:])
+	require.True(t, m.lease.valid(clock.now), "the renewal counts although its response was lost")
+	require.False(t, m.lease.valid(clock.now.Add(m.Options.Lease-time.Second)), "from when it was sent")
+
+	require.True(t, m.sendHeartbeat(t.Context()))
+	_, err := store.Transact(t.Context(), rowstore.Transaction{
+		Conditions: []rowstore.Condition{{Table: TableInstances, Key: "a", Version: 0}}, Puts: []rowstore.Row{first},
+	})
+	require.ErrorIs(t, err, rowstore.ErrConflict)
+}
+
+// A row states when its lease expires, so that a promoter waits no longer although it
+// has read the row late.
+func TestPromoterWaitsForTheLeaseThatTheRowStates(t *testing.T) {
+	row := heartbeat{Lease: 4 * time.Second, Until: int64(14 * time.Second)}
+	m := newMembers()
+	m.byName["b"] = member{heartbeat: row, version: 5, seenAt: 13 * time.Second}
+	announced := announcement{group: "g", epoch: 1, commit: rowstore.Commit{Version: 9, Now: 13500 * time.Millisecond}}
+	leasedAt := func(now time.Duration) []state.InstanceID {
+		return m.pending("a", announced, DefaultOptions(), now).leased
+	}
+	require.NotEmpty(t, leasedAt(14*time.Second+leaseMargin))
+	require.Empty(t, leasedAt(14*time.Second+leaseMargin+1))
+
+	announced.commit.Era = 1
+	require.NotEmpty(t, leasedAt(17*time.Second), "the clock of an earlier era says nothing")
+}
--- a/internal/coordination/rowstore/rowstore.go
+++ b/internal/coordination/rowstore/rowstore.go
@@ -66,12 +66,18 @@
 
 // Holds reports whether a condition of the transaction held.
 func (e *ConflictError) Holds(condition Condition) bool {
+	row, _ := e.Row(condition)
+	return row.Version == condition.Version
+}
+
+// Row returns the present row of a condition; its version is 0 if it does not exist.
+func (e *ConflictError) Row(condition Condition) (row Row, found bool) {
 	for _, row := range e.Rows {
 		if row.Table == condition.Table && row.Key == condition.Key {
-			return row.Version == condition.Version
+			return row, true
 		}
 	}
-	return condition.Version == 0
+	return Row{}, false
 }
 
 // Condition holds if the row has the given version. Version 0 means that the
--- a/internal/entry/followers.go
+++ b/internal/entry/followers.go
@@ -29,7 +29,11 @@
 	return &followers{
 		configuration: follower(rowstore.FollowerConfig{Table: platform.ConfigurationTable, Wait: rowstore.LongWait, EraSpread: rowstore.EraSpread, Apply: dir.ApplyConfiguration}),
 		servers: follower(rowstore.FollowerConfig{
-			Table: platform.ServersTable, Wait: rowstore.ShortWait, WaitAfterOutage: rowstore.OutageWait, MinInterval: rowstore.BatchInterval, EraSpread: rowstore.EraSpread, Apply: dir.ApplyServers,
+			Table: platform.ServersTable, Wait: rowstore.ShortWait, WaitAfterOutage: rowstore.OutageWait, MinInterval: rowstore.BatchInterval, EraSpread: rowstore.EraSpread,
+			Apply: func(update rowstore.Update) {
+				dir.ApplyServers(update)
+				leaders.RegistrationsChanged()
+			},
 		}),
 		primaries: follower(rowstore.FollowerConfig{Table: leadership.TablePrimaries, Wait: rowstore.LongWait, Apply: leaders.Apply}),
 	}
--- a/test/council/cluster_test.go
+++ b/test/council/cluster_test.go
@@ -351,7 +351,10 @@
 		return follower
 	}
 	i.configuration = follow(rowstore.FollowerConfig{Table: tableRoutes, Wait: rowstore.LongWait, EraSpread: rowstore.EraSpread, Apply: i.directory.ApplyConfiguration})
-	follow(rowstore.FollowerConfig{Table: tableServers, Wait: rowstore.ShortWait, WaitAfterOutage: rowstore.OutageWait, MinInterval: rowstore.BatchInterval, EraSpread: rowstore.EraSpread, Apply: i.directory.ApplyServers})
+	follow(rowstore.FollowerConfig{Table: tableServers, Wait: rowstore.ShortWait, WaitAfterOutage: rowstore.OutageWait, MinInterval: rowstore.BatchInterval, EraSpread: rowstore.EraSpread, Apply: func(update rowstore.Update) {
+		i.directory.ApplyServers(update)
+		i.leadership.RegistrationsChanged()
+	}})
 	follow(rowstore.FollowerConfig{Table: leadership.TablePrimaries, Wait: rowstore.LongWait, Apply: i.leadership.Apply})
 	go i.leadership.Run(ctx)
 	go i.pools.Run(ctx)
--- a/test/council/failover_test.go
+++ b/test/council/failover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"slices"
 	"testing"
 	"time"
@@ -470,3 +471,27 @@
 		tc.requireValidPromotions()
 	})
 }
+
+// An instance starts and gets its lease before the databases are registered. Requests
+// that wait for a primary go on as soon as they are.
+func TestRequestsAtTheStartWaitNoLongerThanForRegistrations(t *testing.T) {
+	run(t, fourInstances, func(tc *testCluster) {
+		time.Sleep(5 * time.Second)
+		tc.instances["a"].kill()
+		rows := make(map[string][]byte)
+		for n := 1; n <= tc.options.Databases; n++ {
+			server := tc.group.Database(n).Server()
+			value, err := json.Marshal(server)
+			require.NoError(t, err)
+			rows[string(server.ID)] = value
+			tc.store.Delete(tableServers, string(server.ID))
+		}
+		tc.start("a")
+		time.AfterFunc(200*time.Millisecond, func() {
+			for id, value := range rows {
+				tc.store.Put(tableServers, id, value)
+			}
+		})
+		tc.eventually(300*time.Millisecond, "the first write", tc.instances["a"].writable)
+	})
+}
