A promoter stops when its announcement is replaced; uncertain changes stay so

Trace: one instance that waited promoted a database to confirm it, another replaced its announcement meanwhile, so that the promotion went out all the same and was not published; the store lost both, and whoever resumed the change took a database of an older term, which still led by itself, for the result of an earlier attempt.

Change: a promoter asks for no promotion once a later announcement is known (this can happen without an era, too); an announcement of the present era is not replaced by one that waits; a change that may hide a forgotten promotion says so in its record, and is carried on by promoting the database that leads once more.

The harness started an instance twice in this run, so that two runs of one name wrote one row in turns; a start now ends the earlier run, as the platform does.

--- a/internal/coordination/leadership/change.go
+++ b/internal/coordination/leadership/change.go
@@ -36,8 +36,7 @@
 	oldTerm state.Term
 	// era is the era of the store in which the change was announced.
 	era uint64
-	// uncertain is set if a promotion may have been forgotten, so that the database
-	// that leads is promoted once more.
+	// uncertain is that of the record.
 	uncertain bool
 }
 
@@ -146,9 +145,12 @@
 	if attempt.uncertain {
 		old = record.Primary
 	}
+	if record.Changing && record.Uncertain {
+		attempt.uncertain, attempt.old = true, ""
+	}
 	record = Record{
 		Epoch: max(record.Epoch, lowest) + 1, Changing: true, Planned: attempt.planned,
-		Primary: old, Term: record.Term, Start: record.Start, Promoter: m.runName,
+		Primary: old, Term: record.Term, Start: record.Start, Uncertain: attempt.uncertain, Promoter: m.runName,
 	}
 	attempt.epoch, attempt.oldTerm, attempt.oldTermStart = record.Epoch, record.Term, record.Start
 	attempt.lastResort = lasts > lastResortAfter
--- a/internal/coordination/leadership/confirm.go
+++ b/internal/coordination/leadership/confirm.go
@@ -36,8 +36,8 @@
 	record, version, number, lowest := g.record, g.version, m.era.number, m.era.lowest()
 	primary, known := m.primaryOf(id, g)
 	m.mu.Unlock()
-	if record.Epoch > lowest && !record.Changing {
-		return true
+	if record.Epoch > lowest {
+		return true // another instance has written it, and carries on a change
 	}
 	term, agreed := state.Term(0), record.Changing
 	if !agreed && known {
@@ -47,12 +47,13 @@
 		m.change(ctx, id, "", causeUnconfirmed)
 		m.mu.Lock()
 		defer m.mu.Unlock()
-		return !g.record.Changing && g.record.Epoch > lowest
+		return g.record.Epoch > lowest
 	}
 	if record.Epoch == 0 {
 		record.Primary, record.Term = primary, term
 	}
 	// A change that was in progress stays so, and is carried on.
+	record.Uncertain = record.Changing
 	record.Epoch, record.Promoter = max(record.Epoch, lowest)+1, m.runName
 	_, err := m.writeRecord(ctx, id, record, number, version)
 	m.Log.Info().Err(err).Str("group", string(id)).Uint64("epoch", record.Epoch).Str("primary", string(record.Primary)).
--- a/internal/coordination/leadership/promote.go
+++ b/internal/coordination/leadership/promote.go
@@ -45,6 +45,9 @@
 	if !m.dutyValid() {
 		return false, eris.New("the promotion duty has expired")
 	}
+	if !m.isCurrent(attempt) {
+		return false, eris.Wrapf(errSuperseded, "group %s, epoch %d", attempt.group, attempt.epoch)
+	}
 	sent := m.Clock.Now()
 	err := m.Promoter.Promote(ctx, attempt.group, server.ID, m.Self, attempt.token)
 	m.Log.Info().Err(err).Str("group", string(attempt.group)).Str("database", string(server.ID)).Uint64("epoch", attempt.epoch).
@@ -58,6 +61,13 @@
 	return err == nil, nil
 }
 
+// isCurrent reports whether no later announcement than the attempt's is known.
+func (m *Manager) isCurrent(attempt *changeAttempt) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.group(attempt.group).record.Epoch == attempt.epoch
+}
+
 // publish ends the change with a record of the new primary. From then on
 // instances use it.
 func (m *Manager) publish(ctx context.Context, attempt *changeAttempt, primary state.DatabaseID, status state.ServerStatus) error {
--- a/internal/coordination/leadership/record.go
+++ b/internal/coordination/leadership/record.go
@@ -46,6 +46,9 @@
 	Term state.Term `msgpack:"term"`
 	// Start is a position from which on all writes belong to Primary's term.
 	Start state.Position `msgpack:"start"`
+	// Uncertain is set in a change if an earlier promotion may have been forgotten: a
+	// database that leads may be superseded, so it is promoted once more.
+	Uncertain bool `msgpack:"uncertain"`
 	// Promoter is the run of the instance that carries out the change.
 	Promoter string `msgpack:"promoter"`
 }
--- a/internal/coordination/leadership/transact_test.go
+++ b/internal/coordination/leadership/transact_test.go
@@ -166,3 +166,42 @@
 	announced.commit.Era = 1
 	require.NotEmpty(t, leasedAt(17*time.Second), "the clock of an earlier era says nothing")
 }
+
+// countingPromoter counts the promotions that it is asked for.
+type countingPromoter struct{ calls int }
+
+func (p *countingPromoter) Promote(context.Context, state.GroupID, state.DatabaseID, state.InstanceID, uint64) error {
+	p.calls++
+	return nil
+}
+
+// Another instance announces a change of the group while a promoter has not promoted
+// yet. Two promotions would go out.
+func TestPromoterStopsWhenItsAnnouncementIsReplaced(t *testing.T) {
+	clock := &manualClock{now: state.Instant(time.Minute)}
+	m, _ := newTestManager(clock, &fakeStore{clock: clock})
+	promoter := &countingPromoter{}
+	m.Promoter = promoter
+	m.observeStore(clock.now, clock.now, time.Duration(clock.now))
+	m.duty.held, m.duty.record.FreeAt = true, int64(clock.now)+int64(time.Minute)
+	m.applyRecord("g", Record{Epoch: 2, Changing: true, Primary: "d1", Promoter: "b#1"}, 12, clock.now)
+	_, err := m.requestPromotion(t.Context(), &changeAttempt{group: "g", epoch: 1}, state.Server{})
+	require.ErrorIs(t, err, errSuperseded)
+	require.Zero(t, promoter.calls)
+}
+
+// A change that was announced because a promotion may have been forgotten is taken
+// over. A database that leads may be superseded, whoever carries the change on. Found by
+// TestRandomFaultsAndRestorationsBreakNoPromise, seed 7029.
+func TestUncertainChangeStaysSoWhenItIsTakenOver(t *testing.T) {
+	clock := &manualClock{now: state.Instant(time.Minute)}
+	store := &lossyStore{clock: clock, version: 20, rows: map[string]rowstore.Row{"g": {Table: TablePrimaries, Key: "g", Version: 12}}}
+	m, _ := newTestManager(clock, &fakeStore{clock: clock})
+	m.Store = store
+	m.applyRecord("g", Record{Epoch: 2, Changing: true, Uncertain: true, Primary: "d1", Promoter: "b#1"}, 12, clock.now)
+	attempt := &changeAttempt{group: "g", old: "d1"}
+	require.NoError(t, m.announceChange(t.Context(), attempt, causeTakeOver))
+	require.True(t, attempt.uncertain)
+	require.True(t, m.group("g").record.Uncertain)
+	require.Empty(t, attempt.old, "the old primary may be the one to confirm")
+}
--- a/test/council/cluster_test.go
+++ b/test/council/cluster_test.go
@@ -301,8 +301,13 @@
 	}()
 }
 
-// start starts or restarts an instance.
+// start starts or restarts an instance. Its earlier run ends, if it is still running.
 func (tc *testCluster) start(name string) {
+	tc.mu.Lock()
+	if earlier := tc.instances[name]; earlier != nil {
+		earlier.kill()
+	}
+	tc.mu.Unlock()
 	ctx, cancel := context.WithCancel(tc.ctx)
 	clock := virtualClock{tc.started}
 	log := tc.log.With().Str("instance", name).Logger()
