--- a/test/council/cluster_test.go
+++ b/test/council/cluster_test.go
@@ -373,6 +373,13 @@
 	return i.directory.WatchedRows()
 }
 
+// newestRun returns the newest run of an instance, which another goroutine may replace.
+func (tc *testCluster) newestRun(name string) *instance {
+	tc.mu.Lock()
+	defer tc.mu.Unlock()
+	return tc.instances[name]
+}
+
 // kill stops an instance at once, without a graceful stop.
 func (i *instance) kill() { i.cancel() }
 
@@ -442,7 +449,7 @@
 // keepWriting writes through an instance every 100 ms until ctx ends.
 func (tc *testCluster) keepWriting(ctx context.Context, name string) {
 	for ctx.Err() == nil {
-		tc.instances[name].writable()
+		tc.newestRun(name).writable()
 		time.Sleep(100 * time.Millisecond)
 	}
 }
--- a/test/council/era_test.go
+++ b/test/council/era_test.go
@@ -32,7 +32,7 @@
 				tc.restore(from)
 				if restarted {
 					for _, name := range fourInstances {
-						tc.instances[name].kill()
+						tc.newestRun(name).kill()
 						tc.start(name)
 					}
 				}
@@ -74,7 +74,7 @@
 		for _, name := range fourInstances {
 			go func() {
 				for ctx.Err() == nil {
-					if !tc.instances[name].writable() {
+					if !tc.newestRun(name).writable() {
 						refused.Add(1)
 					}
 					time.Sleep(20 * time.Millisecond)
@@ -110,7 +110,7 @@
 		tc.partition(between([]string{first}, everyone))
 		tc.eventually(10*time.Second, "a second primary", tc.instances["a"].writable)
 		for _, name := range fourInstances {
-			tc.instances[name].kill()
+			tc.newestRun(name).kill()
 		}
 		tc.restore(from)
 		second := string(tc.group.Leader().ID)
@@ -175,7 +175,7 @@
 			}
 			if random.IntN(3) == 0 {
 				for _, name := range fourInstances {
-					tc.instances[name].kill()
+					tc.newestRun(name).kill()
 				}
 				time.AfterFunc(time.Duration(100+random.IntN(2000))*time.Millisecond, func() {
 					for _, name := range fourInstances {
@@ -239,7 +239,7 @@
 		tc.partition(between([]string{"d", old}, append([]string{"a", "b", "c", "store"}, replicas...)))
 		tc.eventually(9*time.Second, "a second primary", tc.instances["a"].writable)
 		for _, name := range []string{"a", "b", "c"} {
-			tc.instances[name].kill()
+			tc.newestRun(name).kill()
 		}
 		tc.restore(from)
 		for _, name := range []string{"a", "b", "c"} {
@@ -323,7 +323,7 @@
 		tc.partition(between([]string{"a"}, others))
 		change("b")
 		for _, name := range []string{"b", "c"} {
-			tc.instances[name].kill()
+			tc.newestRun(name).kill()
 		}
 		tc.restore(from)
 		for _, name := range []string{"b", "c"} {
--- a/test/council/property_test.go
+++ b/test/council/property_test.go
@@ -84,7 +84,7 @@
 		require.Empty(tc.t, h.Check(tc.group, maxStaleness))
 		tc.requireValidPromotions()
 		for _, name := range fourInstances {
-			require.True(tc.t, tc.instances[name].writable(), "%s serves after the faults", name)
+			require.True(tc.t, tc.newestRun(name).writable(), "%s serves after the faults", name)
 		}
 	})
 }
@@ -187,7 +187,7 @@
 		database.Crash(random.IntN(2) == 0)
 		time.AfterFunc(time.Duration(2+random.IntN(6))*time.Second, database.Restart)
 	case 1:
-		tc.instances[name].kill()
+		tc.newestRun(name).kill()
 		time.AfterFunc(time.Duration(500+random.IntN(5000))*time.Millisecond, func() { tc.start(name) })
 	case 2:
 		tc.partition(between([]string{name}, []string{"store"}))
