One decoder and one loss of a primary in the tests of the test cluster

The tests of registrations move to test/council, whose decoder they had written again (the layers keep them from importing the stand-in where they were). Two tests of a primary lost with an instance share its description.

--- a/internal/coordination/leadership/doc.go
+++ b/internal/coordination/leadership/doc.go
@@ -11,7 +11,7 @@
 // reachability between instances and databases.
 //
 // A few instances, the watchers, probe each group's primary and vote on its
-// replacement. They are chosen from the instances' rows by a rule that all share.
+// replacement. All instances compute them from the same rows.
 // The leases keep a change safe whoever starts it.
 //
 // Only one instance at a time makes promotions: the holder of the promotion
--- a/test/council/failover_test.go
+++ b/test/council/failover_test.go
@@ -54,16 +54,22 @@
 	})
 }
 
+// losePrimaryWith stops an instance and the primary's machine at once, while clients
+// write through the other instances.
+func (tc *testCluster) losePrimaryWith(name string) {
+	tc.newestRun(name).kill()
+	tc.group.Database(1).Crash(true)
+	for _, other := range without(fourInstances, []string{name}) {
+		go tc.keepWriting(tc.ctx, other)
+	}
+}
+
 // A primary and an instance are lost together. The instance can't acknowledge the
 // change, so the change waits for the end of its lease and no longer.
 func TestPrimaryLostTogetherWithAnInstance(t *testing.T) {
 	run(t, fourInstances, func(tc *testCluster) {
 		time.Sleep(25 * time.Second)
-		tc.instances["d"].kill()
-		tc.group.Database(1).Crash(true)
-		for _, name := range []string{"a", "b", "c"} {
-			go tc.instances[name].writable()
-		}
+		tc.losePrimaryWith("d")
 		gap := tc.eventually(10*time.Second, "a new primary", func() bool { return tc.instances["a"].writable() })
 		tc.t.Logf("gap %s", gap)
 		tc.requireValidPromotions()
@@ -461,11 +467,7 @@
 func TestChangeEndsWithTheLeaseOfALostInstance(t *testing.T) {
 	run(t, fourInstances, func(tc *testCluster) {
 		time.Sleep(25 * time.Second)
-		tc.instances["d"].kill()
-		tc.group.Database(1).Crash(true)
-		for _, name := range []string{"a", "b", "c"} {
-			go tc.keepWriting(tc.ctx, name)
-		}
+		tc.losePrimaryWith("d")
 		lease := leadership.DefaultOptions().Lease
 		tc.eventually(lease+800*time.Millisecond+groupOptions().PromotionDelay, "a new primary", tc.instances["a"].writable)
 		tc.requireValidPromotions()
--- a/internal/coordination/directory/directory_test.go
+++ b/test/council/registrations_test.go
@@ -1,4 +1,4 @@
-package directory
+package council
 
 import (
 	"encoding/json"
@@ -8,37 +8,31 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/directory"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/rowstore"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 )
 
+// listedAgainAfter is longer than a registration of a removed database that is read from
+// a copy stays unused.
+const listedAgainAfter = 6 * time.Second
+
+// manualClock is a clock whose time the test sets.
 type manualClock struct{ now state.Instant }
 
 func (c *manualClock) Now() state.Instant { return c.now }
 
-type jsonDecoder struct{}
-
-func (jsonDecoder) ParseConfiguration(value []byte) (*state.RoutingTable, error) {
-	var table state.RoutingTable
-	return &table, json.Unmarshal(value, &table)
-}
-
-func (jsonDecoder) ParseServer(_ string, value []byte) (state.Server, error) {
-	var server state.Server
-	return server, json.Unmarshal(value, &server)
-}
-
 // testDirectory is a directory whose updates the test makes.
 type testDirectory struct {
-	*Directory
+	*directory.Directory
 	t     *testing.T
 	clock *manualClock
 }
 
 func newTestDirectory(t *testing.T) testDirectory {
 	clock := &manualClock{now: state.Instant(time.Minute)}
-	key := rowstore.Row{Table: "op", Key: "config"}
-	return testDirectory{New(jsonDecoder{}, key, clock, zerolog.Nop(), nil), t, clock}
+	key := rowstore.Row{Table: tableRoutes, Key: "config"}
+	return testDirectory{directory.New(jsonDecoder{}, key, clock, zerolog.Nop(), nil), t, clock}
 }
 
 func row(t *testing.T, id string, born int64, leaving bool) rowstore.Row {
@@ -57,7 +51,7 @@
 	d.ApplyServers(rowstore.Update{Snapshot: rowstore.Snapshot{Rows: rows}})
 }
 
-func (d testDirectory) entry(id string) (Entry, bool) {
+func (d testDirectory) entry(id string) (directory.Entry, bool) {
 	return d.Server("g", state.DatabaseID(id))
 }
 
@@ -88,7 +82,7 @@
 	require.False(t, known, "the registration of a database that is gone is not used")
 
 	d.watch(rowstore.Row{Key: "d2", Removed: true})
-	d.clock.now = d.clock.now.Add(unconfirmedTime + time.Second)
+	d.clock.now = d.clock.now.Add(listedAgainAfter)
 	d.watch()
 	_, known = d.entry("d2")
 	require.False(t, known)
@@ -101,7 +95,7 @@
 	for name, again := range map[string]func(d testDirectory){
 		"written again": func(d testDirectory) { d.watch(row(d.t, "d2", 5, false)) },
 		"still there": func(d testDirectory) {
-			d.clock.now = d.clock.now.Add(unconfirmedTime + time.Second)
+			d.clock.now = d.clock.now.Add(listedAgainAfter)
 			d.watch()
 		},
 	} {
