--- a/internal/coordination/leadership/transact_test.go
+++ b/internal/coordination/leadership/transact_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/directory"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/rowstore"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 )
@@ -205,3 +206,31 @@
 	require.True(t, m.group("g").record.Uncertain)
 	require.Empty(t, attempt.old, "the old primary may be the one to confirm")
 }
+
+// quietDirectory lists one database, which leads and follows nobody.
+type quietDirectory struct{ Directory }
+
+func (quietDirectory) Servers(state.GroupID) []directory.Entry {
+	return []directory.Entry{{Server: state.Server{Database: state.Database{ID: "d1"}, Group: "g", Role: state.RolePrimary}}}
+}
+
+// leadingDatabases replies that each database leads in term 3.
+type leadingDatabases struct{ Databases }
+
+func (leadingDatabases) Status(context.Context, state.Server) (state.ServerStatus, error) {
+	return state.ServerStatus{Role: state.RolePrimary, Term: 3}, nil
+}
+
+// A record that was confirmed in a new era must outrank whatever an instance remembers
+// of an earlier one.
+func TestConfirmedRecordGetsAnEpochOfTheEra(t *testing.T) {
+	clock := &manualClock{now: state.Instant(time.Minute)}
+	store := &lossyStore{clock: clock, version: 20, rows: map[string]rowstore.Row{}}
+	m, _ := newTestManager(clock, &fakeStore{clock: clock})
+	m.Store, m.Directory, m.Databases = store, quietDirectory{}, leadingDatabases{}
+	m.BeginEra(2)
+	require.True(t, m.confirmPrimary(t.Context(), "g"))
+	record := m.group("g").record
+	require.Equal(t, Record{Epoch: 2*eraNumbers + 1, Primary: "d1", Term: 3, Promoter: m.runName}, record)
+	require.True(t, record.newerThan(Record{Epoch: 2 * eraNumbers, Primary: "d2"}))
+}
