--- a/internal/coordination/leadership/change.go
+++ b/internal/coordination/leadership/change.go
@@ -161,13 +161,13 @@
 
 // writeRecord writes a group's row, which has the given version in the given era, and
 // applies it locally at once.
-func (m *Manager) writeRecord(ctx context.Context, id state.GroupID, record Record, number, version uint64) (rowstore.Commit, error) {
+func (m *Manager) writeRecord(ctx context.Context, id state.GroupID, record Record, eraNumber, version uint64) (rowstore.Commit, error) {
 	value, err := encode(record)
 	if err != nil {
 		return rowstore.Commit{}, err
 	}
 	commit, err := m.commitOnce(ctx, rowstore.Transaction{
-		Era:        number,
+		Era:        eraNumber,
 		Conditions: []rowstore.Condition{{Table: TablePrimaries, Key: string(id), Version: version}},
 		Puts: []rowstore.Row{
 			{Table: TablePrimaries, Key: string(id), Value: value},
@@ -179,8 +179,8 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.era.number != number {
-		return rowstore.Commit{}, eris.Wrapf(rowstore.ErrEraChanged, "record of group %s in era %d", id, number)
+	if m.era.number != eraNumber {
+		return rowstore.Commit{}, eris.Wrapf(rowstore.ErrEraChanged, "record of group %s in era %d", id, eraNumber)
 	}
 	m.applyRow(rowstore.Row{Table: TablePrimaries, Key: string(id), Value: value, Version: commit.Version}, m.Clock.Now())
 	m.broadcast()
--- a/internal/coordination/leadership/confirm.go
+++ b/internal/coordination/leadership/confirm.go
@@ -33,7 +33,7 @@
 func (m *Manager) confirmPrimary(ctx context.Context, id state.GroupID) bool {
 	m.mu.Lock()
 	g := m.group(id)
-	record, version, number, lowest := g.record, g.version, m.era.number, m.era.lowest()
+	record, version, eraNumber, lowest := g.record, g.version, m.era.number, m.era.lowest()
 	primary, known := m.primaryOf(id, g)
 	m.mu.Unlock()
 	if record.Epoch > lowest {
@@ -55,7 +55,7 @@
 	// A change that was in progress stays so, and is carried on.
 	record.Uncertain = record.Changing
 	record.Epoch, record.Promoter = max(record.Epoch, lowest)+1, m.runName
-	_, err := m.writeRecord(ctx, id, record, number, version)
+	_, err := m.writeRecord(ctx, id, record, eraNumber, version)
 	m.Log.Info().Err(err).Str("group", string(id)).Uint64("epoch", record.Epoch).Str("primary", string(record.Primary)).
 		Bool("changing", record.Changing).Msg("confirmed the record of a primary after the store was restored")
 	return err == nil
--- a/internal/coordination/leadership/duty.go
+++ b/internal/coordination/leadership/duty.go
@@ -64,13 +64,13 @@
 	return next.Token, m.writeDuty(ctx, next, snapshot.Era, row.Version)
 }
 
-func (m *Manager) writeDuty(ctx context.Context, next dutyRecord, number, version uint64) error {
+func (m *Manager) writeDuty(ctx context.Context, next dutyRecord, eraNumber, version uint64) error {
 	value, err := encode(next)
 	if err != nil {
 		return err
 	}
 	commit, err := m.commitOnce(ctx, rowstore.Transaction{
-		Era: number, Conditions: []rowstore.Condition{{Table: TableDuties, Key: dutyPromotion, Version: version}},
+		Era: eraNumber, Conditions: []rowstore.Condition{{Table: TableDuties, Key: dutyPromotion, Version: version}},
 		Puts: []rowstore.Row{{Table: TableDuties, Key: dutyPromotion, Value: value}},
 	})
 	if err != nil {
@@ -78,8 +78,8 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.era.number != number {
-		return eris.Wrapf(rowstore.ErrEraChanged, "promotion duty of era %d", number)
+	if m.era.number != eraNumber {
+		return eris.Wrapf(rowstore.ErrEraChanged, "promotion duty of era %d", eraNumber)
 	}
 	m.duty.held, m.duty.record, m.duty.version = true, next, commit.Version
 	return nil
@@ -108,7 +108,7 @@
 	m.mu.Lock()
 	m.duty.users--
 	release := m.duty.users == 0 && m.duty.held && !m.duty.uncertain
-	record, version, number := m.duty.record, m.duty.version, m.era.number
+	record, version, eraNumber := m.duty.record, m.duty.version, m.era.number
 	storeNow, _ := m.lease.clock.upperBound(m.Clock.Now())
 	if m.duty.users == 0 {
 		m.duty.uncertain = false
@@ -118,7 +118,7 @@
 		return
 	}
 	record.FreeAt = int64(storeNow + m.Options.DutyReleaseDelay)
-	if err := m.writeDuty(ctx, record, number, version); err != nil {
+	if err := m.writeDuty(ctx, record, eraNumber, version); err != nil {
 		m.Log.Warn().Err(err).Msg("failed to release the promotion duty, it expires on its own")
 	}
 	m.mu.Lock()
--- a/internal/coordination/leadership/heartbeat.go
+++ b/internal/coordination/leadership/heartbeat.go
@@ -28,14 +28,19 @@
 func (m *Manager) Leave(ctx context.Context) {
 	m.mu.Lock()
 	m.lease.acquired, m.lease.carriedUntil = false, 0
-	number := m.era.number
+	eraNumber := m.era.number
 	m.mu.Unlock()
-	_, err := m.Store.Transact(ctx, rowstore.Transaction{Era: number, Deletes: []rowstore.Row{{Table: TableInstances, Key: string(m.Self)}}})
+	_, err := m.Store.Transact(ctx, rowstore.Transaction{Era: eraNumber, Deletes: []rowstore.Row{m.ownRow(nil)}})
 	if err != nil {
 		m.Log.Warn().Err(err).Msg("failed to remove the instance's row, it expires on its own")
 	}
 }
 
+// ownRow returns this instance's row with the given value.
+func (m *Manager) ownRow(value []byte) rowstore.Row {
+	return rowstore.Row{Table: TableInstances, Key: string(m.Self), Value: value}
+}
+
 // liveWithin returns the longest time since its last heartbeat for which an
 // instance counts as live. The caller must hold m.mu.
 func (m *Manager) liveWithin() time.Duration {
@@ -110,11 +115,11 @@
 // renew writes this instance's row if the conditions hold, which renews the
 // lease as the row says. The first renewal after an era that began while the
 // lease was valid states that the records of the era are known.
-func (m *Manager) renew(ctx context.Context, value []byte, row heartbeat, number uint64, conditions []rowstore.Condition) error {
+func (m *Manager) renew(ctx context.Context, value []byte, row heartbeat, eraNumber uint64, conditions []rowstore.Condition) error {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	transaction := rowstore.Transaction{
-		Era: number, Conditions: conditions, Puts: []rowstore.Row{{Table: TableInstances, Key: string(m.Self), Value: value}},
+		Era: eraNumber, Conditions: conditions, Puts: []rowstore.Row{m.ownRow(value)},
 	}
 	if err := m.addEraStatement(&transaction); err != nil {
 		return err
@@ -128,8 +133,8 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.era.number != number {
-		return eris.Wrapf(rowstore.ErrEraChanged, "renewal in era %d", number)
+	if m.era.number != eraNumber {
+		return eris.Wrapf(rowstore.ErrEraChanged, "renewal in era %d", eraNumber)
 	}
 	m.observeStore(sent, received, commit.Now)
 	m.era.stated = m.era.carried
--- a/internal/coordination/leadership/members.go
+++ b/internal/coordination/leadership/members.go
@@ -24,8 +24,8 @@
 	now time.Duration
 	// remembered are the instances of earlier eras that have no row in this one.
 	remembered map[state.InstanceID]bool
-	// restarted is set until the first read in an era.
-	restarted bool
+	// outdated is set from the beginning of an era to the first read in it.
+	outdated bool
 	// rankings caches ranking until the next update.
 	rankings map[state.GroupID]ranking
 }
@@ -42,7 +42,7 @@
 	for name := range m.byName {
 		m.remembered[name] = true
 	}
-	m.restarted = true
+	m.outdated = true
 }
 
 // afterRestore reports whether an instance wrote its row before the given era, as far
@@ -80,7 +80,7 @@
 	for _, row := range snapshot.Rows {
 		name := state.InstanceID(row.Key)
 		delete(m.remembered, name)
-		if old, known := m.byName[name]; known && old.version == row.Version && !m.restarted {
+		if old, known := m.byName[name]; known && old.version == row.Version && !m.outdated {
 			next[name] = old
 			continue
 		}
@@ -90,8 +90,8 @@
 		}
 		next[name] = entry
 	}
-	if m.restarted {
-		m.now, m.restarted = 0, false
+	if m.outdated {
+		m.now, m.outdated = 0, false
 	}
 	m.byName, m.now = next, max(m.now, snapshot.Now)
 	clear(m.rankings)
--- a/internal/coordination/rowstore/follower.go
+++ b/internal/coordination/rowstore/follower.go
@@ -147,10 +147,7 @@
 	if f.Receiving() {
 		return
 	}
-	select {
-	case f.refresh <- struct{}{}:
-	default:
-	}
+	f.requestRefresh()
 }
 
 // BeginEra makes Run list the table again, since a watch cannot continue from an
@@ -161,6 +158,11 @@
 		return
 	}
 	f.eraBegan.Store(int64(f.Clock.Now()))
+	f.requestRefresh()
+}
+
+// requestRefresh makes Run cancel the call under way and begin another.
+func (f *Follower) requestRefresh() {
 	select {
 	case f.refresh <- struct{}{}:
 	default:
