--- a/internal/coordination/freshness/exchange_test.go
+++ b/internal/coordination/freshness/exchange_test.go
@@ -137,3 +137,25 @@
 	require.Nil(t, from.Receive([]byte{0x80}))
 	require.Nil(t, from.Receive([]byte("no message")))
 }
+
+// An observation reaches the neighbours without a request, so that they know it when a
+// read needs it.
+func TestObservationIsSharedWithTheNeighbours(t *testing.T) {
+	truth := time.Hour
+	observer, neighbour, _ := exchangeBetween(steadyClock(&truth), steadyClock(&truth))
+	observer.Observe("g", state.Instant(truth), state.Position{Term: 1, Offset: 7})
+	_, known := neighbour.MinPosition("g", state.Instant(truth-time.Second))
+	require.True(t, known)
+}
+
+// The store was restored, and only one of two instances has seen it. The store's clock
+// may have been set, so their times are not comparable.
+func TestPositionsOfAnotherEraAreIgnored(t *testing.T) {
+	truth := time.Hour
+	later := steadyClock(&truth)
+	later.era = 1
+	observer, neighbour, _ := exchangeBetween(later, steadyClock(&truth))
+	observer.Observe("g", state.Instant(truth), state.Position{Term: 1, Offset: 7})
+	_, known := neighbour.MinPosition("g", state.Instant(truth-time.Second))
+	require.False(t, known)
+}
