Workspaces in the configuration; connections belong to one workspace

Cause: databases are told the workspace when a connection opens, so a pooled connection must not serve another one. Pools queue requests by workspace and hand out connections of that workspace; when the share is used up, the connection idle for longest makes room. Without workspaces there is one queue and nothing changes. Not in force yet: nothing sets a request's workspace.

--- a/internal/coordination/pooling/conn.go
+++ b/internal/coordination/pooling/conn.go
@@ -40,10 +40,11 @@
 
 // Dialer opens connections.
 type Dialer interface {
-	Dial(ctx context.Context, server state.Server) (ServerConn, error)
+	// Dial opens a connection that belongs to a workspace, or to none.
+	Dial(ctx context.Context, server state.Server, workspace state.WorkspaceID) (ServerConn, error)
 	// DialTunnel opens a connection through another instance. The error is
 	// state.ErrNoTunnel if no instance is known that reaches the database.
-	DialTunnel(ctx context.Context, server state.Server) (ServerConn, error)
+	DialTunnel(ctx context.Context, server state.Server, workspace state.WorkspaceID) (ServerConn, error)
 }
 
 // Values are the session values of a client or of a connection.
@@ -87,11 +88,13 @@
 // session.
 type Conn struct {
 	ServerConn
-	Server   state.Server
-	values   Values
-	prepared map[string]bool
-	lastUsed time.Time
-	acquired time.Time
+	Server state.Server
+	// Workspace is the only workspace whose statements may run on the connection.
+	Workspace state.WorkspaceID
+	values    Values
+	prepared  map[string]bool
+	lastUsed  time.Time
+	acquired  time.Time
 	// starting is set from when the connection is acquired until its first
 	// statement is sent. It is guarded by the pool's lock.
 	starting bool
@@ -100,8 +103,8 @@
 	tunnelled bool
 }
 
-func newConn(conn ServerConn, server state.Server, tunnelled bool) *Conn {
-	return &Conn{ServerConn: conn, Server: server, tunnelled: tunnelled, prepared: make(map[string]bool), lastUsed: time.Now()}
+func newConn(conn ServerConn, server state.Server, workspace state.WorkspaceID, tunnelled bool) *Conn {
+	return &Conn{ServerConn: conn, Server: server, Workspace: workspace, tunnelled: tunnelled, prepared: make(map[string]bool), lastUsed: time.Now()}
 }
 
 // ApplyValues sets the connection's session values to exactly those of a client.
--- a/internal/coordination/pooling/dial.go
+++ b/internal/coordination/pooling/dial.go
@@ -1,7 +1,6 @@
 package pooling
 
 import (
-	"container/heap"
 	"context"
 	"errors"
 	"fmt"
@@ -53,24 +52,44 @@
 // openMore starts to open connections for the waiting requests. It must be
 // called with the lock held. The pool grows in steps: after a restart of all
 // instances, one connection for each waiting request would keep the database
-// busy with opening them.
+// busy with opening them. If the share is used up, the longest idle connections of
+// other workspaces are closed.
 func (p *Pool) openMore() {
 	if time.Now().Before(p.dialAfter) {
 		return
 	}
-	limit := min(p.queue.Len(), max(1, p.open/growthDivisor), p.share-p.open)
+	limit := max(1, p.open/growthDivisor)
 	for p.opening < limit {
+		w := p.queue.first(func(_ state.WorkspaceID, of *workspaceQueue) bool { return of.unserved() })
+		if w == nil || p.open+p.opening >= p.share && !p.closeOldestIdle() {
+			return
+		}
 		p.opening++
-		go p.dial()
+		p.queue.addOpening(w.Workspace, 1)
+		go p.dial(w.Workspace)
+	}
+}
+
+// closeOldestIdle closes the idle connection that was used least recently. It returns
+// false if none is idle. It must be called with the lock held, while no waiting
+// request can use an idle connection.
+func (p *Pool) closeOldestIdle() bool {
+	if len(p.idle) == 0 {
+		return false
 	}
+	conn := p.idle[0]
+	p.idle = p.idle[1:]
+	p.open--
+	go conn.Close()
+	return true
 }
 
-func (p *Pool) dial() {
+func (p *Pool) dial(workspace state.WorkspaceID) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
-	conn, tunnelled, err := p.connect(ctx)
+	conn, tunnelled, err := p.connect(ctx, workspace)
 	cancel()
 	if err != nil {
-		p.dialFailed(err, tunnelled)
+		p.dialFailed(workspace, err, tunnelled)
 		return
 	}
 	if !tunnelled {
@@ -78,6 +97,7 @@
 	}
 	p.mu.Lock()
 	p.opening--
+	p.queue.addOpening(workspace, -1)
 	if p.closed {
 		p.mu.Unlock()
 		conn.Close()
@@ -85,7 +105,7 @@
 	}
 	p.open++
 	p.dialFailures = 0
-	p.addIdle(newConn(conn, p.server, tunnelled))
+	p.addIdle(newConn(conn, p.server, workspace, tunnelled))
 	p.dispatch()
 	p.mu.Unlock()
 }
@@ -103,7 +123,7 @@
 	}
 	p.openingForProbe++
 	p.mu.Unlock()
-	raw, err := p.dialer.Dial(ctx, p.server)
+	raw, err := p.dialer.Dial(ctx, p.server, "")
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.openingForProbe--
@@ -111,16 +131,16 @@
 		return nil, &DialError{Database: p.server.ID, Cause: err}
 	}
 	p.open++
-	conn := newConn(raw, p.server, false)
+	conn := newConn(raw, p.server, "", false)
 	conn.acquired = time.Now()
 	return conn, nil
 }
 
 // connect opens a connection. If the database is suspected, it connects through
 // another instance where one is known that reaches the database.
-func (p *Pool) connect(ctx context.Context) (conn ServerConn, tunnelled bool, err error) {
+func (p *Pool) connect(ctx context.Context, workspace state.WorkspaceID) (conn ServerConn, tunnelled bool, err error) {
 	if p.health.Suspected(p.server.ID) {
-		conn, err = p.dialer.DialTunnel(ctx, p.server)
+		conn, err = p.dialer.DialTunnel(ctx, p.server, workspace)
 		if err == nil {
 			p.log.Info().Str("database", string(p.server.ID)).Msg("connection opened through another instance")
 		}
@@ -128,11 +148,11 @@
 			return conn, true, err
 		}
 	}
-	conn, err = p.dialer.Dial(ctx, p.server)
+	conn, err = p.dialer.Dial(ctx, p.server, workspace)
 	return conn, false, err
 }
 
-func (p *Pool) dialFailed(err error, tunnelled bool) {
+func (p *Pool) dialFailed(workspace state.WorkspaceID, err error, tunnelled bool) {
 	failure := &DialError{Database: p.server.ID, Cause: err}
 	var refused *RefusedError
 	switch {
@@ -151,6 +171,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.opening--
+	p.queue.addOpening(workspace, -1)
 	now := time.Now()
 	p.dialFailures++
 	p.dialAfter = now.Add(min(dialPause<<min(p.dialFailures-1, maxDialPauseDoublings), maxDialPause))
@@ -160,8 +181,7 @@
 		return
 	}
 	p.log.Warn().Err(err).Str("database", string(p.server.ID)).Int("open", p.open).Int("waiting", p.queue.Len()).Msg("connection not opened")
-	if p.queue.Len() > 0 {
-		w := heap.Pop(&p.queue).(*waiter)
+	if w := p.queue.pop(workspace); w != nil {
 		w.result <- waitResult{err: failure}
 	}
 	time.AfterFunc(time.Until(p.dialAfter), func() {
--- a/internal/coordination/pooling/limiter_test.go
+++ b/internal/coordination/pooling/limiter_test.go
@@ -28,11 +28,11 @@
 	return &slottedDatabase{slots: make(chan struct{}, slots), queue: queue}
 }
 
-func (d *slottedDatabase) Dial(context.Context, state.Server) (ServerConn, error) {
+func (d *slottedDatabase) Dial(context.Context, state.Server, state.WorkspaceID) (ServerConn, error) {
 	return &slottedConn{database: d}, nil
 }
 
-func (d *slottedDatabase) DialTunnel(context.Context, state.Server) (ServerConn, error) {
+func (d *slottedDatabase) DialTunnel(context.Context, state.Server, state.WorkspaceID) (ServerConn, error) {
 	return nil, state.ErrNoTunnel
 }
 
@@ -65,7 +65,7 @@
 	for range 200 {
 		callers.Go(func() {
 			for time.Now().Before(until) {
-				conn, err := p.Acquire(t.Context(), 1, "", time.Now().Add(400*time.Millisecond))
+				conn, err := p.Acquire(t.Context(), Request{Priority: 1}, time.Now().Add(400*time.Millisecond))
 				if err != nil {
 					time.Sleep(50 * time.Millisecond)
 					continue
@@ -120,7 +120,7 @@
 		p := newPool(state.Server{}, newSlottedDatabase(1, 1), noHealth{}, 2, zerolog.Nop())
 		p.limiter.limit, p.limiter.peak = 1, 1
 		for range 3 {
-			conn, err := p.Acquire(t.Context(), 1, "", time.Now().Add(time.Second))
+			conn, err := p.Acquire(t.Context(), Request{Priority: 1}, time.Now().Add(time.Second))
 			require.NoError(t, err)
 			p.Release(conn, true)
 		}
--- a/internal/coordination/pooling/manager.go
+++ b/internal/coordination/pooling/manager.go
@@ -195,7 +195,7 @@
 		pool.Release(conn, answered(err))
 		return status, err
 	}
-	conn, err := m.dialer.Dial(ctx, server)
+	conn, err := m.dialer.Dial(ctx, server, "")
 	if err != nil {
 		return state.ServerStatus{}, &DialError{Database: server.ID, Cause: err}
 	}
--- a/internal/coordination/pooling/pool.go
+++ b/internal/coordination/pooling/pool.go
@@ -1,7 +1,6 @@
 package pooling
 
 import (
-	"container/heap"
 	"context"
 	"errors"
 	"fmt"
@@ -67,8 +66,7 @@
 	// openingForProbe is the number of connections being opened for probes. They
 	// may hang, so the connections for requests are opened regardless of them.
 	openingForProbe int
-	queue           waiters
-	sequence        uint64
+	queue           queue
 	closed          bool
 	// dialAfter is when the next connection may be opened after a failure.
 	dialAfter time.Time
@@ -87,13 +85,13 @@
 }
 
 func newPool(server state.Server, dialer Dialer, health Health, share int, log zerolog.Logger) *Pool {
-	return &Pool{server: server, dialer: dialer, health: health, log: log, share: share, latency: initialLatency, holdTime: initialLatency}
+	return &Pool{server: server, dialer: dialer, health: health, log: log, share: share, queue: newQueue(), latency: initialLatency, holdTime: initialLatency}
 }
 
-// Acquire returns a connection, preferably one with the given session values. It
-// waits at most until deadline. The error is a *NoConnectionError, a *DialError
-// or that of the context.
-func (p *Pool) Acquire(ctx context.Context, priority int, valuesKey string, deadline time.Time) (*Conn, error) {
+// Acquire returns a connection of the request's workspace, preferably one with the
+// requested session values. It waits at most until deadline. The error is a
+// *NoConnectionError, a *DialError or that of the context.
+func (p *Pool) Acquire(ctx context.Context, request Request, deadline time.Time) (*Conn, error) {
 	p.mu.Lock()
 	if p.closed {
 		p.mu.Unlock()
@@ -103,7 +101,7 @@
 		p.mu.Unlock()
 		return nil, noConn
 	}
-	w := p.enqueue(priority, valuesKey)
+	w := p.queue.push(request)
 	p.dispatch()
 	p.mu.Unlock()
 	return p.await(ctx, w, deadline)
@@ -135,22 +133,46 @@
 	return nil, noConn
 }
 
-// takeIdle removes and returns an idle connection, nil if there is none. It must
-// be called with the lock held. It prefers the most recently used connection with
-// the same session values, then one without session values.
-func (p *Pool) takeIdle(valuesKey string) *Conn {
+// takeIdle removes and returns an idle connection of a request's workspace, nil if
+// there is none. It must be called with the lock held. It prefers the most recently
+// used connection with the same session values, then one without session values.
+func (p *Pool) takeIdle(request Request) *Conn {
+	return p.takeWhere(func(conn *Conn) int {
+		switch {
+		case conn.Workspace != request.Workspace:
+			return notSuited
+		case conn.values.key == request.ValuesKey:
+			return wellSuited
+		case conn.values.key == "":
+			return wellSuited - 1
+		default:
+			return wellSuited - 2
+		}
+	})
+}
+
+// notSuited and wellSuited are the least and the greatest suitability of an idle
+// connection.
+const (
+	notSuited  = 0
+	wellSuited = 3
+)
+
+// takeWhere removes and returns the best suited idle connection, of equal ones the
+// most recently used. It returns nil if none is suited. It must be called with the
+// lock held.
+func (p *Pool) takeWhere(suitability func(*Conn) int) *Conn {
 	suspected := p.health.Suspected(p.server.ID)
-	for len(p.idle) > 0 {
-		chosen := len(p.idle) - 1
-		for i := len(p.idle) - 1; i >= 0; i-- {
-			if p.idle[i].values.key == valuesKey {
-				chosen = i
-				break
-			}
-			if p.idle[i].values.key == "" {
-				chosen = i
+	for {
+		chosen, best := -1, notSuited
+		for i := len(p.idle) - 1; i >= 0 && best < wellSuited; i-- {
+			if suited := suitability(p.idle[i]); suited > best {
+				chosen, best = i, suited
 			}
 		}
+		if chosen < 0 {
+			return nil
+		}
 		conn := p.idle[chosen]
 		p.idle = append(p.idle[:chosen], p.idle[chosen+1:]...)
 		if conn.Alive() && (conn.tunnelled || !suspected) {
@@ -160,7 +182,17 @@
 		conn.Close()
 		p.open--
 	}
-	return nil
+}
+
+// hasIdle reports whether an idle connection of a workspace exists. It must be called
+// with the lock held.
+func (p *Pool) hasIdle(workspace state.WorkspaceID) bool {
+	for _, conn := range p.idle {
+		if conn.Workspace == workspace {
+			return true
+		}
+	}
+	return false
 }
 
 // takeDirect returns an idle connection that doesn't lead through another
@@ -169,7 +201,12 @@
 func (p *Pool) takeDirect() *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	conn := p.takeIdle("")
+	conn := p.takeWhere(func(conn *Conn) int {
+		if conn.values.key == "" {
+			return wellSuited
+		}
+		return wellSuited - 1
+	})
 	if conn != nil && conn.tunnelled {
 		p.addIdle(conn)
 		return nil
@@ -201,14 +238,6 @@
 	}
 }
 
-// enqueue must be called with the lock held.
-func (p *Pool) enqueue(priority int, valuesKey string) *waiter {
-	p.sequence++
-	w := &waiter{priority: priority, sequence: p.sequence, valuesKey: valuesKey, result: make(chan waitResult, 1)}
-	heap.Push(&p.queue, w)
-	return w
-}
-
 // inFlight must be called with the lock held.
 func (p *Pool) inFlight() int {
 	return p.running + p.starting
@@ -218,14 +247,18 @@
 // allows, and opens more for the others. It must be called with the lock held.
 func (p *Pool) dispatch() {
 	for p.queue.Len() > 0 && p.limiter.allows(p.inFlight()) {
-		conn := p.takeIdle(p.queue[0].valuesKey)
-		if conn == nil {
+		w := p.queue.first(func(workspace state.WorkspaceID, _ *workspaceQueue) bool { return p.hasIdle(workspace) })
+		if w == nil {
 			p.openMore()
 			return
 		}
+		conn := p.takeIdle(w.Request)
+		if conn == nil {
+			continue
+		}
 		conn.starting = true
 		p.starting++
-		w := heap.Pop(&p.queue).(*waiter)
+		p.queue.pop(w.Workspace)
 		w.result <- waitResult{conn: conn}
 	}
 }
@@ -369,7 +402,8 @@
 	}
 	p.idle = nil
 	for p.queue.Len() > 0 {
-		w := heap.Pop(&p.queue).(*waiter)
+		w := p.queue.first(func(state.WorkspaceID, *workspaceQueue) bool { return true })
+		p.queue.pop(w.Workspace)
 		w.result <- waitResult{err: &DialError{Database: p.server.ID, Cause: errPoolClosed}}
 	}
 }
--- a/internal/coordination/pooling/pool_test.go
+++ b/internal/coordination/pooling/pool_test.go
@@ -58,7 +58,7 @@
 	dials int
 }
 
-func (d *fakeDialer) Dial(context.Context, state.Server) (ServerConn, error) {
+func (d *fakeDialer) Dial(context.Context, state.Server, state.WorkspaceID) (ServerConn, error) {
 	time.Sleep(12 * time.Millisecond)
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -81,7 +81,7 @@
 	d.err = err
 }
 
-func (d *fakeDialer) DialTunnel(context.Context, state.Server) (ServerConn, error) {
+func (d *fakeDialer) DialTunnel(context.Context, state.Server, state.WorkspaceID) (ServerConn, error) {
 	return nil, state.ErrNoTunnel
 }
 
@@ -102,14 +102,14 @@
 func TestUrgentRequestsAreServedFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := testPool(&fakeDialer{}, 1)
-		held, err := p.Acquire(t.Context(), 1, "", time.Now().Add(time.Second))
+		held, err := p.Acquire(t.Context(), Request{Priority: 1}, time.Now().Add(time.Second))
 		require.NoError(t, err)
 		var mu sync.Mutex
 		var order []int
 		var waiting sync.WaitGroup
 		for _, priority := range []int{2, 2, 1} {
 			waiting.Go(func() {
-				conn, err := p.Acquire(t.Context(), priority, "", time.Now().Add(time.Second))
+				conn, err := p.Acquire(t.Context(), Request{Priority: priority}, time.Now().Add(time.Second))
 				if err == nil {
 					mu.Lock()
 					order = append(order, priority)
@@ -130,14 +130,14 @@
 func TestRequestThatCannotBeServedInTimeIsRefusedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := testPool(&fakeDialer{}, 1)
-		held, err := p.Acquire(t.Context(), 1, "", time.Now().Add(time.Second))
+		held, err := p.Acquire(t.Context(), Request{Priority: 1}, time.Now().Add(time.Second))
 		require.NoError(t, err)
 		for range 40 {
-			go func() { _, _ = p.Acquire(t.Context(), 1, "", time.Now().Add(2*time.Second)) }()
+			go func() { _, _ = p.Acquire(t.Context(), Request{Priority: 1}, time.Now().Add(2*time.Second)) }()
 		}
 		synctest.Wait()
 		start := time.Now()
-		_, err = p.Acquire(t.Context(), 1, "", time.Now().Add(200*time.Millisecond))
+		_, err = p.Acquire(t.Context(), Request{Priority: 1}, time.Now().Add(200*time.Millisecond))
 		var noConn *NoConnectionError
 		require.ErrorAs(t, err, &noConn)
 		require.Zero(t, time.Since(start))
@@ -150,10 +150,10 @@
 func TestWaitEndsAtTheDeadline(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := testPool(&fakeDialer{}, 1)
-		held, err := p.Acquire(t.Context(), 1, "", time.Now().Add(time.Second))
+		held, err := p.Acquire(t.Context(), Request{Priority: 1}, time.Now().Add(time.Second))
 		require.NoError(t, err)
 		start := time.Now()
-		_, err = p.Acquire(t.Context(), 1, "", time.Now().Add(100*time.Millisecond))
+		_, err = p.Acquire(t.Context(), Request{Priority: 1}, time.Now().Add(100*time.Millisecond))
 		require.Error(t, err)
 		require.Equal(t, 100*time.Millisecond, time.Since(start))
 		p.Release(held, true)
@@ -167,12 +167,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		dialer := &fakeDialer{}
 		p := testPool(dialer, 5)
-		held, err := p.Acquire(t.Context(), 1, "", time.Now().Add(time.Second))
+		held, err := p.Acquire(t.Context(), Request{Priority: 1}, time.Now().Add(time.Second))
 		require.NoError(t, err)
 		dialer.fail(errors.Join(state.ErrClosedAtStartup, errors.New("EOF")))
 		for range 20 {
 			go func() {
-				conn, err := p.Acquire(t.Context(), 1, "", time.Now().Add(time.Second))
+				conn, err := p.Acquire(t.Context(), Request{Priority: 1}, time.Now().Add(time.Second))
 				if err == nil {
 					time.Sleep(10 * time.Millisecond)
 					p.Release(conn, true)
@@ -191,7 +191,7 @@
 // the same connection.
 func TestConnectionTakesOverExactlyTheSessionsValues(t *testing.T) {
 	conn := &fakeConn{values: make(map[string]string)}
-	pooled := newConn(conn, state.Server{}, false)
+	pooled := newConn(conn, state.Server{}, "", false)
 	var first, second Values
 	first.Set("tz", "east")
 	first.Set("lang", "am")
@@ -213,11 +213,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		dialer := &fakeDialer{}
 		p := testPool(dialer, 2)
-		conn, err := p.Acquire(t.Context(), 1, "", time.Now().Add(time.Second))
+		conn, err := p.Acquire(t.Context(), Request{Priority: 1}, time.Now().Add(time.Second))
 		require.NoError(t, err)
 		conn.ServerConn.(*fakeConn).dead = true
 		p.Release(conn, true)
-		_, err = p.Acquire(t.Context(), 1, "", time.Now().Add(time.Second))
+		_, err = p.Acquire(t.Context(), Request{Priority: 1}, time.Now().Add(time.Second))
 		require.NoError(t, err)
 		require.Equal(t, 2, dialer.count())
 	})
@@ -233,7 +233,7 @@
 		var served sync.WaitGroup
 		for range 40 {
 			served.Go(func() {
-				conn, err := p.Acquire(t.Context(), 1, "", time.Now().Add(2*time.Second))
+				conn, err := p.Acquire(t.Context(), Request{Priority: 1}, time.Now().Add(2*time.Second))
 				if err == nil {
 					_, err = p.Run(conn, Statement{}, time.Now().Add(time.Second))
 					p.Release(conn, true)
@@ -258,7 +258,7 @@
 func TestProbeOnAnIdleConnectionDoesNotLookLikeALongRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := testPool(&fakeDialer{}, 1)
-		conn, err := p.Acquire(t.Context(), 1, "", time.Now().Add(time.Second))
+		conn, err := p.Acquire(t.Context(), Request{Priority: 1}, time.Now().Add(time.Second))
 		require.NoError(t, err)
 		p.Release(conn, true)
 		time.Sleep(2 * time.Second)
--- a/internal/coordination/pooling/waiters.go
+++ b/internal/coordination/pooling/waiters.go
@@ -1,20 +1,31 @@
 package pooling
 
-import "container/heap"
+import (
+	"container/heap"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
 
 type waitResult struct {
 	conn *Conn
 	err  error
 }
 
+// Request is a request for a connection.
+type Request struct {
+	// Workspace is the workspace that the connection must belong to.
+	Workspace state.WorkspaceID
+	Priority  int // 0 is served first
+	// ValuesKey is the key of the session values that the connection should have.
+	ValuesKey string
+}
+
 // waiter is a request that waits for a connection.
 type waiter struct {
-	priority int // 0 is served first
+	Request
 	sequence uint64
 	index    int
-	// valuesKey is the key of the session values that the connection should have.
-	valuesKey string
-	result    chan waitResult
+	result   chan waitResult
 }
 
 // waiters is a heap ordered by priority, then by arrival.
@@ -25,10 +36,15 @@
 
 // Less implements heap.Interface.
 func (w waiters) Less(i, j int) bool {
-	if w[i].priority != w[j].priority {
-		return w[i].priority < w[j].priority
+	return w[i].before(w[j])
+}
+
+// before reports whether w is served before other.
+func (w *waiter) before(other *waiter) bool {
+	if w.Priority != other.Priority {
+		return w.Priority < other.Priority
 	}
-	return w[i].sequence < w[j].sequence
+	return w.sequence < other.sequence
 }
 
 // Swap implements heap.Interface.
--- a/internal/coordination/relay/request.go
+++ b/internal/coordination/relay/request.go
@@ -20,6 +20,8 @@
 	route     state.Route
 	routed    bool
 	version   uint64
+	// workspace is the workspace on whose behalf the statement runs.
+	workspace state.WorkspaceID
 	// writes is set if the statement changes data.
 	writes bool
 	// prepared is the prepared statement that is executed, if any.
--- a/internal/coordination/relay/single.go
+++ b/internal/coordination/relay/single.go
@@ -187,7 +187,7 @@
 		// A read whose first reply was lost may have used up its queue time.
 		deadline = requestedAt.Add(minAttemptTime)
 	}
-	conn, err := pool.Acquire(s.engine.ctx, r.route.Priority, s.values.Key(), deadline)
+	conn, err := pool.Acquire(s.engine.ctx, pooling.Request{Workspace: r.workspace, Priority: r.route.Priority, ValuesKey: s.values.Key()}, deadline)
 	r.queued += time.Since(requestedAt)
 	if err != nil {
 		return nil, err
--- a/internal/standin/platform/council/conn.go
+++ b/internal/standin/platform/council/conn.go
@@ -27,12 +27,12 @@
 var errNoListener = errors.New("connection refused")
 
 // Dial implements pooling.Dialer.
-func (d *Dialer) Dial(ctx context.Context, server state.Server) (pooling.ServerConn, error) {
-	return d.dialAs(ctx, d.Caller, server)
+func (d *Dialer) Dial(ctx context.Context, server state.Server, workspace state.WorkspaceID) (pooling.ServerConn, error) {
+	return d.dialAs(ctx, d.Caller, server, workspace)
 }
 
 // DialTunnel implements pooling.Dialer.
-func (d *Dialer) DialTunnel(ctx context.Context, server state.Server) (pooling.ServerConn, error) {
+func (d *Dialer) DialTunnel(ctx context.Context, server state.Server, workspace state.WorkspaceID) (pooling.ServerConn, error) {
 	if d.TunnelInstances == nil {
 		return nil, state.ErrNoTunnel
 	}
@@ -43,12 +43,12 @@
 			failure = errNoListener
 			continue
 		}
-		return d.dialAs(ctx, instance, server)
+		return d.dialAs(ctx, instance, server, workspace)
 	}
 	return nil, failure
 }
 
-func (d *Dialer) dialAs(ctx context.Context, caller string, server state.Server) (pooling.ServerConn, error) {
+func (d *Dialer) dialAs(ctx context.Context, caller string, server state.Server, workspace state.WorkspaceID) (pooling.ServerConn, error) {
 	for _, group := range d.Groups {
 		for _, database := range group.databases {
 			if database.Address != server.Address {
@@ -62,6 +62,7 @@
 			if reply.Code != state.CodeNone {
 				return nil, &pooling.RefusedError{Code: reply.Code, Detail: reply.Detail}
 			}
+			session.workspace = workspace
 			return &conn{session: session, delay: d.Delay}, nil
 		}
 	}
--- a/internal/standin/platform/council/group.go
+++ b/internal/standin/platform/council/group.go
@@ -46,6 +46,8 @@
 	At  time.Time
 	// Superseded is set if another database was already the leader at that time.
 	Superseded bool
+	// Workspace is the workspace of the session that committed.
+	Workspace state.WorkspaceID
 }
 
 // Read is a read that a database ran.
@@ -57,6 +59,8 @@
 	// Applied is the log position up to which the read saw commits.
 	Applied state.Position
 	At      time.Time
+	// Workspace is the workspace of the session that read.
+	Workspace state.WorkspaceID
 }
 
 // Group is one primary with its replicas.
@@ -340,12 +344,12 @@
 
 // commit appends an entry to the primary's log and sends it to the replicas that
 // can be reached. It must be called with the lock held.
-func (d *Database) commit(items map[string]string, ids []string) {
+func (d *Database) commit(workspace state.WorkspaceID, items map[string]string, ids []string) {
 	position := state.Position{Term: d.term, Offset: uint64(len(d.log)) + 1}
 	d.log = append(d.log, entry{position: position, items: items})
 	d.applied = len(d.log)
 	d.group.commits = append(d.group.commits, Commit{
-		Database: d.ID, Position: position, IDs: ids, At: time.Now(), Superseded: d.group.leader != d,
+		Database: d.ID, Position: position, IDs: ids, At: time.Now(), Superseded: d.group.leader != d, Workspace: workspace,
 	})
 	length := len(d.log)
 	for _, replica := range d.group.databases {
--- a/internal/standin/platform/council/session.go
+++ b/internal/standin/platform/council/session.go
@@ -23,8 +23,10 @@
 type Session struct {
 	database *Database
 	caller   string
-	ended    chan struct{}
-	endOnce  sync.Once
+	// workspace is the workspace that the session states for itself.
+	workspace state.WorkspaceID
+	ended     chan struct{}
+	endOnce   sync.Once
 
 	values   map[string]string
 	prepared map[string]preparedShape
@@ -240,7 +242,7 @@
 			return s.fail(state.CodeReadOnly)
 		}
 		proof := d.group.newProof(id)
-		d.group.reads = append(d.group.reads, Read{ID: id, Proof: proof, Database: d.ID, Applied: d.visiblePosition(), At: time.Now()})
+		d.group.reads = append(d.group.reads, Read{ID: id, Proof: proof, Database: d.ID, Applied: d.visiblePosition(), At: time.Now(), Workspace: s.workspace})
 		return state.Reply{Rows: []string{s.lookUp(rest)}, Proof: proof}
 	case "WRITE":
 		return s.write(id, rest, isPrimary)
@@ -294,7 +296,7 @@
 		s.ids = append(s.ids, id)
 		return state.Reply{Proof: s.database.group.newProof(id)}
 	}
-	s.database.commit(map[string]string{item: data}, []string{id})
+	s.database.commit(s.workspace, map[string]string{item: data}, []string{id})
 	return state.Reply{Proof: s.database.group.newProof(id)}
 }
 
@@ -306,7 +308,7 @@
 		if !isPrimary {
 			return s.fail(state.CodeReadOnly)
 		}
-		s.database.commit(maps.Clone(s.writes), s.ids)
+		s.database.commit(s.workspace, maps.Clone(s.writes), s.ids)
 	}
 	s.inTx, s.ids = false, nil
 	clear(s.writes)
--- a/internal/state/route.go
+++ b/internal/state/route.go
@@ -45,6 +45,8 @@
 	Objective time.Duration
 	// Priority orders waiting requests; 0 is served first.
 	Priority int
+	// Public is set if clients need no key. Their sessions belong to no workspace.
+	Public bool
 }
 
 // GroupLimits are the limits of each database of a group.
@@ -62,6 +64,12 @@
 	Groups  map[GroupID]GroupLimits
 	// IdleInTransaction is the longest time that a transaction may stay idle.
 	IdleInTransaction time.Duration
+	// HasWorkspaces is set if the configuration defines workspaces, even if it
+	// lists none. Clients of routes that are not public then need a key.
+	HasWorkspaces bool
+	Workspaces    map[WorkspaceID]Workspace
+	// KeyOwners maps the hash of each valid key to its workspace.
+	KeyOwners map[KeyHash]WorkspaceID
 }
 
 // Server is a database as described by its own registration.
--- a/internal/transport/linebackend/conn.go
+++ b/internal/transport/linebackend/conn.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -47,7 +48,8 @@
 // Dialer opens connections to databases.
 type Dialer struct {
 	Codec Codec
-	// User is the user name sent in the startup message.
+	// User is the user name sent in the startup message of connections that belong
+	// to no workspace. Those of a workspace send its name.
 	User string
 	// TunnelInstances returns the addresses of the instances that reach the
 	// primary of a group.
@@ -57,13 +59,13 @@
 // Dial opens a connection to a database. The error is a *pooling.RefusedError if
 // the database at that address refuses the session, as it does when its group or
 // id is not the expected one.
-func (d *Dialer) Dial(ctx context.Context, server state.Server) (pooling.ServerConn, error) {
+func (d *Dialer) Dial(ctx context.Context, server state.Server, workspace state.WorkspaceID) (pooling.ServerConn, error) {
 	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", server.Address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "dial database %s at %s", server.ID, server.Address)
 	}
 	socket.SetUserTimeout(raw, socket.BackendUserTimeout)
-	return d.startSession(ctx, raw, server, string(server.ID))
+	return d.startSession(ctx, raw, server, workspace, string(server.ID))
 }
 
 // maxTunnelAttempts is the maximum number of other instances tried for one
@@ -71,7 +73,7 @@
 const maxTunnelAttempts = 2
 
 // DialTunnel implements pooling.Dialer.
-func (d *Dialer) DialTunnel(ctx context.Context, server state.Server) (pooling.ServerConn, error) {
+func (d *Dialer) DialTunnel(ctx context.Context, server state.Server, workspace state.WorkspaceID) (pooling.ServerConn, error) {
 	instances := d.TunnelInstances(server.Group)
 	if len(instances) == 0 {
 		return nil, state.ErrNoTunnel
@@ -82,7 +84,7 @@
 		raw, err := tunnel.Open(ctx, instance, server.ID)
 		if err == nil {
 			tunnelCounter("opened").Inc()
-			return d.startSession(ctx, raw, server, string(server.ID)+" through "+instance)
+			return d.startSession(ctx, raw, server, workspace, string(server.ID)+" through "+instance)
 		}
 		tunnelCounter("failed").Inc()
 		errs = errors.Join(errs, err)
@@ -96,10 +98,10 @@
 
 // startSession sends the startup message on a new connection and reads the
 // reply. Errors name the peer.
-func (d *Dialer) startSession(ctx context.Context, raw net.Conn, server state.Server, peer string) (pooling.ServerConn, error) {
+func (d *Dialer) startSession(ctx context.Context, raw net.Conn, server state.Server, workspace state.WorkspaceID, peer string) (pooling.ServerConn, error) {
 	conn := &Conn{raw: raw, reader: bufio.NewReaderSize(raw, readerBytes), codec: d.Codec, peer: peer}
 	deadline, _ := ctx.Deadline()
-	conn.buffer = d.Codec.AppendConnect(conn.buffer, server.Group, d.User, server.ID)
+	conn.buffer = d.Codec.AppendConnect(conn.buffer, server.Group, cmp.Or(string(workspace), d.User), server.ID)
 	reply, err := conn.exchange("startup", deadline, nil)
 	if err == nil && reply.Code != state.CodeNone {
 		err = &pooling.RefusedError{Code: reply.Code, Detail: reply.Detail}
