works: identity. Statements run on behalf of the workspace that holds the client's key

Cause: the second word of a client's startup message is its key; it was read and dropped, so databases were told no workspace. Change: package identity decides from the routing table, the route, the key's hash and how long ago the configuration was known to be current. relay asks it when a session opens and again for each statement that starts work at a database. A withdrawn key ends the session's transaction and the session; a key that moved to another workspace ends the transaction. With strict revocation an instance refuses keys while it can't tell whether they are valid. Keys are hashed at once; no key reaches a log, metric or error. engine.Open takes an identity.Credential and returns a state.Reply. Ruled out: a decision once a session, since a withdrawn key would live as long as its session.

--- a/internal/coordination/directory/directory.go
+++ b/internal/coordination/directory/directory.go
@@ -70,6 +70,9 @@
 	// read, 0 if the row did not exist.
 	configurationRowVersion atomic.Uint64
 	configurationRead       atomic.Bool
+	// configurationConfirmed is the latest time, as a state.Instant, at which the
+	// row was known to be the one that was last read.
+	configurationConfirmed atomic.Int64
 	// stalenessBounds holds the tightest staleness bound of each group's routes.
 	stalenessBounds atomic.Pointer[map[state.GroupID]time.Duration]
 
@@ -148,6 +151,24 @@
 		}
 	}
 	d.configurationRead.Store(true)
+	d.ConfirmConfiguration(update.RequestedAt)
+}
+
+// ConfirmConfiguration records that at the given time the row of WatchedRows was the
+// one that was last read.
+func (d *Directory) ConfirmConfiguration(at state.Instant) {
+	for {
+		known := d.configurationConfirmed.Load()
+		if int64(at) <= known || d.configurationConfirmed.CompareAndSwap(known, int64(at)) {
+			return
+		}
+	}
+}
+
+// ConfigurationAge returns how long ago the configuration was last known to be the
+// store's.
+func (d *Directory) ConfigurationAge() time.Duration {
+	return d.clock.Now().Sub(state.Instant(d.configurationConfirmed.Load()))
 }
 
 // BeginEra ends the use of row versions, and of registrations in the copy that the
--- a/internal/coordination/leadership/heartbeat.go
+++ b/internal/coordination/leadership/heartbeat.go
@@ -88,8 +88,13 @@
 		return false
 	}
 	era, conditions := m.renewalConditions()
-	conditions = append(conditions, m.WatchedRows()...)
+	watched := m.WatchedRows()
+	conditions = append(conditions, watched...)
+	sent := m.Clock.Now()
 	err = m.renew(ctx, value, next, era, conditions)
+	if err == nil && len(watched) > 0 && m.OnWatchedRowsCurrent != nil {
+		m.OnWatchedRowsCurrent(sent)
+	}
 	var conflict *rowstore.ConflictError
 	if errors.As(err, &conflict) {
 		m.refreshOutdated(ctx, conflict, conditions)
--- a/internal/coordination/leadership/manager.go
+++ b/internal/coordination/leadership/manager.go
@@ -59,6 +59,9 @@
 	// OnWatchedRowChange.
 	WatchedRows        func() []rowstore.Condition
 	OnWatchedRowChange func()
+	// OnWatchedRowsCurrent, which may be nil, is called when a renewal that was sent
+	// at the given time has found the rows unchanged.
+	OnWatchedRowsCurrent func(sent state.Instant)
 	// OnPrimaryPosition is called with the position in a primary's reply to a
 	// probe that was sent at requestedAt under a valid lease.
 	OnPrimaryPosition func(group state.GroupID, requestedAt state.Instant, position state.Position)
--- a/internal/coordination/relay/engine.go
+++ b/internal/coordination/relay/engine.go
@@ -18,6 +18,9 @@
 // Directory provides the routing table and the registered databases.
 type Directory interface {
 	Routes() *state.RoutingTable
+	// ConfigurationAge returns how long ago the routing table was last known to be
+	// the newest one.
+	ConfigurationAge() time.Duration
 	Servers(group state.GroupID) []directory.Entry
 	Server(group state.GroupID, id state.DatabaseID) (directory.Entry, bool)
 }
@@ -70,6 +73,7 @@
 	Freshness  Freshness
 	Pools      Pools
 	Health     Health
+	Identity   Identity
 	Statements Statements
 	// Region returns the region of a data centre. OwnRegion is the region of
 	// this instance.
--- a/internal/coordination/relay/request.go
+++ b/internal/coordination/relay/request.go
@@ -20,6 +20,8 @@
 	route     state.Route
 	routed    bool
 	version   uint64
+	// table is the routing table in force when the statement arrived.
+	table *state.RoutingTable
 	// workspace is the workspace on whose behalf the statement runs.
 	workspace state.WorkspaceID
 	// writes is set if the statement changes data.
@@ -41,11 +43,12 @@
 
 func (s *Session) newRequest(statement state.Statement, arrived state.Instant) *request {
 	r := &request{session: s, statement: statement, arrivedAt: arrived, started: time.Now()}
+	r.table = s.engine.Directory.Routes()
 	if s.tx != nil {
 		r.route, r.routed, r.version = s.tx.route, true, s.tx.version
-	} else if table := s.engine.Directory.Routes(); table != nil {
-		r.route, r.routed = table.Routes[s.database]
-		r.version = table.Version
+	} else {
+		r.route, r.routed = r.table.Routes[s.database]
+		r.version = r.table.Version
 	}
 	r.writes = statement.Kind == state.StatementWrite
 	if statement.Kind == state.StatementExecute {
@@ -158,7 +161,7 @@
 	}
 	event = event.Str("request", r.statement.ID).Uint64("session", r.session.number).Str("name", r.session.database).
 		Stringer("kind", r.statement.Kind).Stringer("route", r.route.Consistency).Uint64("config", r.version).
-		Str("group", string(r.route.Group)).Str("database", string(r.server)).Str("role", r.role).Uint64("epoch", r.epoch).
+		Str("workspace", string(r.workspace)).Str("group", string(r.route.Group)).Str("database", string(r.server)).Str("role", r.role).Uint64("epoch", r.epoch).
 		Stringer("need", r.minPosition).Stringer("position", reply.Position).Int("tries", r.attempts).
 		Dur("queued_ms", r.queued).Dur("ran_ms", r.ran).Dur("held_ms", took).Stringer("outcome", reply.Code)
 	if reply.Detail != "" {
--- a/internal/coordination/relay/session.go
+++ b/internal/coordination/relay/session.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/identity"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/pooling"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 )
@@ -12,8 +13,10 @@
 	engine   *Engine
 	number   uint64
 	database string
-	values   pooling.Values
-	prepared map[string]preparedStatement
+	// credential is what the client presented when it opened the session.
+	credential identity.Credential
+	values     pooling.Values
+	prepared   map[string]preparedStatement
 	// minPosition is the position of the session's last commit, in the group
 	// minPositionGroup.
 	minPosition      state.Position
@@ -23,20 +26,36 @@
 
 // Open starts a session for a database name. On an instance that has just
 // started it waits up to startWait for the configuration and the lease. If it
-// returns no session, the code is CodeBusy if the instance is not ready yet, or
-// CodeNoDatabase if the name has no route.
-func (e *Engine) Open(database string) (*Session, state.ErrorCode) {
+// returns no session, the reply's code is CodeBusy if the instance is not ready,
+// CodeNoDatabase if the name has no route, or CodeNotAuthorized if the credential is
+// not accepted.
+func (e *Engine) Open(database string, credential identity.Credential) (*Session, state.Reply) {
 	deadline := time.Now().Add(startWait)
 	for !e.ready() {
 		if !time.Now().Before(deadline) || e.ctx.Err() != nil {
-			return nil, state.CodeBusy
+			return nil, e.refuse(database, state.Reply{Code: state.CodeBusy, Detail: "the instance has no configuration yet, retry after 500 ms"}, nil)
 		}
 		time.Sleep(startPollInterval)
 	}
-	if _, ok := e.Directory.Routes().Routes[database]; !ok {
-		return nil, state.CodeNoDatabase
+	table := e.Directory.Routes()
+	route, ok := table.Routes[database]
+	if !ok {
+		if identity.HoldsKey(table, database) {
+			database = ""
+		}
+		return nil, e.refuse(database, state.Reply{Code: state.CodeNoDatabase, Detail: "no route has the name"}, nil)
+	}
+	if _, err := e.Identity.Decide(table, route, credential, e.Directory.ConfigurationAge()); err != nil {
+		return nil, e.refuse(database, identityReply(err), err)
 	}
-	return &Session{engine: e, number: e.sessions.Add(1), database: database, prepared: make(map[string]preparedStatement)}, state.CodeNone
+	session := &Session{engine: e, number: e.sessions.Add(1), database: database, credential: credential, prepared: make(map[string]preparedStatement)}
+	return session, state.Reply{}
+}
+
+// refuse logs that a client got no session and returns the reply.
+func (e *Engine) refuse(database string, reply state.Reply, cause error) state.Reply {
+	e.Log.Info().Str("name", database).Stringer("outcome", reply.Code).AnErr("cause", cause).Msg("client refused")
+	return reply
 }
 
 // ready reports whether the configuration has been read and primaries may be
@@ -83,6 +102,9 @@
 	if s.tx != nil && s.tx.failed {
 		return s.runInFailedTransaction(r)
 	}
+	if reply, ok := s.identify(r); !ok {
+		return reply
+	}
 	switch r.statement.Kind {
 	case state.StatementSet:
 		s.values.Set(r.statement.Name, r.statement.Value)
--- a/internal/entry/modules.go
+++ b/internal/entry/modules.go
@@ -10,6 +10,7 @@
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/directory"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/freshness"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/health"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/identity"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/leadership"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/pooling"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/relay"
@@ -105,7 +106,8 @@
 			instance.positions.Observe(group, requestedAt, position)
 		},
 		WatchedRows: instance.watchedRows, OnWatchedRowChange: func() { instance.followers.configuration.Refresh() },
-		Promoter: promoter, Health: tracker, Demand: pools.Demand, Messenger: instance.peers.Sender(topicConfirmations), Address: peerAddress(settings),
+		OnWatchedRowsCurrent: dir.ConfirmConfiguration,
+		Promoter:             promoter, Health: tracker, Demand: pools.Demand, Messenger: instance.peers.Sender(topicConfirmations), Address: peerAddress(settings),
 		DataCentre: settings.DataCentre, Clock: clock, Log: log,
 	})
 	store.OnNewEra(manager.BeginEra)
@@ -122,7 +124,8 @@
 ) *relay.Engine {
 	return relay.New(ctx, relay.Config{
 		Directory: dir, Leadership: leaders, Freshness: exchange, Pools: pools, Health: tracker, Statements: codec,
-		Region: func(dc state.DataCentre) string { return settings.Regions[dc] }, OwnRegion: settings.Region, Clock: clock, Log: log.Logger,
+		Identity: identity.Policy(settings.Revocation),
+		Region:   func(dc state.DataCentre) string { return settings.Regions[dc] }, OwnRegion: settings.Region, Clock: clock, Log: log.Logger,
 	})
 }
 
--- a/internal/transport/lineserver/client.go
+++ b/internal/transport/lineserver/client.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/identity"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/relay"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 	"github.com/cyclamenpin/cyclamenpin/internal/transport/socket"
@@ -66,7 +67,7 @@
 	if err := c.raw.SetReadDeadline(time.Now().Add(startupTimeout)); err != nil {
 		return false
 	}
-	database, _, err := c.server.codec.ReadStartup(c.reader)
+	database, key, err := c.server.codec.ReadStartup(c.reader)
 	if err != nil {
 		if !errors.Is(err, io.EOF) {
 			c.server.log.Info().Err(err).Stringer("peer", c.raw.RemoteAddr()).Msg("client refused, malformed startup message")
@@ -78,23 +79,15 @@
 		c.refuse(state.CodeBusy, "the instance is stopping, retry after 10 ms")
 		return false
 	}
-	session, code := c.server.sessions.Open(database)
-	if code != state.CodeNone {
-		c.server.log.Info().Str("name", database).Stringer("outcome", code).Msg("client refused")
-		c.refuse(code, refusalDetails[code])
+	session, reply := c.server.sessions.Open(database, identity.NewCredential(key))
+	if session == nil {
+		c.refuse(reply.Code, reply.Detail)
 		return false
 	}
 	c.session = session
 	return c.write(c.server.codec.AppendStarted(c.buffer[:0]))
 }
 
-// refusalDetails holds the detail text sent with each code that refuses a
-// startup.
-var refusalDetails = map[state.ErrorCode]string{
-	state.CodeNoDatabase: "no route has the name",
-	state.CodeBusy:       "the instance has no configuration yet, retry after 500 ms",
-}
-
 func (c *client) refuse(code state.ErrorCode, detail string) {
 	c.write(c.server.codec.AppendRefused(c.buffer[:0], code, detail))
 	_ = c.raw.Close()
@@ -110,7 +103,7 @@
 	if !c.write(c.server.codec.AppendReply(c.buffer[:0], reply)) {
 		return false
 	}
-	return reply.Code != state.CodeNoDatabase
+	return reply.Code != state.CodeNoDatabase && reply.Code != state.CodeNotAuthorized
 }
 
 // read waits for the next statement until the idle deadline and reads it.
--- a/internal/transport/lineserver/server.go
+++ b/internal/transport/lineserver/server.go
@@ -14,13 +14,15 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/identity"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/relay"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 )
 
 // Codec decodes messages of clients and encodes replies.
 type Codec interface {
-	ReadStartup(r *bufio.Reader) (database, user string, err error)
+	// ReadStartup reads a client's first message. The key is empty if it holds none.
+	ReadStartup(r *bufio.Reader) (database, key string, err error)
 	ReadStatement(r *bufio.Reader) (state.Statement, error)
 	AppendReply(buffer []byte, reply state.Reply) []byte
 	AppendStarted(buffer []byte) []byte
@@ -29,7 +31,7 @@
 
 // SessionFactory opens a session for each accepted connection.
 type SessionFactory interface {
-	Open(database string) (*relay.Session, state.ErrorCode)
+	Open(database string, credential identity.Credential) (*relay.Session, state.Reply)
 }
 
 // Options are the settings of a server.
--- a/test/council/cluster_test.go
+++ b/test/council/cluster_test.go
@@ -16,6 +16,7 @@
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/directory"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/freshness"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/health"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/identity"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/leadership"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/pooling"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/relay"
@@ -58,6 +59,8 @@
 	log       zerolog.Logger
 	// fullRateMembers overrides leadership.Options.FullRateMembers unless it is 0.
 	fullRateMembers int
+	// identity decides on the callers of instances that are started.
+	identity identity.Policy
 	// lastConfiguration is the newest value that the operators wrote.
 	lastConfiguration []byte
 
@@ -334,14 +337,15 @@
 			i.positions.Observe(group, requestedAt, position)
 		},
 		WatchedRows: i.watchedRows, OnWatchedRowChange: func() { i.configuration.Refresh() },
-		Directory: i.directory, Databases: i.pools, Promoter: tc.group.Promoter(), Health: tracker, Demand: i.pools.Demand,
+		OnWatchedRowsCurrent: i.directory.ConfirmConfiguration,
+		Directory:            i.directory, Databases: i.pools, Promoter: tc.group.Promoter(), Health: tracker, Demand: i.pools.Demand,
 		Messenger: messenger{tc, name, "confirmations", confirmations}, Address: name,
 		DataCentre: state.DataCentre(name[len(name)-1:]), Clock: clock, Log: log,
 	})
 	i.positions = freshness.NewExchange(freshness.NewTracker(), i.leadership, clock, i.leadership, messenger{tc, name, "positions", positions}, log)
 	i.engine = relay.New(ctx, relay.Config{
 		Directory: i.directory, Leadership: i.leadership, Freshness: i.positions, Pools: i.pools, Health: tracker,
-		Statements: platform.Codec{}, Clock: clock, Log: log,
+		Identity: tc.identity, Statements: platform.Codec{}, Clock: clock, Log: log,
 	})
 	store.OnNewEra(i.leadership.BeginEra)
 	store.OnNewEra(i.directory.BeginEra)
@@ -385,8 +389,13 @@
 
 // open opens a session and requires that it succeeds.
 func (i *instance) open(name string) *client {
-	session, code := i.engine.Open(name)
-	require.Equal(i.cluster.t, state.CodeNone, code)
+	return i.openWith(name, "")
+}
+
+// openWith opens a session with a key and requires that it succeeds.
+func (i *instance) openWith(name, key string) *client {
+	session, reply := i.engine.Open(name, identity.NewCredential(key))
+	require.Equal(i.cluster.t, state.CodeNone, reply.Code)
 	return &client{session: session, cluster: i.cluster}
 }
 
@@ -436,8 +445,8 @@
 
 // writable reports whether a write through the instance succeeds now.
 func (i *instance) writable() bool {
-	session, code := i.engine.Open("desk")
-	if code != state.CodeNone {
+	session, _ := i.engine.Open("desk", identity.Credential{})
+	if session == nil {
 		return false
 	}
 	defer session.Close()
--- a/test/council/property_test.go
+++ b/test/council/property_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/identity"
 	standin "github.com/cyclamenpin/cyclamenpin/internal/standin/platform/council"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 )
@@ -105,8 +106,8 @@
 			continue
 		}
 		route := names[random.IntN(len(names))]
-		session, code := i.engine.Open(route)
-		if code != state.CodeNone {
+		session, _ := i.engine.Open(route, identity.Credential{})
+		if session == nil {
 			continue
 		}
 		c := &client{session: session, cluster: tc}
