Statements of open transactions are not held up by lock waiters' slots

A statement that waits for a lock keeps its slot of admission.Gate. While a transaction is open at the stopping instance, the test's six writers wait for the stand-in's single writer and hold all slots (three to six, by the measured statement times); the transaction's next statement waits for a slot until its queue timeout of 5 s and is refused as overloaded ("step admission, peer orders-1"), which loses the transaction.

A statement that has run for four average ones (0.1 to 1 s) is presumed to wait for a lock; for each, one statement of an open transaction is granted beyond the limit, and none of new work. The estimate of the wait of such a statement counts that, and a full queue of new work, which it goes ahead of, no longer refuses it.

Ruled out: MaxStreams and call queues of the peer link (open and calls only), context errors that asNotRun calls overloaded (the INSERT of an open transaction gets no not-run failure but from the gate), a drain that cuts (i1's exit code 1 follows from the lost transaction: the session never became idle).

The process test prints the detail of a failure.

--- a/internal/coordination/admission/estimate.go
+++ b/internal/coordination/admission/estimate.go
@@ -32,11 +32,12 @@
 	return p.slotTime.valueOr(g.allSlotTime.valueOr(initialSlotTime))
 }
 
-// slotWait estimates how long a new waiter of p would wait for a slot behind
-// ahead other waiters of its plan. It is the time until a slot is free, plus the
+// slotWait estimates how long a new waiter would wait for a slot behind ahead
+// other waiters of its plan. It is the time until a slot is free, plus the
 // lesser of two times: that to run all queued statements on all slots, and that
 // to run the plan's own queue on the plan's share of the slots.
-func (g *Gate) slotWait(p *plan, ahead int, now time.Time) time.Duration {
+func (g *Gate) slotWait(w *waiter, ahead int, now time.Time) time.Duration {
+	p := w.plan
 	slots := float64(max(g.slotLimit, 1))
 	var queued, weights float64
 	for _, other := range g.slotPlans {
@@ -45,14 +46,18 @@
 	}
 	share := slots * p.weight() / max(weights, p.weight())
 	ownQueue := float64(ahead) * float64(g.slotTime(p)) / share
-	return g.timeToFreeSlot(now) + time.Duration(min(queued/slots, ownQueue))
+	untilFree := g.timeToFreeSlot(now)
+	if w.inTransaction {
+		untilFree = min(untilFree, g.lockWait()) // see grantBeyondLimit
+	}
+	return untilFree + time.Duration(min(queued/slots, ownQueue))
 }
 
 // timeToFreeSlot estimates the time until a slot is free. The statement that
 // has run for the shortest time is expected to run for as long again, so that a
 // stalled backend server lengthens the estimate before any statement ends.
 func (g *Gate) timeToFreeSlot(now time.Time) time.Duration {
-	if len(g.running) < g.slotLimit {
+	if g.slotIsFree() {
 		return 0
 	}
 	shortest := time.Duration(-1)
--- a/internal/coordination/admission/gate.go
+++ b/internal/coordination/admission/gate.go
@@ -34,6 +34,7 @@
 	activeWeight      float64
 	held              int // connections
 	running           []*Slot
+	beyondLimit       int // among running
 	connectionWaiters int
 	slotWaiters       int
 
@@ -223,7 +224,7 @@
 func (g *Gate) admit(w *waiter, q *queue) {
 	w.deadline = g.grantDeadline(w)
 	ahead := q.length
-	if q == &w.plan.statementQueue {
+	if q == &w.plan.statementQueue { // behind the plan's open transactions
 		ahead = w.plan.slotQueueLength()
 	}
 	g.enqueue(w, q)
@@ -260,10 +261,19 @@
 	}
 	timer := time.NewTimer(time.Until(w.deadline))
 	defer timer.Stop()
-	select {
-	case <-w.done:
-	case <-ctx.Done():
-	case <-timer.C:
+	ticks, stop := w.lockWaitTicks()
+	defer stop()
+	for waiting := true; waiting; {
+		select {
+		case <-ticks:
+			g.recheckLockWait()
+		case <-w.done:
+			waiting = false
+		case <-ctx.Done():
+			waiting = false
+		case <-timer.C:
+			waiting = false
+		}
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/coordination/admission/refusal.go
+++ b/internal/coordination/admission/refusal.go
@@ -50,10 +50,13 @@
 
 // refuseIfOverloaded refuses a waiter that has just joined its queue behind
 // ahead other waiters of its plan, if the queues are full or the expected wait,
-// multiplied by the safety factor, ends after its deadline.
+// multiplied by the safety factor, ends after its deadline. The lengths of the
+// queues don't count for a statement of an open transaction: it goes ahead of its
+// plan's new work, and there are no more of them than connections.
 func (g *Gate) refuseIfOverloaded(w *waiter, ahead int) {
 	wait := g.safetyFactor(w.plan) * g.expectedWait(w, ahead, w.since)
 	full := g.connectionWaiters+g.slotWaiters > g.queueTotal || w.plan.waiting() > g.queuePerPlan
+	full = full && !w.inTransaction
 	allowed := w.deadline.Sub(w.since)
 	if !full && wait <= allowed {
 		return
@@ -80,5 +83,5 @@
 	if w.queue == &w.plan.connectionQueue {
 		return g.connectionWait(w.plan, ahead, now)
 	}
-	return g.slotWait(w.plan, ahead, now)
+	return g.slotWait(w, ahead, now)
 }
--- a/internal/coordination/admission/slots.go
+++ b/internal/coordination/admission/slots.go
@@ -26,6 +26,8 @@
 	// charged is the slot time already added to the plan's virtual time.
 	charged  time.Duration
 	released bool
+	// beyondLimit is set if the slot was granted by grantBeyondLimit.
+	beyondLimit bool
 }
 
 // AcquireSlot waits for at most queueTimeout until one more statement of the
@@ -76,6 +78,9 @@
 		g.observe(s.plan, elapsed)
 	}
 	g.running = without(g.running, s)
+	if s.beyondLimit {
+		g.beyondLimit--
+	}
 	g.update(s.plan, func() { s.plan.running-- })
 	g.dispatch(now)
 }
@@ -91,19 +96,30 @@
 
 // dispatchSlots grants free slots to waiters.
 func (g *Gate) dispatchSlots(now time.Time) {
-	if len(g.running) >= g.slotLimit || g.slotWaiters == 0 {
+	if g.slotWaiters == 0 {
 		return
 	}
-	g.chargeRunning(now)
-	for len(g.running) < g.slotLimit && g.slotWaiters > 0 {
-		p := g.nextForSlot()
-		w := p.firstSlotWaiter()
-		if w.deadline.Before(now) {
-			g.refuseAfterWait(w, context.DeadlineExceeded)
-			continue
-		}
-		g.grantSlot(w, now)
+	if g.slotIsFree() {
+		g.chargeRunning(now)
+	}
+	for g.slotIsFree() && g.slotWaiters > 0 {
+		g.grantOrRefuse(g.nextForSlot().firstSlotWaiter(), now)
+	}
+	g.grantBeyondLimit(now)
+}
+
+func (g *Gate) slotIsFree() bool {
+	return len(g.running)-g.beyondLimit < g.slotLimit
+}
+
+// grantOrRefuse grants a slot to a waiter, or refuses it if its deadline has
+// passed. It returns the slot, or nil.
+func (g *Gate) grantOrRefuse(w *waiter, now time.Time) *Slot {
+	if w.deadline.Before(now) {
+		g.refuseAfterWait(w, context.DeadlineExceeded)
+		return nil
 	}
+	return g.grantSlot(w, now)
 }
 
 // chargeRunning charges plans for the time that their running statements have
@@ -120,7 +136,7 @@
 
 // grantSlot grants a slot to a waiter and charges its plan the expected time of
 // a statement.
-func (g *Gate) grantSlot(w *waiter, now time.Time) {
+func (g *Gate) grantSlot(w *waiter, now time.Time) *Slot {
 	p := w.plan
 	g.virtualTime = max(g.virtualTime, p.virtualTime)
 	slot := &Slot{gate: g, plan: p, start: now, charged: g.slotTime(p)}
@@ -130,6 +146,7 @@
 	g.dequeue(w)
 	w.slot = slot
 	w.wake()
+	return slot
 }
 
 // nextForSlot returns the waiting plan with the lowest slotRank: the one that
--- a/test/processes/client_test.go
+++ b/test/processes/client_test.go
@@ -136,7 +136,7 @@
 func (s *session) mustExec(t *testing.T, sql string) string {
 	t.Helper()
 	r, value := s.exec(sql)
-	require.Equal(t, done, r.outcome, "%s: %v", sql, r.err)
+	require.Equal(t, done, r.outcome, "%s: %s", sql, describe(r.err))
 	return value
 }
 
