Instances state the configuration's version; none starts to serve with an older one

Cause: an instance that restarts while the store holds an older copy of the configuration would accept keys that were withdrawn since. Change: rows of instances state the version of a configuration with workspaces. An instance that starts serves only once it has read the rows of the present era and none states a newer version; one that runs stops opening sessions when it stays behind.

--- a/internal/coordination/directory/directory.go
+++ b/internal/coordination/directory/directory.go
@@ -107,6 +107,15 @@
 	return d.routes.Load()
 }
 
+// KeysVersion returns the version of the configuration in force if it may hold keys,
+// otherwise 0.
+func (d *Directory) KeysVersion() uint64 {
+	if table := d.Routes(); table != nil && table.HasWorkspaces {
+		return table.Version
+	}
+	return 0
+}
+
 // StalenessBound returns the tightest staleness bound of the routes to a group
 // that replicas may serve. It returns false if there is none.
 func (d *Directory) StalenessBound(group state.GroupID) (time.Duration, bool) {
--- a/internal/coordination/leadership/heartbeat.go
+++ b/internal/coordination/leadership/heartbeat.go
@@ -242,6 +242,10 @@
 	if m.Demand != nil {
 		demand = m.Demand()
 	}
+	var configuration uint64
+	if m.ConfigurationInForce != nil {
+		configuration = m.ConfigurationInForce()
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.heartbeats++
@@ -250,6 +254,7 @@
 		Until:  int64(m.lease.nextExpiry(m.Clock.Now(), length)),
 		Demand: demand, Run: m.Config.Run, Era: m.era.number, Address: m.Address, DataCentre: m.DataCentre, Lease: length, Joined: m.joined, Count: m.heartbeats,
 		Acknowledged: m.acknowledgedGroups(), Suspected: m.suspectedGroups(),
+		Configuration: configuration,
 	}
 }
 
@@ -272,7 +277,7 @@
 		return initialRetryInterval
 	case !m.membersSettled:
 		return membersSettledAfter
-	case !read || m.watchesSuspectedOrChanging():
+	case !read || m.watchesSuspectedOrChanging() || m.rowsPending():
 		return fastMembersInterval
 	default:
 		return m.members.readInterval()
@@ -320,6 +325,7 @@
 	}
 	m.observeStore(sent, received, snapshot.Now)
 	unreadable := m.members.update(snapshot)
+	m.members.configuration, m.members.currentEra = m.members.newestConfiguration(m.Options.MaxLease), m.members.allWrittenIn(snapshot.Era)
 	m.rowVersion = max(m.rowVersion, m.members.byName[m.Self].version)
 	m.membersSettled = m.membersSettled || m.joined != 0 && snapshot.Now-time.Duration(m.joined) >= membersSettledAfter/2
 	var abandoned []rowstore.Transaction
--- a/internal/coordination/leadership/manager.go
+++ b/internal/coordination/leadership/manager.go
@@ -62,6 +62,9 @@
 	// OnWatchedRowsCurrent, which may be nil, is called when a renewal that was sent
 	// at the given time has found the rows unchanged.
 	OnWatchedRowsCurrent func(sent state.Instant)
+	// ConfigurationInForce returns the version of this instance's configuration if
+	// others must not serve with an older one, otherwise 0. It may be nil.
+	ConfigurationInForce func() uint64
 	// OnPrimaryPosition is called with the position in a primary's reply to a
 	// probe that was sent at requestedAt under a valid lease.
 	OnPrimaryPosition func(group state.GroupID, requestedAt state.Instant, position state.Position)
--- a/internal/coordination/leadership/members.go
+++ b/internal/coordination/leadership/members.go
@@ -26,6 +26,10 @@
 	remembered map[state.InstanceID]bool
 	// outdated is set from the beginning of an era to the first read in it.
 	outdated bool
+	// configuration is the result of newestConfiguration, and currentEra whether all
+	// rows were written in the present era, as of the last read.
+	configuration uint64
+	currentEra    bool
 	// rankings caches ranking until the next update.
 	rankings map[state.GroupID]ranking
 }
@@ -42,7 +46,7 @@
 	for name := range m.byName {
 		m.remembered[name] = true
 	}
-	m.outdated = true
+	m.outdated, m.currentEra = true, false
 }
 
 // afterRestore reports whether an instance wrote its row before the given era, as far
@@ -121,6 +125,28 @@
 	return max(1, count)
 }
 
+// newestConfiguration returns the newest version of the configuration that a row
+// changed within the given time states.
+func (m *members) newestConfiguration(within time.Duration) uint64 {
+	var newest uint64
+	for _, entry := range m.byName {
+		if m.renewedWithin(entry, within) {
+			newest = max(newest, entry.heartbeat.Configuration)
+		}
+	}
+	return newest
+}
+
+// allWrittenIn reports whether all rows were written in the given era.
+func (m *members) allWrittenIn(era uint64) bool {
+	for _, entry := range m.byName {
+		if entry.heartbeat.Era != era {
+			return false
+		}
+	}
+	return !m.outdated
+}
+
 // demand returns this instance's demand for a group's connections and the sum
 // over all live instances.
 func (m *members) demand(self state.InstanceID, id state.GroupID, within time.Duration) (own, all int) {
--- a/internal/coordination/leadership/record.go
+++ b/internal/coordination/leadership/record.go
@@ -97,6 +97,9 @@
 	// AfterRestore is set in a waiting row if the table held a row of an earlier era
 	// before.
 	AfterRestore bool `msgpack:"after_restore"`
+	// Configuration is the version of the configuration in force, below which other
+	// instances must not serve; 0 if it holds no keys that could have been withdrawn.
+	Configuration uint64 `msgpack:"config,omitempty"`
 }
 
 // leaseStart returns the time from which the row's lease counts, on the store's clock.
--- a/internal/coordination/leadership/view.go
+++ b/internal/coordination/leadership/view.go
@@ -38,6 +38,22 @@
 	return m.members.live(m.Options.MaxLease)
 }
 
+// NewestConfiguration returns the newest version of the configuration that another
+// instance is known to have in force, 0 if none states one. known is false while the
+// store may still hold rows of live instances from the copy that it was restored from.
+// An instance that reaches the store replaces its row within liveWithin.
+func (m *Manager) NewestConfiguration() (version uint64, known bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.members.configuration, !m.rowsPending()
+}
+
+// rowsPending reports whether rows of an earlier era may still be replaced by live
+// instances. The caller must hold m.mu.
+func (m *Manager) rowsPending() bool {
+	return m.era.number != 0 && !m.members.currentEra && m.Clock.Now().Sub(m.era.seenAt) < m.liveWithin()
+}
+
 // DemandOf returns the number of instances that may be using a group's databases,
 // this instance's demand for connections to them and the demand of all instances.
 func (m *Manager) DemandOf(id state.GroupID) (instances, own, all int) {
--- a/internal/coordination/relay/engine.go
+++ b/internal/coordination/relay/engine.go
@@ -36,6 +36,9 @@
 	// Ready reports whether this instance has acquired its first lease and read
 	// the rows of the other instances.
 	Ready() bool
+	// NewestConfiguration returns the newest version of the configuration that
+	// another instance states. known is false while that can't be told yet.
+	NewestConfiguration() (version uint64, known bool)
 }
 
 // Freshness tracks the log positions that cover acknowledged commits.
@@ -89,6 +92,7 @@
 	ctx            context.Context
 	sessions       atomic.Uint64
 	wasReady       atomic.Bool
+	behind         behind
 	replicas       replicaPositions
 	statementNames statementNames
 }
--- a/internal/coordination/relay/identity.go
+++ b/internal/coordination/relay/identity.go
@@ -14,6 +14,9 @@
 // Identity decides on whose behalf a client uses a route.
 type Identity interface {
 	Decide(table *state.RoutingTable, route state.Route, credential identity.Credential, age time.Duration) (state.WorkspaceID, error)
+	// Unverified reports whether keys can't be accepted because the table was last
+	// known to be the newest one too long ago.
+	Unverified(table *state.RoutingTable, age time.Duration) bool
 }
 
 // startsWork reports whether statements of a kind start something at a database.
--- a/internal/coordination/relay/session.go
+++ b/internal/coordination/relay/session.go
@@ -31,9 +31,9 @@
 // not accepted.
 func (e *Engine) Open(database string, credential identity.Credential) (*Session, state.Reply) {
 	deadline := time.Now().Add(startWait)
-	for !e.ready() {
+	for !e.ready() || e.Outdated() {
 		if !time.Now().Before(deadline) || e.ctx.Err() != nil {
-			return nil, e.refuse(database, state.Reply{Code: state.CodeBusy, Detail: "the instance has no configuration yet, retry after 500 ms"}, nil)
+			return nil, e.refuse(database, state.Reply{Code: state.CodeBusy, Detail: "the instance has no current configuration yet, retry after 500 ms"}, nil)
 		}
 		time.Sleep(startPollInterval)
 	}
@@ -64,7 +64,11 @@
 	if e.wasReady.Load() {
 		return true
 	}
-	if e.Directory.Routes() == nil || !e.Leadership.Ready() {
+	table := e.Directory.Routes()
+	if table == nil || !e.Leadership.Ready() {
+		return false
+	}
+	if newest, known := e.Leadership.NewestConfiguration(); !known || newest > table.Version {
 		return false
 	}
 	e.wasReady.Store(true)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -23,6 +23,7 @@
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/freshness"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/leadership"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/pooling"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/relay"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 	"github.com/cyclamenpin/cyclamenpin/internal/transport/datagram"
 	"github.com/cyclamenpin/cyclamenpin/internal/transport/lineserver"
@@ -74,6 +75,7 @@
 	cancel   context.CancelFunc
 
 	directory    *directory.Directory
+	engine       *relay.Engine
 	leadership   *leadership.Manager
 	pools        *pooling.Manager
 	server       *lineserver.Server
@@ -117,7 +119,7 @@
 		fx.Supply(settings, i),
 		fx.Provide(func() context.Context { return background }, func() (zerolog.Logger, requestLog) { return i.logs.Logger, i.logs.requests }),
 		modules(),
-		fx.Populate(&i.directory, &i.leadership, &i.pools, &i.server, &i.clock, &i.followers, &i.positions, &i.tunnelServer),
+		fx.Populate(&i.directory, &i.engine, &i.leadership, &i.pools, &i.server, &i.clock, &i.followers, &i.positions, &i.tunnelServer),
 		fx.Invoke(func(lifecycle fx.Lifecycle) {
 			lifecycle.Append(fx.Hook{OnStart: func(context.Context) error { i.startServices(background); return nil }})
 		}),
@@ -259,9 +261,9 @@
 }
 
 // Ready reports whether the instance can serve new sessions: it is neither
-// stopping nor isolated and has a routing table and a registered database.
+// stopping nor isolated, and has a usable configuration and a registered database.
 func (i *Instance) Ready() bool {
-	if i.stopping.Load() || i.directory.Routes() == nil || i.leadership.Isolated() {
+	if i.stopping.Load() || !i.engine.Serviceable() || i.leadership.Isolated() {
 		return false
 	}
 	return len(i.directory.Groups()) > 0
--- a/internal/entry/modules.go
+++ b/internal/entry/modules.go
@@ -106,8 +106,8 @@
 			instance.positions.Observe(group, requestedAt, position)
 		},
 		WatchedRows: instance.watchedRows, OnWatchedRowChange: func() { instance.followers.configuration.Refresh() },
-		OnWatchedRowsCurrent: dir.ConfirmConfiguration,
-		Promoter:             promoter, Health: tracker, Demand: pools.Demand, Messenger: instance.peers.Sender(topicConfirmations), Address: peerAddress(settings),
+		OnWatchedRowsCurrent: dir.ConfirmConfiguration, ConfigurationInForce: dir.KeysVersion,
+		Promoter: promoter, Health: tracker, Demand: pools.Demand, Messenger: instance.peers.Sender(topicConfirmations), Address: peerAddress(settings),
 		DataCentre: settings.DataCentre, Clock: clock, Log: log,
 	})
 	store.OnNewEra(manager.BeginEra)
--- a/test/council/cluster_test.go
+++ b/test/council/cluster_test.go
@@ -337,8 +337,8 @@
 			i.positions.Observe(group, requestedAt, position)
 		},
 		WatchedRows: i.watchedRows, OnWatchedRowChange: func() { i.configuration.Refresh() },
-		OnWatchedRowsCurrent: i.directory.ConfirmConfiguration,
-		Directory:            i.directory, Databases: i.pools, Promoter: tc.group.Promoter(), Health: tracker, Demand: i.pools.Demand,
+		OnWatchedRowsCurrent: i.directory.ConfirmConfiguration, ConfigurationInForce: i.directory.KeysVersion,
+		Directory: i.directory, Databases: i.pools, Promoter: tc.group.Promoter(), Health: tracker, Demand: i.pools.Demand,
 		Messenger: messenger{tc, name, "confirmations", confirmations}, Address: name,
 		DataCentre: state.DataCentre(name[len(name)-1:]), Clock: clock, Log: log,
 	})
