Tests of callers' identity; the configuration's currency is part of the decision

Withdrawn and moved keys in open sessions and transactions, unknown keys, public routes, random work of many workspaces on few connections, strict revocation, a restart beside a restored store, keys in logs. An instance that stays behind a version which another one states refuses keys in open sessions too.

--- a/internal/coordination/identity/identity.go
+++ b/internal/coordination/identity/identity.go
@@ -43,6 +43,9 @@
 	ReasonUnknownKey
 	// ReasonUnverified means that the instance can't tell whether keys are valid.
 	ReasonUnverified
+	// ReasonOutdated means that another instance has a newer configuration, which
+	// this one fails to read.
+	ReasonOutdated
 )
 
 // String returns the reason's name for logs and metrics.
@@ -54,6 +57,8 @@
 		return "unknown_key"
 	case ReasonUnverified:
 		return "unverified"
+	case ReasonOutdated:
+		return "outdated"
 	default:
 		return "unknown"
 	}
@@ -66,13 +71,14 @@
 	Credential Credential
 	// Version is the configuration's.
 	Version uint64
-	// Age is how long ago the configuration was last known to be current.
-	Age time.Duration
+	// Currency is what was known of the configuration.
+	Currency Currency
 }
 
 // Error returns the reason and the first digits of the key's hash.
 func (e *RefusedError) Error() string {
-	return fmt.Sprintf("client refused: %s, key %s, configuration %d known to be current %s ago", e.Reason, e.Credential, e.Version, e.Age.Round(time.Millisecond))
+	return fmt.Sprintf("client refused: %s, key %s, configuration %d known to be current %s ago, behind another instance's for %s",
+		e.Reason, e.Credential, e.Version, e.Currency.Age.Round(time.Millisecond), e.Currency.Behind.Round(time.Millisecond))
 }
 
 // Policy bounds the use of keys that were withdrawn.
@@ -85,34 +91,54 @@
 	Within time.Duration
 }
 
+// Currency is what an instance knows of how current its configuration is.
+type Currency struct {
+	// Age is how long ago it was last known to be the newest one.
+	Age time.Duration
+	// Behind is for how long another instance has been known to have a newer one;
+	// 0 if none has.
+	Behind time.Duration
+}
+
+// behindGrace is how long an instance may go on after another one has stated a newer
+// configuration, which reaches all instances well within this time.
+const behindGrace = 3 * time.Second
+
 // defaultWithin allows for several renewals of the lease, each of which shows whether
 // the configuration is current.
 const defaultWithin = 5 * time.Second
 
-// Unverified reports whether keys can't be accepted because the configuration was
-// last known to be current too long ago.
-func (p Policy) Unverified(table *state.RoutingTable, age time.Duration) bool {
+// Doubt returns why no key can be accepted, or 0 if keys can be accepted.
+func (p Policy) Doubt(table *state.RoutingTable, currency Currency) Reason {
 	within := p.Within
 	if within <= 0 {
 		within = defaultWithin
 	}
-	return p.Strict && table.HasWorkspaces && age > within
+	switch {
+	case currency.Behind > behindGrace:
+		return ReasonOutdated
+	case p.Strict && table.HasWorkspaces && currency.Age > within:
+		return ReasonUnverified
+	default:
+		return 0
+	}
 }
 
 // Decide returns the workspace on whose behalf a client uses a route. It is empty if
-// the configuration defines no workspaces or the route is public. age is how long ago
-// the table was last known to be the newest one. The error is always a *RefusedError.
-func (p Policy) Decide(table *state.RoutingTable, route state.Route, credential Credential, age time.Duration) (state.WorkspaceID, error) {
+// the configuration defines no workspaces or the route is public. The error is always a
+// *RefusedError.
+func (p Policy) Decide(table *state.RoutingTable, route state.Route, credential Credential, currency Currency) (state.WorkspaceID, error) {
 	if !table.HasWorkspaces || route.Public {
 		return "", nil
 	}
-	refusal := &RefusedError{Credential: credential, Version: table.Version, Age: age}
+	refusal := &RefusedError{Credential: credential, Version: table.Version, Currency: currency}
 	workspace, known := table.KeyOwners[credential.key]
+	doubt := p.Doubt(table, currency)
 	switch {
 	case !credential.given:
 		refusal.Reason = ReasonNoKey
-	case p.Unverified(table, age):
-		refusal.Reason = ReasonUnverified
+	case doubt != 0:
+		refusal.Reason = doubt
 	case !known:
 		refusal.Reason = ReasonUnknownKey
 	default:
--- a/internal/coordination/relay/identity.go
+++ b/internal/coordination/relay/identity.go
@@ -13,10 +13,9 @@
 
 // Identity decides on whose behalf a client uses a route.
 type Identity interface {
-	Decide(table *state.RoutingTable, route state.Route, credential identity.Credential, age time.Duration) (state.WorkspaceID, error)
-	// Unverified reports whether keys can't be accepted because the table was last
-	// known to be the newest one too long ago.
-	Unverified(table *state.RoutingTable, age time.Duration) bool
+	Decide(table *state.RoutingTable, route state.Route, credential identity.Credential, currency identity.Currency) (state.WorkspaceID, error)
+	// Doubt returns why no key can be accepted, or 0 if keys can be accepted.
+	Doubt(table *state.RoutingTable, currency identity.Currency) identity.Reason
 }
 
 // startsWork reports whether statements of a kind start something at a database.
@@ -41,7 +40,7 @@
 	if !listed {
 		route = r.route
 	}
-	workspace, err := s.engine.Identity.Decide(r.table, route, s.credential, s.engine.Directory.ConfigurationAge())
+	workspace, err := s.engine.Identity.Decide(r.table, route, s.credential, s.engine.currency(r.table))
 	if err != nil {
 		r.lastError = err
 		s.endTransaction(r)
@@ -80,7 +79,7 @@
 	switch refused.Reason {
 	case identity.ReasonNoKey:
 		return state.Reply{Code: state.CodeNotAuthorized, Detail: "the route needs a key"}
-	case identity.ReasonUnverified:
+	case identity.ReasonUnverified, identity.ReasonOutdated:
 		detail := fmt.Sprintf("the instance can't tell whether keys are still valid, retry after %d ms", identityRetryAfter.Milliseconds())
 		return state.Reply{Code: state.CodeBusy, Detail: detail}
 	default:
--- a/internal/coordination/relay/session.go
+++ b/internal/coordination/relay/session.go
@@ -31,7 +31,7 @@
 // not accepted.
 func (e *Engine) Open(database string, credential identity.Credential) (*Session, state.Reply) {
 	deadline := time.Now().Add(startWait)
-	for !e.ready() || e.Outdated() {
+	for !e.ready() {
 		if !time.Now().Before(deadline) || e.ctx.Err() != nil {
 			return nil, e.refuse(database, state.Reply{Code: state.CodeBusy, Detail: "the instance has no current configuration yet, retry after 500 ms"}, nil)
 		}
@@ -45,7 +45,7 @@
 		}
 		return nil, e.refuse(database, state.Reply{Code: state.CodeNoDatabase, Detail: "no route has the name"}, nil)
 	}
-	if _, err := e.Identity.Decide(table, route, credential, e.Directory.ConfigurationAge()); err != nil {
+	if _, err := e.Identity.Decide(table, route, credential, e.currency(table)); err != nil {
 		return nil, e.refuse(database, identityReply(err), err)
 	}
 	session := &Session{engine: e, number: e.sessions.Add(1), database: database, credential: credential, prepared: make(map[string]preparedStatement)}
@@ -65,10 +65,7 @@
 		return true
 	}
 	table := e.Directory.Routes()
-	if table == nil || !e.Leadership.Ready() {
-		return false
-	}
-	if newest, known := e.Leadership.NewestConfiguration(); !known || newest > table.Version {
+	if table == nil || !e.Leadership.Ready() || !e.isNewest(table) {
 		return false
 	}
 	e.wasReady.Store(true)
--- a/test/council/cluster_test.go
+++ b/test/council/cluster_test.go
@@ -59,6 +59,10 @@
 	log       zerolog.Logger
 	// fullRateMembers overrides leadership.Options.FullRateMembers unless it is 0.
 	fullRateMembers int
+	// keys holds the keys of each workspace in the configurations that are written
+	// from now on; nil if they define no workspaces. Routes in public need no key.
+	keys   map[state.WorkspaceID][]string
+	public map[string]bool
 	// identity decides on the callers of instances that are started.
 	identity identity.Policy
 	// lastConfiguration is the newest value that the operators wrote.
@@ -170,7 +174,17 @@
 	for _, name := range names {
 		table.Routes[name] = state.Route{
 			Database: name, Group: "g", Consistency: consistencies[name], MaxStaleness: maxStaleness,
-			StatementTimeout: 800 * time.Millisecond, Objective: 800 * time.Millisecond, Priority: 1,
+			StatementTimeout: 800 * time.Millisecond, Objective: 800 * time.Millisecond, Priority: 1, Public: tc.public[name],
+		}
+	}
+	if tc.keys != nil {
+		table.HasWorkspaces, table.KeyOwners = true, make(map[state.KeyHash]state.WorkspaceID)
+		table.Workspaces = make(map[state.WorkspaceID]state.Workspace)
+	}
+	for id, keys := range tc.keys {
+		table.Workspaces[id] = state.Workspace{ID: id}
+		for _, key := range keys {
+			table.KeyOwners[state.HashKey(key)] = id
 		}
 	}
 	value, err := json.Marshal(table)
