--- a/internal/coordination/relay/session.go
+++ b/internal/coordination/relay/session.go
@@ -33,7 +33,7 @@
 	deadline := time.Now().Add(startWait)
 	for !e.ready() {
 		if !time.Now().Before(deadline) || e.ctx.Err() != nil {
-			return nil, e.refuse(database, state.Reply{Code: state.CodeBusy, Detail: "the instance has no configuration yet, retry after 500 ms"}, nil)
+			return nil, e.refuse(database, state.Reply{Code: state.CodeBusy, Detail: "the instance has no current configuration yet, retry after 500 ms"}, nil)
 		}
 		time.Sleep(startPollInterval)
 	}
@@ -45,7 +45,7 @@
 		}
 		return nil, e.refuse(database, state.Reply{Code: state.CodeNoDatabase, Detail: "no route has the name"}, nil)
 	}
-	if _, err := e.Identity.Decide(table, route, credential, e.Directory.ConfigurationAge()); err != nil {
+	if _, err := e.Identity.Decide(table, route, credential, e.currency(table)); err != nil {
 		return nil, e.refuse(database, identityReply(err), err)
 	}
 	session := &Session{engine: e, number: e.sessions.Add(1), database: database, credential: credential, prepared: make(map[string]preparedStatement)}
@@ -64,7 +64,8 @@
 	if e.wasReady.Load() {
 		return true
 	}
-	if e.Directory.Routes() == nil || !e.Leadership.Ready() {
+	table := e.Directory.Routes()
+	if table == nil || !e.Leadership.Ready() || !e.isNewest(table) {
 		return false
 	}
 	e.wasReady.Store(true)
