Requests that can wait no longer keep urgent ones out of a pool

Cause: the expected wait counted the whole queue whatever the priority, so that a burst of long reads with time to wait refused short writes that would have gone ahead of them, and told them to come back after the whole queue. Reads that urgent requests had gone ahead of waited until their deadline although it was known that they could not be served. Change: a request counts those that it has to wait for. When a more urgent one arrives, those behind it that can't be served in time any more are refused with a retry hint. Ruled out: ordering by deadline alone, which lets a long read that has waited go ahead of a write that is worth more.

--- a/internal/coordination/pooling/doc.go
+++ b/internal/coordination/pooling/doc.go
@@ -1,6 +1,7 @@
 // Package pooling pools the connections of this instance to each database.
 // Requests wait for a connection in order of priority. A request that can't be
-// served before its deadline is refused immediately with a retry hint.
+// served before its deadline is refused immediately with a retry hint, as is one
+// that waits and can't be served in time because more urgent ones have arrived.
 //
 // A limiter reduces the statements in flight at a database when the database
 // refuses statements as overloaded. If a database can't be reached, connections
--- a/internal/coordination/pooling/pool.go
+++ b/internal/coordination/pooling/pool.go
@@ -97,12 +97,13 @@
 		p.mu.Unlock()
 		return nil, &DialError{Database: p.server.ID, Cause: errPoolClosed}
 	}
-	if noConn := p.checkWait(deadline); noConn != nil {
+	if noConn := p.checkWait(request.Priority, deadline); noConn != nil {
 		p.mu.Unlock()
 		return nil, noConn
 	}
-	w := p.queue.push(request)
+	w := p.queue.push(request, deadline)
 	p.dispatch()
+	p.refuseHopeless(request.Priority)
 	p.mu.Unlock()
 	return p.await(ctx, w, deadline)
 }
@@ -125,7 +126,7 @@
 		result := <-w.result
 		return result.conn, result.err
 	}
-	noConn := p.noConnectionError()
+	noConn := p.noConnectionError(w.Priority)
 	p.mu.Unlock()
 	if cause != nil {
 		return nil, cause
@@ -216,25 +217,44 @@
 
 // checkWait returns an error if the expected wait exceeds the time until the
 // deadline. It must be called with the lock held.
-func (p *Pool) checkWait(deadline time.Time) *NoConnectionError {
-	if p.open == 0 || time.Until(deadline) > p.expectedWait() {
+func (p *Pool) checkWait(priority int, deadline time.Time) *NoConnectionError {
+	if p.open == 0 || time.Until(deadline) > p.expectedWait(p.queue.ahead(priority)) {
 		return nil
 	}
-	return p.noConnectionError()
+	return p.noConnectionError(priority)
 }
 
-// expectedWait must be called with the lock held.
-func (p *Pool) expectedWait() time.Duration {
-	if p.queue.Len() == 0 {
-		return 0
+// refuseHopeless refuses the requests that a new one with the given priority has gone
+// ahead of and that can't be served in time any more. Their callers learn it at once
+// and not at their deadline. It must be called with the lock held.
+func (p *Pool) refuseHopeless(priority int) {
+	if p.open == 0 || p.queue.Len() == 0 {
+		return
 	}
-	return p.holdTime * time.Duration(p.queue.Len()) / time.Duration(max(1, p.limiter.bound(p.open)))
+	later := p.queue.behind(priority)
+	ahead := p.queue.Len() - len(later)
+	for _, w := range later {
+		// Those that hold the connections now are ahead, too.
+		if time.Until(w.deadline) > p.expectedWait(ahead+p.limiter.bound(p.open)) {
+			ahead++
+			continue
+		}
+		p.queue.remove(w)
+		w.result <- waitResult{err: p.noConnectionError(w.Priority)}
+	}
+}
+
+// expectedWait estimates the wait for a connection behind other requests. It must be
+// called with the lock held.
+func (p *Pool) expectedWait(ahead int) time.Duration {
+	return p.holdTime * time.Duration(ahead) / time.Duration(max(1, p.limiter.bound(p.open)))
 }
 
-func (p *Pool) noConnectionError() *NoConnectionError {
+// noConnectionError must be called with the lock held.
+func (p *Pool) noConnectionError(priority int) *NoConnectionError {
 	return &NoConnectionError{
 		Database: p.server.ID, Waiting: p.queue.Len(), Open: p.open,
-		RetryAfter: max(p.holdTime, p.expectedWait()),
+		RetryAfter: max(p.holdTime, p.expectedWait(p.queue.ahead(priority))),
 	}
 }
 
--- a/internal/coordination/pooling/queue.go
+++ b/internal/coordination/pooling/queue.go
@@ -2,6 +2,8 @@
 
 import (
 	"container/heap"
+	"slices"
+	"time"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 )
@@ -43,9 +45,9 @@
 	return of
 }
 
-func (q *queue) push(request Request) *waiter {
+func (q *queue) push(request Request, deadline time.Time) *waiter {
 	q.sequence++
-	w := &waiter{Request: request, sequence: q.sequence, result: make(chan waitResult, 1)}
+	w := &waiter{Request: request, sequence: q.sequence, deadline: deadline, result: make(chan waitResult, 1)}
 	heap.Push(&q.of(request.Workspace).waiters, w)
 	q.length++
 	return w
@@ -86,6 +88,40 @@
 	return first
 }
 
+// ahead returns how many waiting requests a new one with the given priority would
+// have to wait for.
+func (q *queue) ahead(priority int) int {
+	count := 0
+	for _, of := range q.byWorkspace {
+		for _, w := range of.waiters {
+			if w.Priority <= priority {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// behind returns the waiting requests that are served after those with the given
+// priority, in order.
+func (q *queue) behind(priority int) []*waiter {
+	var later []*waiter
+	for _, of := range q.byWorkspace {
+		for _, w := range of.waiters {
+			if w.Priority > priority {
+				later = append(later, w)
+			}
+		}
+	}
+	slices.SortFunc(later, func(a, b *waiter) int {
+		if a.before(b) {
+			return -1
+		}
+		return 1
+	})
+	return later
+}
+
 // addOpening adds to the number of connections that are being opened for a workspace.
 func (q *queue) addOpening(workspace state.WorkspaceID, change int) {
 	q.of(workspace).opening += change
--- a/internal/coordination/pooling/waiters.go
+++ b/internal/coordination/pooling/waiters.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"time"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 )
@@ -25,6 +26,8 @@
 	Request
 	sequence uint64
 	index    int
+	// deadline is when the request gives up.
+	deadline time.Time
 	result   chan waitResult
 }
 
