Pools: a busy workspace keeps no others out; room at full databases

Change: a request is overtaken for 50 ms at most; the connection that makes room is the longest idle one of a workspace without waiting requests; cost includes an opening. Without workspaces nothing changes.

--- a/internal/coordination/pooling/dial.go
+++ b/internal/coordination/pooling/dial.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
@@ -52,33 +53,42 @@
 // openMore starts to open connections for the waiting requests. It must be
 // called with the lock held. The pool grows in steps: after a restart of all
 // instances, one connection for each waiting request would keep the database
-// busy with opening them. If the share is used up, the longest idle connections of
-// other workspaces are closed.
+// busy with opening them.
 func (p *Pool) openMore() {
-	if time.Now().Before(p.dialAfter) {
-		return
-	}
-	limit := max(1, p.open/growthDivisor)
-	for p.opening < limit {
+	for {
 		w := p.queue.first(func(_ state.WorkspaceID, of *workspaceQueue) bool { return of.unserved() })
-		if w == nil || p.open+p.opening >= p.share && !p.closeOldestIdle() {
+		if w == nil || !p.openFor(w) {
 			return
 		}
-		p.opening++
-		p.queue.addOpening(w.Workspace, 1)
-		go p.dial(w.Workspace)
 	}
 }
 
-// closeOldestIdle closes the idle connection that was used least recently. It returns
-// false if none is idle. It must be called with the lock held, while no waiting
-// request can use an idle connection.
+// openFor starts to open a connection for a waiting request. If the share is used up,
+// an idle connection makes room. It returns false if none can be opened now. It must
+// be called with the lock held.
+func (p *Pool) openFor(w *waiter) bool {
+	if time.Now().Before(p.dialAfter) || p.opening >= max(1, p.open/growthDivisor) {
+		return false
+	}
+	if p.open+p.opening >= p.share && !p.closeOldestIdle() {
+		return false
+	}
+	p.opening++
+	p.queue.addOpening(w.Workspace, 1)
+	go p.dial(w.Workspace)
+	return true
+}
+
+// closeOldestIdle closes the idle connection that was used least recently, if possible
+// one of a workspace without waiting requests. It returns false if none is idle. It
+// must be called with the lock held.
 func (p *Pool) closeOldestIdle() bool {
 	if len(p.idle) == 0 {
 		return false
 	}
-	conn := p.idle[0]
-	p.idle = p.idle[1:]
+	oldest := max(0, slices.IndexFunc(p.idle, func(conn *Conn) bool { return !p.queue.waits(conn.Workspace) }))
+	conn := p.idle[oldest]
+	p.idle = slices.Delete(p.idle, oldest, oldest+1)
 	p.open--
 	go conn.Close()
 	return true
@@ -176,17 +186,33 @@
 	p.dialFailures++
 	p.dialAfter = now.Add(min(dialPause<<min(p.dialFailures-1, maxDialPauseDoublings), maxDialPause))
 	if failure.Code == state.CodeTooManyConnections && p.open > 0 {
-		// The open connections serve the waiting requests. Further ones are
-		// opened at the next dispatch after the pause.
+		// The open connections of the workspace serve its waiting requests, those of
+		// others make room. Further ones are opened after the pause.
+		if p.queue.waits(workspace) && !p.hasIdle(workspace) && p.idleElsewhere(workspace) {
+			p.closeOldestIdle()
+			p.dispatchAfterPause()
+		}
 		return
 	}
 	p.log.Warn().Err(err).Str("database", string(p.server.ID)).Int("open", p.open).Int("waiting", p.queue.Len()).Msg("connection not opened")
 	if w := p.queue.pop(workspace); w != nil {
 		w.result <- waitResult{err: failure}
 	}
+	p.dispatchAfterPause()
+}
+
+// dispatchAfterPause serves the waiting requests when connections may be opened again.
+// It must be called with the lock held.
+func (p *Pool) dispatchAfterPause() {
 	time.AfterFunc(time.Until(p.dialAfter), func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.dispatch()
 	})
 }
+
+// idleElsewhere reports whether a connection of another workspace is idle. It must be
+// called with the lock held.
+func (p *Pool) idleElsewhere(workspace state.WorkspaceID) bool {
+	return slices.ContainsFunc(p.idle, func(conn *Conn) bool { return conn.Workspace != workspace })
+}
--- a/internal/coordination/pooling/pool.go
+++ b/internal/coordination/pooling/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -97,7 +98,7 @@
 		p.mu.Unlock()
 		return nil, &DialError{Database: p.server.ID, Cause: errPoolClosed}
 	}
-	if noConn := p.checkWait(deadline); noConn != nil {
+	if noConn := p.checkWait(request.Workspace, deadline); noConn != nil {
 		p.mu.Unlock()
 		return nil, noConn
 	}
@@ -187,12 +188,7 @@
 // hasIdle reports whether an idle connection of a workspace exists. It must be called
 // with the lock held.
 func (p *Pool) hasIdle(workspace state.WorkspaceID) bool {
-	for _, conn := range p.idle {
-		if conn.Workspace == workspace {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(p.idle, func(conn *Conn) bool { return conn.Workspace == workspace })
 }
 
 // takeDirect returns an idle connection that doesn't lead through another
@@ -215,14 +211,21 @@
 }
 
 // checkWait returns an error if the expected wait exceeds the time until the
-// deadline. It must be called with the lock held.
-func (p *Pool) checkWait(deadline time.Time) *NoConnectionError {
-	if p.open == 0 || time.Until(deadline) > p.expectedWait() {
+// deadline. The requests of other workspaces don't delay one that has an idle
+// connection. It must be called with the lock held.
+func (p *Pool) checkWait(workspace state.WorkspaceID, deadline time.Time) *NoConnectionError {
+	if p.open == 0 || time.Until(deadline) > p.expectedWait() || p.servesAtOnce(workspace) {
 		return nil
 	}
 	return p.noConnectionError()
 }
 
+// servesAtOnce reports whether a request of a workspace would get a connection without
+// waiting. It must be called with the lock held.
+func (p *Pool) servesAtOnce(workspace state.WorkspaceID) bool {
+	return p.limiter.allows(p.inFlight()) && p.hasIdle(workspace)
+}
+
 // expectedWait must be called with the lock held.
 func (p *Pool) expectedWait() time.Duration {
 	if p.queue.Len() == 0 {
@@ -252,6 +255,9 @@
 			p.openMore()
 			return
 		}
+		if overtaken := p.overtaken(w); overtaken != nil && p.openFor(overtaken) {
+			continue
+		}
 		conn := p.takeIdle(w.Request)
 		if conn == nil {
 			continue
@@ -263,6 +269,24 @@
 	}
 }
 
+// maxOvertake is how long a request may be overtaken by later ones of workspaces that
+// have a connection. It is about twice the time of opening one, so that connections
+// change hands rarely and a busy workspace doesn't keep others out.
+const maxOvertake = 50 * time.Millisecond
+
+// overtaken returns the first request that has waited for longer than maxOvertake for a
+// connection of its workspace and would be overtaken by w, nil if there is none. It must
+// be called with the lock held.
+func (p *Pool) overtaken(w *waiter) *waiter {
+	first := p.queue.first(func(workspace state.WorkspaceID, of *workspaceQueue) bool {
+		return workspace != w.Workspace && of.unserved() && !p.hasIdle(workspace)
+	})
+	if first == nil || !first.before(w) || time.Since(first.since) <= maxOvertake {
+		return nil
+	}
+	return first
+}
+
 // markStarted must be called with the lock held when a connection's first
 // statement is sent, or when the connection is released without one.
 func (p *Pool) markStarted(conn *Conn) {
@@ -335,18 +359,30 @@
 	p.dispatch()
 }
 
-// Cost estimates how long a statement would take if it were sent now.
-func (p *Pool) Cost() time.Duration {
+// openingCost is the cost of a statement that needs a new connection because its
+// workspace has none that is idle: some round trips and the database's work.
+const openingCost = 40 * time.Millisecond
+
+// Cost estimates how long a statement of a workspace would take if it were sent now.
+func (p *Pool) Cost(workspace state.WorkspaceID) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	ahead := p.running + p.queue.Len()
-	return p.latency * time.Duration(ahead+1)
+	cost := p.latency * time.Duration(ahead+1)
+	if workspace != "" && !p.hasIdle(workspace) {
+		cost += openingCost
+	}
+	return cost
 }
 
-// Saturated reports whether a request would have to wait until another one ends.
-func (p *Pool) Saturated() bool {
+// Saturated reports whether a request of a workspace would have to wait until another
+// one ends.
+func (p *Pool) Saturated(workspace state.WorkspaceID) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.servesAtOnce(workspace) {
+		return false
+	}
 	full := len(p.idle) == 0 && p.open+p.opening >= p.share
 	return full || p.queue.Len() > 0 || !p.limiter.allows(p.inFlight())
 }
--- a/internal/coordination/pooling/queue.go
+++ b/internal/coordination/pooling/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"time"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 )
@@ -45,7 +46,7 @@
 
 func (q *queue) push(request Request) *waiter {
 	q.sequence++
-	w := &waiter{Request: request, sequence: q.sequence, result: make(chan waitResult, 1)}
+	w := &waiter{Request: request, sequence: q.sequence, since: time.Now(), result: make(chan waitResult, 1)}
 	heap.Push(&q.of(request.Workspace).waiters, w)
 	q.length++
 	return w
@@ -53,7 +54,8 @@
 
 // remove removes a waiter and reports whether it was still waiting.
 func (q *queue) remove(w *waiter) bool {
-	if !q.of(w.Workspace).waiters.remove(w) {
+	of, ok := q.byWorkspace[w.Workspace]
+	if !ok || !of.waiters.remove(w) {
 		return false
 	}
 	q.length--
@@ -86,6 +88,12 @@
 	return first
 }
 
+// waits reports whether a request of a workspace waits.
+func (q *queue) waits(workspace state.WorkspaceID) bool {
+	of, ok := q.byWorkspace[workspace]
+	return ok && of.waiters.Len() > 0
+}
+
 // addOpening adds to the number of connections that are being opened for a workspace.
 func (q *queue) addOpening(workspace state.WorkspaceID, change int) {
 	q.of(workspace).opening += change
--- a/internal/coordination/pooling/waiters.go
+++ b/internal/coordination/pooling/waiters.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"time"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 )
@@ -24,6 +25,7 @@
 type waiter struct {
 	Request
 	sequence uint64
+	since    time.Time
 	index    int
 	result   chan waitResult
 }
--- a/internal/coordination/relay/reads.go
+++ b/internal/coordination/relay/reads.go
@@ -65,7 +65,7 @@
 			continue
 		}
 		pool := e.Pools.Pool(entry.Server)
-		candidate := readOption{server: entry.Server, primary: entry.ID == primary, cost: pool.Cost(), saturated: pool.Saturated()}
+		candidate := readOption{server: entry.Server, primary: entry.ID == primary, cost: pool.Cost(r.workspace), saturated: pool.Saturated(r.workspace)}
 		switch {
 		case candidate.primary:
 			candidate.cost = candidate.cost*primaryReadFactor + primaryReadPenalty
@@ -214,7 +214,7 @@
 		return r.busyReply("the replica is behind", retryAfterChange), true
 	case state.CodeBusy, state.CodeMisdirected:
 		r.recordRefusal(reply)
-		return r.busyReply("the database is overloaded", pool.Cost()), true
+		return r.busyReply("the database is overloaded", pool.Cost(r.workspace)), true
 	default:
 		return reply, false
 	}
--- a/internal/coordination/relay/single.go
+++ b/internal/coordination/relay/single.go
@@ -71,7 +71,7 @@
 	}
 	s.recordPrimaryReply(r, reply, requestedAt)
 	if reply.Code == state.CodeBusy {
-		return r.busyReply("the database is overloaded", pool.Cost()), s.waitBeforeBusyRetry(r)
+		return r.busyReply("the database is overloaded", pool.Cost(r.workspace)), s.waitBeforeBusyRetry(r)
 	}
 	return reply, false
 }
--- a/internal/coordination/relay/transaction.go
+++ b/internal/coordination/relay/transaction.go
@@ -261,7 +261,7 @@
 		r.recordRefusal(reply)
 		pool.Release(conn, reusable(reply, nil))
 		if reply.Code == state.CodeBusy {
-			return r.busyReply("the database is overloaded", pool.Cost()), s.waitBeforeBusyRetry(r)
+			return r.busyReply("the database is overloaded", pool.Cost(r.workspace)), s.waitBeforeBusyRetry(r)
 		}
 		return reply, grant == nil
 	}
