--- a/internal/coordination/relay/engine.go
+++ b/internal/coordination/relay/engine.go
@@ -93,6 +93,7 @@
 	sessions       atomic.Uint64
 	wasReady       atomic.Bool
 	behind         behind
+	workspaces     workspaceMetrics
 	replicas       replicaPositions
 	statementNames statementNames
 }
@@ -100,7 +101,7 @@
 // New returns an engine that stops waiting for primaries, connections and its
 // configuration when ctx ends.
 func New(ctx context.Context, config Config) *Engine {
-	return &Engine{Config: config, ctx: ctx, replicas: newReplicaPositions(), statementNames: statementNames{names: make(map[preparedStatement]string)}}
+	return &Engine{Config: config, ctx: ctx, replicas: newReplicaPositions(), workspaces: newWorkspaceMetrics(), statementNames: statementNames{names: make(map[preparedStatement]string)}}
 }
 
 const (
--- a/internal/coordination/relay/request.go
+++ b/internal/coordination/relay/request.go
@@ -143,6 +143,9 @@
 func (r *request) finish(reply state.Reply) {
 	took := time.Since(r.started)
 	countOutcome(outcome{route: r.route.Consistency, kind: r.statement.Kind, code: reply.Code})
+	if r.workspace != "" {
+		r.session.engine.workspaces.count(r.table, r.workspace, reply.Code)
+	}
 	if r.attempts == 0 && reply.Code == state.CodeNone {
 		return
 	}
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -28,6 +28,7 @@
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		gauges.WritePrometheus(w)
 		i.writeGroupMetrics(w)
+		i.engine.WriteMetrics(w)
 		metrics.WritePrometheus(w, true)
 	})
 	mux.HandleFunc("GET /dump", func(w http.ResponseWriter, _ *http.Request) {
