--- a/internal/coordination/pooling/waiters.go
+++ b/internal/coordination/pooling/waiters.go
@@ -25,6 +25,7 @@
 type waiter struct {
 	Request
 	sequence uint64
+	since    time.Time
 	index    int
 	// deadline is when the request gives up.
 	deadline time.Time
