Calls to a slow store are used when their response comes late

Cause, found by reading and shown in virtual time: a starting instance waits 500 ms for each list of a table, for the first read of the instances' rows, for a renewal of the lease and for the row of a waiting instance, then cancels the call and makes another. A store whose calls take longer than that never gives it a table, the members or a lease, however long it tries; the renewals take effect all the same, and each refuses the next one's condition in a response that is dropped too.

The pace of the calls stays, and with it the behaviour when responses are lost: a call without a response is sent again after the same time. The limit of a call in platform/ may be raised by its caller (WithCallTimeout). The versions and members of a slower, earlier call don't replace those of a later one.

Weighed: longer timeouts after failures (a start during an outage, or with lost requests, would wait longer once the store answers again), fewer retries (the same). Left: writes of a change of primary still give up each attempt after 500 ms, and a watch after its wait and 0.8 s.

--- a/internal/coordination/leadership/heartbeat.go
+++ b/internal/coordination/leadership/heartbeat.go
@@ -116,29 +116,34 @@
 // lease as the row says. The first renewal after an era that began while the
 // lease was valid states that the records of the era are known.
 func (m *Manager) renew(ctx context.Context, value []byte, row heartbeat, eraNumber uint64, conditions []rowstore.Condition) error {
-	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
-	defer cancel()
 	transaction := rowstore.Transaction{
 		Era: eraNumber, Conditions: conditions, Puts: []rowstore.Row{m.ownRow(value)},
 	}
 	if err := m.addEraStatement(&transaction); err != nil {
 		return err
 	}
+	err := callStore(ctx, heartbeatTimeout,
+		func(ctx context.Context) error { return m.transactRenewal(ctx, transaction, row) },
+		func(err error) { m.recordLateRenewal(err, conditions) })
+	m.Availability.Record(err)
+	return err
+}
+
+func (m *Manager) transactRenewal(ctx context.Context, transaction rowstore.Transaction, row heartbeat) error {
 	sent := m.Clock.Now()
 	commit, err := m.Store.Transact(ctx, transaction)
 	received := m.Clock.Now()
-	m.Availability.Record(err)
 	if err != nil {
 		return err
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.era.number != eraNumber {
-		return eris.Wrapf(rowstore.ErrEraChanged, "renewal in era %d", eraNumber)
+	if m.era.number != transaction.Era {
+		return eris.Wrapf(rowstore.ErrEraChanged, "renewal in era %d", transaction.Era)
 	}
 	m.observeStore(sent, received, commit.Now)
 	m.era.stated = m.era.carried
-	m.rowVersion = commit.Version
+	m.rowVersion = max(m.rowVersion, commit.Version)
 	m.lease.recordRenewal(commit.Version, row.leaseStart(commit.Now), row.Lease)
 	if m.joined == 0 {
 		m.joined = int64(commit.Now)
@@ -285,36 +290,59 @@
 	return false
 }
 
-// membersContext bounds a read of the instances' rows. Until the first one has
-// succeeded, this instance serves nothing, so that it asks again soon.
-func (m *Manager) membersContext(ctx context.Context) (context.Context, context.CancelFunc) {
+// membersWaitLimit returns how long a read of the instances' rows is waited for.
+// Until the first one has succeeded, this instance serves nothing, so that it asks
+// again soon.
+func (m *Manager) membersWaitLimit() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.members.now == 0 {
-		return context.WithTimeout(ctx, heartbeatTimeout)
+		return heartbeatTimeout
 	}
-	return context.WithCancel(ctx)
+	return readTimeout
 }
 
 // readMembers reads the instances' rows and deletes those that have not been
 // renewed for staleRowAge. It reports whether the rows could be read.
 func (m *Manager) readMembers(ctx context.Context) bool {
-	listCtx, cancel := m.membersContext(ctx)
-	defer cancel()
-	sent := m.Clock.Now()
-	snapshot, err := m.Store.List(listCtx, TableInstances)
-	received := m.Clock.Now()
+	var abandoned []rowstore.Transaction
+	err := callStore(ctx, m.membersWaitLimit(), func(ctx context.Context) (err error) {
+		abandoned, err = m.listMembers(ctx)
+		return err
+	}, func(error) {})
 	if err != nil {
 		m.Log.Debug().Err(err).Msg("failed to read the instances table")
 		return false
 	}
+	for _, removal := range abandoned {
+		if _, err := m.Store.Transact(ctx, removal); err != nil {
+			m.Log.Warn().Err(err).Msg("failed to remove the row of an expired instance")
+		}
+	}
+	return true
+}
+
+// listMembers reads the instances' rows and returns the transactions that remove
+// those of expired instances.
+func (m *Manager) listMembers(ctx context.Context) ([]rowstore.Transaction, error) {
+	sent := m.Clock.Now()
+	snapshot, err := m.Store.List(ctx, TableInstances)
+	received := m.Clock.Now()
+	if err != nil {
+		return nil, err
+	}
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	if m.era.number != snapshot.Era {
-		m.mu.Unlock()
-		return false
+		return nil, eris.Wrapf(rowstore.ErrEraChanged, "instances of era %d", snapshot.Era)
 	}
 	m.observeStore(sent, received, snapshot.Now)
-	unreadable := m.members.update(snapshot)
+	if snapshot.Now < m.members.now && !m.members.outdated {
+		return nil, nil // a later read was faster
+	}
+	for _, key := range m.members.update(snapshot) {
+		m.Log.Warn().Str("peer", key).Msg("cannot decode an instance's row")
+	}
 	m.rowVersion = max(m.rowVersion, m.members.byName[m.Self].version)
 	m.membersSettled = m.membersSettled || m.joined != 0 && snapshot.Now-time.Duration(m.joined) >= membersSettledAfter/2
 	var abandoned []rowstore.Transaction
@@ -326,16 +354,7 @@
 			})
 		}
 	}
-	m.mu.Unlock()
-	for _, key := range unreadable {
-		m.Log.Warn().Str("peer", key).Msg("cannot decode an instance's row")
-	}
-	for _, removal := range abandoned {
-		if _, err := m.Store.Transact(ctx, removal); err != nil {
-			m.Log.Warn().Err(err).Msg("failed to remove the row of an expired instance")
-		}
-	}
-	return true
+	return abandoned, nil
 }
 
 func changesTotal(result string) *metrics.Counter {
--- a/internal/coordination/leadership/options.go
+++ b/internal/coordination/leadership/options.go
@@ -66,10 +66,15 @@
 	// initialRetryInterval applies until the instance is ready.
 	heartbeatRetryInterval = 400 * time.Millisecond
 	initialRetryInterval   = 50 * time.Millisecond
-	// heartbeatTimeout bounds one renewal. While the store is slow it takes
-	// 0.25 s; a response that takes longer counts as lost, and the renewal is sent
-	// again.
+	// heartbeatTimeout is how long a renewal is waited for. While the store is slow
+	// it takes 0.25 s; a response that takes longer may be lost, so that the renewal
+	// is sent again, but still counts when it comes.
 	heartbeatTimeout = 500 * time.Millisecond
+	// slowCallTimeout bounds a call to the store for which its caller no longer
+	// waits; it is the lease, which a later response could not renew. readTimeout is
+	// how long reads are waited for, except the first of the instances' rows.
+	slowCallTimeout = 4 * time.Second
+	readTimeout     = 1500 * time.Millisecond
 	// acknowledgementInterval is the time between two reads of the
 	// instances' rows while a change waits for them.
 	acknowledgementInterval = 25 * time.Millisecond
--- a/internal/coordination/leadership/settle.go
+++ b/internal/coordination/leadership/settle.go
@@ -49,6 +49,10 @@
 
 // readEra reads the row in TableEras.
 func (m *Manager) readEra(ctx context.Context) error {
+	return callStore(ctx, readTimeout, m.listEra, func(error) {})
+}
+
+func (m *Manager) listEra(ctx context.Context) error {
 	snapshot, err := m.Store.List(ctx, TableEras)
 	if err != nil {
 		return err
@@ -66,6 +70,9 @@
 		if err := decode(row.Key, row.Value, &record); err != nil {
 			return err
 		}
+		if row.Version < m.era.rowVersion {
+			continue // a later read was faster
+		}
 		m.era.rowVersion = row.Version
 		if record.Era == m.era.number {
 			m.era.settled, m.era.began = true, time.Duration(record.Began)
@@ -92,17 +99,21 @@
 		m.Log.Error().Err(err).Msg("failed to encode the instance's row")
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
-	defer cancel()
-	_, err = m.Store.Transact(ctx, rowstore.Transaction{Era: eraNumber, Puts: []rowstore.Row{m.ownRow(value)}})
+	err = callStore(ctx, heartbeatTimeout, func(ctx context.Context) error {
+		_, err := m.Store.Transact(ctx, rowstore.Transaction{Era: eraNumber, Puts: []rowstore.Row{m.ownRow(value)}})
+		m.recordWaitingRow(eraNumber, err)
+		return err
+	}, func(error) {})
 	m.Availability.Record(err)
 	if err != nil {
 		m.Log.Warn().Err(err).Msg("failed to write the row of a waiting instance")
-		return
 	}
+}
+
+func (m *Manager) recordWaitingRow(eraNumber uint64, err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.era.number == eraNumber {
+	if err == nil && m.era.number == eraNumber {
 		m.era.waitingRowWritten = true
 	}
 }
--- a/internal/coordination/rowstore/follower.go
+++ b/internal/coordination/rowstore/follower.go
@@ -61,7 +61,7 @@
 var errCallRestarted = errors.New("call cancelled to read the table again")
 
 // errNoResponse is the error of a list whose response has not started to arrive
-// within firstResponseTimeout.
+// within firstResponseTimeout, although it may come later.
 var errNoResponse = errors.New("no response from the store")
 
 // Update is a change of a followed table.
@@ -121,6 +121,8 @@
 	storeAvailable bool
 	lastFailure    state.Instant
 	retryWaits     *backoff.ExponentialBackOff
+	// pending is nil if no list is under way.
+	pending *pendingLists
 }
 
 // NewFollower returns a follower that has not read anything yet.
@@ -181,6 +183,7 @@
 		state.Pause(ctx, rand.N(f.EraSpread))
 	}
 	f.era, f.listed, f.afterVersion = newest, false, 0
+	f.endLists()
 	// The list that follows is the one that BeginEra asked for.
 	select {
 	case <-f.refresh:
@@ -192,8 +195,8 @@
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		f.enterNewestEra(ctx)
-		requestedAt := f.Clock.Now()
-		snapshot, err := f.call(ctx)
+		result := f.call(ctx)
+		snapshot, requestedAt, err := result.snapshot, result.requestedAt, result.err
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -224,29 +227,21 @@
 // call lists the table or watches it for changes. It returns errCallRestarted
 // when the store becomes available again or Refresh is called, because a call
 // under way at that time may never get a response.
-func (f *Follower) call(ctx context.Context) (Snapshot, error) {
-	ctx, cancel := context.WithCancelCause(ctx)
+func (f *Follower) call(runCtx context.Context) listResult {
+	ctx, cancel := context.WithCancelCause(runCtx)
 	defer cancel(nil)
 	defer f.receivingSince.Store(0)
 	go f.cancelStaleCall(ctx, cancel)
-	noResponse := time.AfterFunc(firstResponseTimeout, func() { cancel(errNoResponse) })
-	defer noResponse.Stop()
-	ctx = WithResponseHook(ctx, func() {
-		noResponse.Stop()
-		f.receivingSince.Store(int64(f.Clock.Now()))
-	})
-	var snapshot Snapshot
-	var err error
-	if f.listed {
-		noResponse.Stop() // the store may wait for a change
-		snapshot, err = f.Store.Watch(ctx, f.Table, f.afterVersion, f.watchWait())
-	} else {
-		snapshot, err = f.Store.List(ctx, f.Table)
+	if !f.listed {
+		return f.list(ctx, runCtx)
 	}
-	if cause := context.Cause(ctx); err != nil && (errors.Is(cause, errCallRestarted) || errors.Is(cause, errNoResponse)) {
-		return Snapshot{}, cause
+	ctx = WithResponseHook(ctx, func() { f.receivingSince.Store(int64(f.Clock.Now())) })
+	result := listResult{requestedAt: f.Clock.Now()}
+	result.snapshot, result.err = f.Store.Watch(ctx, f.Table, f.afterVersion, f.watchWait())
+	if cause := context.Cause(ctx); result.err != nil && errors.Is(cause, errCallRestarted) {
+		result.err = cause
 	}
-	return snapshot, err
+	return result
 }
 
 // watchWait returns how long the store may delay its response to the next watch.
@@ -326,5 +321,8 @@
 	if unavailable {
 		wait = unavailableRetryWait
 	}
+	if f.pending != nil {
+		ctx = f.pending.arrived
+	}
 	state.PauseOrWake(ctx, wait, changed)
 }
--- a/internal/coordination/rowstore/progress.go
+++ b/internal/coordination/rowstore/progress.go
@@ -1,6 +1,9 @@
 package rowstore
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 type responseHook struct{}
 
@@ -18,3 +21,21 @@
 		hook()
 	}
 }
+
+type callTimeout struct{}
+
+// WithCallTimeout returns a context for calls to a Store that may take longer than
+// the store's usual limit. Unlike a deadline it doesn't include waits before the
+// call.
+func WithCallTimeout(ctx context.Context, timeout time.Duration) context.Context {
+	return context.WithValue(ctx, callTimeout{}, timeout)
+}
+
+// CallTimeout returns the limit of a call, which is usual unless the caller allows
+// another. Stores use it.
+func CallTimeout(ctx context.Context, usual time.Duration) time.Duration {
+	if timeout, ok := ctx.Value(callTimeout{}).(time.Duration); ok {
+		return timeout
+	}
+	return usual
+}
--- a/internal/standin/platform/council/store.go
+++ b/internal/standin/platform/council/store.go
@@ -61,11 +61,12 @@
 	// arrive, transfers how many such responses were sent to each caller.
 	transferTimes map[string]time.Duration
 	transfers     map[string]int
+	latency       time.Duration
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{started: time.Now(), rows: make(map[rowKey]rowstore.Row), changed: make(chan struct{}), transferTimes: make(map[string]time.Duration), transfers: make(map[string]int)}
+	return &Store{started: time.Now(), latency: callLatency, rows: make(map[rowKey]rowstore.Row), changed: make(chan struct{}), transferTimes: make(map[string]time.Duration), transfers: make(map[string]int)}
 }
 
 // SetFaults sets the function that selects the fault of each call from now on;
@@ -76,6 +77,14 @@
 	s.faults = faults
 }
 
+// SetLatency sets how long calls take from now on, as those to an overloaded store.
+// A transaction takes effect even if its caller no longer waits.
+func (s *Store) SetLatency(latency time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.latency = latency
+}
+
 // SetTransferTime sets how long a response with rows of a table takes to arrive,
 // as a large one does on a slow link.
 func (s *Store) SetTransferTime(table string, duration time.Duration) {
@@ -225,15 +234,20 @@
 	if c.store.faults != nil {
 		fault = c.store.faults(c.caller, call)
 	}
+	latency := c.store.latency
 	c.store.mu.Unlock()
+	timeout := rowstore.CallTimeout(ctx, callTimeout)
 	if fault == FaultRequestLost {
-		state.Pause(ctx, callTimeout)
+		state.Pause(ctx, timeout)
 		return fault, errStoreTimeout
 	}
-	state.Pause(ctx, callLatency)
+	state.Pause(ctx, min(latency, timeout))
 	if fault == FaultRefused {
 		return fault, rowstore.ErrRefused
 	}
+	if latency > timeout && ctx.Err() == nil {
+		return fault, errStoreTimeout
+	}
 	return fault, ctx.Err()
 }
 
@@ -312,16 +326,16 @@
 
 // Transact implements rowstore.Store.
 func (c *StoreClient) Transact(ctx context.Context, transaction rowstore.Transaction) (rowstore.Commit, error) {
+	began := time.Now()
 	fault, err := c.begin(ctx, "transact")
 	if err != nil {
+		if fault == FaultNone {
+			time.AfterFunc(c.remainingLatency(began), func() { c.applyLate(transaction) })
+		}
 		return rowstore.Commit{}, err
 	}
 	if fault == FaultDelayed {
-		time.AfterFunc(effectDelay, func() {
-			c.store.mu.Lock()
-			defer c.store.mu.Unlock()
-			c.store.apply(transaction)
-		})
+		time.AfterFunc(effectDelay, func() { c.applyLate(transaction) })
 		state.Pause(ctx, callTimeout)
 		return rowstore.Commit{}, errStoreTimeout
 	}
@@ -343,3 +357,19 @@
 	state.Pause(ctx, callLatency/2)
 	return commit, nil
 }
+
+// remainingLatency returns how much longer a call takes that began at the given
+// time.
+func (c *StoreClient) remainingLatency(began time.Time) time.Duration {
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	return c.store.latency - time.Since(began)
+}
+
+// applyLate applies a transaction whose caller no longer waits, if its conditions
+// still hold.
+func (c *StoreClient) applyLate(transaction rowstore.Transaction) {
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	c.store.apply(transaction)
+}
--- a/test/council/failover_test.go
+++ b/test/council/failover_test.go
@@ -461,6 +461,43 @@
 	})
 }
 
+// All instances are restarted while each call to the store takes seconds, as on a
+// machine without free memory. They serve after the few calls that a start needs,
+// and go on. The response to each one's first renewal is lost besides.
+func TestStartWhileTheStoreIsSlow(t *testing.T) {
+	for _, latency := range []time.Duration{time.Second, 2 * time.Second, 3 * time.Second} {
+		run(t, fourInstances, func(tc *testCluster) {
+			time.Sleep(5 * time.Second)
+			for _, name := range fourInstances {
+				tc.instances[name].kill()
+			}
+			tc.store.SetLatency(latency)
+			transactions := make(map[string]int)
+			tc.store.SetFaults(func(caller, call string) standin.Fault {
+				if call == "transact" {
+					transactions[caller]++
+				}
+				if call == "transact" && transactions[caller] == 1 {
+					return standin.FaultResponseLost
+				}
+				return standin.FaultNone
+			})
+			for _, name := range fourInstances {
+				tc.start(name)
+			}
+			const callsOfAStart = 4
+			for _, name := range fourInstances {
+				tc.eventually(callsOfAStart*latency, "the first write", tc.instances[name].writable)
+			}
+			time.Sleep(30 * time.Second)
+			for range 100 {
+				time.Sleep(100 * time.Millisecond)
+				require.True(tc.t, tc.instances["a"].writable(), "a store with calls of %v", latency)
+			}
+		})
+	}
+}
+
 // A primary and an instance are lost together. Once the others have acknowledged for as
 // long as a confirmation is valid, the lost instance cannot be confirmed any more, so
 // the change ends with its lease: 4 s and the margin for requests that were under way.
