--- a/internal/coordination/admission/lock_wait_test.go
+++ b/internal/coordination/admission/lock_wait_test.go
@@ -68,14 +68,15 @@
 		flood(g, "a", 3, true, 80*tick, time.Now().Add(time.Second))
 		var most int
 		end := time.Now().Add(2 * time.Second)
-		go func() {
+		var watch sync.WaitGroup
+		watch.Go(func() {
 			for time.Now().Before(end) {
 				most = max(most, g.Snapshot().SlotsHeld)
 				time.Sleep(tick)
 			}
-		}()
+		})
 		flood(g, "a", 20, true, 150*tick, end)
-		time.Sleep(tick)
+		watch.Wait()
 		require.LessOrEqual(t, most, g.Snapshot().SlotLimit)
 	})
 }
