Rankings keep what an instance uses, not the whole order

Cause: each instance kept, for each group, the order of all instances twice (a slice and a map of positions) and once more by data centre, and computed all of it again after each read of the instances' rows. 300 instances times 700 groups: 19.5 MB live, three times that at GC percent 200.

Now: the watchers, this instance's position and two neighbours for each group, kept until another instance is live than before. Rows list only groups with demand, decoded into a compact list that shares the groups' names; the sum over all instances is formed once a read instead of for each question.

Ruled out: JSON and base64 of responses (282 kB of text in the dump), goroutine stacks (11 descriptors a process), the configuration.

--- a/internal/coordination/leadership/confirmation.go
+++ b/internal/coordination/leadership/confirmation.go
@@ -101,7 +101,7 @@
 	suspected := m.suspectedGroups()
 	watched := make(map[state.GroupID]uint64)
 	for id, epoch := range suspected {
-		if m.rankingOf(id).watches(m.Self) {
+		if m.rankingOf(id).watches() {
 			watched[id] = epoch
 		}
 	}
--- a/internal/coordination/leadership/era.go
+++ b/internal/coordination/leadership/era.go
@@ -123,7 +123,7 @@
 			continue
 		}
 		left++
-		turn := min(time.Duration(m.rankingOf(id).position(m.Self))*staggerStep, maxRestoreDelay)
+		turn := min(time.Duration(m.rankingOf(id).position)*staggerStep, maxRestoreDelay)
 		if now.Sub(m.era.seenAt) >= turn {
 			due = append(due, unsavedRecord{id, g.record, g.version})
 		}
--- a/internal/coordination/leadership/evaluate.go
+++ b/internal/coordination/leadership/evaluate.go
@@ -62,7 +62,7 @@
 // changeDue reports whether this instance should change the group's primary now,
 // and why. The caller must hold m.mu.
 func (m *Manager) changeDue(id state.GroupID, g *group, primary state.DatabaseID) (cause, bool) {
-	stagger := time.Duration(m.rankingOf(id).position(m.Self)) * staggerStep
+	stagger := time.Duration(m.rankingOf(id).position) * staggerStep
 	if g.record.Changing {
 		if g.record.Promoter == m.runName {
 			return causeResume, true
@@ -94,7 +94,7 @@
 		}
 		return causeGone, !registered
 	}
-	watchers := m.rankingOf(id).watchers()
+	watchers := m.rankingOf(id).watchers
 	return causeUnreachable, 2*m.members.votes(watchers, m.Self, id, g.record.Epoch) > len(watchers)
 }
 
--- a/internal/coordination/leadership/heartbeat.go
+++ b/internal/coordination/leadership/heartbeat.go
@@ -233,9 +233,9 @@
 }
 
 func (m *Manager) nextHeartbeat() heartbeat {
-	var demand map[state.GroupID]uint16
+	var demand demands
 	if m.Demand != nil {
-		demand = m.Demand()
+		demand = newDemands(m.Demand())
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -278,7 +278,7 @@
 // primary is suspected or being changed. The caller must hold m.mu.
 func (m *Manager) watchesSuspectedOrChanging() bool {
 	for id, g := range m.groups {
-		if (g.suspected || g.record.Changing) && m.rankingOf(id).watches(m.Self) {
+		if (g.suspected || g.record.Changing) && m.rankingOf(id).watches() {
 			return true
 		}
 	}
--- a/internal/coordination/leadership/manager.go
+++ b/internal/coordination/leadership/manager.go
@@ -149,7 +149,7 @@
 	return &Manager{
 		Config: config, runName: nameOfRun(config.Self, config.Run),
 		groups: make(map[state.GroupID]*group), changed: make(chan struct{}),
-		heartbeatNow: make(chan struct{}, 1), readMembersNow: make(chan struct{}, 1), members: newMembers(),
+		heartbeatNow: make(chan struct{}, 1), readMembersNow: make(chan struct{}, 1), members: newMembers(config.Self, config.DataCentre),
 		probing: make(map[state.DatabaseID]bool), nextProbe: make(map[state.DatabaseID]state.Instant),
 	}
 }
--- a/internal/coordination/leadership/members.go
+++ b/internal/coordination/leadership/members.go
@@ -15,6 +15,8 @@
 	// seenAt is the store's time of the first response that held this version,
 	// so the row was written no later.
 	seenAt time.Duration
+	// read is the number of the last read that found the row.
+	read uint64
 }
 
 // members are the instances' rows as last read.
@@ -22,17 +24,29 @@
 	byName map[state.InstanceID]member
 	// now is the store's time of the last read, 0 before the first one in an era.
 	now time.Duration
+	// reads counts the reads.
+	reads uint64
 	// remembered are the instances of earlier eras that have no row in this one.
 	remembered map[state.InstanceID]bool
 	// outdated is set from the beginning of an era to the first read in it.
 	outdated bool
-	// rankings caches ranking until the next update.
-	rankings map[state.GroupID]ranking
+	rankings rankings
+	// demands caches the live instances' demand until the next update; it is nil
+	// after one.
+	demands *demandSums
 }
 
-func newMembers() members {
+// demandSums holds the number of live instances and the sum of their demand for each
+// group.
+type demandSums struct {
+	live    int
+	byGroup map[state.GroupID]int
+}
+
+// newMembers returns the members as seen by an instance of a data centre.
+func newMembers(self state.InstanceID, dataCentre state.DataCentre) members {
 	return members{
-		byName: make(map[state.InstanceID]member), rankings: make(map[state.GroupID]ranking), remembered: make(map[state.InstanceID]bool),
+		byName: make(map[state.InstanceID]member), rankings: newRankings(self, dataCentre), remembered: make(map[state.InstanceID]bool),
 	}
 }
 
@@ -72,29 +86,30 @@
 	return e.heartbeat.Waiting && e.heartbeat.Era == era
 }
 
-// update replaces the members with a snapshot of all rows. Rows that cannot be
-// decoded are kept as instances that acknowledge nothing; their keys are
-// returned.
+// update replaces the members with a snapshot of all rows. Only rows that have
+// changed are decoded. Rows that cannot be decoded are kept as instances that
+// acknowledge nothing; their keys are returned.
 func (m *members) update(snapshot rowstore.Snapshot) (unreadable []string) {
-	next := make(map[state.InstanceID]member, len(snapshot.Rows))
+	m.reads++
 	for _, row := range snapshot.Rows {
 		name := state.InstanceID(row.Key)
 		delete(m.remembered, name)
-		if old, known := m.byName[name]; known && old.version == row.Version && !m.outdated {
-			next[name] = old
-			continue
-		}
-		entry := member{version: row.Version, seenAt: snapshot.Now}
-		if err := decode(row.Key, row.Value, &entry.heartbeat); err != nil {
-			unreadable = append(unreadable, row.Key)
+		entry, known := m.byName[name]
+		if !known || entry.version != row.Version || m.outdated {
+			entry = member{version: row.Version, seenAt: snapshot.Now}
+			if err := decode(row.Key, row.Value, &entry.heartbeat); err != nil {
+				unreadable = append(unreadable, row.Key)
+			}
 		}
-		next[name] = entry
+		entry.read = m.reads
+		m.byName[name] = entry
 	}
+	maps.DeleteFunc(m.byName, func(_ state.InstanceID, entry member) bool { return entry.read != m.reads })
 	if m.outdated {
 		m.now, m.outdated = 0, false
 	}
-	m.byName, m.now = next, max(m.now, snapshot.Now)
-	clear(m.rankings)
+	m.now = max(m.now, snapshot.Now)
+	m.rankings.outdated, m.demands = true, nil
 	return unreadable
 }
 
@@ -109,32 +124,36 @@
 	return m.now-entry.seenAt <= within
 }
 
-// live returns the number of instances whose row changed within the given time.
-// It is at least 1, as the caller is live.
-func (m *members) live(within time.Duration) int {
-	count := 0
+// liveDemand returns the live instances, at least 1 as the caller is live, and the
+// sums of their demand. An instance is live if its row has changed within the given
+// time, which must be the same in all calls.
+func (m *members) liveDemand(within time.Duration) *demandSums {
+	if m.demands != nil {
+		return m.demands
+	}
+	sums := &demandSums{byGroup: make(map[state.GroupID]int)}
 	for _, entry := range m.byName {
-		if m.renewedWithin(entry, within) {
-			count++
+		if !m.renewedWithin(entry, within) {
+			continue
+		}
+		sums.live++
+		for _, demand := range entry.heartbeat.Demand {
+			sums.byGroup[demand.group.Value()] += int(demand.tenths)
 		}
 	}
-	return max(1, count)
+	sums.live = max(1, sums.live)
+	m.demands = sums
+	return sums
 }
 
 // demand returns this instance's demand for a group's connections and the sum
 // over all live instances.
 func (m *members) demand(self state.InstanceID, id state.GroupID, within time.Duration) (own, all int) {
-	for name, entry := range m.byName {
-		if !m.renewedWithin(entry, within) {
-			continue
-		}
-		demand := int(entry.heartbeat.Demand[id])
-		all += demand
-		if name == self {
-			own = demand
-		}
+	entry, known := m.byName[self]
+	if known && m.renewedWithin(entry, within) {
+		own = entry.heartbeat.Demand.of(id)
 	}
-	return own, all
+	return own, m.liveDemand(within).byGroup[id]
 }
 
 // votes returns how many of a group's watchers cannot reach the primary of the
--- a/internal/coordination/leadership/record.go
+++ b/internal/coordination/leadership/record.go
@@ -80,7 +80,7 @@
 	Joined int64 `msgpack:"joined"`
 	// Demand is the number of connections that this instance has recently used
 	// or waited for, for each group in use, in tenths of a connection.
-	Demand map[state.GroupID]uint16 `msgpack:"demand"`
+	Demand demands `msgpack:"demand"`
 	// Count increases with each write, so that each write changes the row.
 	Count uint64 `msgpack:"count"`
 	// Acknowledged holds, for each group being changed, the epoch whose old
--- a/internal/coordination/leadership/settle.go
+++ b/internal/coordination/leadership/settle.go
@@ -130,7 +130,7 @@
 // expired. The caller must hold m.mu.
 func (m *Manager) settlementDue() bool {
 	age := m.eraAge(m.members.now)
-	turn := time.Duration(m.members.ranking(rowEra, m.Options.MaxLease).position(m.Self)) * staggerStep
+	turn := time.Duration(m.members.ranking(rowEra, m.Options.MaxLease).position) * staggerStep
 	if age < m.earlierDutyAge()+turn {
 		return false
 	}
--- a/internal/coordination/leadership/transact_test.go
+++ b/internal/coordination/leadership/transact_test.go
@@ -155,7 +155,7 @@
 // has read the row late.
 func TestPromoterWaitsForTheLeaseThatTheRowStates(t *testing.T) {
 	row := heartbeat{Lease: 4 * time.Second, Until: int64(14 * time.Second)}
-	m := newMembers()
+	m := newMembers("a", "")
 	m.byName["b"] = member{heartbeat: row, version: 5, seenAt: 13 * time.Second}
 	announced := announcement{group: "g", epoch: 1, commit: rowstore.Commit{Version: 9, Now: 13500 * time.Millisecond}}
 	leasedAt := func(now time.Duration) []state.InstanceID {
--- a/internal/coordination/leadership/view.go
+++ b/internal/coordination/leadership/view.go
@@ -35,7 +35,7 @@
 func (m *Manager) Members() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.members.live(m.Options.MaxLease)
+	return m.members.liveDemand(m.Options.MaxLease).live
 }
 
 // DemandOf returns the number of instances that may be using a group's databases,
@@ -45,7 +45,7 @@
 	defer m.mu.Unlock()
 	within := m.Options.MaxLease
 	own, all = m.members.demand(m.Self, id, within)
-	return m.members.live(within), own, all
+	return m.members.liveDemand(within).live, own, all
 }
 
 // StoreOffsets returns bounds of the difference between the store's clock and
@@ -62,7 +62,7 @@
 func (m *Manager) Watches(id state.GroupID) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.membersSettled && m.rankingOf(id).watches(m.Self)
+	return m.membersSettled && m.rankingOf(id).watches()
 }
 
 // PeersReachingPrimary returns the addresses of the other instances that are
@@ -80,14 +80,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var addresses []string
-	for _, name := range m.rankingOf(id).local[m.DataCentre] {
-		address := m.members.byName[name].heartbeat.Address
-		if name != m.Self && address != "" {
+	for _, name := range m.rankingOf(id).neighbours {
+		if address := m.members.byName[name].heartbeat.Address; address != "" {
 			addresses = append(addresses, address)
 		}
-		if len(addresses) == maxNeighbours {
-			break
-		}
 	}
 	return addresses
 }
@@ -128,7 +124,7 @@
 	for _, id := range m.Directory.Groups() {
 		g := m.group(id)
 		primary, _ := m.primaryOf(id, g)
-		groups = append(groups, Status{Group: id, Epoch: g.record.Epoch, Term: g.record.Term, Changing: g.record.Changing, Primary: primary, Grants: len(g.grants), Watched: m.rankingOf(id).watches(m.Self)})
+		groups = append(groups, Status{Group: id, Epoch: g.record.Epoch, Term: g.record.Term, Changing: g.record.Changing, Primary: primary, Grants: len(g.grants), Watched: m.rankingOf(id).watches()})
 	}
 	return groups, m.lease.remaining(now)
 }
--- a/internal/coordination/leadership/watchers.go
+++ b/internal/coordination/leadership/watchers.go
@@ -24,76 +24,180 @@
 	probesPerSecond = 25
 )
 
-// ranking is the order in which instances act for one group.
+// ranking is what this instance needs of the order in which instances act for one
+// group. The whole order would take memory for each group and instance.
 type ranking struct {
-	order     []state.InstanceID
-	positions map[state.InstanceID]int
-	// local holds the order within each data centre.
-	local map[state.DataCentre][]state.InstanceID
+	// watchers are the first instances of the order.
+	watchers []state.InstanceID
+	// position is this instance's place in the order; instances that are not ranked
+	// come last.
+	position int
+	// neighbours are the first other instances of this data centre.
+	neighbours []state.InstanceID
 }
 
-// watchers returns the instances that watch the group.
-func (r ranking) watchers() []state.InstanceID {
-	return r.order[:min(len(r.order), watchersPerGroup)]
+// watches reports whether this instance watches the group.
+func (r ranking) watches() bool {
+	return r.position < watchersPerGroup
 }
 
-// position returns an instance's place in the order; instances that are not
-// ranked come last.
-func (r ranking) position(name state.InstanceID) int {
-	if position, ok := r.positions[name]; ok {
-		return position
-	}
-	return len(r.order)
+// rankedInstance is a live instance that takes part in the rankings.
+type rankedInstance struct {
+	dataCentre state.DataCentre
+	name       state.InstanceID
+	// hasAddress is set if other instances can send messages to it.
+	hasAddress bool
 }
 
-func (r ranking) watches(name state.InstanceID) bool {
-	return r.position(name) < watchersPerGroup
+// instanceHash is the key by which an instance of rankings.live is ranked for a group.
+type instanceHash struct {
+	hash  uint64
+	index int
 }
 
-// rankedInstance is an instance with the keys by which it is ranked.
-type rankedInstance struct {
-	name state.InstanceID
-	hash uint64
-	// round is the number of instances of the same data centre that precede it.
-	round int
+// rankings are computed when they are needed and kept as long as the same instances are
+// live.
+type rankings struct {
+	self       state.InstanceID
+	dataCentre state.DataCentre
+	// outdated is set if live must be compared with the rows.
+	outdated bool
+	// live holds the live instances by data centre and name.
+	live    []rankedInstance
+	byGroup map[state.GroupID]ranking
+	// hashes is reused by compute.
+	hashes []instanceHash
+}
+
+func newRankings(self state.InstanceID, dataCentre state.DataCentre) rankings {
+	return rankings{self: self, dataCentre: dataCentre, byGroup: make(map[state.GroupID]ranking)}
 }
 
 // ranking returns the order of the live instances for a group. It is a
 // rendezvous hash, so that a missing instance changes little of it, and takes
 // one instance of each data centre in turn.
 func (m *members) ranking(group state.GroupID, within time.Duration) ranking {
-	if cached, ok := m.rankings[group]; ok {
-		return cached
+	r := &m.rankings
+	if r.outdated {
+		r.setLive(m.rankable(within))
 	}
-	byDataCentre := make(map[state.DataCentre][]rankedInstance)
+	found, ok := r.byGroup[group]
+	if !ok {
+		found = r.compute(group)
+		r.byGroup[group] = found
+	}
+	return found
+}
+
+// rankable returns the live instances by data centre and name.
+func (m *members) rankable(within time.Duration) []rankedInstance {
+	live := make([]rankedInstance, 0, len(m.byName))
 	for name, entry := range m.byName {
 		if m.renewedWithin(entry, within) {
-			dc := entry.heartbeat.DataCentre
-			byDataCentre[dc] = append(byDataCentre[dc], rankedInstance{name: name, hash: xxhash.Sum64String(string(group) + "\x00" + string(name))})
+			live = append(live, rankedInstance{dataCentre: entry.heartbeat.DataCentre, name: name, hasAddress: entry.heartbeat.Address != ""})
 		}
 	}
-	var all []rankedInstance
-	for _, instances := range byDataCentre {
-		slices.SortFunc(instances, func(a, b rankedInstance) int { return cmp.Compare(a.hash, b.hash) })
-		for n := range instances {
-			instances[n].round = n
+	slices.SortFunc(live, func(a, b rankedInstance) int {
+		return cmp.Or(cmp.Compare(a.dataCentre, b.dataCentre), cmp.Compare(a.name, b.name))
+	})
+	return live
+}
+
+// setLive drops the rankings if other instances are live than before.
+func (r *rankings) setLive(live []rankedInstance) {
+	r.outdated = false
+	if slices.Equal(live, r.live) {
+		return
+	}
+	r.live = live
+	clear(r.byGroup)
+}
+
+// compute ranks the live instances for a group.
+func (r *rankings) compute(group state.GroupID) ranking {
+	dataCentres := r.hashByDataCentre(group)
+	result := ranking{position: len(r.live), neighbours: r.firstNeighbours(dataCentres)}
+	for round := 0; len(result.watchers) < min(watchersPerGroup, len(r.live)); round++ {
+		for _, next := range nthOfEach(dataCentres, round) {
+			result.watchers = append(result.watchers, r.live[next.index].name)
 		}
-		all = append(all, instances...)
 	}
-	slices.SortFunc(all, func(a, b rankedInstance) int {
-		return cmp.Or(cmp.Compare(a.round, b.round), cmp.Compare(a.hash, b.hash))
-	})
-	result := ranking{positions: make(map[state.InstanceID]int, len(all)), local: make(map[state.DataCentre][]state.InstanceID, len(byDataCentre))}
-	for n, instance := range all {
-		result.order = append(result.order, instance.name)
-		result.positions[instance.name] = n
-		dc := m.byName[instance.name].heartbeat.DataCentre
-		result.local[dc] = append(result.local[dc], instance.name)
+	result.watchers = slices.Clip(result.watchers[:min(len(result.watchers), watchersPerGroup)])
+	for _, instances := range dataCentres {
+		round := slices.IndexFunc(instances, func(i instanceHash) bool { return r.live[i.index].name == r.self })
+		if round >= 0 {
+			result.position = positionIn(dataCentres, round, instances[round].hash)
+		}
 	}
-	m.rankings[group] = result
 	return result
 }
 
+// hashByDataCentre returns the live instances of each data centre in the order of
+// their hashes. The result is valid until the next call.
+func (r *rankings) hashByDataCentre(group state.GroupID) (dataCentres [][]instanceHash) {
+	key := append([]byte(group), 0)
+	prefix := len(key)
+	r.hashes = r.hashes[:0]
+	for index, instance := range r.live {
+		key = append(key[:prefix], instance.name...)
+		r.hashes = append(r.hashes, instanceHash{hash: xxhash.Sum64(key), index: index})
+	}
+	for from := 0; from < len(r.live); {
+		to := from + 1
+		for to < len(r.live) && r.live[to].dataCentre == r.live[from].dataCentre {
+			to++
+		}
+		instances := r.hashes[from:to]
+		slices.SortFunc(instances, func(a, b instanceHash) int { return cmp.Compare(a.hash, b.hash) })
+		dataCentres = append(dataCentres, instances)
+		from = to
+	}
+	return dataCentres
+}
+
+// firstNeighbours returns the first other instances of this data centre that have an
+// address.
+func (r *rankings) firstNeighbours(dataCentres [][]instanceHash) []state.InstanceID {
+	var neighbours []state.InstanceID
+	for _, instances := range dataCentres {
+		if r.live[instances[0].index].dataCentre != r.dataCentre {
+			continue
+		}
+		for _, instance := range instances {
+			found := r.live[instance.index]
+			if len(neighbours) < maxNeighbours && found.name != r.self && found.hasAddress {
+				neighbours = append(neighbours, found.name)
+			}
+		}
+	}
+	return neighbours
+}
+
+// nthOfEach returns the instances that a round takes from the data centres, in their
+// order.
+func nthOfEach(dataCentres [][]instanceHash, round int) []instanceHash {
+	var taken []instanceHash
+	for _, instances := range dataCentres {
+		if round < len(instances) {
+			taken = append(taken, instances[round])
+		}
+	}
+	slices.SortFunc(taken, func(a, b instanceHash) int { return cmp.Compare(a.hash, b.hash) })
+	return taken
+}
+
+// positionIn returns the place in the order of an instance that a round takes.
+func positionIn(dataCentres [][]instanceHash, round int, hash uint64) int {
+	position := 0
+	for _, instances := range dataCentres {
+		position += min(round, len(instances))
+		if round < len(instances) && instances[round].hash < hash {
+			position++
+		}
+	}
+	return position
+}
+
 // rankingOf returns the order in which instances act for a group. Instances that
 // are partitioned from the others together with the primary may use it for up to
 // MaxLease, so for as long they take part. The caller must hold m.mu.
@@ -113,7 +217,7 @@
 	chosen := make(map[state.InstanceID]bool)
 	var addresses []string
 	for id := range groups {
-		for _, name := range m.rankingOf(id).watchers() {
+		for _, name := range m.rankingOf(id).watchers {
 			address := m.members.byName[name].heartbeat.Address
 			if name != m.Self && address != "" && !chosen[name] {
 				chosen[name] = true
