Renewals of instances that started together are spread

Cause: instances that start together, or that an outage of the store has stopped, renewed at the same moments for ever. The store commits one transaction after another, so each renewal and the operators' write waited for all others; at 144 instances with 4 ms a transaction longer than a renewal's timeout.

Now: the first renewal after a start or a failure is followed by another one after a random part of the interval; no interval is longer than before, so the lease is renewed at least as often.

The stand-in's store counts calls by kind and table and can take its transactions one after another.

--- a/internal/coordination/leadership/heartbeat.go
+++ b/internal/coordination/leadership/heartbeat.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -61,18 +62,26 @@
 	return max(m.lease.length, m.Options.Lease, leaseIntervals*m.heartbeatInterval())
 }
 
+// heartbeatLoop renews the lease until ctx ends. Instances that started together, or
+// that an outage of the store has stopped, would go on to renew together, and the store
+// commits one renewal after another: what is written last would wait for all others. So
+// the first renewal after a start or a failure is followed by another one after a random
+// part of the interval.
 func (m *Manager) heartbeatLoop(ctx context.Context) {
-	for ctx.Err() == nil {
+	for together := true; ctx.Err() == nil; {
 		m.mu.Lock()
 		ready, interval := m.ready, m.heartbeatInterval()
 		m.mu.Unlock()
-		if !ready {
+		switch {
+		case !ready:
 			// The lease is not renewed before the primaries have been read.
 			interval = acknowledgementInterval
-		} else if !m.prepareRenewal(ctx) {
+		case !m.prepareRenewal(ctx):
 			interval = m.settlementRetryDelay()
-		} else if !m.sendHeartbeat(ctx) {
-			interval = m.heartbeatRetryDelay()
+		case !m.sendHeartbeat(ctx):
+			interval, together = m.heartbeatRetryDelay(), true
+		case together:
+			interval, together = rand.N(interval), false
 		}
 		state.PauseOrWake(ctx, interval, m.heartbeatNow)
 	}
--- a/internal/standin/platform/council/store.go
+++ b/internal/standin/platform/council/store.go
@@ -61,11 +61,17 @@
 	// arrive, transfers how many such responses were sent to each caller.
 	transferTimes map[string]time.Duration
 	transfers     map[string]int
+	// calls is the number of calls by kind and table.
+	calls map[string]int
+	// commitTime is how long each transaction takes, one after another; idleFrom is
+	// when the last one ends, longestWait the longest time that one waited for others.
+	commitTime, longestWait time.Duration
+	idleFrom                time.Time
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{started: time.Now(), rows: make(map[rowKey]rowstore.Row), changed: make(chan struct{}), transferTimes: make(map[string]time.Duration), transfers: make(map[string]int)}
+	return &Store{started: time.Now(), rows: make(map[rowKey]rowstore.Row), changed: make(chan struct{}), transferTimes: make(map[string]time.Duration), transfers: make(map[string]int), calls: make(map[string]int)}
 }
 
 // SetFaults sets the function that selects the fault of each call from now on;
@@ -92,6 +98,44 @@
 	return maps.Clone(s.transfers)
 }
 
+// SetCommitTime sets how long each transaction takes; they take effect one after
+// another.
+func (s *Store) SetCommitTime(duration time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.commitTime, s.longestWait = duration, 0
+}
+
+// LongestWait returns the longest time that a transaction waited for others since
+// SetCommitTime.
+func (s *Store) LongestWait() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.longestWait
+}
+
+// awaitTurn waits until the earlier transactions and this one have been carried out.
+func (c *StoreClient) awaitTurn(ctx context.Context) {
+	c.store.mu.Lock()
+	now := time.Now()
+	starts := now
+	if c.store.idleFrom.After(now) {
+		starts = c.store.idleFrom
+	}
+	c.store.idleFrom = starts.Add(c.store.commitTime)
+	c.store.longestWait = max(c.store.longestWait, starts.Sub(now))
+	takes := c.store.idleFrom.Sub(now)
+	c.store.mu.Unlock()
+	state.Pause(ctx, takes)
+}
+
+// Calls returns the number of calls so far by kind and table.
+func (s *Store) Calls() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.calls)
+}
+
 // transfer simulates the arrival of a response with the given rows.
 func (c *StoreClient) transfer(ctx context.Context, rows []rowstore.Row) error {
 	c.store.mu.Lock()
@@ -219,8 +263,9 @@
 
 // begin simulates the latency of a call, and returns its fault and the error
 // that the caller gets from it, if any.
-func (c *StoreClient) begin(ctx context.Context, call string) (Fault, error) {
+func (c *StoreClient) begin(ctx context.Context, call, table string) (Fault, error) {
 	c.store.mu.Lock()
+	c.store.calls[call+" "+table]++
 	fault := FaultNone
 	if c.store.faults != nil {
 		fault = c.store.faults(c.caller, call)
@@ -239,7 +284,7 @@
 
 // List implements rowstore.Store.
 func (c *StoreClient) List(ctx context.Context, table string) (rowstore.Snapshot, error) {
-	if _, err := c.begin(ctx, "list"); err != nil {
+	if _, err := c.begin(ctx, "list", table); err != nil {
 		return rowstore.Snapshot{}, err
 	}
 	c.store.mu.Lock()
@@ -256,7 +301,7 @@
 
 // Watch implements rowstore.Store.
 func (c *StoreClient) Watch(ctx context.Context, table string, after uint64, maxWait time.Duration) (rowstore.Snapshot, error) {
-	if fault, err := c.begin(ctx, "watch"); err != nil {
+	if fault, err := c.begin(ctx, "watch", table); err != nil {
 		if fault == FaultRequestLost {
 			// To the caller this looks like a watch without changes.
 			state.Pause(ctx, maxWait)
@@ -310,9 +355,19 @@
 	return snapshot, c.store.changed, nil
 }
 
+// firstTable returns the table of a transaction's first write.
+func firstTable(transaction rowstore.Transaction) string {
+	for _, rows := range [][]rowstore.Row{transaction.Puts, transaction.Deletes} {
+		if len(rows) > 0 {
+			return rows[0].Table
+		}
+	}
+	return ""
+}
+
 // Transact implements rowstore.Store.
 func (c *StoreClient) Transact(ctx context.Context, transaction rowstore.Transaction) (rowstore.Commit, error) {
-	fault, err := c.begin(ctx, "transact")
+	fault, err := c.begin(ctx, "transact", firstTable(transaction))
 	if err != nil {
 		return rowstore.Commit{}, err
 	}
@@ -325,6 +380,7 @@
 		state.Pause(ctx, callTimeout)
 		return rowstore.Commit{}, errStoreTimeout
 	}
+	c.awaitTurn(ctx)
 	c.store.mu.Lock()
 	applied := c.store.apply(transaction)
 	present := c.store.existingRows(transaction.Conditions)
