Placement of connections: holders, and statements forwarded to them

Cause: where instances outnumber the connections that a database accepts, the least share of one connection an instance adds up to more than the database takes. Change: a table of holders for each database (placement), the two sides of a forwarded request (forwarding), and the links between instances (forward).

--- /dev/null
+++ b/internal/coordination/placement/holders.go
@@ -0,0 +1,134 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+const (
+	// One in reserveDivisor connections is kept free for the probes of instances
+	// that are not holders, and for a change of the holders.
+	reserveDivisor = 10
+	// minPerHolder is the least number of connections of one holder: with fewer, a
+	// transaction that waits for its client would block the other requests.
+	minPerHolder = 4
+	// usualHolders is the number of holders at little demand. The loss of one
+	// leaves enough to take its part.
+	usualHolders = 4
+	// demandPerHolder is how many connections of one holder are in use on average
+	// before there are more holders.
+	demandPerHolder = 4
+	// lessHolders is the part of the present number of holders below which the
+	// number that the demand needs must fall before it is reduced.
+	lessHolders = 0.6
+	// directFactor is how many times the usable connections must exceed the
+	// instances before those that forward open their own connections again.
+	directFactor = 1.2
+)
+
+// Instance is a live instance.
+type Instance struct {
+	Name       state.InstanceID `json:"name"`
+	Address    string           `json:"address"`
+	DataCentre state.DataCentre `json:"data_centre"`
+}
+
+// usable returns how many of the connections that a database accepts are divided
+// among the holders.
+func usable(accepted int) int {
+	return max(1, accepted-accepted/reserveDivisor)
+}
+
+// forwards reports whether there are too few connections for all instances.
+// before is the last decision.
+func forwards(accepted, instances int, before bool) bool {
+	if before {
+		return float64(usable(accepted)) < directFactor*float64(instances)
+	}
+	return usable(accepted) < instances
+}
+
+// holderCount returns the number of holders for a demand, in connections. before
+// is the present number, 0 if there is none.
+func holderCount(accepted, instances, before int, demand float64) int {
+	limit := max(1, min(instances, usable(accepted)/minPerHolder))
+	needed := min(limit, max(usualHolders, int(demand/demandPerHolder)+1))
+	if needed < before && float64(needed) > lessHolders*float64(before) {
+		return min(before, limit)
+	}
+	return needed
+}
+
+// shareOf returns the part of the holder at a rank in the usable connections.
+func shareOf(accepted, holders, rank int) int {
+	part := usable(accepted) / holders
+	if rank < usable(accepted)%holders {
+		part++
+	}
+	return max(1, part)
+}
+
+// weight orders instances for a database or for a sender. A missing instance
+// leaves the order of the others unchanged.
+func weight(subject string, name state.InstanceID) uint64 {
+	return xxhash.Sum64String(subject + "\x00" + string(name))
+}
+
+// byWeight returns at most count instances in the order of their weights.
+func byWeight(subject string, instances []Instance, count int) []Instance {
+	type ranked struct {
+		weight uint64
+		index  int
+	}
+	all := make([]ranked, len(instances))
+	for n := range instances {
+		all[n] = ranked{weight(subject, instances[n].Name), n}
+	}
+	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(a.weight, b.weight) })
+	chosen := make([]Instance, 0, min(count, len(all)))
+	for _, entry := range all[:min(count, len(all))] {
+		chosen = append(chosen, instances[entry.index])
+	}
+	return chosen
+}
+
+// fleet holds the live instances by place.
+type fleet struct {
+	all          []Instance
+	byDataCentre map[state.DataCentre][]Instance
+	byRegion     map[string][]Instance
+}
+
+func newFleet(instances []Instance, region func(state.DataCentre) string) fleet {
+	f := fleet{all: instances, byDataCentre: make(map[state.DataCentre][]Instance), byRegion: make(map[string][]Instance)}
+	for _, instance := range instances {
+		f.byDataCentre[instance.DataCentre] = append(f.byDataCentre[instance.DataCentre], instance)
+		f.byRegion[region(instance.DataCentre)] = append(f.byRegion[region(instance.DataCentre)], instance)
+	}
+	return f
+}
+
+// holders returns the instances that hold connections to a database, the first
+// ranked first: those of its data centre, as far as there are enough, then those
+// of its region, then any.
+func (f fleet) holders(database state.Database, region string, count int) []Instance {
+	var chosen []Instance
+	for _, candidates := range [][]Instance{f.byDataCentre[database.DataCentre], f.byRegion[region], f.all} {
+		for _, instance := range byWeight(string(database.ID), candidates, count) {
+			if len(chosen) < count && !slices.Contains(chosen, instance) {
+				chosen = append(chosen, instance)
+			}
+		}
+	}
+	return chosen
+}
+
+// OrderFor returns the holders of a database in the order in which an instance
+// uses them, so that the instances spread over the holders and each uses few.
+func OrderFor(sender state.InstanceID, database state.DatabaseID, holders []Instance) []Instance {
+	return byWeight(string(sender)+"\x00"+string(database), holders, len(holders))
+}
--- /dev/null
+++ b/internal/coordination/placement/table.go
@@ -0,0 +1,162 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+const (
+	// settleTime is how long a change of the holders takes: all instances have
+	// read the rows that cause it, and former holders have closed their
+	// connections.
+	settleTime = 10 * time.Second
+	// recomputeInterval is how often the number of holders follows the demand.
+	recomputeInterval = 2 * time.Second
+	// unusedTime is how long the decision about a database is kept after its last
+	// use.
+	unusedTime = time.Minute
+)
+
+// Config holds the dependencies of a table. Its functions take no lock under
+// which the table is used.
+type Config struct {
+	Self   state.InstanceID
+	Region func(state.DataCentre) string
+	// Accepted returns how many connections each database of a group accepts.
+	Accepted func(state.GroupID) int
+	// Demand returns the demand of all instances for a group, in connections.
+	Demand func(state.GroupID) float64
+	Clock  state.Clock
+	Log    zerolog.Logger
+}
+
+// Placement is the decision about one database.
+type Placement struct {
+	// Direct is set if every instance opens its own connections. The other fields
+	// are then empty.
+	Direct bool
+	// Holders are the instances that hold connections, the first ranked first.
+	Holders []Instance
+	// Holds is set if this instance is one of them.
+	Holds bool
+	// Share is how many connections this instance may open. That of an instance
+	// that is no holder is for probes and for when no holder can be reached.
+	Share int
+	// Accepts is set if this instance runs forwarded statements: it is a holder,
+	// or was one until lately.
+	Accepts bool
+}
+
+// entry is the decision about a database and its history.
+type entry struct {
+	group      state.GroupID
+	placement  Placement
+	generation uint64
+	computedAt state.Instant
+	usedAt     state.Instant
+	// changedAt is when this instance became a holder or ceased to be one.
+	changedAt state.Instant
+	held      bool
+	// former is set if this instance was a holder before changedAt.
+	former bool
+}
+
+// Table holds the decisions about the databases in use. It is safe for concurrent
+// use.
+type Table struct {
+	Config
+
+	mu         sync.Mutex
+	fleet      fleet
+	generation uint64
+	entries    map[state.DatabaseID]*entry
+	// forwarding holds the groups whose databases accept too few connections.
+	forwarding map[state.GroupID]bool
+}
+
+// New returns a table that knows of no instance.
+func New(config Config) *Table {
+	return &Table{Config: config, entries: make(map[state.DatabaseID]*entry), forwarding: make(map[state.GroupID]bool)}
+}
+
+// Update sets the live instances and forgets databases that are no longer used.
+func (t *Table) Update(instances []Instance) {
+	now := t.Clock.Now()
+	sorted := slices.SortedFunc(slices.Values(instances), func(a, b Instance) int { return cmp.Compare(a.Name, b.Name) })
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, e := range t.entries {
+		if now.Sub(e.usedAt) > unusedTime {
+			delete(t.entries, id)
+		}
+	}
+	if slices.Equal(sorted, t.fleet.all) {
+		return
+	}
+	t.fleet = newFleet(sorted, t.Region)
+	t.generation++
+}
+
+// Of returns the decision about a database.
+func (t *Table) Of(server state.Server) Placement {
+	now := t.Clock.Now()
+	t.mu.Lock()
+	e, ok := t.entries[server.ID]
+	if ok && e.generation == t.generation && now.Sub(e.computedAt) < recomputeInterval {
+		defer t.mu.Unlock()
+		e.usedAt = now
+		return e.placement
+	}
+	t.mu.Unlock()
+	accepted, demand := t.Accepted(server.Group), t.Demand(server.Group)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.compute(server, accepted, demand, now)
+}
+
+// compute must be called with the lock held.
+func (t *Table) compute(server state.Server, accepted int, demand float64, now state.Instant) Placement {
+	e, ok := t.entries[server.ID]
+	if !ok {
+		e = &entry{group: server.Group, changedAt: now}
+		t.entries[server.ID] = e
+	}
+	e.generation, e.computedAt, e.usedAt = t.generation, now, now
+	t.forwarding[server.Group] = forwards(accepted, len(t.fleet.all), t.forwarding[server.Group])
+	if !t.forwarding[server.Group] {
+		e.placement, e.held, e.former, e.changedAt = Placement{Direct: true}, false, false, now
+		return e.placement
+	}
+	count := holderCount(accepted, len(t.fleet.all), len(e.placement.Holders), demand)
+	holders := t.fleet.holders(server.Database, t.Region(server.DataCentre), count)
+	rank := slices.IndexFunc(holders, func(i Instance) bool { return i.Name == t.Self })
+	if holds := rank >= 0; holds != e.held {
+		e.held, e.former, e.changedAt = holds, e.held, now
+		t.Log.Info().Str("database", string(server.ID)).Bool("holds", holds).Int("holders", len(holders)).Msg("placement of connections changed")
+	}
+	e.placement = t.decide(e, holders, rank, accepted, now)
+	return e.placement
+}
+
+// decide returns this instance's part. It must be called with the lock held.
+func (t *Table) decide(e *entry, holders []Instance, rank, accepted int, now state.Instant) Placement {
+	p := Placement{Holders: holders, Holds: rank >= 0, Accepts: true, Share: 1}
+	settling := now.Sub(e.changedAt) < settleTime
+	switch {
+	case p.Holds && settling:
+		p.Share = max(1, shareOf(accepted, len(holders), rank)/2)
+	case p.Holds:
+		p.Share = shareOf(accepted, len(holders), rank)
+	case settling && e.former:
+		p.Share = max(1, shareOf(accepted, len(holders), len(holders)-1)/2)
+	default:
+		p.Accepts = false
+	}
+	return p
+}
--- a/internal/coordination/pooling/conn.go
+++ b/internal/coordination/pooling/conn.go
@@ -74,6 +74,20 @@
 	v.key = key.String()
 }
 
+// Map returns the values by name, which the caller must not modify.
+func (v *Values) Map() map[string]string {
+	return v.byName
+}
+
+// ValuesOf returns the values of a map.
+func ValuesOf(byName map[string]string) *Values {
+	values := &Values{}
+	for name, value := range byName {
+		values.Set(name, value)
+	}
+	return values
+}
+
 // hasNamesNotIn reports whether v has a name that other lacks.
 func (v *Values) hasNamesNotIn(other *Values) bool {
 	for name := range v.byName {
@@ -101,6 +115,9 @@
 	// tunnelled is set if the connection leads through another instance. Its
 	// calls don't show whether the database can be reached from this instance.
 	tunnelled bool
+	// forwarded is set if the statements run at another instance, on a connection
+	// of that instance's pool.
+	forwarded bool
 }
 
 func newConn(conn ServerConn, server state.Server, workspace state.WorkspaceID, tunnelled bool) *Conn {
@@ -110,6 +127,10 @@
 // ApplyValues sets the connection's session values to exactly those of a client.
 // It waits for the replies, so that no statement runs after a value was refused.
 func (c *Conn) ApplyValues(values *Values, deadline time.Time) error {
+	if carrier, ok := c.ServerConn.(valuesCarrier); ok {
+		carrier.CarryValues(values)
+		return nil
+	}
 	if c.values.key == values.key {
 		return nil
 	}
@@ -139,7 +160,8 @@
 		return
 	}
 	c.Prepare(name, shape, writes)
-	c.prepared[name] = true
+	// The holder of a forwarded connection knows what is prepared.
+	c.prepared[name] = !c.forwarded
 }
 
 // RefusedError is a database's error reply to a call.
--- /dev/null
+++ b/internal/coordination/pooling/forward.go
@@ -0,0 +1,77 @@
+package pooling
+
+import (
+	"errors"
+	"time"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// Placement is this instance's part in the connections to a database.
+type Placement struct {
+	// Share is how many connections this instance may open.
+	Share int
+	// Forward is set if its own requests run on connections of other instances.
+	Forward bool
+	// CloseExcess is set if idle connections beyond the share are closed at once:
+	// the holders have changed, and the new ones need them.
+	CloseExcess bool
+}
+
+// Forwarder passes statements to instances that hold connections to a database.
+type Forwarder interface {
+	// Open returns a connection whose statements run at a holder. It does no I/O;
+	// the first statement may wait for a connection of the holder until deadline.
+	Open(server state.Server, request Request, deadline time.Time) ServerConn
+}
+
+// valuesCarrier is a connection that sends the session's values with each
+// statement, so that they need no exchange of their own.
+type valuesCarrier interface {
+	CarryValues(values *Values)
+}
+
+// SetPlacement sets what decides which instances open connections. It must be
+// called before the manager is used.
+func (m *Manager) SetPlacement(placement func(state.Server) Placement, forwarder Forwarder) {
+	m.placement, m.forwarder = placement, forwarder
+}
+
+func (m *Manager) placementOf(server state.Server) Placement {
+	if m.placement == nil {
+		return Placement{Share: m.DirectShare(server.Group)}
+	}
+	return m.placement(server)
+}
+
+// DirectShare returns this instance's share of the connections to a database of a
+// group if every instance opens its own.
+func (m *Manager) DirectShare(group state.GroupID) int {
+	return share(m.maxConnections(group), m.divisionOf(group))
+}
+
+func newForwardedConn(conn ServerConn, server state.Server, workspace state.WorkspaceID) *Conn {
+	return &Conn{ServerConn: conn, Server: server, Workspace: workspace, forwarded: true, prepared: make(map[string]bool), lastUsed: time.Now()}
+}
+
+// UnsentError is the error of a statement that was surely not sent to the
+// database.
+type UnsentError struct {
+	Database state.DatabaseID
+	Cause    error
+}
+
+// Error names the database and the cause.
+func (e *UnsentError) Error() string {
+	return "not sent to " + string(e.Database) + ": " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *UnsentError) Unwrap() error { return e.Cause }
+
+// NotSent reports whether err says that the statement was surely not sent to the
+// database.
+func NotSent(err error) bool {
+	var unsent *UnsentError
+	return errors.As(err, &unsent)
+}
--- a/internal/coordination/pooling/manager.go
+++ b/internal/coordination/pooling/manager.go
@@ -37,6 +37,10 @@
 	maxConnections func(state.GroupID) int
 	// divisionOf returns how these are divided among the instances.
 	divisionOf func(state.GroupID) Division
+	// placement and forwarder are nil where every instance opens its own
+	// connections.
+	placement func(state.Server) Placement
+	forwarder Forwarder
 
 	mu    sync.Mutex
 	pools map[state.DatabaseID]*Pool
@@ -62,25 +66,18 @@
 	if ok {
 		go pool.close()
 	}
-	pool = newPool(server, m.dialer, m.health, m.shareOf(server.Group), m.log)
+	placed := m.placementOf(server)
+	pool = newPool(server, m.dialer, m.health, placed.Share, m.log)
+	pool.forwarder, pool.forwards = m.forwarder, placed.Forward
 	m.pools[server.ID] = pool
 	return pool
 }
 
-func (m *Manager) shareOf(group state.GroupID) int {
-	return share(m.maxConnections(group), m.divisionOf(group))
-}
-
 // updateShares samples the demand of each pool and recomputes its share of the
 // connections.
 func (m *Manager) updateShares() {
-	shares := make(map[state.GroupID]int)
 	for _, pool := range m.allPools() {
-		group := pool.server.Group
-		if _, known := shares[group]; !known {
-			shares[group] = m.shareOf(group)
-		}
-		pool.updateShare(shares[group])
+		pool.updateShare(m.placementOf(pool.server))
 	}
 }
 
--- a/internal/coordination/pooling/pool.go
+++ b/internal/coordination/pooling/pool.go
@@ -22,6 +22,9 @@
 	// before minLateAfter.
 	lateFactor   = 6
 	minLateAfter = 400 * time.Millisecond
+	// maxRefusedTime is how long a database counts as saturated after a holder had
+	// no connection in time.
+	maxRefusedTime = 200 * time.Millisecond
 )
 
 // NoConnectionError is the error of a request that got no connection in time.
@@ -77,6 +80,11 @@
 	// acquired connections whose first statement has not been sent.
 	running, starting int
 	limiter           limiter
+	// forwards is set while this instance's own requests run at other instances.
+	forwards  bool
+	forwarder Forwarder
+	// refusedUntil is when a holder that had no connection in time may have one.
+	refusedUntil time.Time
 	// demand is the moving average of the connections in use or waited for,
 	// latency that of statements, holdTime that of how long requests hold a
 	// connection.
@@ -97,6 +105,10 @@
 		p.mu.Unlock()
 		return nil, &DialError{Database: p.server.ID, Cause: errPoolClosed}
 	}
+	if p.forwards && !request.Local {
+		p.mu.Unlock()
+		return newForwardedConn(p.forwarder.Open(p.server, request, deadline), p.server, request.Workspace), nil
+	}
 	if noConn := p.checkWait(deadline); noConn != nil {
 		p.mu.Unlock()
 		return nil, noConn
@@ -275,6 +287,10 @@
 // Release returns a connection to the pool, or closes it unless reusable is set.
 // A tunnelled connection is kept only while the database is suspected.
 func (p *Pool) Release(conn *Conn, reusable bool) {
+	if conn.forwarded {
+		conn.Close()
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.markStarted(conn)
@@ -304,14 +320,14 @@
 	p.mu.Unlock()
 	started := time.Now()
 	late := func() {
-		if !conn.tunnelled {
+		if !conn.tunnelled && !conn.forwarded {
 			p.health.RecordWarning(p.server.ID)
 		}
 	}
 	reply, err := conn.Run(statement, deadline, late)
 	p.recordResult(time.Since(started), reply, err)
 	switch {
-	case conn.tunnelled:
+	case conn.tunnelled, conn.forwarded:
 	case err != nil:
 		p.health.RecordFailure(p.server.ID)
 	default:
@@ -323,8 +339,12 @@
 func (p *Pool) recordResult(took time.Duration, reply state.Reply, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	var noConn *NoConnectionError
 	switch {
-	case err != nil:
+	case errors.As(err, &noConn):
+		p.refusedUntil = time.Now().Add(min(noConn.RetryAfter, maxRefusedTime))
+	case err != nil, p.forwards:
+		// The holders limit what they send to the database.
 	case reply.Code == state.CodeBusy:
 		p.limiter.recordRefused(p.inFlight(), time.Now())
 	default:
@@ -347,6 +367,9 @@
 func (p *Pool) Saturated() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.forwards {
+		return time.Now().Before(p.refusedUntil)
+	}
 	full := len(p.idle) == 0 && p.open+p.opening >= p.share
 	return full || p.queue.Len() > 0 || !p.limiter.allows(p.inFlight())
 }
@@ -378,10 +401,13 @@
 }
 
 // updateShare adds the present demand to the moving average and sets the share.
-func (p *Pool) updateShare(share int) {
+func (p *Pool) updateShare(placed Placement) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.share = share
+	p.share, p.forwards = placed.Share, placed.Forward
+	for placed.CloseExcess && p.open > p.share && p.closeOldestIdle() {
+		continue
+	}
 	now := float64(p.open - len(p.idle) + p.queue.Len())
 	p.demand += demandWeight * (now - p.demand)
 }
@@ -418,8 +444,10 @@
 	Running  int              `json:"running"`
 	Share    int              `json:"share"`
 	// Limit is how many statements may be in flight; 0 while there is no limit.
-	Limit   float64       `json:"limit"`
-	Latency time.Duration `json:"latency_ns"`
+	Limit float64 `json:"limit"`
+	// Forwards is set if this instance's requests run at other instances.
+	Forwards bool          `json:"forwards,omitempty"`
+	Latency  time.Duration `json:"latency_ns"`
 }
 
 func (p *Pool) stats() Stats {
@@ -428,6 +456,6 @@
 	return Stats{
 		Database: p.server.ID, Group: p.server.Group, Open: p.open, Idle: len(p.idle),
 		Waiting: p.queue.Len(), Running: p.running, Latency: p.latency,
-		Share: p.share, Limit: p.limiter.limit,
+		Share: p.share, Limit: p.limiter.limit, Forwards: p.forwards,
 	}
 }
--- a/internal/coordination/pooling/waiters.go
+++ b/internal/coordination/pooling/waiters.go
@@ -18,6 +18,10 @@
 	Priority  int // 0 is served first
 	// ValuesKey is the key of the session values that the connection should have.
 	ValuesKey string
+	// Primary is set if the statement needs the group's primary.
+	Primary bool
+	// Local is set for a connection of this instance itself.
+	Local bool
 }
 
 // waiter is a request that waits for a connection.
--- a/internal/coordination/relay/engine.go
+++ b/internal/coordination/relay/engine.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -82,17 +80,16 @@
 // Engine serves all client sessions of an instance.
 type Engine struct {
 	Config
-	ctx            context.Context
-	sessions       atomic.Uint64
-	wasReady       atomic.Bool
-	replicas       replicaPositions
-	statementNames statementNames
+	ctx      context.Context
+	sessions atomic.Uint64
+	wasReady atomic.Bool
+	replicas replicaPositions
 }
 
 // New returns an engine that stops waiting for primaries, connections and its
 // configuration when ctx ends.
 func New(ctx context.Context, config Config) *Engine {
-	return &Engine{Config: config, ctx: ctx, replicas: newReplicaPositions(), statementNames: statementNames{names: make(map[preparedStatement]string)}}
+	return &Engine{Config: config, ctx: ctx, replicas: newReplicaPositions()}
 }
 
 const (
@@ -130,22 +127,3 @@
 	text   string
 	writes bool
 }
-
-// statementNames assigns names to the statements prepared on database
-// connections. A statement has one name in the whole process, whatever names
-// the clients give it.
-type statementNames struct {
-	mu    sync.Mutex
-	names map[preparedStatement]string
-}
-
-func (s *statementNames) name(statement preparedStatement) string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	name, ok := s.names[statement]
-	if !ok {
-		name = "p" + strconv.Itoa(len(s.names)+1)
-		s.names[statement] = name
-	}
-	return name
-}
--- a/internal/coordination/relay/reads.go
+++ b/internal/coordination/relay/reads.go
@@ -184,8 +184,7 @@
 	r.ran = time.Since(sent)
 	pool.Release(conn, reusable(reply, err))
 	if err != nil {
-		r.lastError = err
-		return s.lostReply(r)
+		return s.failedReply(r, err)
 	}
 	return s.handleReplicaReply(r, pool, option.server.ID, minPosition, reply)
 }
--- a/internal/coordination/relay/request.go
+++ b/internal/coordination/relay/request.go
@@ -123,7 +123,7 @@
 func (r *request) databaseStatement(conn *pooling.Conn, after state.Position) pooling.Statement {
 	text := r.statement.Text
 	if r.statement.Kind == state.StatementExecute {
-		name := r.session.engine.statementNames.name(r.prepared)
+		name := r.prepared.name()
 		conn.EnsurePrepared(name, r.prepared.text, r.prepared.writes)
 		text = r.session.engine.Statements.ExecuteText(name, r.statement.Value)
 	}
--- a/internal/coordination/relay/single.go
+++ b/internal/coordination/relay/single.go
@@ -66,8 +66,7 @@
 	r.ran = time.Since(sent)
 	pool.Release(conn, reusable(reply, err))
 	if err != nil {
-		r.lastError = err
-		return s.lostReply(r)
+		return s.failedReply(r, err)
 	}
 	s.recordPrimaryReply(r, reply, requestedAt)
 	if reply.Code == state.CodeBusy {
@@ -187,7 +186,7 @@
 		// A read whose first reply was lost may have used up its queue time.
 		deadline = requestedAt.Add(minAttemptTime)
 	}
-	conn, err := pool.Acquire(s.engine.ctx, pooling.Request{Workspace: r.workspace, Priority: r.route.Priority, ValuesKey: s.values.Key()}, deadline)
+	conn, err := pool.Acquire(s.engine.ctx, pooling.Request{Workspace: r.workspace, Priority: r.route.Priority, ValuesKey: s.values.Key(), Primary: r.role == "primary"}, deadline)
 	r.queued += time.Since(requestedAt)
 	if err != nil {
 		return nil, err
--- a/internal/coordination/relay/transaction.go
+++ b/internal/coordination/relay/transaction.go
@@ -255,6 +255,10 @@
 	if err != nil {
 		r.lastError = err
 		pool.Release(conn, false)
+		if pooling.NotSent(err) {
+			reply, retry = s.unsentReply(r, err)
+			return reply, retry || grant == nil
+		}
 		return r.busyReply("the database did not answer", retryAfterChange), s.timeLeft(r)
 	}
 	if reply.Code != state.CodeNone || reply.Transaction != state.TransactionOpen {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,11 +20,14 @@
 	"go.uber.org/fx/fxevent"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/directory"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/forwarding"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/freshness"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/leadership"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/placement"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/pooling"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 	"github.com/cyclamenpin/cyclamenpin/internal/transport/datagram"
+	"github.com/cyclamenpin/cyclamenpin/internal/transport/forward"
 	"github.com/cyclamenpin/cyclamenpin/internal/transport/lineserver"
 	"github.com/cyclamenpin/cyclamenpin/internal/transport/tunnel"
 	"github.com/cyclamenpin/cyclamenpin/platform"
@@ -81,6 +84,10 @@
 	followers    *followers
 	positions    *freshness.Exchange
 	tunnelServer *tunnel.Server
+	placement    *placement.Table
+	holder       *forwarding.Holder
+	links        *forward.Client
+	linkServer   *forward.Server
 
 	clients   net.Listener
 	readiness net.Listener
@@ -117,7 +124,7 @@
 		fx.Supply(settings, i),
 		fx.Provide(func() context.Context { return background }, func() (zerolog.Logger, requestLog) { return i.logs.Logger, i.logs.requests }),
 		modules(),
-		fx.Populate(&i.directory, &i.leadership, &i.pools, &i.server, &i.clock, &i.followers, &i.positions, &i.tunnelServer),
+		fx.Populate(&i.directory, &i.leadership, &i.pools, &i.server, &i.clock, &i.followers, &i.positions, &i.tunnelServer, &i.placement, &i.holder, &i.links, &i.linkServer),
 		fx.Invoke(func(lifecycle fx.Lifecycle) {
 			lifecycle.Append(fx.Hook{OnStart: func(context.Context) error { i.startServices(background); return nil }})
 		}),
@@ -190,6 +197,8 @@
 	go i.server.Serve(i.clients)
 	go i.serveHTTP(i.readiness)
 	go i.tunnelServer.Serve(i.tunnels)
+	go i.followPlacement(ctx)
+	go i.links.Run(ctx)
 	go i.peers.Serve(map[datagram.Topic]func([]byte) []byte{
 		topicConfirmations: i.leadership.Receive, topicPositions: i.positions.Receive,
 	})
@@ -274,12 +283,14 @@
 	stopStarted := time.Now()
 	grace := i.settings.Load().StopGrace
 	i.stopping.Store(true)
+	i.holder.Stop()
 	i.logs.Info().Int("clients", i.server.Clients()).Dur("grace_ms", grace).Msg("stopping")
 	ctx, cancel := context.WithDeadline(ctx, stopStarted.Add(grace-stopTimeReserve))
 	defer cancel()
 	state.Pause(ctx, min(balancerRemovalTime, grace/2))
 	_ = i.clients.Close()
 	forceClosed := i.server.Drain(ctx, stopStarted.Add(grace/2))
+	i.awaitForwarded(ctx, stopStarted.Add(grace/2))
 	leaveCtx, cancelLeave := context.WithTimeout(context.WithoutCancel(ctx), stopTimeReserve/2)
 	i.leadership.Leave(leaveCtx)
 	cancelLeave()
--- /dev/null
+++ b/internal/entry/forwarding.go
@@ -0,0 +1,51 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/directory"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/forwarding"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/leadership"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/placement"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/pooling"
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+	"github.com/cyclamenpin/cyclamenpin/internal/transport/forward"
+	"github.com/cyclamenpin/cyclamenpin/platform"
+)
+
+// placementInterval is the time between two looks at the live instances. Their rows
+// are read every few seconds.
+const placementInterval = time.Second
+
+func newPlacement(instance *Instance, settings platform.Settings, dir *directory.Directory, clock state.Clock, log zerolog.Logger) *placement.Table {
+	return placement.New(placement.Config{
+		Self: settings.Instance, Region: func(dc state.DataCentre) string { return settings.Regions[dc] }, Accepted: maxConnections(dir),
+		Demand: func(group state.GroupID) float64 { return instance.leadership.GroupDemand(group) }, Clock: clock, Log: log,
+	})
+}
+
+func newHolder(dir *directory.Directory, leaders *leadership.Manager, pools *pooling.Manager, table *placement.Table, clock state.Clock) *forwarding.Holder {
+	return forwarding.NewHolder(forwarding.HolderConfig{Directory: dir, Leadership: leaders, Pools: pools, Placement: table, Clock: clock})
+}
+
+func newForwardServer(instance *Instance, log zerolog.Logger) *forward.Server {
+	return forward.NewServer(func() forward.Session { return instance.holder.NewSession() }, log)
+}
+
+// followPlacement keeps the placement up to date with the live instances.
+func (i *Instance) followPlacement(ctx context.Context) {
+	state.Every(ctx, placementInterval, func() { i.placement.Update(i.leadership.LiveInstances()) })
+}
+
+// awaitForwarded waits until no statement or transaction of another instance uses a
+// connection of this one, at most until deadline.
+func (i *Instance) awaitForwarded(ctx context.Context, deadline time.Time) {
+	for i.holder.Open() > 0 && time.Now().Before(deadline) && ctx.Err() == nil {
+		state.Pause(ctx, forwardedPollInterval)
+	}
+}
+
+const forwardedPollInterval = 20 * time.Millisecond
--- a/internal/entry/modules.go
+++ b/internal/entry/modules.go
@@ -8,14 +8,17 @@
 	"go.uber.org/fx"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/directory"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/forwarding"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/freshness"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/health"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/leadership"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/placement"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/pooling"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/relay"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/rowstore"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 	"github.com/cyclamenpin/cyclamenpin/internal/transport/datagram"
+	"github.com/cyclamenpin/cyclamenpin/internal/transport/forward"
 	"github.com/cyclamenpin/cyclamenpin/internal/transport/linebackend"
 	"github.com/cyclamenpin/cyclamenpin/internal/transport/lineserver"
 	"github.com/cyclamenpin/cyclamenpin/internal/transport/tunnel"
@@ -56,8 +59,9 @@
 		)),
 		fx.Module("coordination", fx.Provide(
 			rowstore.NewAvailability, health.NewTracker, newFollowers, newExchange, newDirectory, newPools, newLeadership, newEngine,
+			newPlacement, newHolder,
 		)),
-		fx.Module("transport", fx.Provide(newDialer, newTunnelServer, newServer)),
+		fx.Module("transport", fx.Provide(newDialer, newTunnelServer, newServer, forward.NewClient, newForwardServer)),
 	)
 }
 
@@ -66,8 +70,10 @@
 	return &linebackend.Dialer{Codec: codec, User: connectionName, TunnelInstances: tunnelInstances}
 }
 
-func newTunnelServer(dir *directory.Directory, log zerolog.Logger) *tunnel.Server {
-	return tunnel.NewServer(dir.AddressOf, log)
+func newTunnelServer(dir *directory.Directory, forwarded *forward.Server, log zerolog.Logger) *tunnel.Server {
+	server := tunnel.NewServer(dir.AddressOf, log)
+	server.Others = forwarded.Serve
+	return server
 }
 
 func newDirectory(instance *Instance, codec platform.Codec, clock state.Clock, tracker *health.Tracker, log zerolog.Logger) *directory.Directory {
@@ -79,19 +85,37 @@
 	})
 }
 
-func newPools(instance *Instance, dialer *linebackend.Dialer, tracker *health.Tracker, dir *directory.Directory, log zerolog.Logger) *pooling.Manager {
-	maxConnections := func(group state.GroupID) int {
+func newPools(instance *Instance, settings platform.Settings, dialer *linebackend.Dialer, tracker *health.Tracker, dir *directory.Directory,
+	table *placement.Table, links *forward.Client, log zerolog.Logger,
+) *pooling.Manager {
+	divisionOf := func(group state.GroupID) pooling.Division {
+		instances, own, all := instance.leadership.DemandOf(group)
+		return pooling.Division{Instances: instances, OwnDemand: own, TotalDemand: all}
+	}
+	pools := pooling.NewManager(dialer, tracker, maxConnections(dir), divisionOf, log)
+	sender := forwarding.NewSender(forwarding.SenderConfig{
+		Self: settings.Instance, Placement: table, Links: links, Local: func() *forwarding.Holder { return instance.holder }, Log: log,
+	})
+	pools.SetPlacement(func(server state.Server) pooling.Placement {
+		placed := table.Of(server)
+		if placed.Direct {
+			return pooling.Placement{Share: pools.DirectShare(server.Group)}
+		}
+		return pooling.Placement{Share: placed.Share, Forward: !placed.Holds, CloseExcess: true}
+	}, sender)
+	return pools
+}
+
+// maxConnections returns a function that looks up how many connections each database
+// of a group accepts.
+func maxConnections(dir *directory.Directory) func(state.GroupID) int {
+	return func(group state.GroupID) int {
 		routes := dir.Routes()
 		if routes == nil {
 			return 1
 		}
 		return routes.Groups[group].MaxConnections
 	}
-	divisionOf := func(group state.GroupID) pooling.Division {
-		instances, own, all := instance.leadership.DemandOf(group)
-		return pooling.Division{Instances: instances, OwnDemand: own, TotalDemand: all}
-	}
-	return pooling.NewManager(dialer, tracker, maxConnections, divisionOf, log)
 }
 
 func newLeadership(instance *Instance, settings platform.Settings, store *rowstore.EraStore, promoter *platform.Promoter, dir *directory.Directory,
--- a/internal/transport/tunnel/tunnel.go
+++ b/internal/transport/tunnel/tunnel.go
@@ -121,8 +121,14 @@
 	log    zerolog.Logger
 	// slots holds one element for each open tunnel.
 	slots chan struct{}
+	// Others serves connections that begin with a byte of at least OtherProtocols.
+	// They are not tunnels, whose first byte is that of a short length.
+	Others func(conn net.Conn, r *bufio.Reader)
 }
 
+// OtherProtocols is the least first byte of connections that are not tunnels.
+const OtherProtocols byte = 'A'
+
 // NewServer returns a server that finds the addresses of databases with lookup.
 func NewServer(lookup func(id state.DatabaseID) (string, bool), log zerolog.Logger) *Server {
 	return &Server{lookup: lookup, log: log, slots: make(chan struct{}, maxTunnels)}
@@ -144,6 +150,10 @@
 	socket.SetUserTimeout(peer, socket.BackendUserTimeout)
 	peer.SetDeadline(time.Now().Add(2 * openTimeout))
 	reader := bufio.NewReader(peer)
+	if first, err := reader.Peek(1); err == nil && first[0] >= OtherProtocols && s.Others != nil {
+		s.Others(peer, reader)
+		return
+	}
 	var opening request
 	if err := readFrame(reader, &opening); err != nil {
 		s.log.Warn().Err(err).Stringer("peer", peer.RemoteAddr()).Msg("tunnel not opened")
