--- a/internal/coordination/placement/table.go
+++ b/internal/coordination/placement/table.go
@@ -28,6 +28,8 @@
 type Config struct {
 	Self   state.InstanceID
 	Region func(state.DataCentre) string
+	// Instances returns the live instances.
+	Instances func() []Instance
 	// Accepted returns how many connections each database of a group accepts.
 	Accepted func(state.GroupID) int
 	// Demand returns the demand of all instances for a group, in connections.
@@ -85,10 +87,10 @@
 	return &Table{Config: config, entries: make(map[state.DatabaseID]*entry), forwarding: make(map[state.GroupID]bool)}
 }
 
-// Update sets the live instances and forgets databases that are no longer used.
-func (t *Table) Update(instances []Instance) {
+// Update reads the live instances and forgets databases that are no longer used.
+func (t *Table) Update() {
 	now := t.Clock.Now()
-	sorted := slices.SortedFunc(slices.Values(instances), func(a, b Instance) int { return cmp.Compare(a.Name, b.Name) })
+	sorted := slices.SortedFunc(slices.Values(t.Instances()), func(a, b Instance) int { return cmp.Compare(a.Name, b.Name) })
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, e := range t.entries {
@@ -113,7 +115,13 @@
 		e.usedAt = now
 		return e.placement
 	}
+	unknown := len(t.fleet.all) == 0
 	t.mu.Unlock()
+	if unknown {
+		// An instance that has just started must not open connections before it
+		// knows how many others there are.
+		t.Update()
+	}
 	accepted, demand := t.Accepted(server.Group), t.Demand(server.Group)
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/entry/forwarding.go
+++ b/internal/entry/forwarding.go
@@ -23,6 +23,7 @@
 func newPlacement(instance *Instance, settings platform.Settings, dir *directory.Directory, clock state.Clock, log zerolog.Logger) *placement.Table {
 	return placement.New(placement.Config{
 		Self: settings.Instance, Region: func(dc state.DataCentre) string { return settings.Regions[dc] }, Accepted: maxConnections(dir),
+		Instances: func() []placement.Instance { return instance.leadership.LiveInstances() },
 		Demand: func(group state.GroupID) float64 { return instance.leadership.GroupDemand(group) }, Clock: clock, Log: log,
 	})
 }
@@ -37,7 +38,7 @@
 
 // followPlacement keeps the placement up to date with the live instances.
 func (i *Instance) followPlacement(ctx context.Context) {
-	state.Every(ctx, placementInterval, func() { i.placement.Update(i.leadership.LiveInstances()) })
+	state.Every(ctx, placementInterval, i.placement.Update)
 }
 
 // awaitForwarded waits until no statement or transaction of another instance uses a
