--- a/internal/coordination/pooling/pool.go
+++ b/internal/coordination/pooling/pool.go
@@ -404,8 +404,13 @@
 func (p *Pool) updateShare(placed Placement) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	kept := placed.Share
+	if placed.Forward && !p.forwards {
+		// Its own requests need none from now on.
+		kept = 0
+	}
 	p.share, p.forwards = placed.Share, placed.Forward
-	for placed.CloseExcess && p.open > p.share && p.closeOldestIdle() {
+	for placed.CloseExcess && p.open > kept && p.closeOldestIdle() {
 		continue
 	}
 	now := float64(p.open - len(p.idle) + p.queue.Len())
--- a/internal/entry/forwarding.go
+++ b/internal/entry/forwarding.go
@@ -16,9 +16,9 @@
 	"github.com/cyclamenpin/cyclamenpin/platform"
 )
 
-// placementInterval is the time between two looks at the live instances. Their rows
-// are read every few seconds.
-const placementInterval = time.Second
+// placementInterval is the time between two looks at the live instances. While the
+// fleet starts, their number changes quickly.
+const placementInterval = 250 * time.Millisecond
 
 func newPlacement(instance *Instance, settings platform.Settings, dir *directory.Directory, clock state.Clock, log zerolog.Logger) *placement.Table {
 	return placement.New(placement.Config{
@@ -32,6 +32,10 @@
 	return forwarding.NewHolder(forwarding.HolderConfig{Directory: dir, Leadership: leaders, Pools: pools, Placement: table, Clock: clock})
 }
 
+func newForwardClient(log zerolog.Logger) *forward.Client {
+	return forward.NewClient(forward.Dial, log)
+}
+
 func newForwardServer(instance *Instance, log zerolog.Logger) *forward.Server {
 	return forward.NewServer(func() forward.Session { return instance.holder.NewSession() }, log)
 }
--- a/internal/entry/modules.go
+++ b/internal/entry/modules.go
@@ -61,7 +61,7 @@
 			rowstore.NewAvailability, health.NewTracker, newFollowers, newExchange, newDirectory, newPools, newLeadership, newEngine,
 			newPlacement, newHolder,
 		)),
-		fx.Module("transport", fx.Provide(newDialer, newTunnelServer, newServer, forward.NewClient, newForwardServer)),
+		fx.Module("transport", fx.Provide(newDialer, newTunnelServer, newServer, newForwardClient, newForwardServer)),
 	)
 }
 
--- a/internal/transport/forward/client.go
+++ b/internal/transport/forward/client.go
@@ -37,19 +37,18 @@
 	links map[string]*clientLink
 }
 
-// NewClient returns a client that connects over TCP.
-func NewClient(log zerolog.Logger) *Client {
+// Dial connects to another instance over TCP.
+func Dial(ctx context.Context, address string) (net.Conn, error) {
 	var dialer net.Dialer
-	return newClient(func(ctx context.Context, address string) (net.Conn, error) {
-		conn, err := dialer.DialContext(ctx, "tcp", address)
-		if err == nil {
-			socket.SetUserTimeout(conn, userTimeout)
-		}
-		return conn, err
-	}, log)
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err == nil {
+		socket.SetUserTimeout(conn, userTimeout)
+	}
+	return conn, err
 }
 
-func newClient(dial func(context.Context, string) (net.Conn, error), log zerolog.Logger) *Client {
+// NewClient returns a client that connects with dial.
+func NewClient(dial func(context.Context, string) (net.Conn, error), log zerolog.Logger) *Client {
 	return &Client{dial: dial, log: log, links: make(map[string]*clientLink)}
 }
 
--- a/test/council/cluster_test.go
+++ b/test/council/cluster_test.go
@@ -14,14 +14,17 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/directory"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/forwarding"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/freshness"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/health"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/leadership"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/placement"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/pooling"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/relay"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/rowstore"
 	standin "github.com/cyclamenpin/cyclamenpin/internal/standin/platform/council"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
+	"github.com/cyclamenpin/cyclamenpin/internal/transport/forward"
 	"github.com/cyclamenpin/cyclamenpin/platform"
 )
 
@@ -83,6 +86,9 @@
 	pools      *pooling.Manager
 	engine     *relay.Engine
 	positions  *freshness.Exchange
+	placement  *placement.Table
+	holder     *forwarding.Holder
+	linkServer *forward.Server
 	// configuration follows the table of the operators' configuration.
 	configuration *rowstore.Follower
 }
@@ -326,6 +332,7 @@
 	}
 	i.pools = pooling.NewManager(dialer, tracker,
 		func(state.GroupID) int { return tc.options.MaxConnections }, i.division, log)
+	i.place(clock, log)
 	options := leadership.DefaultOptions()
 	options.FullRateMembers = cmp.Or(tc.fullRateMembers, options.FullRateMembers)
 	i.leadership = leadership.New(leadership.Config{
@@ -363,6 +370,7 @@
 	follow(rowstore.FollowerConfig{Table: leadership.TablePrimaries, Wait: rowstore.LongWait, Apply: i.leadership.Apply})
 	go i.leadership.Run(ctx)
 	go i.pools.Run(ctx)
+	go state.Every(ctx, 250*time.Millisecond, i.placement.Update)
 }
 
 // watchedRows is like that of an entry instance.
