--- a/internal/coordination/forwarding/sender.go
+++ b/internal/coordination/forwarding/sender.go
@@ -54,14 +54,22 @@
 
 // Open implements pooling.Forwarder.
 func (s *Sender) Open(server state.Server, request pooling.Request, deadline time.Time) pooling.ServerConn {
+	holders := s.holders(server, request.Workspace)
+	if len(holders) > 0 && holders[0].Name == s.Self {
+		return nil
+	}
 	ctx, cancel := context.WithCancel(context.Background())
-	return &senderConn{sender: s, server: server, request: request, waitUntil: deadline, ctx: ctx, cancel: cancel}
+	return &senderConn{sender: s, server: server, request: request, holders: holders, waitUntil: deadline, ctx: ctx, cancel: cancel}
 }
 
-// holders returns the holders to try for a database, in this sender's order, and
-// those that are avoided last.
-func (s *Sender) holders(server state.Server) []placement.Instance {
-	ordered := placement.OrderFor(s.Self, server.ID, s.Placement.Of(server).Holders)
+// holders returns the holders to try, in this sender's order without those that are
+// avoided, unless all are.
+func (s *Sender) holders(server state.Server, workspace state.WorkspaceID) []placement.Instance {
+	placed := s.Placement.Of(server)
+	if !placed.ByWorkspace {
+		workspace = ""
+	}
+	ordered := placement.OrderFor(s.Self, workspace, server.ID, placed.Holders)
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -106,6 +114,7 @@
 	sender    *Sender
 	server    state.Server
 	request   pooling.Request
+	holders   []placement.Instance
 	waitUntil time.Time
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -197,7 +206,11 @@
 func (c *senderConn) first(call Call, deadline time.Time) (state.Reply, error) {
 	answered := false
 	failure := error(errNoHolder)
-	for _, holder := range c.sender.holders(c.server) {
+	for _, holder := range c.holders {
+		if holder.Name == c.sender.Self {
+			answered = false
+			break
+		}
 		answer, err := c.try(holder, call, deadline)
 		var unreachable *unreachableError
 		switch {
--- a/internal/coordination/placement/holders.go
+++ b/internal/coordination/placement/holders.go
@@ -22,6 +22,12 @@
 	// demandPerHolder is how many connections of one holder are in use on average
 	// before there are more holders.
 	demandPerHolder = 4
+	// workspaceHolders is the number of holders at little demand where each
+	// connection belongs to one workspace: the fewer share a workspace's connections,
+	// the longer each is of use. The second one takes over from the first.
+	workspaceHolders = 2
+	// demandPerWorkspaceHolder is the same as demandPerHolder for these.
+	demandPerWorkspaceHolder = 16
 	// lessHolders is the part of the present number of holders below which the
 	// number that the demand needs must fall before it is reduced.
 	lessHolders = 0.6
@@ -43,20 +49,37 @@
 	return max(1, accepted-accepted/reserveDivisor)
 }
 
-// forwards reports whether there are too few connections for all instances.
-// before is the last decision.
-func forwards(accepted, instances int, before bool) bool {
+// size is what a decision depends on.
+type size struct {
+	// accepted is how many connections the database accepts.
+	accepted  int
+	instances int
+	// workspaces is the number of workspaces to which connections belong, 0 if they
+	// belong to none.
+	workspaces int
+	// demand is how many connections are in use or waited for.
+	demand float64
+}
+
+// forwards reports whether there are too few connections for all instances, one
+// for each workspace. before is the last decision.
+func (s size) forwards(before bool) bool {
+	needed := float64(s.instances * max(1, s.workspaces))
 	if before {
-		return float64(usable(accepted)) < directFactor*float64(instances)
+		needed *= directFactor
 	}
-	return usable(accepted) < instances
+	return float64(usable(s.accepted)) < needed
 }
 
-// holderCount returns the number of holders for a demand, in connections. before
-// is the present number, 0 if there is none.
-func holderCount(accepted, instances, before int, demand float64) int {
-	limit := max(1, min(instances, usable(accepted)/minPerHolder))
-	needed := min(limit, max(usualHolders, int(demand/demandPerHolder)+1))
+// holderCount returns the number of holders. before is the present number, 0 if
+// there is none.
+func (s size) holderCount(before int) int {
+	usual, perHolder := usualHolders, float64(demandPerHolder)
+	if s.workspaces > 0 {
+		usual, perHolder = workspaceHolders, demandPerWorkspaceHolder
+	}
+	limit := max(1, min(s.instances, usable(s.accepted)/minPerHolder))
+	needed := min(limit, max(usual, int(s.demand/perHolder)+1))
 	if needed < before && float64(needed) > lessHolders*float64(before) {
 		return min(before, limit)
 	}
@@ -128,7 +151,13 @@
 }
 
 // OrderFor returns the holders of a database in the order in which an instance
-// uses them, so that the instances spread over the holders and each uses few.
-func OrderFor(sender state.InstanceID, database state.DatabaseID, holders []Instance) []Instance {
-	return byWeight(string(sender)+"\x00"+string(database), holders, len(holders))
+// uses them. The instances spread over the holders and each uses few; what belongs
+// to a workspace goes to the same holder from all instances, since only its
+// connections can serve it.
+func OrderFor(sender state.InstanceID, workspace state.WorkspaceID, database state.DatabaseID, holders []Instance) []Instance {
+	subject := "instance\x00" + string(sender)
+	if workspace != "" {
+		subject = "workspace\x00" + string(workspace)
+	}
+	return byWeight(subject+"\x00"+string(database), holders, len(holders))
 }
--- a/internal/coordination/placement/table.go
+++ b/internal/coordination/placement/table.go
@@ -32,6 +32,8 @@
 	Instances func() []Instance
 	// Accepted returns how many connections each database of a group accepts.
 	Accepted func(state.GroupID) int
+	// Workspaces returns the number of workspaces to which connections may belong.
+	Workspaces func() int
 	// Demand returns the demand of all instances for a group, in connections.
 	Demand func(state.GroupID) float64
 	Clock  state.Clock
@@ -47,6 +49,8 @@
 	Holders []Instance
 	// Holds is set if this instance is one of them.
 	Holds bool
+	// ByWorkspace is set if each workspace uses one of the holders first.
+	ByWorkspace bool
 	// Share is how many connections this instance may open. That of an instance
 	// that is no holder is for probes and for when no holder can be reached.
 	Share int
@@ -122,33 +126,34 @@
 		// knows how many others there are.
 		t.Update()
 	}
-	accepted, demand := t.Accepted(server.Group), t.Demand(server.Group)
+	of := size{accepted: t.Accepted(server.Group), workspaces: t.Workspaces(), demand: t.Demand(server.Group)}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.compute(server, accepted, demand, now)
+	of.instances = len(t.fleet.all)
+	return t.compute(server, of, now)
 }
 
 // compute must be called with the lock held.
-func (t *Table) compute(server state.Server, accepted int, demand float64, now state.Instant) Placement {
+func (t *Table) compute(server state.Server, of size, now state.Instant) Placement {
 	e, ok := t.entries[server.ID]
 	if !ok {
 		e = &entry{group: server.Group, changedAt: now}
 		t.entries[server.ID] = e
 	}
 	e.generation, e.computedAt, e.usedAt = t.generation, now, now
-	t.forwarding[server.Group] = forwards(accepted, len(t.fleet.all), t.forwarding[server.Group])
+	t.forwarding[server.Group] = of.forwards(t.forwarding[server.Group])
 	if !t.forwarding[server.Group] {
 		e.placement, e.held, e.former, e.changedAt = Placement{Direct: true}, false, false, now
 		return e.placement
 	}
-	count := holderCount(accepted, len(t.fleet.all), len(e.placement.Holders), demand)
-	holders := t.fleet.holders(server.Database, t.Region(server.DataCentre), count)
+	holders := t.fleet.holders(server.Database, t.Region(server.DataCentre), of.holderCount(len(e.placement.Holders)))
 	rank := slices.IndexFunc(holders, func(i Instance) bool { return i.Name == t.Self })
 	if holds := rank >= 0; holds != e.held {
 		e.held, e.former, e.changedAt = holds, e.held, now
 		t.Log.Info().Str("database", string(server.ID)).Bool("holds", holds).Int("holders", len(holders)).Msg("placement of connections changed")
 	}
-	e.placement = t.decide(e, holders, rank, accepted, now)
+	e.placement = t.decide(e, holders, rank, of.accepted, now)
+	e.placement.ByWorkspace = of.workspaces > 0
 	return e.placement
 }
 
@@ -168,3 +173,29 @@
 	}
 	return p
 }
+
+// Status is the decision about a database, for the dump.
+type Status struct {
+	Database state.DatabaseID   `json:"database"`
+	Group    state.GroupID      `json:"group"`
+	Direct   bool               `json:"direct"`
+	Holders  []state.InstanceID `json:"holders,omitempty"`
+	Holds    bool               `json:"holds"`
+	Share    int                `json:"share"`
+}
+
+// Snapshot returns the decisions about the databases in use, ordered by id.
+func (t *Table) Snapshot() []Status {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	all := make([]Status, 0, len(t.entries))
+	for id, e := range t.entries {
+		status := Status{Database: id, Group: e.group, Direct: e.placement.Direct, Holds: e.placement.Holds, Share: e.placement.Share}
+		for _, holder := range e.placement.Holders {
+			status.Holders = append(status.Holders, holder.Name)
+		}
+		all = append(all, status)
+	}
+	slices.SortFunc(all, func(a, b Status) int { return cmp.Compare(a.Database, b.Database) })
+	return all
+}
--- a/internal/coordination/pooling/forward.go
+++ b/internal/coordination/pooling/forward.go
@@ -11,8 +11,10 @@
 type Placement struct {
 	// Share is how many connections this instance may open.
 	Share int
-	// Forward is set if its own requests run on connections of other instances.
+	// Forward is set if its own requests may run on connections of other instances.
 	Forward bool
+	// Holds is set if this instance is a holder too.
+	Holds bool
 	// CloseExcess is set if idle connections beyond the share are closed at once:
 	// the holders have changed, and the new ones need them.
 	CloseExcess bool
@@ -22,6 +24,7 @@
 type Forwarder interface {
 	// Open returns a connection whose statements run at a holder. It does no I/O;
 	// the first statement may wait for a connection of the holder until deadline.
+	// It returns nil if this instance itself is the holder to use.
 	Open(server state.Server, request Request, deadline time.Time) ServerConn
 }
 
@@ -50,6 +53,21 @@
 	return share(m.maxConnections(group), m.divisionOf(group))
 }
 
+// forward returns a connection whose statements run at another instance; nil if the
+// request is to use a connection of this pool.
+func (p *Pool) forward(request Request, deadline time.Time) *Conn {
+	p.mu.Lock()
+	forwards := p.forwards && !p.closed && !request.Local
+	p.mu.Unlock()
+	if !forwards {
+		return nil
+	}
+	if conn := p.forwarder.Open(p.server, request, deadline); conn != nil {
+		return newForwardedConn(conn, p.server, request.Workspace)
+	}
+	return nil
+}
+
 func newForwardedConn(conn ServerConn, server state.Server, workspace state.WorkspaceID) *Conn {
 	return &Conn{ServerConn: conn, Server: server, Workspace: workspace, forwarded: true, prepared: make(map[string]bool), lastUsed: time.Now()}
 }
--- a/internal/coordination/pooling/pool.go
+++ b/internal/coordination/pooling/pool.go
@@ -100,15 +100,14 @@
 // requested session values. It waits at most until deadline. The error is a
 // *NoConnectionError, a *DialError or that of the context.
 func (p *Pool) Acquire(ctx context.Context, request Request, deadline time.Time) (*Conn, error) {
+	if conn := p.forward(request, deadline); conn != nil {
+		return conn, nil
+	}
 	p.mu.Lock()
 	if p.closed {
 		p.mu.Unlock()
 		return nil, &DialError{Database: p.server.ID, Cause: errPoolClosed}
 	}
-	if p.forwards && !request.Local {
-		p.mu.Unlock()
-		return newForwardedConn(p.forwarder.Open(p.server, request, deadline), p.server, request.Workspace), nil
-	}
 	if noConn := p.checkWait(deadline); noConn != nil {
 		p.mu.Unlock()
 		return nil, noConn
@@ -325,7 +324,7 @@
 		}
 	}
 	reply, err := conn.Run(statement, deadline, late)
-	p.recordResult(time.Since(started), reply, err)
+	p.recordResult(conn, time.Since(started), reply, err)
 	switch {
 	case conn.tunnelled, conn.forwarded:
 	case err != nil:
@@ -336,14 +335,14 @@
 	return reply, err
 }
 
-func (p *Pool) recordResult(took time.Duration, reply state.Reply, err error) {
+func (p *Pool) recordResult(conn *Conn, took time.Duration, reply state.Reply, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var noConn *NoConnectionError
 	switch {
 	case errors.As(err, &noConn):
 		p.refusedUntil = time.Now().Add(min(noConn.RetryAfter, maxRefusedTime))
-	case err != nil, p.forwards:
+	case err != nil, conn.forwarded:
 		// The holders limit what they send to the database.
 	case reply.Code == state.CodeBusy:
 		p.limiter.recordRefused(p.inFlight(), time.Now())
@@ -405,7 +404,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	kept := placed.Share
-	if placed.Forward && !p.forwards {
+	if placed.Forward && !placed.Holds && !p.forwards {
 		// Its own requests need none from now on.
 		kept = 0
 	}
--- a/internal/entry/forwarding.go
+++ b/internal/entry/forwarding.go
@@ -24,6 +24,12 @@
 	return placement.New(placement.Config{
 		Self: settings.Instance, Region: func(dc state.DataCentre) string { return settings.Regions[dc] }, Accepted: maxConnections(dir),
 		Instances: func() []placement.Instance { return instance.leadership.LiveInstances() },
+		Workspaces: func() int {
+			if routes := dir.Routes(); routes != nil && routes.HasWorkspaces {
+				return len(routes.Workspaces)
+			}
+			return 0
+		},
 		Demand: func(group state.GroupID) float64 { return instance.leadership.GroupDemand(group) }, Clock: clock, Log: log,
 	})
 }
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/leadership"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/placement"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/pooling"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 	"github.com/cyclamenpin/cyclamenpin/platform"
@@ -45,6 +46,18 @@
 func (i *Instance) gauges() *metrics.Set {
 	set := metrics.NewSet()
 	set.NewGauge(`cyclamenpin_entry_clients`, func() float64 { return float64(i.server.Clients()) })
+	set.NewGauge(`cyclamenpin_entry_links_out`, func() float64 { return float64(i.links.Links()) })
+	set.NewGauge(`cyclamenpin_entry_links_in`, func() float64 { return float64(i.linkServer.Links()) })
+	set.NewGauge(`cyclamenpin_entry_connections_used_for_others`, func() float64 { return float64(i.holder.Open()) })
+	set.NewGauge(`cyclamenpin_entry_databases_held`, func() float64 {
+		held := 0
+		for _, placed := range i.placement.Snapshot() {
+			if placed.Holds {
+				held++
+			}
+		}
+		return float64(held)
+	})
 	set.NewGauge(`cyclamenpin_entry_ready`, boolGauge(i.Ready))
 	set.NewGauge(`cyclamenpin_entry_configuration_version`, func() float64 {
 		if routes := i.directory.Routes(); routes != nil {
@@ -85,6 +98,7 @@
 	Instances     int                 `json:"instances_live"`
 	Primaries     []leadership.Status `json:"primaries"`
 	Pools         []pooling.Stats     `json:"pools"`
+	Placement     []placement.Status  `json:"placement"`
 }
 
 // Dump returns the state of the instance. It contains no data of clients.
@@ -93,7 +107,7 @@
 	dump := Dump{
 		Instance: i.settings.Load().Instance, Run: i.run, UptimeSeconds: time.Since(i.started).Seconds(),
 		Ready: i.Ready(), Clients: i.server.Clients(), LeaseLeft: left, Instances: i.leadership.Members(),
-		Primaries: primaries, Pools: i.pools.Stats(),
+		Primaries: primaries, Pools: i.pools.Stats(), Placement: i.placement.Snapshot(),
 	}
 	if routes := i.directory.Routes(); routes != nil {
 		dump.Configuration, dump.Routes = routes.Version, len(routes.Routes)
--- a/internal/entry/modules.go
+++ b/internal/entry/modules.go
@@ -101,7 +101,7 @@
 		if placed.Direct {
 			return pooling.Placement{Share: pools.DirectShare(server.Group)}
 		}
-		return pooling.Placement{Share: placed.Share, Forward: !placed.Holds, CloseExcess: true}
+		return pooling.Placement{Share: placed.Share, Forward: !placed.Holds || placed.ByWorkspace, Holds: placed.Holds, CloseExcess: true}
 	}, sender)
 	return pools
 }
--- a/test/council/cluster_test.go
+++ b/test/council/cluster_test.go
@@ -61,6 +61,8 @@
 	log       zerolog.Logger
 	// fullRateMembers overrides leadership.Options.FullRateMembers unless it is 0.
 	fullRateMembers int
+	// workspaces is the number of workspaces to which connections belong.
+	workspaces int
 	// lastConfiguration is the newest value that the operators wrote.
 	lastConfiguration []byte
 
