--- a/internal/coordination/pooling/dial.go
+++ b/internal/coordination/pooling/dial.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 )
 
@@ -90,6 +92,7 @@
 	conn := p.idle[oldest]
 	p.idle = slices.Delete(p.idle, oldest, oldest+1)
 	p.open--
+	metrics.GetOrCreateCounter(fmt.Sprintf(`cyclamenpin_connections_replaced_total{group=%q}`, p.server.Group)).Inc()
 	go conn.Close()
 	return true
 }
