--- a/internal/coordination/relay/currency.go
+++ b/internal/coordination/relay/currency.go
@@ -37,7 +37,7 @@
 // instance has had. The store may hold an older version after it was restored.
 func (e *Engine) isNewest(table *state.RoutingTable) bool {
 	newest, known := e.Leadership.NewestConfiguration()
-	return known && newest <= table.Version
+	return newest <= table.Version && (known || !table.HasWorkspaces)
 }
 
 // Serviceable reports whether the configuration may be used for new sessions.
