--- /dev/null
+++ b/test/council/lines_test.go
@@ -0,0 +1,121 @@
+package council
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/transport/lineserver"
+	"github.com/cyclamenpin/cyclamenpin/platform"
+)
+
+// memoryListener hands out connections in memory.
+type memoryListener struct {
+	connections chan net.Conn
+}
+
+func (l memoryListener) Accept() (net.Conn, error) {
+	conn, open := <-l.connections
+	if !open {
+		return nil, net.ErrClosed
+	}
+	return conn, nil
+}
+
+func (l memoryListener) Close() error   { close(l.connections); return nil }
+func (l memoryListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// lineClient is a client of an instance on the wire.
+type lineClient struct {
+	t    *testing.T
+	raw  net.Conn
+	from *bufio.Reader
+}
+
+// serveLines serves an instance's clients on the wire while body runs. Connections are
+// closed afterwards.
+func (i *instance) serveLines(body func(connect func() *lineClient)) {
+	listener := memoryListener{make(chan net.Conn)}
+	clock := virtualClock{i.cluster.started}
+	server := lineserver.New(platform.Codec{}, i.engine, clock, lineserver.Options{MaxClients: 10, MaxMessageError: platform.ErrMessageTooBig}, zerolog.Nop())
+	go server.Serve(listener)
+	defer listener.Close()
+	body(func() *lineClient {
+		near, far := net.Pipe()
+		listener.connections <- far
+		context.AfterFunc(i.cluster.ctx, func() { _ = near.Close() })
+		return &lineClient{i.cluster.t, near, bufio.NewReader(near)}
+	})
+}
+
+// send sends a line and returns the reply up to the line that ends it.
+func (c *lineClient) send(line string) (reply string) {
+	require.NoError(c.t, c.raw.SetDeadline(time.Now().Add(10*time.Second)))
+	_, err := c.raw.Write([]byte(line + "\r\n"))
+	require.NoError(c.t, err)
+	for {
+		text, err := c.from.ReadString('\n')
+		reply += text
+		if err != nil || strings.HasPrefix(text, "READY") {
+			return reply
+		}
+	}
+}
+
+// requireClosed requires that the instance has closed the connection.
+func (c *lineClient) requireClosed() {
+	_, err := c.from.ReadByte()
+	require.Error(c.t, err)
+	require.NotErrorIs(c.t, err, os.ErrDeadlineExceeded)
+}
+
+// Clients send no key, blanks in the wrong places and long keys. Each gets an error at
+// once and costs nobody else anything.
+func TestBadKeysOnTheWire(t *testing.T) {
+	runWithKeys(t, []string{"a"}, func(tc *testCluster) {
+		tc.instances["a"].serveLines(func(connect func() *lineClient) {
+			good := connect()
+			require.Contains(t, good.send("CONNECT desk key-a"), "READY I")
+			for _, line := range []string{
+				"CONNECT desk", "CONNECT desk ", "CONNECT desk  key-a", "CONNECT desk key-a ", "CONNECT desk key-a key-b", "CONNECT desk " + strings.Repeat("k", 10_000),
+			} {
+				c := connect()
+				started := time.Now()
+				require.True(t, strings.HasPrefix(c.send(line), "ERROR NOAUTH"), "%.40s", line)
+				c.requireClosed()
+				require.Zero(t, time.Since(started))
+			}
+			require.Contains(t, good.send("QUERY 1 WRITE item x"), "COMPLETE")
+		})
+	})
+}
+
+// A key is withdrawn while its session is open, within a transaction or not. The client
+// gets NOAUTH for its next statement, and the session ends.
+func TestWithdrawnKeyEndsTheSessionOnTheWire(t *testing.T) {
+	runWithKeys(t, []string{"a"}, func(tc *testCluster) {
+		tc.instances["a"].serveLines(func(connect func() *lineClient) {
+			idle, inTransaction, other := connect(), connect(), connect()
+			for _, c := range []*lineClient{idle, inTransaction} {
+				require.Contains(t, c.send("CONNECT desk key-a"), "READY I")
+			}
+			require.Contains(t, other.send("CONNECT desk key-b"), "READY I")
+			require.Contains(t, inTransaction.send("QUERY 2 BEGIN"), "READY T")
+			require.Contains(t, inTransaction.send("QUERY 3 WRITE item x"), "READY T")
+			tc.configureKeys(3, keysOf{"birch": {"key-b"}})
+			require.Contains(t, idle.send("QUERY 4 READ item"), "ERROR NOAUTH")
+			require.Contains(t, inTransaction.send("QUERY 5 COMMIT"), "ERROR NOAUTH")
+			idle.requireClosed()
+			inTransaction.requireClosed()
+			require.Contains(t, other.send("QUERY 6 READ item"), "COMPLETE")
+			require.Empty(t, tc.group.Commits())
+		})
+	})
+}
