--- a/internal/coordination/relay/currency.go
+++ b/internal/coordination/relay/currency.go
@@ -23,8 +23,12 @@
 	return max(0, now.Sub(state.Instant(b.since.Load())))
 }
 
-// currency returns what is known of how current a routing table is.
+// currency returns what is known of how current a routing table is. It matters only
+// for keys.
 func (e *Engine) currency(table *state.RoutingTable) identity.Currency {
+	if !table.HasWorkspaces {
+		return identity.Currency{}
+	}
 	newest, _ := e.Leadership.NewestConfiguration()
 	return identity.Currency{
 		Age:    e.Directory.ConfigurationAge(),
--- a/test/council/identity_test.go
+++ b/test/council/identity_test.go
@@ -192,7 +192,7 @@
 		var ran int
 		var violations []string
 		runWith(t, options, []string{"a"}, testLog, func(tc *testCluster) {
-			load := newWorkspaceLoad(tc, workspaces, seed)
+			load := newWorkspaceLoad(tc, workspaces, seed, "a")
 			load.configure(2)
 			var running sync.WaitGroup
 			for n := range clients {
@@ -210,11 +210,42 @@
 	})
 }
 
+// As above with several instances and random faults: tunnels, lost replies, crashes and
+// restarts.
+func TestNoConnectionServesTwoWorkspacesBesideFaults(t *testing.T) {
+	forEachSeed(t, 10, func(t *testing.T, seed uint64) {
+		run(t, fourInstances, func(tc *testCluster) {
+			random := rand.New(rand.NewPCG(seed, 99))
+			load := newWorkspaceLoad(tc, 9, seed, fourInstances...)
+			load.configure(2)
+			var clients sync.WaitGroup
+			for n := range 9 {
+				clients.Go(func() {
+					for range 5 {
+						load.run(n)
+					}
+				})
+			}
+			for range 6 {
+				time.Sleep(time.Duration(500+random.IntN(2000)) * time.Millisecond)
+				tc.injectFault(random)
+			}
+			clients.Wait()
+			ran, violations := load.check()
+			require.NotZero(t, ran)
+			require.Empty(t, violations)
+			tc.heal()
+		})
+	})
+}
+
 // workspaceLoad is random work on behalf of workspaces, each of which holds one key.
 type workspaceLoad struct {
 	tc    *testCluster
 	count int
 	seed  uint64
+	// instances are those that clients connect to.
+	instances []string
 
 	mu sync.Mutex
 	// shift is by how much the owners of keys have moved, settled whether all
@@ -225,8 +256,8 @@
 	allowed map[string][]state.WorkspaceID
 }
 
-func newWorkspaceLoad(tc *testCluster, count int, seed uint64) *workspaceLoad {
-	return &workspaceLoad{tc: tc, count: count, seed: seed, settled: true, allowed: make(map[string][]state.WorkspaceID)}
+func newWorkspaceLoad(tc *testCluster, count int, seed uint64, instances ...string) *workspaceLoad {
+	return &workspaceLoad{tc: tc, count: count, seed: seed, instances: instances, settled: true, allowed: make(map[string][]state.WorkspaceID)}
 }
 
 // owner returns the workspace that holds a key after the owners moved by shift.
@@ -260,7 +291,11 @@
 	routes := []string{"desk", "portal", "cab"}
 	for range 12 {
 		time.Sleep(time.Duration(random.IntN(200)) * time.Millisecond)
-		session, _ := l.tc.instances["a"].engine.Open(routes[random.IntN(len(routes))], identity.NewCredential(fmt.Sprintf("key-%d", key)))
+		i := l.tc.newestRun(l.instances[random.IntN(len(l.instances))])
+		if i.ctx.Err() != nil {
+			continue
+		}
+		session, _ := i.engine.Open(routes[random.IntN(len(routes))], identity.NewCredential(fmt.Sprintf("key-%d", key)))
 		if session == nil {
 			continue
 		}
