A pool whose share has shrunk closes down to it while connections change hands

Cause: for each connection that was opened one was closed, so a pool above its share stayed there for as long as workspaces took turns. Result: the test fails without the change; the package's tests pass.

--- a/internal/coordination/pooling/dial.go
+++ b/internal/coordination/pooling/dial.go
@@ -66,14 +66,16 @@
 }
 
 // openFor starts to open a connection for a waiting request. If the share is used up,
-// an idle connection makes room. It returns false if none can be opened now. It must
+// idle connections make room, more than one after the share has shrunk. It returns false if none can be opened now. It must
 // be called with the lock held.
 func (p *Pool) openFor(w *waiter) bool {
 	if time.Now().Before(p.dialAfter) || p.opening >= max(1, p.open/growthDivisor) {
 		return false
 	}
-	if p.open+p.opening >= p.share && !p.closeOldestIdle() {
-		return false
+	for p.open+p.opening >= p.share {
+		if !p.closeOldestIdle() {
+			return false
+		}
 	}
 	p.opening++
 	p.queue.addOpening(w.Workspace, 1)
--- a/internal/coordination/pooling/workspace_test.go
+++ b/internal/coordination/pooling/workspace_test.go
@@ -154,6 +154,34 @@
 	})
 }
 
+// The share shrinks while connections change hands all the time, so that none is idle for
+// long. The pool must come down to its share all the same.
+func TestPoolShrinksWhileConnectionsChangeHands(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := testPool(&fakeDialer{}, 6)
+		var callers sync.WaitGroup
+		for n := range 8 {
+			callers.Go(func() {
+				for range 40 {
+					conn, err := p.Acquire(t.Context(), Request{Workspace: state.WorkspaceID(fmt.Sprint(n))}, time.Now().Add(2*time.Second))
+					if err != nil {
+						continue
+					}
+					_, _ = p.Run(conn, Statement{}, time.Now().Add(time.Second))
+					p.Release(conn, true)
+					time.Sleep(10 * time.Millisecond)
+				}
+			})
+		}
+		time.Sleep(500 * time.Millisecond)
+		require.Greater(t, p.stats().Open, 3)
+		p.updateShare(3)
+		time.Sleep(500 * time.Millisecond)
+		require.LessOrEqual(t, p.stats().Open, 3)
+		callers.Wait()
+	})
+}
+
 // Random callers of many workspaces, connections that are lost and openings that fail.
 // Each gets connections of its own workspace only, at most the share is open, and
 // nothing is left over.
