--- a/test/council/identity_test.go
+++ b/test/council/identity_test.go
@@ -11,9 +11,11 @@
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
 	"pgregory.net/rapid"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/identity"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/leadership"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 )
 
@@ -428,6 +430,29 @@
 	require.True(t, tc.newestRun("c").engine.Serviceable())
 }
 
+// Another instance states a newer configuration that this one doesn't read. It must not
+// accept keys, which may be withdrawn, for long.
+func TestInstanceThatStaysBehindRefusesKeys(t *testing.T) {
+	runWithKeys(t, []string{"a"}, func(tc *testCluster) {
+		tc.public = map[string]bool{"portal": true}
+		tc.configureKeys(3, tc.keys)
+		a := tc.instances["a"]
+		c := a.openWith("desk", "key-a")
+		row, err := msgpack.Marshal(map[string]any{"run": 1, "config": 4, "address": "elsewhere"})
+		require.NoError(t, err)
+		tc.store.Put(leadership.TableInstances, "other", row)
+		tc.eventually(9*time.Second, "not serviceable", func() bool { return !a.engine.Serviceable() })
+		_, reply := c.read("item")
+		require.Equal(t, state.CodeBusy, reply.Code)
+		require.Equal(t, state.CodeBusy, a.refusedAtOpen("desk", "key-b"))
+		require.Equal(t, state.CodeNone, a.refusedAtOpen("portal", ""))
+		tc.configureKeys(4, keysOf{"acme": {"key-a"}})
+		_, reply = c.read("item")
+		require.Equal(t, state.CodeNone, reply.Code)
+		require.True(t, a.engine.Serviceable())
+	})
+}
+
 // Keys reach neither logs nor dumps, wherever clients send them.
 func TestKeysAreNotLogged(t *testing.T) {
 	var output bytes.Buffer
