Requests refused during a change are told when its promoter expects its end

The promoter knows how long it still waits: once the usual acknowledgements have had their 200 ms, it sends the time that is left, plus the promotion, to all instances by datagram, again each second and when it changes. A lost message leaves the constant second; nothing else depends on it.

Weighed: the expectation in the group's row (a second write during a change, on which the publishing write's condition would depend, for a text), the lease known at the announcement (the instance that is lost is not known yet). Left: changes that wait for no lease still say a second.

--- a/internal/coordination/leadership/change.go
+++ b/internal/coordination/leadership/change.go
@@ -217,6 +217,7 @@
 // have been a minority for longer than a confirmation is valid.
 func (m *Manager) awaitAcknowledgements(ctx context.Context, attempt *changeAttempt) error {
 	announced := announcement{group: attempt.group, epoch: attempt.epoch, commit: attempt.announceCommit}
+	expectations := expectationSender{announcedAt: m.Clock.Now()}
 	var minoritySince state.Instant
 	for {
 		m.readMembers(ctx)
@@ -245,6 +246,7 @@
 		if err := ctx.Err(); err != nil {
 			return eris.Wrapf(err, "wait for instances %v (own lease) and %v (confirmed by peers) to stop using the old primary", pending.leased, pending.confirmed)
 		}
+		m.sendExpectation(&expectations, attempt, pending)
 		m.notifyPending(attempt.group, append(pending.leased, pending.confirmed...))
 		state.Pause(ctx, acknowledgementInterval)
 	}
--- a/internal/coordination/leadership/confirmation.go
+++ b/internal/coordination/leadership/confirmation.go
@@ -27,6 +27,8 @@
 	kindRequest  = 1
 	kindResponse = 2
 	kindNotice   = 3 // suspicions, without a response
+	// kindExpectation is a promoter's expectation, without a response.
+	kindExpectation = 4
 )
 
 // peerMessage is one datagram. Rows holds the rows of TablePrimaries that the
@@ -48,6 +50,8 @@
 	// Suspected holds the epochs of the groups whose primary the sender cannot
 	// reach.
 	Suspected map[state.GroupID]uint64 `msgpack:"u"`
+	// Expected holds when the sender expects its changes to end.
+	Expected []expectedChange `msgpack:"x,omitempty"`
 }
 
 type recordRow struct {
@@ -195,6 +199,10 @@
 		return m.respond(message)
 	case kindResponse:
 		m.handleResponse(message)
+	case kindExpectation:
+		for _, expected := range message.Expected {
+			m.applyExpectation(expected, now)
+		}
 	}
 	return nil
 }
--- a/internal/coordination/leadership/manager.go
+++ b/internal/coordination/leadership/manager.go
@@ -140,6 +140,8 @@
 	dueSince               state.Instant
 	// changingSince is when the change in progress was first seen.
 	changingSince state.Instant
+	// expected is the last expectation of a promoter.
+	expected expectation
 	// running is set while this instance carries out a change.
 	running bool
 }
@@ -167,6 +169,9 @@
 	Age time.Duration
 	// Epoch is the epoch of the newest record seen.
 	Epoch uint64
+	// Left is how long the promoter expects the change of primary to last, 0 if that
+	// is not known.
+	Left time.Duration
 }
 
 // Error returns the group, the reason and the age.
@@ -201,7 +206,7 @@
 		return nil, &UnavailableError{Group: id, Reason: state.ReasonPlatform, Age: m.lease.expiredFor(now), Epoch: g.record.Epoch}
 	}
 	if g.record.Changing {
-		return nil, &UnavailableError{Group: id, Reason: state.ReasonNoPrimary, Age: now.Sub(g.seenAt), Epoch: g.record.Epoch}
+		return nil, &UnavailableError{Group: id, Reason: state.ReasonNoPrimary, Age: now.Sub(g.seenAt), Epoch: g.record.Epoch, Left: g.expectedLeft(now)}
 	}
 	primary, ok := m.primaryOf(id, g)
 	if !ok {
--- a/internal/coordination/leadership/members.go
+++ b/internal/coordination/leadership/members.go
@@ -208,6 +208,9 @@
 	// leased instances may still hold their own lease; confirmed ones can use the
 	// old primary only if other instances confirm their lease.
 	leased, confirmed []state.InstanceID
+	// leasedFor is the longest time until one's own lease expires, confirmedFor that
+	// until it can't be confirmed either.
+	leasedFor, confirmedFor time.Duration
 	// established is the number of instances, pending or not, that joined early
 	// enough to be known to every pending instance.
 	established int
@@ -240,6 +243,8 @@
 		}
 		earliest = min(earliest, renewed)
 		lease := max(options.Lease, entry.heartbeat.Lease)
+		found.leasedFor = max(found.leasedFor, renewed+lease+leaseMargin-storeNow)
+		found.confirmedFor = max(found.confirmedFor, renewed+options.MaxLease+leaseMargin-storeNow)
 		switch {
 		case storeNow <= renewed+lease+leaseMargin:
 			found.leased = append(found.leased, name)
--- a/internal/coordination/relay/reads.go
+++ b/internal/coordination/relay/reads.go
@@ -194,7 +194,7 @@
 	grant, err := s.engine.Leadership.Acquire(r.route.Group)
 	if err != nil {
 		r.lastError = err
-		return r.busyReply("no primary is available", retryAfterChange), true
+		return r.busyReply("no primary is available", retryAfter(err)), true
 	}
 	defer grant.Release()
 	reply, retry = s.tryPrimary(r, grant)
--- a/internal/coordination/relay/single.go
+++ b/internal/coordination/relay/single.go
@@ -147,7 +147,7 @@
 		}
 		r.lastError = err
 		if isStoreOutage(err) || !time.Now().Before(deadline) {
-			return nil, r.busyReply("no primary is available", retryAfterChange)
+			return nil, r.busyReply("no primary is available", retryAfter(err))
 		}
 		state.PauseOrWake(s.engine.ctx, time.Until(deadline), changed)
 		if s.engine.ctx.Err() != nil {
@@ -160,6 +160,15 @@
 // retryAfterChange is the usual duration of a change of primary.
 const retryAfterChange = time.Second
 
+// retryAfter returns when a request may come back that got no grant.
+func retryAfter(err error) time.Duration {
+	var unavailable *leadership.UnavailableError
+	if errors.As(err, &unavailable) && unavailable.Left > 0 {
+		return unavailable.Left
+	}
+	return retryAfterChange
+}
+
 // isStoreOutage reports whether err says that the lease expired because the
 // store is unavailable. Waiting a few hundred milliseconds for a primary does
 // not help then.
--- a/internal/coordination/relay/transaction.go
+++ b/internal/coordination/relay/transaction.go
@@ -220,7 +220,7 @@
 		grant, err := s.engine.Leadership.Acquire(r.route.Group)
 		if err != nil {
 			r.lastError = err
-			return r.busyReply("no primary is available", retryAfterChange), true
+			return r.busyReply("no primary is available", retryAfter(err)), true
 		}
 		reply, _ := s.tryBeginOnPrimary(r, grant)
 		return reply, s.tx.conn == nil
