--- a/internal/coordination/forwarding/sender.go
+++ b/internal/coordination/forwarding/sender.go
@@ -205,7 +205,7 @@
 // and runs it here if none can be reached.
 func (c *senderConn) first(call Call, deadline time.Time) (state.Reply, error) {
 	answered := false
-	failure := error(errNoHolder)
+	failure := errNoHolder
 	for _, holder := range c.holders {
 		if holder.Name == c.sender.Self {
 			answered = false
--- a/internal/coordination/placement/table.go
+++ b/internal/coordination/placement/table.go
@@ -18,6 +18,11 @@
 	settleTime = 10 * time.Second
 	// recomputeInterval is how often the number of holders follows the demand.
 	recomputeInterval = 2 * time.Second
+	// A list that lacks more than one in believeShrink of the instances counts only
+	// after shrinkTime: the store may have been restored from an early copy, and the
+	// instances have not written their rows again.
+	believeShrink = 2
+	shrinkTime    = 20 * time.Second
 	// unusedTime is how long the decision about a database is kept after its last
 	// use.
 	unusedTime = time.Minute
@@ -81,7 +86,10 @@
 	mu         sync.Mutex
 	fleet      fleet
 	generation uint64
-	entries    map[state.DatabaseID]*entry
+	// shrunkAt is when the list of instances first lacked most of them; 0 if it
+	// does not.
+	shrunkAt state.Instant
+	entries  map[state.DatabaseID]*entry
 	// forwarding holds the groups whose databases accept too few connections.
 	forwarding map[state.GroupID]bool
 }
@@ -103,8 +111,18 @@
 		}
 	}
 	if slices.Equal(sorted, t.fleet.all) {
+		t.shrunkAt = 0
 		return
 	}
+	if believeShrink*len(sorted) < len(t.fleet.all) {
+		if t.shrunkAt == 0 {
+			t.shrunkAt = now
+		}
+		if now.Sub(t.shrunkAt) < shrinkTime {
+			return
+		}
+	}
+	t.shrunkAt = 0
 	t.fleet = newFleet(sorted, t.Region)
 	t.generation++
 }
--- a/internal/transport/forward/client.go
+++ b/internal/transport/forward/client.go
@@ -73,7 +73,7 @@
 	if !ok {
 		l = &clientLink{opened: make(chan struct{}), streams: make(map[uint32]*stream), lastUsed: time.Now()}
 		c.links[address] = l
-		go c.open(l, address)
+		go c.open(l, address) //nolint:gosec // the link outlives the stream that opens it
 	}
 	c.mu.Unlock()
 	select {
--- a/internal/transport/forward/codec.go
+++ b/internal/transport/forward/codec.go
@@ -59,7 +59,9 @@
 	buffer = binary.BigEndian.AppendUint32(buffer, stream)
 	if message != nil {
 		w := bytes.NewBuffer(buffer)
-		if err := msgpack.NewEncoder(w).Encode(message); err != nil {
+		encoder := msgpack.NewEncoder(w)
+		encoder.UseArrayEncodedStructs(true)
+		if err := encoder.Encode(message); err != nil {
 			return nil, eris.Wrap(err, "encode frame")
 		}
 		buffer = w.Bytes()
@@ -94,9 +96,9 @@
 	return f, nil
 }
 
-// callMessage is a call on the wire. Times are in milliseconds.
+// callMessage is a call on the wire, an array of its fields. Times are in
+// milliseconds.
 type callMessage struct {
-	_msgpack  struct{} `msgpack:",as_array"`
 	Operation uint8
 	Group     string
 	Database  string
@@ -114,21 +116,18 @@
 }
 
 type preparedMessage struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Name     string
-	Shape    string
-	Writes   bool
+	Name   string
+	Shape  string
+	Writes bool
 }
 
 type positionMessage struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Term     uint64
-	Offset   uint64
+	Term   uint64
+	Offset uint64
 }
 
-// answerMessage is an answer on the wire.
+// answerMessage is an answer on the wire, an array of its fields.
 type answerMessage struct {
-	_msgpack    struct{} `msgpack:",as_array"`
 	Refusal     uint8
 	Detail      string
 	RetryAfter  uint32
