--- a/internal/coordination/forwarding/holder.go
+++ b/internal/coordination/forwarding/holder.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/directory"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/leadership"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/placement"
@@ -51,6 +53,7 @@
 	Pools      Pools
 	Placement  Placement
 	Clock      state.Clock
+	Log        zerolog.Logger
 }
 
 // Holder runs the statements of other instances on its own connections.
@@ -145,6 +148,10 @@
 	if abandoned {
 		s.release(false)
 	}
+	if answer.Refusal != NotRefused && !s.local {
+		s.holder.Log.Warn().Str("request", call.ID).Str("group", string(call.Group)).Str("database", string(call.Database)).
+			Stringer("refusal", answer.Refusal).Str("detail", answer.Detail).Dur("held_ms", time.Since(received)).Msg("forwarded statement not served")
+	}
 	return answer
 }
 
--- a/internal/coordination/forwarding/holder_test.go
+++ b/internal/coordination/forwarding/holder_test.go
@@ -102,7 +102,7 @@
 	d := &fakeDatabase{placed: placement.Placement{Accepts: true}}
 	d.entry.Server = state.Server{Database: state.Database{ID: "db"}, Group: "g", Born: 1}
 	pools := pooling.NewManager(d, d, func(state.GroupID) int { return 1 }, func(state.GroupID) pooling.Division { return pooling.Division{Instances: 1} }, zerolog.Nop())
-	return NewHolder(HolderConfig{Directory: d, Leadership: d, Pools: pools, Placement: d, Clock: d}), d
+	return NewHolder(HolderConfig{Directory: d, Leadership: d, Pools: pools, Placement: d, Clock: d, Log: zerolog.Nop()}), d
 }
 
 func testCall() Call {
--- a/internal/coordination/forwarding/sender.go
+++ b/internal/coordination/forwarding/sender.go
@@ -335,7 +335,7 @@
 // refusedError returns the error of an answer that is not the database's reply.
 func (c *senderConn) refusedError(answer Answer) error {
 	if answer.Refusal == RefusedNoConnection {
-		return &pooling.NoConnectionError{Database: c.server.ID, RetryAfter: answer.RetryAfter}
+		return eris.Wrapf(&pooling.NoConnectionError{Database: c.server.ID, RetryAfter: answer.RetryAfter}, "holder %s", c.holder.Name)
 	}
 	return &RefusedError{Holder: c.holder.Name, Refusal: answer.Refusal, Detail: answer.Detail}
 }
--- a/internal/entry/forwarding.go
+++ b/internal/entry/forwarding.go
@@ -34,8 +34,8 @@
 	})
 }
 
-func newHolder(dir *directory.Directory, leaders *leadership.Manager, pools *pooling.Manager, table *placement.Table, clock state.Clock) *forwarding.Holder {
-	return forwarding.NewHolder(forwarding.HolderConfig{Directory: dir, Leadership: leaders, Pools: pools, Placement: table, Clock: clock})
+func newHolder(dir *directory.Directory, leaders *leadership.Manager, pools *pooling.Manager, table *placement.Table, clock state.Clock, log zerolog.Logger) *forwarding.Holder {
+	return forwarding.NewHolder(forwarding.HolderConfig{Directory: dir, Leadership: leaders, Pools: pools, Placement: table, Clock: clock, Log: log})
 }
 
 func newForwardClient(log zerolog.Logger) *forward.Client {
--- a/test/council/links_test.go
+++ b/test/council/links_test.go
@@ -29,7 +29,7 @@
 		Demand:     func(group state.GroupID) float64 { return i.leadership.GroupDemand(group) },
 	})
 	i.holder = forwarding.NewHolder(forwarding.HolderConfig{
-		Directory: i.directory, Leadership: lateLeadership{i}, Pools: i.pools, Placement: i.placement, Clock: clock,
+		Directory: i.directory, Leadership: lateLeadership{i}, Pools: i.pools, Placement: i.placement, Clock: clock, Log: log,
 	})
 	i.linkServer = forward.NewServer(func() forward.Session { return i.holder.NewSession() }, log)
 	links := forward.NewClient(i.dialPeer, log)
