Holders out of reach cost no time while they are avoided

Cause: a sender spent its whole queue time on two links that could not be opened; when all holders of a database were cut off, each statement tried one again. Change: links have 120 ms to open, the pause before the next try doubles up to 8 s, and while all are avoided the sender goes on at once.

--- a/internal/coordination/forwarding/sender.go
+++ b/internal/coordination/forwarding/sender.go
@@ -20,11 +20,13 @@
 	// maxHolders is how many holders one statement is passed to while they refuse.
 	maxHolders = 2
 	// openTimeout bounds the time in which a link to a holder is opened: some
-	// round trips between regions.
-	openTimeout = 300 * time.Millisecond
+	// round trips between regions. Two attempts and one on an own connection must
+	// fit into the time that a statement may wait.
+	openTimeout = 120 * time.Millisecond
 	// avoidTime is how long a holder that can't be reached, or is stopping, is
-	// passed over.
-	avoidTime = 2 * time.Second
+	// passed over. It doubles with each further failure up to maxAvoidTime.
+	avoidTime    = 2 * time.Second
+	maxAvoidTime = 8 * time.Second
 )
 
 // SenderConfig holds the dependencies of a sender.
@@ -43,13 +45,20 @@
 	SenderConfig
 
 	mu sync.Mutex
-	// avoided holds until when an instance is passed over, by address.
-	avoided map[string]time.Time
+	// avoided holds the instances that failed lately, by address.
+	avoided map[string]avoidance
+}
+
+// avoidance says until when an instance is passed over, and for how long the last
+// failure had it passed over.
+type avoidance struct {
+	until time.Time
+	last  time.Duration
 }
 
 // NewSender returns a sender.
 func NewSender(config SenderConfig) *Sender {
-	return &Sender{SenderConfig: config, avoided: make(map[string]time.Time)}
+	return &Sender{SenderConfig: config, avoided: make(map[string]avoidance)}
 }
 
 // Open implements pooling.Forwarder.
@@ -63,7 +72,7 @@
 }
 
 // holders returns the holders to try, in this sender's order without those that are
-// avoided, unless all are.
+// avoided.
 func (s *Sender) holders(server state.Server, workspace state.WorkspaceID) []placement.Instance {
 	placed := s.Placement.Of(server)
 	if !placed.ByWorkspace {
@@ -73,18 +82,12 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var usable, avoided []placement.Instance
+	var usable []placement.Instance
 	for _, holder := range ordered {
-		if now.Before(s.avoided[holder.Address]) {
-			avoided = append(avoided, holder)
-		} else {
+		if len(usable) < maxHolders && !now.Before(s.avoided[holder.Address].until) {
 			usable = append(usable, holder)
 		}
 	}
-	usable = usable[:min(len(usable), maxHolders)]
-	if len(usable) == 0 {
-		return avoided[:min(len(avoided), 1)]
-	}
 	return usable
 }
 
@@ -92,19 +95,32 @@
 func (s *Sender) avoid(holder placement.Instance, cause error) {
 	now := time.Now()
 	s.mu.Lock()
-	for address, until := range s.avoided {
-		if now.After(until) {
+	for address, avoided := range s.avoided {
+		if now.After(avoided.until.Add(maxAvoidTime)) {
 			delete(s.avoided, address)
 		}
 	}
-	_, before := s.avoided[holder.Address]
-	s.avoided[holder.Address] = now.Add(avoidTime)
+	avoided := s.avoided[holder.Address]
+	before := now.Before(avoided.until)
+	if !before {
+		// Failures of statements that were under way together count once.
+		avoided.last = min(max(avoidTime, 2*avoided.last), maxAvoidTime)
+		avoided.until = now.Add(avoided.last)
+		s.avoided[holder.Address] = avoided
+	}
 	s.mu.Unlock()
 	if !before {
-		s.Log.Warn().Err(cause).Str("holder", string(holder.Name)).Str("address", holder.Address).Msg("holder avoided")
+		s.Log.Warn().Err(cause).Str("holder", string(holder.Name)).Str("address", holder.Address).Dur("avoided_ms", avoided.last).Msg("holder avoided")
 	}
 }
 
+// answered ends the avoidance of an instance that has answered.
+func (s *Sender) answered(holder placement.Instance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.avoided, holder.Address)
+}
+
 func count(outcome string) {
 	metrics.GetOrCreateCounter(`cyclamenpin_forwarded_total{outcome="` + outcome + `"}`).Inc()
 }
@@ -227,6 +243,7 @@
 			return state.Reply{}, err
 		case answer.Refusal == NotRefused:
 			count("answered")
+			c.sender.answered(holder)
 			return answer.Reply, nil
 		}
 		count(answer.Refusal.String())
--- a/internal/coordination/forwarding/sender_test.go
+++ b/internal/coordination/forwarding/sender_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -21,9 +22,11 @@
 	errs    map[string]error
 	calls   []string
 	closed  int
+	opened  int
 }
 
 func (l *fakeLinks) Open(_ context.Context, address string) (Stream, error) {
+	l.opened++
 	if errors.Is(l.errs[address], errDial) {
 		return nil, errDial
 	}
@@ -124,6 +127,27 @@
 	}
 }
 
+// All holders are cut off from a sender. It loses no further time with them, and tries
+// one again later.
+func TestUnreachableHoldersCostNoTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		links := &fakeLinks{answers: make(map[string]Answer), errs: map[string]error{"one": errDial, "two": errDial, "three": errDial}}
+		sender, _, _ := newSender(links)
+		for _, opened := range []int{2, 3, 3, 3} {
+			_, err := runOne(sender)
+			require.True(t, pooling.NotSent(err))
+			require.Equal(t, opened, links.opened)
+		}
+		time.Sleep(avoidTime)
+		_, _ = runOne(sender)
+		require.Greater(t, links.opened, 3)
+		before := links.opened
+		time.Sleep(avoidTime)
+		_, _ = runOne(sender)
+		require.Equal(t, before+1, links.opened, "the third one, the others are avoided for longer")
+	})
+}
+
 // A grant is revoked while its statement is under way, or before it is sent.
 func TestClosedConnectionSendsNothing(t *testing.T) {
 	links := &fakeLinks{}
