--- a/internal/coordination/pooling/workspace_test.go
+++ b/internal/coordination/pooling/workspace_test.go
@@ -175,7 +175,7 @@
 		}
 		time.Sleep(500 * time.Millisecond)
 		require.Greater(t, p.stats().Open, 3)
-		p.updateShare(3)
+		p.updateShare(Placement{Share: 3})
 		time.Sleep(500 * time.Millisecond)
 		require.LessOrEqual(t, p.stats().Open, 3)
 		callers.Wait()
--- a/test/council/retry_after_test.go
+++ b/test/council/retry_after_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/identity"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 )
 
@@ -27,8 +28,8 @@
 	var writers sync.WaitGroup
 	for until := time.Now().Add(12 * time.Second); time.Now().Before(until); {
 		writers.Go(func() {
-			session, code := tc.instances[name].engine.Open("desk")
-			if code != state.CodeNone {
+			session, _ := tc.instances[name].engine.Open("desk", identity.Credential{})
+			if session == nil {
 				return
 			}
 			defer session.Close()
