--- a/internal/coordination/identity/identity.go
+++ b/internal/coordination/identity/identity.go
@@ -131,20 +131,18 @@
 	if !table.HasWorkspaces || route.Public {
 		return "", nil
 	}
-	refusal := &RefusedError{Credential: credential, Version: table.Version, Currency: currency}
 	workspace, known := table.KeyOwners[credential.key]
-	doubt := p.Doubt(table, currency)
+	reason := p.Doubt(table, currency)
 	switch {
 	case !credential.given:
-		refusal.Reason = ReasonNoKey
-	case doubt != 0:
-		refusal.Reason = doubt
+		reason = ReasonNoKey
+	case reason != 0:
 	case !known:
-		refusal.Reason = ReasonUnknownKey
+		reason = ReasonUnknownKey
 	default:
 		return workspace, nil
 	}
-	return "", refusal
+	return "", &RefusedError{Reason: reason, Credential: credential, Version: table.Version, Currency: currency}
 }
 
 // HoldsKey reports whether a text is a key of the configuration. Such a text must not
