Idle transactions keep their link; the pools' part in the placement stated once

Cause: a holder closed a link on which it had read no call for a minute, also one with an open transaction.

--- a/internal/coordination/forwarding/sender.go
+++ b/internal/coordination/forwarding/sender.go
@@ -71,6 +71,18 @@
 	return &senderConn{sender: s, server: server, request: request, holders: holders, waitUntil: deadline, ctx: ctx, cancel: cancel}
 }
 
+// Place has the pools follow the placement: where there are holders, the other
+// instances' requests go through the sender.
+func (s *Sender) Place(pools *pooling.Manager) {
+	pools.SetPlacement(func(server state.Server) pooling.Placement {
+		placed := s.Placement.Of(server)
+		if placed.Direct {
+			return pooling.Placement{Share: pools.DirectShare(server.Group)}
+		}
+		return pooling.Placement{Share: placed.Share, Forward: !placed.Holds || placed.ByWorkspace, Holds: placed.Holds, CloseExcess: true}
+	}, s)
+}
+
 // holders returns the holders to try, in this sender's order without those that are
 // avoided.
 func (s *Sender) holders(server state.Server, workspace state.WorkspaceID) []placement.Instance {
--- a/internal/entry/modules.go
+++ b/internal/entry/modules.go
@@ -96,13 +96,7 @@
 	sender := forwarding.NewSender(forwarding.SenderConfig{
 		Self: settings.Instance, Placement: table, Links: links, Local: func() *forwarding.Holder { return instance.holder }, Log: log,
 	})
-	pools.SetPlacement(func(server state.Server) pooling.Placement {
-		placed := table.Of(server)
-		if placed.Direct {
-			return pooling.Placement{Share: pools.DirectShare(server.Group)}
-		}
-		return pooling.Placement{Share: placed.Share, Forward: !placed.Holds || placed.ByWorkspace, Holds: placed.Holds, CloseExcess: true}
-	}, sender)
+	sender.Place(pools)
 	return pools
 }
 
--- a/internal/transport/forward/link.go
+++ b/internal/transport/forward/link.go
@@ -51,6 +51,9 @@
 	// waiting reports whether a sign of life is expected. It is called without
 	// link.mu.
 	waiting func() bool
+	// unusedAfter is after how long without a frame the link is closed; 0 if the
+	// other side closes it.
+	unusedAfter time.Duration
 
 	mu       sync.Mutex
 	err      error
@@ -146,6 +149,9 @@
 // answered here.
 func (l *link) read(r *bufio.Reader, handle func(frame) error) {
 	for {
+		if l.unusedAfter > 0 {
+			l.conn.SetReadDeadline(time.Now().Add(l.unusedAfter))
+		}
 		f, err := readFrame(r)
 		if err != nil {
 			l.close(err)
--- a/internal/transport/forward/link_test.go
+++ b/internal/transport/forward/link_test.go
@@ -141,14 +141,18 @@
 				p.pinned = state.TransactionOpen
 				stream, _, err := p.call(t, "begin", time.Millisecond)
 				require.NoError(t, err)
-				time.Sleep(10 * time.Second) // an idle transaction keeps its stream
+				time.Sleep(2 * unusedTime) // an idle transaction keeps its stream
 				select {
 				case <-p.sessions[0].closed:
 					t.Fatal("ended while idle")
 				default:
 				}
 				end(p, stream)
-				<-p.sessions[0].closed
+				select {
+				case <-p.sessions[0].closed:
+				case <-time.After(time.Second):
+					t.Fatal("not ended")
+				}
 			})
 		})
 	}
--- a/internal/transport/forward/server.go
+++ b/internal/transport/forward/server.go
@@ -68,6 +68,7 @@
 	}
 	l := &serverLink{server: s, streams: make(map[uint32]*serverStream)}
 	l.link = newLink(conn, holderLimits, l.awaits)
+	l.unusedAfter = unusedTime
 	conn.SetDeadline(time.Time{})
 	go l.write()
 	l.read(r, l.handle)
@@ -100,7 +101,6 @@
 }
 
 func (l *serverLink) handle(f frame) error {
-	l.conn.SetReadDeadline(time.Now().Add(unusedTime))
 	switch f.kind {
 	case kindCall:
 		call, err := decodeCall(f.body)
--- a/test/council/links_test.go
+++ b/test/council/links_test.go
@@ -13,7 +13,6 @@
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/forwarding"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/leadership"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/placement"
-	"github.com/cyclamenpin/cyclamenpin/internal/coordination/pooling"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 	"github.com/cyclamenpin/cyclamenpin/internal/transport/forward"
 )
@@ -37,13 +36,7 @@
 	sender := forwarding.NewSender(forwarding.SenderConfig{
 		Self: state.InstanceID(i.name), Placement: i.placement, Links: links, Local: func() *forwarding.Holder { return i.holder }, Log: log,
 	})
-	i.pools.SetPlacement(func(server state.Server) pooling.Placement {
-		placed := i.placement.Of(server)
-		if placed.Direct {
-			return pooling.Placement{Share: i.pools.DirectShare(server.Group)}
-		}
-		return pooling.Placement{Share: placed.Share, Forward: !placed.Holds || placed.ByWorkspace, Holds: placed.Holds, CloseExcess: true}
-	}, sender)
+	sender.Place(i.pools)
 }
 
 // lateLeadership uses the manager that is made after the holder.
