Refusals through holders keep reads away from a database that is down

Cause: a holder's refusal is quick, so a sender took a dead database for a fast one and tried it first. Change: a failed statement counts 300 ms in the average, which returns to the assumed latency while the database is not used.

--- a/internal/coordination/pooling/forward.go
+++ b/internal/coordination/pooling/forward.go
@@ -68,6 +68,31 @@
 	return nil
 }
 
+const (
+	// failedTime is what a forwarded statement that failed counts in the average
+	// latency. The holder may refuse it at once, and a database that is down must
+	// not seem to be fast.
+	failedTime = 300 * time.Millisecond
+	// forgetWeight is how fast the average latency of a database that is not used
+	// returns to the assumed one with each sample of the demand, so that it is tried
+	// again after some seconds. Its health is known to its holders only.
+	forgetWeight = 0.04
+)
+
+// forwardedTime returns what a forwarded statement counts in the average latency. It
+// must be called with the lock held.
+func (p *Pool) forwardedTime(took time.Duration, err error) time.Duration {
+	var noConn *NoConnectionError
+	switch {
+	case err == nil:
+		return took
+	case errors.As(err, &noConn):
+		return p.latency // Saturated tells of it
+	default:
+		return max(took, failedTime)
+	}
+}
+
 func newForwardedConn(conn ServerConn, server state.Server, workspace state.WorkspaceID) *Conn {
 	return &Conn{ServerConn: conn, Server: server, Workspace: workspace, forwarded: true, prepared: make(map[string]bool), lastUsed: time.Now()}
 }
--- a/internal/coordination/pooling/pool.go
+++ b/internal/coordination/pooling/pool.go
@@ -350,6 +350,9 @@
 		p.limiter.recordServed(p.inFlight())
 	}
 	p.running--
+	if conn.forwarded {
+		took = p.forwardedTime(took, err)
+	}
 	p.latency += time.Duration(latencyWeight * float64(took-p.latency))
 	p.dispatch()
 }
@@ -412,6 +415,9 @@
 	for placed.CloseExcess && p.open > kept && p.closeOldestIdle() {
 		continue
 	}
+	if p.forwards && p.running == 0 {
+		p.latency += time.Duration(forgetWeight * float64(initialLatency-p.latency))
+	}
 	now := float64(p.open - len(p.idle) + p.queue.Len())
 	p.demand += demandWeight * (now - p.demand)
 }
