The instances of a data centre share the watch of the registrations

Cause: each instance watched the table `servers` itself: every six seconds at rest, and twice a second while databases register one after another.

Now, with more than 12 instances: whoever of a data centre watches sends what it reads, and twice a second up to which version it knows, to the others by UDP; an instance that hears one which precedes it in a fixed order does not call. After 1.3 s of silence, or when a notice shows a gap, it watches from the version that it knows. The watcher's wait is 3 s in place of 6, so that with the silence a lost store is noticed no later than a lost answer was. Leases and the tables that they depend on are not shared. After an outage of the store, in a new era, and while the store is unavailable each instance calls in person as before.

Changes in quick succession are read together after a pause that doubles up to two seconds; the next wait is shorter by as much. Watches of `op` and `primaries`, whose changes renewals notice, wait 29 s in place of 20.

Weighed: a condition of renewals on a row that states the newest registration (each change then costs every instance a refused renewal); relaying the instances' rows, too (they are part of the lease's proof).

At rest in virtual time and six data centres, test/council TestCallsToTheStore. Broken builds that go red by hand: a gap is not noticed, silence is not noticed, a wait of 12 s, another era's notice counts, the wait is not shortened.

--- a/internal/coordination/leadership/options.go
+++ b/internal/coordination/leadership/options.go
@@ -104,6 +104,9 @@
 	// tunnelInstanceMaxAge is the maximum age of the last heartbeat of an instance
 	// that is used to tunnel a connection.
 	tunnelInstanceMaxAge = 8 * time.Second
+	// smallFleet is the largest number of instances that each watch the store's tables
+	// themselves.
+	smallFleet = 12
 	// maxNeighbours is how many instances of the same data centre are asked about
 	// a group.
 	maxNeighbours = 2
--- a/internal/coordination/leadership/view.go
+++ b/internal/coordination/leadership/view.go
@@ -95,6 +95,24 @@
 	return m.peerAddresses()
 }
 
+// DataCentrePeers returns the addresses of the other live instances of this data centre.
+// In a small fleet there are none: each instance's own calls are few in all.
+func (m *Manager) DataCentrePeers() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.membersSettled || len(m.members.byName) <= smallFleet {
+		return nil
+	}
+	var addresses []string
+	for name, entry := range m.members.byName {
+		row := entry.heartbeat
+		if name != m.Self && row.DataCentre == m.DataCentre && row.Address != "" && m.members.renewedWithin(entry, m.Options.MaxLease) {
+			addresses = append(addresses, row.Address)
+		}
+	}
+	return addresses
+}
+
 // Status is the state of a group as shown in the status dump.
 type Status struct {
 	Group state.GroupID `json:"group"`
--- a/internal/coordination/rowstore/follower.go
+++ b/internal/coordination/rowstore/follower.go
@@ -17,7 +17,7 @@
 	// LongWait is a FollowerConfig.Wait for tables where the caller notices a
 	// change by other means if the watch's response is lost. The platform
 	// allows 30 s.
-	LongWait = 20 * time.Second
+	LongWait = 29 * time.Second
 	// ShortWait is a FollowerConfig.Wait for all other tables. It bounds how
 	// long a change goes unnoticed if the watch's response is lost. Together
 	// with the five seconds that the platform allows a disturbance of the store
@@ -28,6 +28,10 @@
 	// change together, as when databases start. It is far below the seconds
 	// within which a change must be noticed.
 	BatchInterval = 500 * time.Millisecond
+	// MaxBatchInterval is a FollowerConfig.MaxInterval for such tables. Many databases
+	// start or are replaced one after another; all instances together must not read
+	// each change by itself.
+	MaxBatchInterval = 2 * time.Second
 	// OutageWait is a FollowerConfig.WaitAfterOutage for rows that are written
 	// again within two seconds of an outage.
 	OutageWait = time.Second
@@ -90,8 +94,16 @@
 	// returned changes, so that changes in quick succession come in one
 	// response.
 	MinInterval time.Duration
+	// MaxInterval is the limit to which MinInterval doubles while changes go on. The
+	// waits of the watches are shortened by as much, so that a change whose response
+	// is lost is noticed no later.
+	MaxInterval time.Duration
 	// EraSpread bounds the random wait before the table is listed in a new era.
-	EraSpread    time.Duration
+	EraSpread time.Duration
+	// Sharing shares the watch with other instances; nil if each watches the table
+	// itself. SharedWait replaces Wait while others depend on this one's watch.
+	Sharing      *Sharing
+	SharedWait   time.Duration
 	Availability *Availability
 	Clock        state.Clock
 	Log          zerolog.Logger
@@ -121,6 +133,13 @@
 	storeAvailable bool
 	lastFailure    state.Instant
 	retryWaits     *backoff.ExponentialBackOff
+	// batchInterval is MinInterval after the last change or a multiple of it, 0 if the
+	// last response held no changes.
+	batchInterval time.Duration
+	// changedVersion is a version after which no change but those that were read is
+	// known, appliedAt when Apply was called last.
+	changedVersion uint64
+	appliedAt      state.Instant
 }
 
 // NewFollower returns a follower that has not read anything yet.
@@ -180,7 +199,9 @@
 	if f.listed && f.EraSpread > 0 {
 		state.Pause(ctx, rand.N(f.EraSpread))
 	}
+	f.stopSharing()
 	f.era, f.listed, f.afterVersion = newest, false, 0
+	f.changedVersion = 0
 	// The list that follows is the one that BeginEra asked for.
 	select {
 	case <-f.refresh:
@@ -190,8 +211,16 @@
 
 // Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
+	if f.Sharing != nil {
+		go f.Sharing.run(ctx)
+	}
 	for ctx.Err() == nil {
 		f.enterNewestEra(ctx)
+		if f.Sharing != nil && f.listed && f.Sharing.silentIn() > 0 {
+			f.stopSharing()
+			f.followNeighbour(ctx)
+			f.enterNewestEra(ctx)
+		}
 		requestedAt := f.Clock.Now()
 		snapshot, err := f.call(ctx)
 		switch {
@@ -205,8 +234,8 @@
 			f.era = snapshot.Era
 			listed := f.listed
 			f.applySnapshot(snapshot, requestedAt)
-			if listed && len(snapshot.Rows) > 0 {
-				state.Pause(ctx, f.MinInterval-f.Clock.Now().Sub(requestedAt))
+			if listed {
+				f.pauseAfterChanges(ctx, len(snapshot.Rows) > 0, requestedAt)
 			}
 		case errors.Is(err, ErrHistoryLost) && f.newestEra.Load() != f.era:
 			// The versions of the watch belong to an earlier era.
@@ -221,6 +250,21 @@
 	}
 }
 
+// pauseAfterChanges waits so that the changes which follow come in one response.
+func (f *Follower) pauseAfterChanges(ctx context.Context, changed bool, requestedAt state.Instant) {
+	elapsed := f.Clock.Now().Sub(requestedAt)
+	switch {
+	case !changed:
+		f.batchInterval = 0
+		return
+	case elapsed >= f.batchInterval:
+		f.batchInterval = f.MinInterval
+	default:
+		f.batchInterval = min(2*f.batchInterval, max(f.MinInterval, f.MaxInterval))
+	}
+	state.Pause(ctx, f.batchInterval-elapsed)
+}
+
 // call lists the table or watches it for changes. It returns errCallRestarted
 // when the store becomes available again or Refresh is called, because a call
 // under way at that time may never get a response.
@@ -254,7 +298,11 @@
 	if f.WaitAfterOutage > 0 && f.afterRecentOutage(f.Clock.Now()) {
 		return f.WaitAfterOutage
 	}
-	return f.Wait
+	wait := f.Wait
+	if f.Sharing != nil && f.Sharing.depended() {
+		wait = f.SharedWait
+	}
+	return wait - f.batchInterval
 }
 
 // cancelStaleCall cancels a call with errCallRestarted when the store becomes
@@ -294,10 +342,12 @@
 	}
 	f.retryWaits.Reset()
 	now := f.Clock.Now()
-	f.Apply(Update{
+	update := Update{
 		Snapshot: snapshot, Complete: !f.listed, RequestedAt: requestedAt, RespondedAt: now, AfterOutage: f.afterRecentOutage(now),
-	})
+	}
+	f.Apply(update)
 	f.afterVersion, f.listed = max(f.afterVersion, snapshot.Version), true
+	f.share(update)
 	f.everListed.Store(true)
 }
 
@@ -317,6 +367,7 @@
 // handleFailure records a failed call and waits before the next one.
 func (f *Follower) handleFailure(ctx context.Context, err error) {
 	f.lastFailure = f.Clock.Now()
+	f.stopSharing()
 	if f.storeAvailable {
 		f.Log.Warn().Err(err).Str("table", f.Table).Uint64("after", f.afterVersion).Msg("store lost")
 		f.storeAvailable = false
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -191,7 +191,7 @@
 	go i.serveHTTP(i.readiness)
 	go i.tunnelServer.Serve(i.tunnels)
 	go i.peers.Serve(map[datagram.Topic]func([]byte) []byte{
-		topicConfirmations: i.leadership.Receive, topicPositions: i.positions.Receive,
+		topicConfirmations: i.leadership.Receive, topicPositions: i.positions.Receive, topicRegistrations: i.followers.servers.Sharing.Receive,
 	})
 	if i.metrics != nil {
 		go i.serveHTTP(i.metrics)
--- a/internal/entry/followers.go
+++ b/internal/entry/followers.go
@@ -14,22 +14,25 @@
 
 // followers watch the store's tables. A renewal of the lease detects a change of
 // the configuration or of a primary even if the watch's response is lost, so these
-// two tables use the long wait; the servers' table uses the short one.
+// two tables use the long wait; the servers' table uses the short one, and the
+// instances of a data centre share its watch.
 type followers struct {
 	configuration, servers, primaries *rowstore.Follower
 }
 
-func newFollowers(store *rowstore.EraStore, availability *rowstore.Availability, dir *directory.Directory, leaders *leadership.Manager, clock state.Clock, log zerolog.Logger) *followers {
+func newFollowers(instance *Instance, settings platform.Settings, store *rowstore.EraStore, availability *rowstore.Availability, dir *directory.Directory, leaders *leadership.Manager, clock state.Clock, log zerolog.Logger) *followers {
 	follower := func(config rowstore.FollowerConfig) *rowstore.Follower {
 		config.Store, config.Availability, config.Clock, config.Log = store, availability, clock, log
 		follower := rowstore.NewFollower(config)
 		store.OnNewEra(follower.BeginEra)
 		return follower
 	}
+	sharing := rowstore.NewSharing(platform.ServersTable, settings.Instance, leaders, instance.peers.Sender(topicRegistrations), clock, log)
 	return &followers{
 		configuration: follower(rowstore.FollowerConfig{Table: platform.ConfigurationTable, Wait: rowstore.LongWait, EraSpread: rowstore.EraSpread, Apply: dir.ApplyConfiguration}),
 		servers: follower(rowstore.FollowerConfig{
-			Table: platform.ServersTable, Wait: rowstore.ShortWait, WaitAfterOutage: rowstore.OutageWait, MinInterval: rowstore.BatchInterval, EraSpread: rowstore.EraSpread,
+			Table: platform.ServersTable, Wait: rowstore.ShortWait, WaitAfterOutage: rowstore.OutageWait, MinInterval: rowstore.BatchInterval, MaxInterval: rowstore.MaxBatchInterval, EraSpread: rowstore.EraSpread,
+			Sharing: sharing, SharedWait: rowstore.SharedWait,
 			Apply: func(update rowstore.Update) {
 				dir.ApplyServers(update)
 				leaders.RegistrationsChanged()
--- a/internal/entry/modules.go
+++ b/internal/entry/modules.go
@@ -26,6 +26,7 @@
 const (
 	topicConfirmations datagram.Topic = 'v'
 	topicPositions     datagram.Topic = 'p'
+	topicRegistrations datagram.Topic = 'r'
 )
 
 const (
--- a/test/council/calls_test.go
+++ b/test/council/calls_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/rowstore"
 )
 
 // callsAtRest returns the calls to the store a second and instance, by kind and table.
@@ -32,6 +34,11 @@
 		t.Logf("%d instances: %.3f calls a second and instance: %v", size, total, rates)
 		require.LessOrEqual(t, total, previous+0.005, "calls a second and instance at %d instances", size)
 		previous = total
+		if size > 12 {
+			const dataCentres = 6
+			require.LessOrEqual(t, rates["watch servers"]*float64(size), 1.1*dataCentres/rowstore.SharedWait.Seconds(),
+				"one instance of each data centre watches the registrations")
+		}
 	}
 }
 
--- a/test/council/cluster_test.go
+++ b/test/council/cluster_test.go
@@ -85,6 +85,8 @@
 	positions  *freshness.Exchange
 	// configuration follows the table of the operators' configuration.
 	configuration *rowstore.Follower
+	// registrations shares the watch of the databases' registrations.
+	registrations *rowstore.Sharing
 }
 
 // jsonDecoder decodes the rows that testCluster writes.
@@ -269,6 +271,10 @@
 func confirmations(i *instance, message []byte) []byte { return i.leadership.Receive(message) }
 func positions(i *instance, message []byte) []byte     { return i.positions.Receive(message) }
 
+func registrations(i *instance, message []byte) []byte {
+	return i.registrations.Receive(message)
+}
+
 func (i *instance) division(id state.GroupID) pooling.Division {
 	instances, own, all := i.leadership.DemandOf(id)
 	return pooling.Division{Instances: instances, OwnDemand: own, TotalDemand: all}
@@ -343,6 +349,7 @@
 		Directory: i.directory, Leadership: i.leadership, Freshness: i.positions, Pools: i.pools, Health: tracker,
 		Statements: platform.Codec{}, Clock: clock, Log: log,
 	})
+	i.registrations = rowstore.NewSharing(tableServers, state.InstanceID(name), i.leadership, messenger{tc, name, "registrations", registrations}, clock, log)
 	store.OnNewEra(i.leadership.BeginEra)
 	store.OnNewEra(i.directory.BeginEra)
 	tc.mu.Lock()
@@ -356,7 +363,7 @@
 		return follower
 	}
 	i.configuration = follow(rowstore.FollowerConfig{Table: tableRoutes, Wait: rowstore.LongWait, EraSpread: rowstore.EraSpread, Apply: i.directory.ApplyConfiguration})
-	follow(rowstore.FollowerConfig{Table: tableServers, Wait: rowstore.ShortWait, WaitAfterOutage: rowstore.OutageWait, MinInterval: rowstore.BatchInterval, EraSpread: rowstore.EraSpread, Apply: func(update rowstore.Update) {
+	follow(rowstore.FollowerConfig{Table: tableServers, Wait: rowstore.ShortWait, WaitAfterOutage: rowstore.OutageWait, MinInterval: rowstore.BatchInterval, MaxInterval: rowstore.MaxBatchInterval, EraSpread: rowstore.EraSpread, Sharing: i.registrations, SharedWait: rowstore.SharedWait, Apply: func(update rowstore.Update) {
 		i.directory.ApplyServers(update)
 		i.leadership.RegistrationsChanged()
 	}})
