Random faults with shared watches

Four instances in one data centre share the watch of the registrations although they are few; the faults kill, cut off or stop the store for the one that watches. The largest fleet without sharing becomes an option, since the test sets it to 0.

--- a/internal/coordination/leadership/options.go
+++ b/internal/coordination/leadership/options.go
@@ -35,6 +35,9 @@
 	// HeartbeatInterval; with more, each renews less often and its lease is longer,
 	// which bounds the load on the store.
 	FullRateMembers int
+	// SmallFleet is the largest number of instances that each watch all of the store's
+	// tables themselves.
+	SmallFleet int
 }
 
 // DefaultOptions returns the default options.
@@ -42,7 +45,7 @@
 	return Options{
 		Lease: 4 * time.Second, MaxLease: 20 * time.Second, HeartbeatInterval: 2 * time.Second, MaxHeartbeatInterval: 8 * time.Second,
 		DutyLease: 5 * time.Second, PlannedDrain: 400 * time.Millisecond,
-		TakeOverAfter: 15 * time.Second, FullRateMembers: 60,
+		TakeOverAfter: 15 * time.Second, FullRateMembers: 60, SmallFleet: 12,
 	}
 }
 
@@ -104,9 +107,6 @@
 	// tunnelInstanceMaxAge is the maximum age of the last heartbeat of an instance
 	// that is used to tunnel a connection.
 	tunnelInstanceMaxAge = 8 * time.Second
-	// smallFleet is the largest number of instances that each watch the store's tables
-	// themselves.
-	smallFleet = 12
 	// maxNeighbours is how many instances of the same data centre are asked about
 	// a group.
 	maxNeighbours = 2
--- a/internal/coordination/leadership/view.go
+++ b/internal/coordination/leadership/view.go
@@ -100,7 +100,7 @@
 func (m *Manager) DataCentrePeers() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.membersSettled || len(m.members.byName) <= smallFleet {
+	if !m.membersSettled || len(m.members.byName) <= m.Options.SmallFleet {
 		return nil
 	}
 	var addresses []string
--- a/test/council/cluster_test.go
+++ b/test/council/cluster_test.go
@@ -58,6 +58,9 @@
 	log       zerolog.Logger
 	// fullRateMembers overrides leadership.Options.FullRateMembers unless it is 0.
 	fullRateMembers int
+	// oneDataCentre places all instances in one data centre, where they share watches
+	// although they are few.
+	oneDataCentre bool
 	// lastConfiguration is the newest value that the operators wrote.
 	lastConfiguration []byte
 
@@ -123,6 +126,12 @@
 
 // runWith is like run, with the given databases and logger.
 func runWith(t *testing.T, options standin.Options, names []string, log func(t *testing.T) zerolog.Logger, body func(tc *testCluster)) {
+	t.Helper()
+	runPrepared(t, options, names, log, func(*testCluster) {}, body)
+}
+
+// runPrepared is like runWith, and calls prepare before the instances start.
+func runPrepared(t *testing.T, options standin.Options, names []string, log func(t *testing.T) zerolog.Logger, prepare, body func(tc *testCluster)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -130,6 +139,7 @@
 			t: t, ctx: ctx, started: time.Now(), store: standin.NewStore(), group: standin.NewGroup(options), options: options,
 			instances: make(map[string]*instance), datagrams: make(map[string]int), log: log(t),
 		}
+		prepare(tc)
 		tc.group.SetPartition(tc.partitioned)
 		tc.configure(1, "desk", "portal", "cab")
 		go tc.maintainRegistrations(ctx)
@@ -334,6 +344,10 @@
 		func(state.GroupID) int { return tc.options.MaxConnections }, i.division, log)
 	options := leadership.DefaultOptions()
 	options.FullRateMembers = cmp.Or(tc.fullRateMembers, options.FullRateMembers)
+	dataCentre := state.DataCentre(name[len(name)-1:])
+	if tc.oneDataCentre {
+		options.SmallFleet, dataCentre = 0, "one"
+	}
 	i.leadership = leadership.New(leadership.Config{
 		Self: state.InstanceID(name), Run: time.Now().UnixNano(), Options: options, Store: store, Availability: availability,
 		OnPrimaryPosition: func(group state.GroupID, requestedAt state.Instant, position state.Position) {
@@ -342,7 +356,7 @@
 		WatchedRows: i.watchedRows, OnWatchedRowChange: func() { i.configuration.Refresh() },
 		Directory: i.directory, Databases: i.pools, Promoter: tc.group.Promoter(), Health: tracker, Demand: i.pools.Demand,
 		Messenger: messenger{tc, name, "confirmations", confirmations}, Address: name,
-		DataCentre: state.DataCentre(name[len(name)-1:]), Clock: clock, Log: log,
+		DataCentre: dataCentre, Clock: clock, Log: log,
 	})
 	i.positions = freshness.NewExchange(freshness.NewTracker(), i.leadership, clock, i.leadership, messenger{tc, name, "positions", positions}, log)
 	i.engine = relay.New(ctx, relay.Config{
--- a/test/council/property_test.go
+++ b/test/council/property_test.go
@@ -26,6 +26,18 @@
 	forEachSeed(t, propertyRuns, runSeed)
 }
 
+// The same with instances that share the watch of registrations: the one that watches
+// is killed, cut off or loses the store, too.
+func TestRandomFaultsBreakNoPromiseWithSharedWatches(t *testing.T) {
+	forEachSeed(t, propertyRuns/3, func(t *testing.T, seed uint64) {
+		prepare := func(tc *testCluster) { tc.oneDataCentre = true }
+		runPrepared(t, groupOptions(), fourInstances, testLog, prepare, func(tc *testCluster) {
+			tc.playSeed(seed, func(*testCluster, int) {})
+			require.NotZero(tc.t, tc.sent()["registrations"])
+		})
+	})
+}
+
 // forEachSeed runs a test body with each seed. The environment overrides the number of
 // runs and the first seed.
 func forEachSeed(t *testing.T, runs int, body func(t *testing.T, seed uint64)) {
@@ -61,32 +73,35 @@
 
 // runSeedWith calls extra after each of the faults.
 func runSeedWith(t *testing.T, seed uint64, extra func(tc *testCluster, round int)) {
-	run(t, fourInstances, func(tc *testCluster) {
-		random := rand.New(rand.NewPCG(seed, 1))
-		h := standin.NewHistory()
-		stop := make(chan struct{})
-		var clients sync.WaitGroup
-		for n := range 12 {
-			clientRandom := rand.New(rand.NewPCG(seed, uint64(n)+2))
-			clients.Go(func() { tc.runClient(h, clientRandom, stop) })
-		}
-		for round := range 8 {
-			time.Sleep(time.Duration(500+random.IntN(3000)) * time.Millisecond)
-			tc.injectFault(random)
-			extra(tc, round)
-		}
-		tc.heal()
-		// Long enough for the slowest case: a change of primary that waits for the
-		// lease of a lost instance.
-		time.Sleep(25 * time.Second)
-		close(stop)
-		clients.Wait()
-		require.Empty(tc.t, h.Check(tc.group, maxStaleness))
-		tc.requireValidPromotions()
-		for _, name := range fourInstances {
-			require.True(tc.t, tc.newestRun(name).writable(), "%s serves after the faults", name)
-		}
-	})
+	run(t, fourInstances, func(tc *testCluster) { tc.playSeed(seed, extra) })
+}
+
+// playSeed plays the clients and faults of a seed.
+func (tc *testCluster) playSeed(seed uint64, extra func(tc *testCluster, round int)) {
+	random := rand.New(rand.NewPCG(seed, 1))
+	h := standin.NewHistory()
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	for n := range 12 {
+		clientRandom := rand.New(rand.NewPCG(seed, uint64(n)+2))
+		clients.Go(func() { tc.runClient(h, clientRandom, stop) })
+	}
+	for round := range 8 {
+		time.Sleep(time.Duration(500+random.IntN(3000)) * time.Millisecond)
+		tc.injectFault(random)
+		extra(tc, round)
+	}
+	tc.heal()
+	// Long enough for the slowest case: a change of primary that waits for the
+	// lease of a lost instance.
+	time.Sleep(25 * time.Second)
+	close(stop)
+	clients.Wait()
+	require.Empty(tc.t, h.Check(tc.group, maxStaleness))
+	tc.requireValidPromotions()
+	for _, name := range fourInstances {
+		require.True(tc.t, tc.newestRun(name).writable(), "%s serves after the faults", name)
+	}
 }
 
 // runClient runs one client's operations until stop is closed.
