The entry instance collects garbage at Go's default of 100 %

Cause: at 200 % the smallest heap before the first collection is 8 MB, and that of 7,333 sessions (108 MB live, CAPACITY.md) would grow to 324 MB, beyond the 256 MB of the target; at 100 % to 216 MB.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -35,10 +35,9 @@
 	// as the Go runtime's soft limit. The rest is for the kernel's buffers,
 	// which count towards the process's limit too.
 	memoryLimitShare = 0.7
-	// gcPercent is the garbage collector's target percentage. 200 saves
-	// processor time at the cost of memory, which is small because the heap is
-	// only a few megabytes.
-	gcPercent = 200
+	// gcPercent is the garbage collector's target percentage, Go's default: the heap
+	// of the largest number of sessions must fit into the memory limit twice.
+	gcPercent = 100
 	// balancerRemovalTime is how long the balancer needs to stop sending new
 	// connections: it probes readiness once a second and removes an instance
 	// after two negative responses.
