--- a/internal/coordination/rowstore/follower_test.go
+++ b/internal/coordination/rowstore/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,7 +24,7 @@
 	started  time.Time
 	interval time.Duration
 	until    time.Duration
-	loses    bool
+	loses    atomic.Bool
 	watches  int
 }
 
@@ -37,7 +38,7 @@
 
 func (s *changingStore) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) (Snapshot, error) {
 	s.watches++
-	if s.loses {
+	if s.loses.Load() {
 		state.Pause(ctx, wait)
 		return Snapshot{}, ErrRefused
 	}
@@ -89,8 +90,8 @@
 		synctest.Test(t, func(t *testing.T) {
 			lostFrom := 19*time.Second + time.Duration(phase)*100*time.Millisecond
 			store := &changingStore{interval: 100 * time.Millisecond, until: lostFrom + 200*time.Millisecond}
-			time.AfterFunc(lostFrom, func() { store.loses = true })
-			time.AfterFunc(lostFrom+MaxBatchInterval+BatchInterval, func() { store.loses = false })
+			time.AfterFunc(lostFrom, func() { store.loses.Store(true) })
+			time.AfterFunc(lostFrom+MaxBatchInterval+BatchInterval, func() { store.loses.Store(false) })
 			noticed := store.run(t, time.Minute)[uint64(store.until/store.interval)+1]
 			require.NotZero(t, noticed)
 			require.LessOrEqual(t, noticed-lostFrom, ShortWait+maxRetryWait)
--- a/internal/coordination/rowstore/sharing_test.go
+++ b/internal/coordination/rowstore/sharing_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,11 +18,14 @@
 
 // sharedTable is a store with one row, and the followers of instances that share it.
 type sharedTable struct {
-	t       *testing.T
+	t *testing.T
+
+	// mu guards all that follows.
+	mu      sync.Mutex
 	version uint64
 	era     uint64
-	// hangs holds the instances to whose calls the store does not respond.
-	hangs map[state.InstanceID]bool
+	// hanging holds the instances to whose calls the store does not respond.
+	hanging map[state.InstanceID]bool
 	// drop reports whether a datagram is lost.
 	drop      func(from state.InstanceID, message []byte) bool
 	calls     map[state.InstanceID]int
@@ -39,24 +43,39 @@
 }
 
 func (c tableClient) List(context.Context, string) (Snapshot, error) {
-	c.table.calls[c.name]++
-	return Snapshot{Version: c.table.version, Era: c.table.era, Rows: c.table.rows()}, nil
+	return c.respond(true), nil
 }
 
-func (t *sharedTable) rows() []Row { return []Row{{Table: "t", Key: "k", Version: t.version}} }
-
 func (c tableClient) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) (Snapshot, error) {
-	c.table.calls[c.name]++
+	snapshot := c.respond(true)
 	for deadline := time.Now().Add(wait); time.Now().Before(deadline) && ctx.Err() == nil; time.Sleep(5 * time.Millisecond) {
-		if c.table.version > after && !c.table.hangs[c.name] {
-			return Snapshot{Version: c.table.version, Era: c.table.era, Rows: c.table.rows()}, nil
+		if snapshot = c.respond(false); snapshot.Version > after && !c.hangs() {
+			return snapshot, nil
 		}
 	}
-	if c.table.hangs[c.name] {
+	if c.hangs() {
 		state.Pause(ctx, 800*time.Millisecond)
 		return Snapshot{}, ErrRefused
 	}
-	return Snapshot{Version: c.table.version, Era: c.table.era}, ctx.Err()
+	snapshot.Rows = nil
+	return snapshot, ctx.Err()
+}
+
+// respond returns the store's response and counts the call if it is a new one.
+func (c tableClient) respond(call bool) Snapshot {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	if call {
+		c.table.calls[c.name]++
+	}
+	version := c.table.version
+	return Snapshot{Version: version, Era: c.table.era, Rows: []Row{{Table: "t", Key: "k", Version: version}}}
+}
+
+func (c tableClient) hangs() bool {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	return c.table.hanging[c.name]
 }
 
 func (tableClient) Transact(context.Context, Transaction) (Commit, error) { return Commit{}, nil }
@@ -74,6 +93,8 @@
 
 // Send implements Messenger.
 func (c tableClient) Send(to string, message []byte) {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
 	if c.table.drop != nil && c.table.drop(c.name, message) {
 		return
 	}
@@ -86,7 +107,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		table := &sharedTable{
-			t: t, version: 10, hangs: make(map[state.InstanceID]bool), calls: make(map[state.InstanceID]int),
+			t: t, version: 10, hanging: make(map[state.InstanceID]bool), calls: make(map[state.InstanceID]int),
 			followers: make(map[state.InstanceID]*Follower), stop: make(map[state.InstanceID]context.CancelFunc), seen: make(map[state.InstanceID]map[uint64]time.Time),
 		}
 		for n := range 4 {
@@ -106,6 +127,8 @@
 				Store: client, Table: "t", Wait: ShortWait, Availability: NewAvailability(), Clock: clock, Log: zerolog.Nop(),
 				Sharing: NewSharing("t", name, client, client, clock, zerolog.Nop()), SharedWait: SharedWait,
 				Apply: func(update Update) {
+					table.mu.Lock()
+					defer table.mu.Unlock()
 					if _, known := table.seen[name][update.Version]; !known {
 						table.seen[name][update.Version] = time.Now()
 					}
@@ -128,11 +151,21 @@
 	})
 }
 
+// set changes the table's state.
+func (t *sharedTable) set(change func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	change()
+}
+
 // change changes the table and returns how long an instance took to learn of it.
 func (t *sharedTable) change(name state.InstanceID) time.Duration {
-	t.version++
-	version, changed := t.version, time.Now()
+	var version uint64
+	t.set(func() { t.version++; version = t.version })
+	changed := time.Now()
 	time.Sleep(20 * time.Second)
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	require.Contains(t.t, t.seen[name], version, "%s never learnt of the change", name)
 	return t.seen[name][version].Sub(changed)
 }
@@ -140,12 +173,14 @@
 // Many instances in a data centre: their calls to the store at rest are those of one.
 func TestOneInstanceOfADataCentreWatchesTheTable(t *testing.T) {
 	shareTable(t, func(table *sharedTable) {
-		clear(table.calls)
+		table.set(func() { clear(table.calls) })
 		time.Sleep(30 * time.Second)
-		require.NotZero(t, table.calls[table.names[0]])
-		for _, name := range table.names[1:] {
-			require.Zero(t, table.calls[name], name)
-		}
+		table.set(func() {
+			require.NotZero(t, table.calls[table.names[0]])
+			for _, name := range table.names[1:] {
+				require.Zero(t, table.calls[name], name)
+			}
+		})
 		for _, name := range table.names[1:] {
 			require.Less(t, table.change(name), 100*time.Millisecond)
 		}
@@ -156,15 +191,17 @@
 func TestLostNoticeIsNoticed(t *testing.T) {
 	shareTable(t, func(table *sharedTable) {
 		lost := false
-		table.drop = func(_ state.InstanceID, message []byte) bool {
-			dropped := !lost && len(message) > 70 // it has a row
-			lost = lost || dropped
-			return dropped
-		}
+		table.set(func() {
+			table.drop = func(_ state.InstanceID, message []byte) bool {
+				dropped := !lost && len(message) > 70 // it has a row
+				lost = lost || dropped
+				return dropped
+			}
+		})
 		for _, name := range table.names[1:] {
-			lost = false
+			table.set(func() { lost = false })
 			require.Less(t, table.change(name), time.Second)
-			require.True(t, lost)
+			table.set(func() { require.True(t, lost) })
 		}
 	})
 }
@@ -172,8 +209,10 @@
 // The instance that watches the table is killed, or cut off from the others.
 func TestTableIsWatchedWithoutTheNeighbour(t *testing.T) {
 	for name, fault := range map[string]func(table *sharedTable){
-		"killed":  func(table *sharedTable) { table.stop[table.names[0]]() },
-		"cut off": func(table *sharedTable) { table.drop = func(state.InstanceID, []byte) bool { return true } },
+		"killed": func(table *sharedTable) { table.stop[table.names[0]]() },
+		"cut off": func(table *sharedTable) {
+			table.set(func() { table.drop = func(state.InstanceID, []byte) bool { return true } })
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			shareTable(t, func(table *sharedTable) {
@@ -191,7 +230,7 @@
 	for phase := range 12 {
 		shareTable(t, func(table *sharedTable) {
 			time.Sleep(time.Duration(phase) * 300 * time.Millisecond)
-			table.hangs[table.names[0]] = true
+			table.set(func() { table.hanging[table.names[0]] = true })
 			for _, name := range table.names[1:] {
 				require.Less(t, table.change(name), ShortWait)
 			}
@@ -203,10 +242,9 @@
 // means nothing.
 func TestNoticesOfAnotherEraAreNotApplied(t *testing.T) {
 	shareTable(t, func(table *sharedTable) {
-		table.era++
-		table.version = 5
+		table.set(func() { table.era, table.version = table.era+1, 5 })
 		for _, name := range table.names {
-			table.followers[name].BeginEra(table.era)
+			table.followers[name].BeginEra(1)
 		}
 		time.Sleep(20 * time.Second)
 		late, err := msgpack.Marshal(notice{Table: "t", From: table.names[0], Version: 1000, Rows: []noticeRow{{Key: "k", Version: 1000}}})
