--- a/test/council/cluster_test.go
+++ b/test/council/cluster_test.go
@@ -70,6 +70,9 @@
 	identity identity.Policy
 	// workspaces is the number of workspaces to which connections belong.
 	workspaces int
+	// oneDataCentre places all instances in one data centre, where they share watches
+	// although they are few.
+	oneDataCentre bool
 	// lastConfiguration is the newest value that the operators wrote.
 	lastConfiguration []byte
 
@@ -100,6 +103,8 @@
 	linkServer *forward.Server
 	// configuration follows the table of the operators' configuration.
 	configuration *rowstore.Follower
+	// registrations shares the watch of the databases' registrations.
+	registrations *rowstore.Sharing
 }
 
 // jsonDecoder decodes the rows that testCluster writes.
@@ -136,6 +141,12 @@
 
 // runWith is like run, with the given databases and logger.
 func runWith(t *testing.T, options standin.Options, names []string, log func(t *testing.T) zerolog.Logger, body func(tc *testCluster)) {
+	t.Helper()
+	runPrepared(t, options, names, log, func(*testCluster) {}, body)
+}
+
+// runPrepared is like runWith, and calls prepare before the instances start.
+func runPrepared(t *testing.T, options standin.Options, names []string, log func(t *testing.T) zerolog.Logger, prepare, body func(tc *testCluster)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -143,6 +154,7 @@
 			t: t, ctx: ctx, started: time.Now(), store: standin.NewStore(), group: standin.NewGroup(options), options: options,
 			instances: make(map[string]*instance), datagrams: make(map[string]int), log: log(t),
 		}
+		prepare(tc)
 		tc.group.SetPartition(tc.partitioned)
 		tc.configure(1, "desk", "portal", "cab")
 		go tc.maintainRegistrations(ctx)
@@ -294,6 +306,10 @@
 func confirmations(i *instance, message []byte) []byte { return i.leadership.Receive(message) }
 func positions(i *instance, message []byte) []byte     { return i.positions.Receive(message) }
 
+func registrations(i *instance, message []byte) []byte {
+	return i.registrations.Receive(message)
+}
+
 func (i *instance) division(id state.GroupID) pooling.Division {
 	instances, own, all := i.leadership.DemandOf(id)
 	return pooling.Division{Instances: instances, OwnDemand: own, TotalDemand: all}
@@ -354,6 +370,10 @@
 	i.place(clock, log)
 	options := leadership.DefaultOptions()
 	options.FullRateMembers = cmp.Or(tc.fullRateMembers, options.FullRateMembers)
+	dataCentre := state.DataCentre(name[len(name)-1:])
+	if tc.oneDataCentre {
+		options.SmallFleet, dataCentre = 0, "one"
+	}
 	i.leadership = leadership.New(leadership.Config{
 		Self: state.InstanceID(name), Run: time.Now().UnixNano(), Options: options, Store: store, Availability: availability,
 		OnPrimaryPosition: func(group state.GroupID, requestedAt state.Instant, position state.Position) {
@@ -363,13 +383,14 @@
 		OnWatchedRowsCurrent: i.directory.ConfirmConfiguration, ConfigurationInForce: i.directory.KeysVersion,
 		Directory: i.directory, Databases: i.pools, Promoter: tc.group.Promoter(), Health: tracker, Demand: i.pools.Demand,
 		Messenger: messenger{tc, name, "confirmations", confirmations}, Address: name,
-		DataCentre: state.DataCentre(name[len(name)-1:]), Clock: clock, Log: log,
+		DataCentre: dataCentre, Clock: clock, Log: log,
 	})
 	i.positions = freshness.NewExchange(freshness.NewTracker(), i.leadership, clock, i.leadership, messenger{tc, name, "positions", positions}, log)
 	i.engine = relay.New(ctx, relay.Config{
 		Directory: i.directory, Leadership: i.leadership, Freshness: i.positions, Pools: i.pools, Health: tracker,
 		Identity: tc.identity, Statements: platform.Codec{}, Clock: clock, Log: log,
 	})
+	i.registrations = rowstore.NewSharing(tableServers, state.InstanceID(name), i.leadership, messenger{tc, name, "registrations", registrations}, clock, log)
 	store.OnNewEra(i.leadership.BeginEra)
 	store.OnNewEra(i.directory.BeginEra)
 	tc.mu.Lock()
@@ -383,7 +404,7 @@
 		return follower
 	}
 	i.configuration = follow(rowstore.FollowerConfig{Table: tableRoutes, Wait: rowstore.LongWait, EraSpread: rowstore.EraSpread, Apply: i.directory.ApplyConfiguration})
-	follow(rowstore.FollowerConfig{Table: tableServers, Wait: rowstore.ShortWait, WaitAfterOutage: rowstore.OutageWait, MinInterval: rowstore.BatchInterval, EraSpread: rowstore.EraSpread, Apply: func(update rowstore.Update) {
+	follow(rowstore.FollowerConfig{Table: tableServers, Wait: rowstore.ShortWait, WaitAfterOutage: rowstore.OutageWait, MinInterval: rowstore.BatchInterval, MaxInterval: rowstore.MaxBatchInterval, EraSpread: rowstore.EraSpread, Sharing: i.registrations, SharedWait: rowstore.SharedWait, Apply: func(update rowstore.Update) {
 		i.directory.ApplyServers(update)
 		i.leadership.RegistrationsChanged()
 	}})
