--- a/internal/coordination/leadership/expect.go
+++ b/internal/coordination/leadership/expect.go
@@ -10,6 +10,17 @@
 // they can tell their clients when to come back. Nothing else depends on it: a lost
 // message leaves the default.
 
+const (
+	// usualAcknowledgement is how long instances that respond take to acknowledge a
+	// change, usualPromotion how long a change takes from then on.
+	usualAcknowledgement = 200 * time.Millisecond
+	usualPromotion       = 700 * time.Millisecond
+	// expectationInterval is the time between two messages with the same expectation,
+	// expectationChange the difference at which another is sent at once.
+	expectationInterval = time.Second
+	expectationChange   = 200 * time.Millisecond
+)
+
 // expectation is when a change of primary is expected to end.
 type expectation struct {
 	epoch uint64
--- a/internal/coordination/leadership/options.go
+++ b/internal/coordination/leadership/options.go
@@ -75,14 +75,6 @@
 	// how long reads are waited for, except the first of the instances' rows.
 	slowCallTimeout = 4 * time.Second
 	readTimeout     = 1500 * time.Millisecond
-	// usualAcknowledgement is how long instances that respond take to acknowledge a
-	// change, usualPromotion how long a change takes from then on.
-	usualAcknowledgement = 200 * time.Millisecond
-	usualPromotion       = 700 * time.Millisecond
-	// expectationInterval is the time between two messages with the same expectation,
-	// expectationChange the difference at which another is sent at once.
-	expectationInterval = time.Second
-	expectationChange   = 200 * time.Millisecond
 	// acknowledgementInterval is the time between two reads of the
 	// instances' rows while a change waits for them.
 	acknowledgementInterval = 25 * time.Millisecond
