--- a/internal/coordination/pooling/pool.go
+++ b/internal/coordination/pooling/pool.go
@@ -361,7 +361,7 @@
 
 // openingCost is the cost of a statement that needs a new connection because its
 // workspace has none that is idle: a round trip or two and the work of the database.
-const openingCost = 20 * time.Millisecond
+const openingCost = 40 * time.Millisecond
 
 // Cost estimates how long a statement of a workspace would take if it were sent now.
 func (p *Pool) Cost(workspace state.WorkspaceID) time.Duration {
