A pool shrinks to its share after five seconds above it

Cause: shares go up and down by one with the demand; closing down to each of them at once cost openings and worth. Never would leave a pool above its share for as long as workspaces take turns.

--- a/internal/coordination/pooling/dial.go
+++ b/internal/coordination/pooling/dial.go
@@ -66,14 +66,14 @@
 }
 
 // openFor starts to open a connection for a waiting request. If the share is used up,
-// idle connections make room, more than one after the share has shrunk. It returns false if none can be opened now. It must
-// be called with the lock held.
+// an idle connection makes room, without a successor if the pool is oversized. It
+// returns false if none can be opened now. It must be called with the lock held.
 func (p *Pool) openFor(w *waiter) bool {
 	if time.Now().Before(p.dialAfter) || p.opening >= max(1, p.open/growthDivisor) {
 		return false
 	}
-	for p.open+p.opening >= p.share {
-		if !p.closeOldestIdle() {
+	if p.open+p.opening >= p.share {
+		if !p.closeOldestIdle() || p.isOversized() && p.open+p.opening >= p.share {
 			return false
 		}
 	}
@@ -83,6 +83,16 @@
 	return true
 }
 
+// shrinkAfter is how long a pool may stay above its share while connections change
+// hands. Shares go up and down by one with the demand.
+const shrinkAfter = 5 * time.Second
+
+// isOversized reports whether the pool has been above its share for long. It must be
+// called with the lock held.
+func (p *Pool) isOversized() bool {
+	return !p.aboveSince.IsZero() && time.Since(p.aboveSince) > shrinkAfter
+}
+
 // closeOldestIdle closes the idle connection that was used least recently, if possible
 // one of a workspace without waiting requests. It returns false if none is idle. It
 // must be called with the lock held.
--- a/internal/coordination/pooling/pool.go
+++ b/internal/coordination/pooling/pool.go
@@ -67,8 +67,11 @@
 	// openingForProbe is the number of connections being opened for probes. They
 	// may hang, so the connections for requests are opened regardless of them.
 	openingForProbe int
-	queue           queue
-	closed          bool
+	// aboveSince is when the pool was first seen above its share; zero while it is
+	// not.
+	aboveSince time.Time
+	queue      queue
+	closed     bool
 	// dialAfter is when the next connection may be opened after a failure.
 	dialAfter time.Time
 	// dialFailures counts the failures to open a connection since the last
@@ -418,6 +421,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.share = share
+	if p.open <= share {
+		p.aboveSince = time.Time{}
+	} else if p.aboveSince.IsZero() {
+		p.aboveSince = time.Now()
+	}
 	now := float64(p.open - len(p.idle) + p.queue.Len())
 	p.demand += demandWeight * (now - p.demand)
 }
