--- a/internal/coordination/pooling/pool.go
+++ b/internal/coordination/pooling/pool.go
@@ -70,8 +70,11 @@
 	// openingForProbe is the number of connections being opened for probes. They
 	// may hang, so the connections for requests are opened regardless of them.
 	openingForProbe int
-	queue           queue
-	closed          bool
+	// aboveSince is when the pool was first seen above its share; zero while it is
+	// not.
+	aboveSince time.Time
+	queue      queue
+	closed     bool
 	// dialAfter is when the next connection may be opened after a failure.
 	dialAfter time.Time
 	// dialFailures counts the failures to open a connection since the last
@@ -403,7 +406,7 @@
 
 // openingCost is the cost of a statement that needs a new connection because its
 // workspace has none that is idle: a round trip or two and the work of the database.
-const openingCost = 20 * time.Millisecond
+const openingCost = 40 * time.Millisecond
 
 // Cost estimates how long a statement of a workspace would take if it were sent now.
 func (p *Pool) Cost(workspace state.WorkspaceID) time.Duration {
@@ -474,6 +477,11 @@
 	if p.forwards && p.running == 0 {
 		p.latency += time.Duration(forgetWeight * float64(initialLatency-p.latency))
 	}
+	if p.open <= placed.Share {
+		p.aboveSince = time.Time{}
+	} else if p.aboveSince.IsZero() {
+		p.aboveSince = time.Now()
+	}
 	now := float64(p.open - len(p.idle) + p.queue.Len())
 	p.demand += demandWeight * (now - p.demand)
 }
