Notices of shared watches are bounded by bytes

A row of the platform's store may be larger than a datagram takes; a bound of rows did not cover that. Neighbours read what is not sent from the store. go test -race -cpu 1 ./internal/coordination/rowstore ./internal/entry: ok; the follower, registration and shared-watch tests of test/council: ok.

--- a/internal/coordination/rowstore/sharing.go
+++ b/internal/coordination/rowstore/sharing.go
@@ -33,9 +33,9 @@
 	// maxStateAge is how old the last response of the store may be in a notice. It is
 	// longer than a shared watch.
 	maxStateAge = SharedWait + 2*time.Second
-	// maxNoticeRows is the largest number of rows in a notice, so that it fits into a
-	// datagram. Neighbours read more rows than that from the store.
-	maxNoticeRows = 50
+	// maxNoticeBytes is the largest size of a notice, which must fit into a datagram.
+	// Neighbours read what is larger from the store.
+	maxNoticeBytes = 16 << 10
 	// maxNotices bounds the notices that wait to be handled.
 	maxNotices = 16
 )
@@ -165,6 +165,9 @@
 		s.log.Error().Err(err).Str("table", s.table).Msg("encoding a notice failed")
 		return
 	}
+	if len(encoded) > maxNoticeBytes {
+		return
+	}
 	for _, address := range s.neighbours.DataCentrePeers() {
 		s.messenger.Send(address, encoded)
 	}
@@ -173,7 +176,7 @@
 // publish sends the rows of a response to the neighbours. since is the version of the
 // last change before them.
 func (s *Sharing) publish(update Update, since uint64) {
-	if update.Complete || len(update.Rows) == 0 || len(update.Rows) > maxNoticeRows {
+	if update.Complete || len(update.Rows) == 0 {
 		return
 	}
 	message := notice{Era: update.Era, Since: since, Version: update.Version, AfterOutage: update.AfterOutage}
