Instances that join hold nothing until all know of them; the reserve covers probes

New instances took their part while the others had not read their rows, and nine watchers may each hold a connection, more than a tenth of 18.

--- a/internal/coordination/placement/holders.go
+++ b/internal/coordination/placement/holders.go
@@ -10,9 +10,13 @@
 )
 
 const (
-	// One in reserveDivisor connections is kept free for the probes of instances
-	// that are not holders, and for a change of the holders.
+	// One in reserveDivisor connections is kept free for a change of the holders.
 	reserveDivisor = 10
+	// probeReserve is how many connections are kept free where there are holders,
+	// for probes of the watchers of a group, each of which may hold one. It is at most
+	// one in maxReserveDivisor.
+	probeReserve      = 9
+	maxReserveDivisor = 4
 	// minPerHolder is the least number of connections of one holder: with fewer, a
 	// transaction that waits for its client would block the other requests.
 	minPerHolder = 4
@@ -41,14 +45,22 @@
 	Name       state.InstanceID `json:"name"`
 	Address    string           `json:"address"`
 	DataCentre state.DataCentre `json:"data_centre"`
+	// Joining is set until all others must have read the instance's first row.
+	Joining bool `json:"joining"`
 }
 
 // usable returns how many of the connections that a database accepts are divided
-// among the holders.
+// among all instances if each opens its own.
 func usable(accepted int) int {
 	return max(1, accepted-accepted/reserveDivisor)
 }
 
+// divided returns how many are divided among the holders. Other instances then have
+// none with which they could probe.
+func divided(accepted int) int {
+	return max(1, accepted-max(accepted/reserveDivisor, min(probeReserve, accepted/maxReserveDivisor)))
+}
+
 // size is what a decision depends on.
 type size struct {
 	// accepted is how many connections the database accepts.
@@ -78,7 +90,7 @@
 	if s.workspaces > 0 {
 		usual, perHolder = workspaceHolders, demandPerWorkspaceHolder
 	}
-	limit := max(1, min(s.instances, usable(s.accepted)/minPerHolder))
+	limit := max(1, min(s.instances, divided(s.accepted)/minPerHolder))
 	needed := min(limit, max(usual, int(s.demand/perHolder)+1))
 	if needed < before && float64(needed) > lessHolders*float64(before) {
 		return min(before, limit)
@@ -86,10 +98,10 @@
 	return needed
 }
 
-// shareOf returns the part of the holder at a rank in the usable connections.
+// shareOf returns the part of the holder at a rank in the divided connections.
 func shareOf(accepted, holders, rank int) int {
-	part := usable(accepted) / holders
-	if rank < usable(accepted)%holders {
+	part := divided(accepted) / holders
+	if rank < divided(accepted)%holders {
 		part++
 	}
 	return max(1, part)
@@ -119,14 +131,21 @@
 	return chosen
 }
 
-// fleet holds the live instances by place.
+// fleet holds the instances that may be holders by place.
 type fleet struct {
 	all          []Instance
 	byDataCentre map[state.DataCentre][]Instance
 	byRegion     map[string][]Instance
 }
 
+// newFleet returns the instances by place. Those that are joining hold nothing yet,
+// since the present holders do not know of them, unless most are: then the whole fleet
+// has started.
 func newFleet(instances []Instance, region func(state.DataCentre) string) fleet {
+	settled := slices.DeleteFunc(slices.Clone(instances), func(i Instance) bool { return i.Joining })
+	if 2*len(settled) >= len(instances) {
+		instances = settled
+	}
 	f := fleet{all: instances, byDataCentre: make(map[state.DataCentre][]Instance), byRegion: make(map[string][]Instance)}
 	for _, instance := range instances {
 		f.byDataCentre[instance.DataCentre] = append(f.byDataCentre[instance.DataCentre], instance)
--- a/internal/coordination/placement/placement_test.go
+++ b/internal/coordination/placement/placement_test.go
@@ -34,6 +34,7 @@
 	accepted   int
 	workspaces int
 	demand     float64
+	reads      time.Duration
 	instances  []Instance
 	tables     map[state.InstanceID]*Table
 }
@@ -49,7 +50,7 @@
 	for _, instance := range f.instances {
 		if f.tables[instance.Name] == nil {
 			f.tables[instance.Name] = New(Config{
-				Self: instance.Name, Region: regionOf, Clock: f.clock, Log: zerolog.Nop(), Instances: func() []Instance { return f.instances },
+				Self: instance.Name, Region: regionOf, Clock: f.clock, Log: zerolog.Nop(), ReadInterval: func() time.Duration { return f.reads }, Instances: func() []Instance { return f.instances },
 				Accepted: func(state.GroupID) int { return f.accepted }, Workspaces: func() int { return f.workspaces },
 				Demand: func(state.GroupID) float64 { return f.demand },
 			})
@@ -103,6 +104,50 @@
 	})
 }
 
+// In a large fleet the rows are read rarely. Former holders go on, and new ones start
+// with a part, until all instances know of the change.
+func TestChangeOfHoldersWaitsForAllToKnow(t *testing.T) {
+	f := newFakeFleet(73, 144)
+	f.reads = 20 * time.Second
+	f.pass(time.Second)
+	accepting := func() (all int) {
+		for n := range 8 {
+			_, count := f.shares(server(fmt.Sprint("db", n)))
+			all += count
+		}
+		return all
+	}
+	before := accepting()
+	f.grow(252)
+	f.pass(time.Second)
+	during := accepting()
+	require.Greater(t, during, before)
+	f.pass(25 * time.Second)
+	require.Equal(t, during, accepting())
+	f.pass(10 * time.Second)
+	require.Equal(t, before, accepting())
+}
+
+// Instances are added. They hold nothing until the present holders know of them. When
+// all start together, they hold at once.
+func TestJoiningInstancesHoldNothing(t *testing.T) {
+	f := newFakeFleet(73, 252)
+	for n := range f.instances {
+		f.instances[n].Joining = n >= 144
+	}
+	f.pass(time.Second)
+	for n := range 24 {
+		for _, holder := range f.tables["i200"].Of(server(fmt.Sprint("db", n))).Holders {
+			require.False(t, holder.Joining)
+		}
+	}
+	for n := range f.instances {
+		f.instances[n].Joining = true
+	}
+	f.pass(time.Second)
+	require.Len(t, f.tables["i200"].Of(server("db")).Holders, usualHolders)
+}
+
 // Holders are in the database's data centre while that has enough instances, and the
 // databases spread over it.
 func TestHoldersAreNearTheDatabase(t *testing.T) {
--- a/internal/coordination/placement/table.go
+++ b/internal/coordination/placement/table.go
@@ -12,10 +12,11 @@
 )
 
 const (
-	// settleTime is how long a change of the holders takes: all instances have
-	// read the rows that cause it, and former holders have closed their
-	// connections.
-	settleTime = 10 * time.Second
+	// A change of the holders takes as long as all instances need to read the rows
+	// that cause it and former holders to close their connections: settleTime, or
+	// settleReads times the time between two reads if that is longer.
+	settleTime  = 10 * time.Second
+	settleReads = 1.5
 	// recomputeInterval is how often the number of holders follows the demand.
 	recomputeInterval = 2 * time.Second
 	// A list that lacks more than one in believeShrink of the instances counts only
@@ -28,6 +29,11 @@
 	unusedTime = time.Minute
 )
 
+// SettleTime returns how long a change of the holders takes.
+func SettleTime(readInterval time.Duration) time.Duration {
+	return max(settleTime, time.Duration(settleReads*float64(readInterval)))
+}
+
 // Config holds the dependencies of a table. Its functions take no lock under
 // which the table is used.
 type Config struct {
@@ -35,6 +41,8 @@
 	Region func(state.DataCentre) string
 	// Instances returns the live instances.
 	Instances func() []Instance
+	// ReadInterval returns the time between two reads of the instances' rows.
+	ReadInterval func() time.Duration
 	// Accepted returns how many connections each database of a group accepts.
 	Accepted func(state.GroupID) int
 	// Workspaces returns the number of workspaces to which connections may belong.
@@ -83,9 +91,13 @@
 type Table struct {
 	Config
 
-	mu         sync.Mutex
+	mu sync.Mutex
+	// instances are the live ones, fleet those that may be holders.
+	instances  []Instance
 	fleet      fleet
 	generation uint64
+	// settles is how long a change of the holders takes.
+	settles time.Duration
 	// shrunkAt is when the list of instances first lacked most of them; 0 if it
 	// does not.
 	shrunkAt state.Instant
@@ -102,19 +114,21 @@
 // Update reads the live instances and forgets databases that are no longer used.
 func (t *Table) Update() {
 	now := t.Clock.Now()
+	settles := SettleTime(t.ReadInterval())
 	sorted := slices.SortedFunc(slices.Values(t.Instances()), func(a, b Instance) int { return cmp.Compare(a.Name, b.Name) })
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.settles = settles
 	for id, e := range t.entries {
 		if now.Sub(e.usedAt) > unusedTime {
 			delete(t.entries, id)
 		}
 	}
-	if slices.Equal(sorted, t.fleet.all) {
+	if slices.Equal(sorted, t.instances) {
 		t.shrunkAt = 0
 		return
 	}
-	if believeShrink*len(sorted) < len(t.fleet.all) {
+	if believeShrink*len(sorted) < len(t.instances) {
 		if t.shrunkAt == 0 {
 			t.shrunkAt = now
 		}
@@ -123,7 +137,7 @@
 		}
 	}
 	t.shrunkAt = 0
-	t.fleet = newFleet(sorted, t.Region)
+	t.instances, t.fleet = sorted, newFleet(sorted, t.Region)
 	t.generation++
 }
 
@@ -137,7 +151,7 @@
 		e.usedAt = now
 		return e.placement
 	}
-	unknown := len(t.fleet.all) == 0
+	unknown := len(t.instances) == 0
 	t.mu.Unlock()
 	if unknown {
 		// An instance that has just started must not open connections before it
@@ -147,7 +161,7 @@
 	of := size{accepted: t.Accepted(server.Group), workspaces: t.Workspaces(), demand: t.Demand(server.Group)}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	of.instances = len(t.fleet.all)
+	of.instances = len(t.instances)
 	return t.compute(server, of, now)
 }
 
@@ -178,7 +192,7 @@
 // decide returns this instance's part. It must be called with the lock held.
 func (t *Table) decide(e *entry, holders []Instance, rank, accepted int, now state.Instant) Placement {
 	p := Placement{Holders: holders, Holds: rank >= 0, Accepts: true, Share: 1}
-	settling := now.Sub(e.changedAt) < settleTime
+	settling := now.Sub(e.changedAt) < t.settles
 	switch {
 	case p.Holds && settling:
 		p.Share = max(1, shareOf(accepted, len(holders), rank)/2)
--- a/internal/entry/forwarding.go
+++ b/internal/entry/forwarding.go
@@ -23,7 +23,8 @@
 func newPlacement(instance *Instance, settings platform.Settings, dir *directory.Directory, clock state.Clock, log zerolog.Logger) *placement.Table {
 	return placement.New(placement.Config{
 		Self: settings.Instance, Region: func(dc state.DataCentre) string { return settings.Regions[dc] }, Accepted: maxConnections(dir),
-		Instances: func() []placement.Instance { return instance.leadership.LiveInstances() },
+		ReadInterval: func() time.Duration { return instance.leadership.MembersReadInterval() },
+		Instances:    func() []placement.Instance { return instance.leadership.LiveInstances() },
 		Workspaces: func() int {
 			if routes := dir.Routes(); routes != nil && routes.HasWorkspaces {
 				return len(routes.Workspaces)
--- a/test/council/links_test.go
+++ b/test/council/links_test.go
@@ -22,10 +22,11 @@
 func (i *instance) place(clock state.Clock, log zerolog.Logger) {
 	i.placement = placement.New(placement.Config{
 		Self: state.InstanceID(i.name), Region: func(state.DataCentre) string { return "" }, Clock: clock, Log: log,
-		Instances:  func() []placement.Instance { return i.leadership.LiveInstances() },
-		Workspaces: func() int { return i.cluster.workspaces },
-		Accepted:   func(state.GroupID) int { return i.cluster.options.MaxConnections },
-		Demand:     func(group state.GroupID) float64 { return i.leadership.GroupDemand(group) },
+		ReadInterval: func() time.Duration { return i.leadership.MembersReadInterval() },
+		Instances:    func() []placement.Instance { return i.leadership.LiveInstances() },
+		Workspaces:   func() int { return i.cluster.workspaces },
+		Accepted:     func(state.GroupID) int { return i.cluster.options.MaxConnections },
+		Demand:       func(group state.GroupID) float64 { return i.leadership.GroupDemand(group) },
 	})
 	i.holder = forwarding.NewHolder(forwarding.HolderConfig{
 		Directory: i.directory, Leadership: lateLeadership{i}, Pools: i.pools, Placement: i.placement, Clock: clock, Log: log,
