--- a/internal/coordination/relay/engine.go
+++ b/internal/coordination/relay/engine.go
@@ -71,6 +71,8 @@
 	Pools      Pools
 	Health     Health
 	Statements Statements
+	// Limits may be nil: no workspace has a limit then.
+	Limits Limits
 	// Region returns the region of a data centre. OwnRegion is the region of
 	// this instance.
 	Region    func(state.DataCentre) string
--- a/internal/coordination/relay/single.go
+++ b/internal/coordination/relay/single.go
@@ -23,9 +23,9 @@
 		return s.runInTransaction(r)
 	}
 	if r.writes || r.route.Consistency == state.ConsistencyPrimary {
-		return s.runOnPrimary(r)
+		return s.limited(r, s.runOnPrimary)
 	}
-	return s.runRead(r)
+	return s.limited(r, s.runRead)
 }
 
 // runOnPrimary runs a single statement that needs the primary.
--- a/internal/coordination/relay/transaction.go
+++ b/internal/coordination/relay/transaction.go
@@ -171,9 +171,9 @@
 	}
 	var reply state.Reply
 	if s.tx.readOnly && s.tx.route.Consistency != state.ConsistencyPrimary {
-		reply = s.beginRead(r)
+		reply = s.limited(r, s.beginRead)
 	} else {
-		reply = s.beginOnPrimary(r)
+		reply = s.limited(r, s.beginOnPrimary)
 	}
 	if s.tx.conn != nil {
 		return state.Reply{}, true
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -23,6 +23,7 @@
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/freshness"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/leadership"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/pooling"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/ratelimit"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 	"github.com/cyclamenpin/cyclamenpin/internal/transport/datagram"
 	"github.com/cyclamenpin/cyclamenpin/internal/transport/lineserver"
@@ -80,6 +81,7 @@
 	clock        state.Clock
 	followers    *followers
 	positions    *freshness.Exchange
+	limits       *ratelimit.Limiter
 	tunnelServer *tunnel.Server
 
 	clients   net.Listener
@@ -117,7 +119,7 @@
 		fx.Supply(settings, i),
 		fx.Provide(func() context.Context { return background }, func() (zerolog.Logger, requestLog) { return i.logs.Logger, i.logs.requests }),
 		modules(),
-		fx.Populate(&i.directory, &i.leadership, &i.pools, &i.server, &i.clock, &i.followers, &i.positions, &i.tunnelServer),
+		fx.Populate(&i.directory, &i.leadership, &i.pools, &i.server, &i.clock, &i.followers, &i.positions, &i.limits, &i.tunnelServer),
 		fx.Invoke(func(lifecycle fx.Lifecycle) {
 			lifecycle.Append(fx.Hook{OnStart: func(context.Context) error { i.startServices(background); return nil }})
 		}),
@@ -187,11 +189,12 @@
 	i.followers.run(ctx)
 	go i.leadership.Run(ctx)
 	go i.pools.Run(ctx)
+	go i.limits.Run(ctx)
 	go i.server.Serve(i.clients)
 	go i.serveHTTP(i.readiness)
 	go i.tunnelServer.Serve(i.tunnels)
 	go i.peers.Serve(map[datagram.Topic]func([]byte) []byte{
-		topicConfirmations: i.leadership.Receive, topicPositions: i.positions.Receive,
+		topicConfirmations: i.leadership.Receive, topicPositions: i.positions.Receive, topicLimits: i.limits.Receive,
 	})
 	if i.metrics != nil {
 		go i.serveHTTP(i.metrics)
@@ -280,6 +283,7 @@
 	state.Pause(ctx, min(balancerRemovalTime, grace/2))
 	_ = i.clients.Close()
 	forceClosed := i.server.Drain(ctx, stopStarted.Add(grace/2))
+	i.limits.Leave()
 	leaveCtx, cancelLeave := context.WithTimeout(context.WithoutCancel(ctx), stopTimeReserve/2)
 	i.leadership.Leave(leaveCtx)
 	cancelLeave()
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -9,6 +9,7 @@
 
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/leadership"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/pooling"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/ratelimit"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 	"github.com/cyclamenpin/cyclamenpin/platform"
 )
@@ -28,6 +29,7 @@
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		gauges.WritePrometheus(w)
 		i.writeGroupMetrics(w)
+		i.writeLimitMetrics(w)
 		metrics.WritePrometheus(w, true)
 	})
 	mux.HandleFunc("GET /dump", func(w http.ResponseWriter, _ *http.Request) {
@@ -85,6 +87,8 @@
 	Instances     int                 `json:"instances_live"`
 	Primaries     []leadership.Status `json:"primaries"`
 	Pools         []pooling.Stats     `json:"pools"`
+	// Limits are those of workspaces, the largest first.
+	Limits []ratelimit.WorkspaceStats `json:"limits"`
 }
 
 // Dump returns the state of the instance. It contains no data of clients.
@@ -93,7 +97,7 @@
 	dump := Dump{
 		Instance: i.settings.Load().Instance, Run: i.run, UptimeSeconds: time.Since(i.started).Seconds(),
 		Ready: i.Ready(), Clients: i.server.Clients(), LeaseLeft: left, Instances: i.leadership.Members(),
-		Primaries: primaries, Pools: i.pools.Stats(),
+		Primaries: primaries, Pools: i.pools.Stats(), Limits: i.limits.Stats(),
 	}
 	if routes := i.directory.Routes(); routes != nil {
 		dump.Configuration, dump.Routes = routes.Version, len(routes.Routes)
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -3,8 +3,27 @@
 import (
 	"fmt"
 	"io"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/ratelimit"
 )
 
+// limitMetrics is how many workspaces have limit metrics of their own.
+const limitMetrics = 8
+
+// writeLimitMetrics writes the metrics of the largest limits and the sum of the others.
+func (i *Instance) writeLimitMetrics(w io.Writer) {
+	for _, of := range ratelimit.Summarize(i.limits.Stats(), limitMetrics) {
+		labels := fmt.Sprintf("{workspace=%q}", of.Workspace)
+		fmt.Fprintf(w, "cyclamenpin_limit_operations_per_second%s %g\n", labels, of.PerSecond)
+		fmt.Fprintf(w, "cyclamenpin_limit_demand_per_second%s %g\n", labels, of.Demand)
+		fmt.Fprintf(w, "cyclamenpin_limit_permits%s %d\n", labels, of.Permits)
+		fmt.Fprintf(w, "cyclamenpin_limit_home_weight%s %g\n", labels, of.Weight)
+		fmt.Fprintf(w, "cyclamenpin_limit_admitted_total%s %d\n", labels, of.Admitted)
+		fmt.Fprintf(w, "cyclamenpin_limit_admitted_unaided_total%s %d\n", labels, of.Unaided)
+		fmt.Fprintf(w, "cyclamenpin_limit_refused_total%s %d\n", labels, of.Refused)
+	}
+}
+
 // writeGroupMetrics writes the gauges of primaries and pools, whose labels
 // change with the registered databases.
 func (i *Instance) writeGroupMetrics(w io.Writer) {
--- a/internal/entry/modules.go
+++ b/internal/entry/modules.go
@@ -12,6 +12,7 @@
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/health"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/leadership"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/pooling"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/ratelimit"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/relay"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/rowstore"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
@@ -26,6 +27,7 @@
 const (
 	topicConfirmations datagram.Topic = 'v'
 	topicPositions     datagram.Topic = 'p'
+	topicLimits        datagram.Topic = 'l'
 )
 
 const (
@@ -55,7 +57,7 @@
 			func(s platform.Settings) *platform.Promoter { return platform.NewPromoter(s.PromoteAddress) },
 		)),
 		fx.Module("coordination", fx.Provide(
-			rowstore.NewAvailability, health.NewTracker, newFollowers, newExchange, newDirectory, newPools, newLeadership, newEngine,
+			rowstore.NewAvailability, health.NewTracker, newFollowers, newExchange, newDirectory, newPools, newLeadership, newLimits, newEngine,
 		)),
 		fx.Module("transport", fx.Provide(newDialer, newTunnelServer, newServer)),
 	)
@@ -117,10 +119,19 @@
 	return freshness.NewExchange(freshness.NewTracker(), leaders, clock, leaders, instance.peers.Sender(topicPositions), log)
 }
 
+func newLimits(instance *Instance, settings platform.Settings, dir *directory.Directory, leaders *leadership.Manager, clock state.Clock, log zerolog.Logger, requests requestLog) *ratelimit.Limiter {
+	tolerance := settings.LimitTolerance
+	return ratelimit.New(ratelimit.Config{
+		Self: settings.Instance, Run: instance.run, Tolerance: ratelimit.Tolerance{Window: tolerance.Window, Excess: tolerance.Excess, Slack: tolerance.Slack},
+		Membership: leaders, Routes: dir.Routes, Messenger: instance.peers.Sender(topicLimits), Clock: clock, Log: log, RequestLog: requests.Logger,
+	})
+}
+
 func newEngine(ctx context.Context, settings platform.Settings, codec platform.Codec, dir *directory.Directory, leaders *leadership.Manager, exchange *freshness.Exchange,
-	pools *pooling.Manager, tracker *health.Tracker, clock state.Clock, log requestLog,
+	pools *pooling.Manager, limits *ratelimit.Limiter, tracker *health.Tracker, clock state.Clock, log requestLog,
 ) *relay.Engine {
 	return relay.New(ctx, relay.Config{
+		Limits:    limits,
 		Directory: dir, Leadership: leaders, Freshness: exchange, Pools: pools, Health: tracker, Statements: codec,
 		Region: func(dc state.DataCentre) string { return settings.Regions[dc] }, OwnRegion: settings.Region, Clock: clock, Log: log.Logger,
 	})
