--- a/internal/coordination/ratelimit/exchange.go
+++ b/internal/coordination/ratelimit/exchange.go
@@ -60,6 +60,10 @@
 	l.standingAt, l.renewedAt = now, standing.RenewedAt
 	standing.Joined = max(standing.Joined, l.resumedAt)
 	l.share = shareOf(standing, now)
+	if standing.ReadAt == l.rankedAt {
+		return
+	}
+	l.rankedAt = standing.ReadAt
 	for _, link := range l.links {
 		link.rank(standing.Instances)
 	}
--- a/internal/coordination/ratelimit/limiter.go
+++ b/internal/coordination/ratelimit/limiter.go
@@ -57,6 +57,8 @@
 	// gap in which others may have stopped counting this instance.
 	renewedAt, resumedAt time.Duration
 	standingAt           state.Instant
+	// rankedAt is when the rows were read by which the homes are ranked.
+	rankedAt time.Duration
 }
 
 // outgoing is a message to be sent once the lock is released.
@@ -128,7 +130,7 @@
 	return w, false
 }
 
-// await waits for the home's answer, and decides without it if there is none in time.
+// await waits for the home's answer. It decides without it if there is none in time.
 func (l *Limiter) await(ctx context.Context, workspace state.WorkspaceID, s *stock, w *waiter) bool {
 	ctx, cancel := context.WithTimeout(ctx, answerWait)
 	defer cancel()
@@ -136,7 +138,12 @@
 	case admitted := <-w.result:
 		return admitted
 	case <-ctx.Done():
+		return l.giveUp(workspace, s, w)
 	}
+}
+
+// giveUp ends the wait for an answer.
+func (l *Limiter) giveUp(workspace state.WorkspaceID, s *stock, w *waiter) (admitted bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if admitted, answered := s.abandon(w); answered {
--- a/internal/coordination/ratelimit/link.go
+++ b/internal/coordination/ratelimit/link.go
@@ -61,13 +61,21 @@
 // rank orders the instances by preference as the shard's home. A lost instance's
 // shards spread over the others, and nothing else moves.
 func (l *link) rank(rows []leadership.InstanceRow) {
-	l.ranking = slices.Clone(rows)
-	score := func(row leadership.InstanceRow) uint64 {
-		return xxhash.Sum64String(string([]byte{'l', l.shard}) + string(row.Name))
+	type scored struct {
+		leadership.InstanceRow
+		score uint64
 	}
-	slices.SortFunc(l.ranking, func(a, b leadership.InstanceRow) int {
-		return cmp.Or(cmp.Compare(score(a), score(b)), cmp.Compare(a.Name, b.Name))
+	ranked := make([]scored, 0, len(rows))
+	for _, row := range rows {
+		ranked = append(ranked, scored{row, xxhash.Sum64String(string([]byte{'l', l.shard}) + string(row.Name))})
+	}
+	slices.SortFunc(ranked, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.Name, b.Name))
 	})
+	l.ranking = make([]leadership.InstanceRow, 0, len(rows))
+	for _, of := range ranked {
+		l.ranking = append(l.ranking, of.InstanceRow)
+	}
 }
 
 // mayPledge reports whether a pledge to the home can't coincide with one elsewhere.
