--- a/internal/coordination/ratelimit/limiter_test.go
+++ b/internal/coordination/ratelimit/limiter_test.go
@@ -121,3 +121,34 @@
 	c.run(12 * time.Second)
 	require.LessOrEqual(t, c.excess("hot", lowered["hot"], from), 0.0)
 }
+
+// A message that arrives twice returns its permits once.
+func TestRepeatedMessageReturnsPermitsOnce(t *testing.T) {
+	h := newHome(1, shardOf("hot"), testTolerance, 0)
+	h.configure(1, map[state.WorkspaceID]state.Workspace{"hot": {ID: "hot", Limit: state.RateLimit{PerSecond: 1, Burst: 100}}}, 0)
+	first := h.handle(&message{From: "entry-1", Run: 1, Sequence: 1}, 0)
+	pledged := &message{From: "entry-1", Run: 1, Sequence: 2, Nonce: first.Nonce, Pledge: &pledge{Denominator: 1, Length: minPledge}}
+	require.InDelta(t, 1, h.handle(pledged, 0).Weight, 0)
+	back := &message{From: "entry-1", Run: 1, Sequence: 3, Nonce: first.Nonce, Items: []item{{Workspace: "hot", Back: 10}}}
+	require.NotNil(t, h.handle(back, 0))
+	require.Nil(t, h.handle(back, 0))
+	require.InDelta(t, 10, h.buckets["hot"].tokens, 0)
+}
+
+// Prefetched permits that are not needed are returned: a workspace whose operations come
+// in bursts below its limit loses nothing.
+func TestBurstsBelowTheLimitLoseNothing(t *testing.T) {
+	limits := map[state.WorkspaceID]state.RateLimit{"hot": {PerSecond: 200, Burst: 60}}
+	c := newTestCluster(5, 26, limits)
+	c.run(14 * time.Second)
+	from := c.now
+	for range 20 {
+		stop := c.load("hot", 520)
+		c.run(150 * time.Millisecond)
+		stop()
+		c.run(300 * time.Millisecond)
+	}
+	refused := c.asked["hot"] - c.admittedBetween("hot", from, c.now)
+	t.Logf("%d of %d refused", refused, c.asked["hot"])
+	require.LessOrEqual(t, float64(refused), 0.01*float64(c.asked["hot"]))
+}
