--- a/internal/coordination/ratelimit/stats.go
+++ b/internal/coordination/ratelimit/stats.go
@@ -55,9 +55,9 @@
 	return stats
 }
 
-// Summarize keeps the largest limits and adds the others up as one entry named other,
+// Summarise keeps the largest limits and adds the others up as one entry named other,
 // so that the number of metrics is bounded.
-func Summarize(stats []WorkspaceStats, largest int) []WorkspaceStats {
+func Summarise(stats []WorkspaceStats, largest int) []WorkspaceStats {
 	if len(stats) <= largest {
 		return stats
 	}
--- a/internal/coordination/relay/engine.go
+++ b/internal/coordination/relay/engine.go
@@ -18,6 +18,9 @@
 // Directory provides the routing table and the registered databases.
 type Directory interface {
 	Routes() *state.RoutingTable
+	// ConfigurationAge returns how long ago the routing table was last known to be
+	// the newest one.
+	ConfigurationAge() time.Duration
 	Servers(group state.GroupID) []directory.Entry
 	Server(group state.GroupID, id state.DatabaseID) (directory.Entry, bool)
 }
@@ -33,6 +36,9 @@
 	// Ready reports whether this instance has acquired its first lease and read
 	// the rows of the other instances.
 	Ready() bool
+	// NewestConfiguration returns the newest version of the configuration that
+	// another instance states. known is false while that can't be told yet.
+	NewestConfiguration() (version uint64, known bool)
 }
 
 // Freshness tracks the log positions that cover acknowledged commits.
@@ -70,6 +76,7 @@
 	Freshness  Freshness
 	Pools      Pools
 	Health     Health
+	Identity   Identity
 	Statements Statements
 	// Limits may be nil: no workspace has a limit then.
 	Limits Limits
@@ -87,6 +94,8 @@
 	ctx            context.Context
 	sessions       atomic.Uint64
 	wasReady       atomic.Bool
+	behind         behind
+	workspaces     workspaceMetrics
 	replicas       replicaPositions
 	statementNames statementNames
 }
@@ -94,7 +103,7 @@
 // New returns an engine that stops waiting for primaries, connections and its
 // configuration when ctx ends.
 func New(ctx context.Context, config Config) *Engine {
-	return &Engine{Config: config, ctx: ctx, replicas: newReplicaPositions(), statementNames: statementNames{names: make(map[preparedStatement]string)}}
+	return &Engine{Config: config, ctx: ctx, replicas: newReplicaPositions(), workspaces: newWorkspaceMetrics(), statementNames: statementNames{names: make(map[preparedStatement]string)}}
 }
 
 const (
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -30,6 +30,7 @@
 		gauges.WritePrometheus(w)
 		i.writeGroupMetrics(w)
 		i.writeLimitMetrics(w)
+		i.engine.WriteMetrics(w)
 		metrics.WritePrometheus(w, true)
 	})
 	mux.HandleFunc("GET /dump", func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -12,7 +12,7 @@
 
 // writeLimitMetrics writes the metrics of the largest limits and the sum of the others.
 func (i *Instance) writeLimitMetrics(w io.Writer) {
-	for _, of := range ratelimit.Summarize(i.limits.Stats(), limitMetrics) {
+	for _, of := range ratelimit.Summarise(i.limits.Stats(), limitMetrics) {
 		labels := fmt.Sprintf("{workspace=%q}", of.Workspace)
 		fmt.Fprintf(w, "cyclamenpin_limit_operations_per_second%s %g\n", labels, of.PerSecond)
 		fmt.Fprintf(w, "cyclamenpin_limit_demand_per_second%s %g\n", labels, of.Demand)
--- a/internal/entry/modules.go
+++ b/internal/entry/modules.go
@@ -10,6 +10,7 @@
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/directory"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/freshness"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/health"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/identity"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/leadership"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/pooling"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/ratelimit"
@@ -107,6 +108,7 @@
 			instance.positions.Observe(group, requestedAt, position)
 		},
 		WatchedRows: instance.watchedRows, OnWatchedRowChange: func() { instance.followers.configuration.Refresh() },
+		OnWatchedRowsCurrent: dir.ConfirmConfiguration, ConfigurationInForce: dir.KeysVersion,
 		Promoter: promoter, Health: tracker, Demand: pools.Demand, Messenger: instance.peers.Sender(topicConfirmations), Address: peerAddress(settings),
 		DataCentre: settings.DataCentre, Clock: clock, Log: log,
 	})
@@ -133,7 +135,8 @@
 	return relay.New(ctx, relay.Config{
 		Limits:    limits,
 		Directory: dir, Leadership: leaders, Freshness: exchange, Pools: pools, Health: tracker, Statements: codec,
-		Region: func(dc state.DataCentre) string { return settings.Regions[dc] }, OwnRegion: settings.Region, Clock: clock, Log: log.Logger,
+		Identity: identity.Policy(settings.Revocation),
+		Region:   func(dc state.DataCentre) string { return settings.Regions[dc] }, OwnRegion: settings.Region, Clock: clock, Log: log.Logger,
 	})
 }
 
--- a/test/council/cluster_test.go
+++ b/test/council/cluster_test.go
@@ -16,6 +16,7 @@
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/directory"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/freshness"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/health"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/identity"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/leadership"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/pooling"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/relay"
@@ -58,6 +59,12 @@
 	log       zerolog.Logger
 	// fullRateMembers overrides leadership.Options.FullRateMembers unless it is 0.
 	fullRateMembers int
+	// keys holds the keys of each workspace in the configurations that are written
+	// from now on; nil if they define no workspaces. Routes in public need no key.
+	keys   map[state.WorkspaceID][]string
+	public map[string]bool
+	// identity decides on the callers of instances that are started.
+	identity identity.Policy
 	// lastConfiguration is the newest value that the operators wrote.
 	lastConfiguration []byte
 
@@ -167,7 +174,17 @@
 	for _, name := range names {
 		table.Routes[name] = state.Route{
 			Database: name, Group: "g", Consistency: consistencies[name], MaxStaleness: maxStaleness,
-			StatementTimeout: 800 * time.Millisecond, Objective: 800 * time.Millisecond, Priority: 1,
+			StatementTimeout: 800 * time.Millisecond, Objective: 800 * time.Millisecond, Priority: 1, Public: tc.public[name],
+		}
+	}
+	if tc.keys != nil {
+		table.HasWorkspaces, table.KeyOwners = true, make(map[state.KeyHash]state.WorkspaceID)
+		table.Workspaces = make(map[state.WorkspaceID]state.Workspace)
+	}
+	for id, keys := range tc.keys {
+		table.Workspaces[id] = state.Workspace{ID: id}
+		for _, key := range keys {
+			table.KeyOwners[state.HashKey(key)] = id
 		}
 	}
 	value, err := json.Marshal(table)
@@ -334,6 +351,7 @@
 			i.positions.Observe(group, requestedAt, position)
 		},
 		WatchedRows: i.watchedRows, OnWatchedRowChange: func() { i.configuration.Refresh() },
+		OnWatchedRowsCurrent: i.directory.ConfirmConfiguration, ConfigurationInForce: i.directory.KeysVersion,
 		Directory: i.directory, Databases: i.pools, Promoter: tc.group.Promoter(), Health: tracker, Demand: i.pools.Demand,
 		Messenger: messenger{tc, name, "confirmations", confirmations}, Address: name,
 		DataCentre: state.DataCentre(name[len(name)-1:]), Clock: clock, Log: log,
@@ -341,7 +359,7 @@
 	i.positions = freshness.NewExchange(freshness.NewTracker(), i.leadership, clock, i.leadership, messenger{tc, name, "positions", positions}, log)
 	i.engine = relay.New(ctx, relay.Config{
 		Directory: i.directory, Leadership: i.leadership, Freshness: i.positions, Pools: i.pools, Health: tracker,
-		Statements: platform.Codec{}, Clock: clock, Log: log,
+		Identity: tc.identity, Statements: platform.Codec{}, Clock: clock, Log: log,
 	})
 	store.OnNewEra(i.leadership.BeginEra)
 	store.OnNewEra(i.directory.BeginEra)
@@ -385,8 +403,13 @@
 
 // open opens a session and requires that it succeeds.
 func (i *instance) open(name string) *client {
-	session, code := i.engine.Open(name)
-	require.Equal(i.cluster.t, state.CodeNone, code)
+	return i.openWith(name, "")
+}
+
+// openWith opens a session with a key and requires that it succeeds.
+func (i *instance) openWith(name, key string) *client {
+	session, reply := i.engine.Open(name, identity.NewCredential(key))
+	require.Equal(i.cluster.t, state.CodeNone, reply.Code)
 	return &client{session: session, cluster: i.cluster}
 }
 
@@ -436,8 +459,8 @@
 
 // writable reports whether a write through the instance succeeds now.
 func (i *instance) writable() bool {
-	session, code := i.engine.Open("desk")
-	if code != state.CodeNone {
+	session, _ := i.engine.Open("desk", identity.Credential{})
+	if session == nil {
 		return false
 	}
 	defer session.Close()
