--- a/internal/coordination/leadership/heartbeat.go
+++ b/internal/coordination/leadership/heartbeat.go
@@ -221,6 +221,7 @@
 		m.Log.Warn().Err(err).Msg("cannot decode the own row, it is written again")
 		return
 	}
+	m.continuity.recordOwnRow(m, written)
 	if written.Run == m.Config.Run && written.Era == m.era.number && !written.Waiting && written.Until != 0 {
 		m.lease.recordRenewal(row.Version, written.leaseStart(time.Duration(written.Until)), written.Lease)
 		m.broadcast()
@@ -252,7 +253,7 @@
 	length := m.nextLease()
 	return heartbeat{
 		Until:  int64(m.lease.nextExpiry(m.Clock.Now(), length)),
-		Demand: demand, Run: m.Config.Run, Era: m.era.number, Address: m.Address, DataCentre: m.DataCentre, Lease: length, Joined: m.joined, Count: m.heartbeats,
+		Demand: demand, Run: m.Config.Run, Era: m.era.number, Address: m.Address, DataCentre: m.DataCentre, Lease: length, Joined: m.joined, Since: m.continuity.update(m), Count: m.heartbeats,
 		Acknowledged: m.acknowledgedGroups(), Suspected: m.suspectedGroups(),
 		Configuration: configuration,
 	}
--- a/internal/coordination/leadership/manager.go
+++ b/internal/coordination/leadership/manager.go
@@ -118,7 +118,8 @@
 	// failingSince is when the first of these attempts returned.
 	failingSince state.Instant
 	// joined is when this run first wrote its row, on the store's clock.
-	joined int64
+	joined     int64
+	continuity continuity
 	// changed is closed and replaced at each change of a record or the lease.
 	changed chan struct{}
 	// heartbeatNow triggers an immediate heartbeat.
--- a/internal/coordination/leadership/record.go
+++ b/internal/coordination/leadership/record.go
@@ -78,6 +78,9 @@
 	// Joined is when the run first wrote its row, on the store's clock, in
 	// nanoseconds; 0 in its first row.
 	Joined int64 `msgpack:"joined"`
+	// Since is since when the instance has had a row without a gap, over its runs; 0
+	// if that is not longer than Joined says.
+	Since int64 `msgpack:"since,omitempty"`
 	// Demand is the number of connections that this instance has recently used
 	// or waited for, for each group in use, in tenths of a connection.
 	Demand map[state.GroupID]uint16 `msgpack:"demand"`
--- a/internal/coordination/leadership/standing.go
+++ b/internal/coordination/leadership/standing.go
@@ -15,7 +15,7 @@
 	// Earliest and Latest are bounds of the present time.
 	Earliest, Latest time.Duration
 	// ReadAt is when the rows were read, RenewedAt when this instance last wrote its
-	// own, and Joined when this run first did.
+	// own, and Joined since when it has had one.
 	ReadAt, RenewedAt, Joined time.Duration
 	// ReadInterval is the usual time between two reads.
 	ReadInterval time.Duration
@@ -27,10 +27,59 @@
 type InstanceRow struct {
 	Name    state.InstanceID
 	Address string
-	// Joined is when the run first wrote its row; 0 while the row does not say so.
+	// Joined is since when the instance has had a row; 0 while the row does not say so.
 	Joined time.Duration
 }
 
+// maxRowGap is the longest time between the last renewal of one run and the first row
+// of the next that leaves no gap: others count an instance for longer.
+const maxRowGap = 20 * time.Second
+
+// continuity tracks since when this instance has had a row, over its runs. An instance
+// that was restarted is known to the others by name all the time.
+type continuity struct {
+	// earlier is the row of an earlier run, found at the start.
+	earlier heartbeat
+	// since is as in heartbeat, in an era of the store.
+	since int64
+	era   uint64
+}
+
+// recordOwnRow records the row found in the store in place of the expected one. The
+// caller must hold m.mu.
+func (c *continuity) recordOwnRow(m *Manager, row heartbeat) {
+	if row.Run != m.Config.Run {
+		c.earlier = row
+	}
+}
+
+// update returns since when there has been a row, for the next one to state. The
+// caller must hold m.mu.
+func (c *continuity) update(m *Manager) int64 {
+	if c.era != m.era.number {
+		c.since, c.era = 0, m.era.number
+	}
+	if row, found := m.members.byName[m.Self]; found && m.joined == 0 {
+		c.recordOwnRow(m, row.heartbeat)
+	}
+	latest, known := m.lease.clock.upperBound(m.Clock.Now())
+	if c.since != 0 || !known || c.earlier.Run == 0 || c.earlier.Era != m.era.number || c.earlier.Until == 0 {
+		return c.since
+	}
+	if latest-c.earlier.leaseStart(latest) <= maxRowGap {
+		c.since = c.earlier.firstRow()
+	}
+	return c.since
+}
+
+// firstRow returns since when the instance has had a row, 0 if the row does not say so.
+func (h heartbeat) firstRow() int64 {
+	if h.Since != 0 {
+		return h.Since
+	}
+	return h.Joined
+}
+
 // Standing returns the instances whose rows changed within the given time. It returns
 // false while this instance has no lease in the store's present era or has not read
 // the rows in it.
@@ -42,9 +91,13 @@
 	if !known || !m.lease.acquired || m.joined == 0 || m.members.now == 0 || m.members.outdated {
 		return Standing{}, false
 	}
+	joined := m.joined
+	if m.continuity.since != 0 && m.continuity.era == m.era.number {
+		joined = m.continuity.since
+	}
 	standing := Standing{
 		Self: m.Self, Earliest: m.lease.clock.lowerBound(now), Latest: latest, ReadAt: m.members.now, RenewedAt: m.lease.renewedAt,
-		Joined: time.Duration(m.joined), ReadInterval: m.members.readInterval(), Settled: m.membersSettled,
+		Joined: time.Duration(joined), ReadInterval: m.members.readInterval(), Settled: m.membersSettled,
 	}
 	for name, entry := range m.members.byName {
 		if !m.members.renewedWithin(entry, within) {
@@ -52,7 +105,7 @@
 		}
 		row := InstanceRow{Name: name, Address: entry.heartbeat.Address}
 		if entry.heartbeat.Era == m.era.number {
-			row.Joined = time.Duration(entry.heartbeat.Joined)
+			row.Joined = time.Duration(entry.heartbeat.firstRow())
 		}
 		standing.Instances = append(standing.Instances, row)
 	}
--- a/internal/coordination/ratelimit/cluster_test.go
+++ b/internal/coordination/ratelimit/cluster_test.go
@@ -168,10 +168,15 @@
 	}
 	now := time.Duration(c.now)
 	row := leadership.InstanceRow{Name: n.name, Address: string(n.name)}
+	earlier, found := c.rows[n.name]
+	switch {
+	case n.joined != 0:
+		row.Joined = n.joined
+	case found && now-c.renewed[n.name] <= minRowsAge:
+		n.joined, row.Joined = earlier.Joined, earlier.Joined
+	}
 	if n.joined == 0 {
 		n.joined = now
-	} else {
-		row.Joined = n.joined
 	}
 	c.rows[n.name], c.renewed[n.name], n.renewedAt = row, now, now
 	if !c.stale[n.name] {
@@ -186,7 +191,7 @@
 	}
 	n.readAt, n.rows = time.Duration(c.now), nil
 	for name, row := range c.rows {
-		if n.readAt-c.renewed[name] <= liveWithin {
+		if n.readAt-c.renewed[name] <= liveWithin(len(c.rows)) {
 			n.rows = append(n.rows, row)
 		}
 	}
--- a/internal/coordination/ratelimit/exchange.go
+++ b/internal/coordination/ratelimit/exchange.go
@@ -39,12 +39,12 @@
 // readStanding reads the instances' rows, if those known here are due to be read again.
 func (l *Limiter) readStanding(now state.Instant) (leadership.Standing, bool) {
 	l.mu.Lock()
-	due := l.standingAt == 0 || now.Sub(l.standingAt) >= standingInterval
+	due, instances := l.standingAt == 0 || now.Sub(l.standingAt) >= standingInterval, l.share.instances
 	l.mu.Unlock()
 	if !due {
 		return leadership.Standing{}, false
 	}
-	return l.Membership.Standing(liveWithin)
+	return l.Membership.Standing(liveWithin(instances))
 }
 
 // applyStanding takes over the instances and this one's share. The caller must hold
--- a/internal/coordination/ratelimit/limiter_test.go
+++ b/internal/coordination/ratelimit/limiter_test.go
@@ -72,14 +72,25 @@
 	return 10 * time.Second
 }
 
+// restartAll restarts all instances within 300 ms.
+func (c *testCluster) restartAll() {
+	for _, node := range c.names() {
+		c.after(time.Duration(c.random.IntN(300))*time.Millisecond, func() { c.start(node) })
+	}
+}
+
 // The home of a busy workspace is killed, cut off or stopped, or all instances restart.
 func TestRateIsBackSoonAfterTheHomeIsLost(t *testing.T) {
 	limits := customers(0)
-	for name, within := range map[string]time.Duration{"kill": 1500 * time.Millisecond, "cut off": 1500 * time.Millisecond, "stop": 400 * time.Millisecond, "restart all": 3 * time.Second} {
+	for name, within := range map[string]time.Duration{"kill": 1500 * time.Millisecond, "cut off": 1500 * time.Millisecond, "stop": 400 * time.Millisecond, "restart all": 3 * time.Second, "restart all twice beside a lost one": 3 * time.Second} {
 		t.Run(name, func(t *testing.T) {
 			c := newTestCluster(7, 26, limits)
 			c.run(14 * time.Second)
 			c.load("hot", 3*limits["hot"].PerSecond)
+			if name == "restart all twice beside a lost one" {
+				c.kill("entry-9")
+				c.restartAll()
+			}
 			c.run(6 * time.Second)
 			home := c.nodes["entry-0"].limiter.links[shardOf("hot")].home
 			from := c.now
@@ -91,10 +102,8 @@
 			case "stop":
 				c.nodes[home].limiter.Leave()
 				c.after(20*time.Millisecond, func() { c.kill(home) })
-			case "restart all":
-				for _, node := range c.names() {
-					c.after(time.Duration(c.random.IntN(300))*time.Millisecond, func() { c.start(node) })
-				}
+			default:
+				c.restartAll()
 			}
 			c.run(12 * time.Second)
 			back := c.rateBack("hot", limits["hot"], from)
--- a/internal/coordination/ratelimit/standing.go
+++ b/internal/coordination/ratelimit/standing.go
@@ -19,11 +19,18 @@
 	// foundersWithin is how long after the first of the present instances others
 	// count as started together with it.
 	foundersWithin = 3 * time.Second
-	// liveWithin is how long after its last renewal an instance is counted, longer
-	// than it may hold a pledge without renewing.
-	liveWithin = minRowsAge + maxPledge + 2*standingMargin
 )
 
+// liveWithin is how long after its last renewal an instance is counted, longer than it
+// may hold a pledge without renewing. instances is their number, 0 if it is unknown.
+func liveWithin(instances int) time.Duration {
+	length := maxPledge
+	if instances > 0 {
+		length = pledgeLength(2 * instances) // it may have halved
+	}
+	return minRowsAge + length + 2*standingMargin
+}
+
 // share is this instance's equal share of all limits.
 type share struct {
 	// denominator is the number of instances that share; 0 if this instance must
