--- a/internal/coordination/ratelimit/exchange.go
+++ b/internal/coordination/ratelimit/exchange.go
@@ -133,7 +133,7 @@
 			continue
 		}
 		if link.version < l.table.Version && link.nonce.Run != 0 {
-			it.Limit = s.limit
+			it.Limit = &limit{PerSecond: s.limit.PerSecond, Burst: s.limit.Burst}
 		}
 		s.asked += it.Count
 		s.back = 0
@@ -198,9 +198,10 @@
 func (l *Limiter) receiveGrant(m *message, now state.Instant) {
 	link := l.links[m.Shard]
 	sent, expected := link.unanswered[m.Sequence]
-	if m.Run != l.Config.Run || !expected || sent.to != m.From {
+	if m.Run != l.Config.Run || !expected {
 		return
 	}
+	m.From = sent.to
 	delete(link.unanswered, m.Sequence)
 	l.settle(sent)
 	if link.withdrawal != 0 && m.Sequence == link.withdrawal {
@@ -210,7 +211,7 @@
 		l.changeHome(link, row, now)
 	}
 	if m.From == link.home {
-		link.waiting, link.version, link.weight = false, m.Configuration, m.Weight
+		link.waiting, link.version, link.weight = false, m.Configuration, float64(m.Weight)
 		if m.Nonce.Run != link.nonce.Run || m.Nonce.At > link.nonce.At {
 			link.nonce, link.nonceAt = m.Nonce, now
 		}
@@ -218,7 +219,7 @@
 	until := sent.at.Add(l.Tolerance.permitLife())
 	for i, it := range m.Items {
 		if s, known := l.stocks[it.Workspace]; known && i < len(sent.items) {
-			l.receiveItem(s, it, it.Count < sent.items[i].Count, m.Weight, until, now)
+			l.receiveItem(s, it, it.Count < sent.items[i].Count, float64(m.Weight), until, now)
 		}
 	}
 	if link.due && m.From == link.home && link.home != l.Self {
@@ -233,7 +234,7 @@
 	if !short {
 		return
 	}
-	wait := it.Wait
+	wait := time.Duration(it.WaitMillis) * time.Millisecond
 	if weight < fullWeight {
 		wait = min(wait, partialWait)
 	}
--- a/internal/coordination/ratelimit/home.go
+++ b/internal/coordination/ratelimit/home.go
@@ -160,7 +160,7 @@
 	}
 	answer := &message{
 		Kind: kindGrant, Shard: h.shard, Run: m.Run, Sequence: m.Sequence, Configuration: h.version,
-		Nonce: nonce{Run: h.run, At: now}, Weight: h.weight,
+		Nonce: nonce{Run: h.run, At: now}, Weight: float32(h.weight),
 	}
 	for _, wanted := range m.Items {
 		if m.Nonce.Run != h.run || now.Sub(m.Nonce.At) > maxPledge {
@@ -188,18 +188,19 @@
 // grant takes permits of one workspace from its bucket.
 func (h *home) grant(wanted item, version uint64) item {
 	b, known := h.buckets[wanted.Workspace]
-	if version > h.version && !wanted.Limit.IsZero() {
+	if version > h.version && wanted.Limit != nil {
 		b, known = h.bucket(wanted.Workspace), true
 		b.fill(h.integral, h.weight, h.tolerance)
-		b.other, b.otherVersion = wanted.Limit, version
+		b.other, b.otherVersion = state.RateLimit{PerSecond: wanted.Limit.PerSecond, Burst: wanted.Limit.Burst}, version
 	}
 	if !known {
-		return item{Workspace: wanted.Workspace, Wait: maxWait}
+		return item{Workspace: wanted.Workspace, WaitMillis: int(maxWait / time.Millisecond)}
 	}
 	b.tokens += float64(max(0, wanted.Back))
 	b.fill(h.integral, h.weight, h.tolerance)
 	granted := b.take(wanted.Count)
-	return item{Workspace: wanted.Workspace, Count: granted, Wait: b.wait(h.weight, min(maxLeastWait, time.Duration(len(h.askers))*waitPerAsker))}
+	wait := b.wait(h.weight, min(maxLeastWait, time.Duration(len(h.askers))*waitPerAsker))
+	return item{Workspace: wanted.Workspace, Count: granted, WaitMillis: int((wait + time.Millisecond - 1) / time.Millisecond)}
 }
 
 // accept reports whether a message with the sequence number was not received before,
--- a/internal/coordination/ratelimit/limiter.go
+++ b/internal/coordination/ratelimit/limiter.go
@@ -180,11 +180,11 @@
 	s.refused++
 	wait := max(0, s.emptyUntil.Sub(now))
 	ownRate := s.limit.PerSecond / float64(max(1, l.share.instances))
-	missed, limit, home := s.refusals, s.limit, l.links[shardOf(workspace)].home
+	missed, ofLimit, home := s.refusals, s.limit, l.links[shardOf(workspace)].home
 	demand := s.demand
 	l.mu.Unlock()
 	retryAfter := min(max(l.Tolerance.Window, maxWait), wait+time.Duration(rand.Float64()*missed/ownRate*float64(time.Second)))
-	l.RequestLog.Warn().Str("workspace", string(workspace)).Float64("limit", limit.PerSecond).Float64("burst", limit.Burst).
+	l.RequestLog.Warn().Str("workspace", string(workspace)).Float64("limit", ofLimit.PerSecond).Float64("burst", ofLimit.Burst).
 		Float64("asked_here", demand).Float64("refused_here", missed).Str("home", string(home)).Dur("bucket_wait_ms", wait).
 		Dur("retry_after_ms", retryAfter).Msg("operation refused: the workspace's limit is reached")
 	return retryAfter
@@ -235,11 +235,7 @@
 	if l.table == nil {
 		return nil // the limits are not known yet
 	}
-	answer := l.homes[m.Shard].handle(m, now)
-	if answer != nil {
-		answer.From = l.Self
-	}
-	return answer
+	return l.homes[m.Shard].handle(m, now)
 }
 
 // adopt applies a configuration if it is newer. The caller must hold l.mu.
--- a/internal/coordination/ratelimit/message.go
+++ b/internal/coordination/ratelimit/message.go
@@ -51,9 +51,16 @@
 	// Back is how many unused permits are returned.
 	Back int
 	// Limit is the sender's, if its configuration is newer than the home's.
-	Limit state.RateLimit
-	// Wait is the time until the bucket holds another permit.
-	Wait time.Duration
+	Limit *limit
+	// WaitMillis is the time until the bucket holds another permit, rounded up.
+	WaitMillis int
+}
+
+// limit is a state.RateLimit.
+type limit struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+
+	PerSecond, Burst float64
 }
 
 type message struct {
@@ -62,7 +69,8 @@
 	Version uint8
 	Kind    kind
 	Shard   uint8
-	From    state.InstanceID
+	// From is empty in answers.
+	From state.InstanceID
 	// Run and Sequence number the messages of one run of an asking instance. The
 	// answer repeats them.
 	Run      int64
@@ -74,7 +82,7 @@
 	// Nonce is the home's; messages to it repeat the last one received.
 	Nonce nonce
 	// Weight is the sum of the pledges that the home holds.
-	Weight float64
+	Weight float32
 	Items  []item
 }
 
