--- a/internal/coordination/leadership/standing.go
+++ b/internal/coordination/leadership/standing.go
@@ -91,13 +91,14 @@
 	if !known || !m.lease.acquired || m.joined == 0 || m.members.now == 0 || m.members.outdated {
 		return Standing{}, false
 	}
-	joined := m.joined
+	// The instances of earlier days are listed in any row read since the start.
+	joined, settled := m.joined, m.membersSettled
 	if m.continuity.since != 0 && m.continuity.era == m.era.number {
-		joined = m.continuity.since
+		joined, settled = m.continuity.since, true
 	}
 	standing := Standing{
 		Self: m.Self, Earliest: m.lease.clock.lowerBound(now), Latest: latest, ReadAt: m.members.now, RenewedAt: m.lease.renewedAt,
-		Joined: time.Duration(joined), ReadInterval: m.members.readInterval(), Settled: m.membersSettled,
+		Joined: time.Duration(joined), ReadInterval: m.members.readInterval(), Settled: settled,
 	}
 	for name, entry := range m.members.byName {
 		if !m.members.renewedWithin(entry, within) {
--- a/internal/coordination/ratelimit/exchange.go
+++ b/internal/coordination/ratelimit/exchange.go
@@ -19,13 +19,13 @@
 	if known {
 		l.applyStanding(standing, now)
 	}
-	maps.DeleteFunc(l.avoided, func(_ state.InstanceID, until state.Instant) bool { return until <= now })
+	maps.DeleteFunc(l.avoided, func(_ state.InstanceID, of avoidance) bool { return of.until <= now })
 	for _, h := range l.homes {
 		h.advance(now)
 	}
 	if len(l.stocks) > 0 && !l.leaving {
 		for id, s := range l.stocks {
-			if s.giveBack(now, min(returnBefore, l.Tolerance.permitLife()/2)); s.back > 0 {
+			if s.giveBack(now, min(returnBefore, l.Tolerance.permitLife()/2)); s.back > 0 || len(s.waiters) > 0 {
 				l.links[shardOf(id)].pending[id] = struct{}{}
 			}
 		}
@@ -78,7 +78,7 @@
 		}
 	}
 	if link.silent(now) {
-		l.avoided[link.home] = now.Add(avoidFor)
+		l.avoided[link.home] = avoidance{until: now.Add(avoidFor)}
 	}
 	best, found := link.best(l.avoided)
 	_, avoided := l.avoided[link.home]
@@ -239,15 +239,15 @@
 		wait = min(wait, partialWait)
 	}
 	s.emptyUntil = max(s.emptyUntil, now.Add(wait))
-	for len(s.waiters) > s.asked {
-		s.answerFirst(weight < fullWeight && l.admitUnaided(s, now))
+	for weight >= fullWeight && len(s.waiters) > s.asked {
+		s.answerFirst(false)
 	}
 }
 
 // receiveLeave handles the message that a home is leaving. The caller must hold l.mu.
 func (l *Limiter) receiveLeave(m *message, now state.Instant) {
 	link := l.links[m.Shard]
-	l.avoided[m.From] = now.Add(leaveTime)
+	l.avoided[m.From] = avoidance{until: now.Add(leaveTime), run: m.Nonce.Run}
 	if m.From != link.pledgedTo || m.From != link.home || m.Nonce.Run != link.nonce.Run {
 		return
 	}
--- a/internal/coordination/ratelimit/limiter.go
+++ b/internal/coordination/ratelimit/limiter.go
@@ -50,7 +50,7 @@
 	homes    [shardCount]*home
 	stocks   map[state.WorkspaceID]*stock
 	table    *state.RoutingTable
-	avoided  map[state.InstanceID]state.Instant
+	avoided  map[state.InstanceID]avoidance
 	leaving  bool
 	outgoing []outgoing
 	// renewedAt is the last renewal of the own row, and resumedAt the one that ended a
@@ -69,7 +69,7 @@
 
 // New returns a limiter, which asks nobody until Run is called.
 func New(config Config) *Limiter {
-	l := &Limiter{Config: config, startedAt: config.Clock.Now(), stocks: make(map[state.WorkspaceID]*stock), avoided: make(map[state.InstanceID]state.Instant)}
+	l := &Limiter{Config: config, startedAt: config.Clock.Now(), stocks: make(map[state.WorkspaceID]*stock), avoided: make(map[state.InstanceID]avoidance)}
 	for shard := range l.links {
 		l.links[shard] = newLink(uint8(shard))
 		l.homes[shard] = newHome(config.Run, uint8(shard), config.Tolerance, l.startedAt)
@@ -118,13 +118,17 @@
 		l.ask(link, workspace, now)
 		return nil, true
 	}
-	if now < s.emptyUntil || len(s.waiters) >= maxWaiters {
-		return nil, link.weight < fullWeight && l.admitUnaided(s, now)
-	}
-	if link.silent(now) && l.admitUnaided(s, now) {
+	partial := link.weight < fullWeight || link.silent(now)
+	if partial && l.admitUnaided(s, now) {
 		return nil, true
 	}
-	w = &waiter{result: make(chan bool, 1)}
+	if now < s.emptyUntil && !partial || len(s.waiters) >= maxWaiters {
+		return nil, false
+	}
+	w = &waiter{result: make(chan bool, 1), wait: answerWait}
+	if partial {
+		w.wait = partialAnswerWait
+	}
 	s.waiters = append(s.waiters, w)
 	l.ask(link, workspace, now)
 	return w, false
@@ -132,7 +136,7 @@
 
 // await waits for the home's answer. It decides without it if there is none in time.
 func (l *Limiter) await(ctx context.Context, workspace state.WorkspaceID, s *stock, w *waiter) bool {
-	ctx, cancel := context.WithTimeout(ctx, answerWait)
+	ctx, cancel := context.WithTimeout(ctx, w.wait)
 	defer cancel()
 	select {
 	case admitted := <-w.result:
@@ -180,9 +184,13 @@
 	s.refused++
 	wait := max(0, s.emptyUntil.Sub(now))
 	ownRate := s.limit.PerSecond / float64(max(1, l.share.instances))
+	partial := l.links[shardOf(workspace)].weight < fullWeight
 	missed, ofLimit, home := s.refusals, s.limit, l.links[shardOf(workspace)].home
 	demand := s.demand
 	l.mu.Unlock()
+	if partial { // what was missed will be admitted soon
+		wait, missed = partialRetry, ownRate*partialRetry.Seconds()
+	}
 	retryAfter := min(max(l.Tolerance.Window, maxWait), wait+time.Duration(rand.Float64()*missed/ownRate*float64(time.Second)))
 	l.RequestLog.Warn().Str("workspace", string(workspace)).Float64("limit", ofLimit.PerSecond).Float64("burst", ofLimit.Burst).
 		Float64("asked_here", demand).Float64("refused_here", missed).Str("home", string(home)).Dur("bucket_wait_ms", wait).
@@ -213,6 +221,9 @@
 	var answer *message
 	switch m.Kind {
 	case kindAsk:
+		if of, found := l.avoided[m.From]; found && m.Run > of.run {
+			delete(l.avoided, m.From) // it may be back
+		}
 		answer = l.answer(m, now)
 	case kindGrant:
 		l.receiveGrant(m, now)
--- a/internal/coordination/ratelimit/link.go
+++ b/internal/coordination/ratelimit/link.go
@@ -47,6 +47,13 @@
 	pending map[state.WorkspaceID]struct{}
 }
 
+// avoidance is why an instance is not used as a home for a while.
+type avoidance struct {
+	until state.Instant
+	// run is the run that is leaving, 0 if the instance was silent.
+	run int64
+}
+
 // sentAsk is a message that the home has not answered.
 type sentAsk struct {
 	to    state.InstanceID
@@ -109,7 +116,7 @@
 }
 
 // best returns the preferred home among those that are not avoided.
-func (l *link) best(avoided map[state.InstanceID]state.Instant) (leadership.InstanceRow, bool) {
+func (l *link) best(avoided map[state.InstanceID]avoidance) (leadership.InstanceRow, bool) {
 	for _, row := range l.ranking {
 		if _, avoid := avoided[row.Name]; !avoid && row.Address != "" {
 			return row, true
--- a/internal/coordination/ratelimit/options.go
+++ b/internal/coordination/ratelimit/options.go
@@ -21,7 +21,7 @@
 	shardCount = 4
 	// minPledge and maxPledge bound how long a pledge lasts. It grows with the number
 	// of instances, so that the messages of all of them to one home do not.
-	minPledge         = time.Second
+	minPledge         = 600 * time.Millisecond
 	maxPledge         = 15 * time.Second
 	pledgePerInstance = 7 * time.Millisecond
 	// refreshesPerPledge is how often a pledge is renewed while it lasts.
@@ -33,6 +33,9 @@
 	// answerWait is how long an operation waits for the home's answer: a few round
 	// trips between regions.
 	answerWait = 150 * time.Millisecond
+	// partialAnswerWait is how long it waits while the home holds few pledges, because
+	// it or others have just started.
+	partialAnswerWait = 400 * time.Millisecond
 	// silentAfter is how long a home may leave messages unanswered before the next
 	// one is used, and avoidFor how long it is then left out.
 	silentAfter = 300 * time.Millisecond
@@ -40,13 +43,15 @@
 	// fullWeight is the weight from which on a home's empty bucket means that the limit
 	// is used up.
 	fullWeight = 0.8
-	// partialWait is how long the refusal of a home with less weight is remembered.
-	partialWait = 50 * time.Millisecond
+	// partialWait is how long the refusal of a home with less weight is remembered, and
+	// partialRetry the least time after which a caller may then return.
+	partialWait  = 50 * time.Millisecond
+	partialRetry = 300 * time.Millisecond
 	// returnBefore is how long before they expire unused permits are returned.
 	returnBefore = 75 * time.Millisecond
 	// prospectInterval is the time between two questions to a preferred home whether
 	// it answers.
-	prospectInterval = 500 * time.Millisecond
+	prospectInterval = 200 * time.Millisecond
 	// tickInterval is the time between two looks at the homes and the permits.
 	tickInterval = 50 * time.Millisecond
 	// standingInterval is the time between two reads of the instances' rows as they
--- a/internal/coordination/ratelimit/stock.go
+++ b/internal/coordination/ratelimit/stock.go
@@ -40,6 +40,7 @@
 // waiter is an operation that waits for a permit. result is buffered.
 type waiter struct {
 	result chan bool
+	wait   time.Duration
 }
 
 // decay brings the averages up to date.
