--- a/internal/coordination/ratelimit/message.go
+++ b/internal/coordination/ratelimit/message.go
@@ -1,6 +1,7 @@
 package ratelimit
 
 import (
+	"bytes"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -88,8 +89,11 @@
 
 func (m *message) encode() ([]byte, error) {
 	m.Version = messageVersion
-	encoded, err := msgpack.Marshal(m)
-	return encoded, eris.Wrapf(err, "encode a message on limits of shard %d", m.Shard)
+	var encoded bytes.Buffer
+	encoder := msgpack.NewEncoder(&encoded)
+	encoder.UseCompactInts(true)
+	err := encoder.Encode(m)
+	return encoded.Bytes(), eris.Wrapf(err, "encode a message on limits of shard %d", m.Shard)
 }
 
 func decodeMessage(datagram []byte) (*message, error) {
