--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -10,6 +10,7 @@
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/leadership"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/placement"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/pooling"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/ratelimit"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 	"github.com/cyclamenpin/cyclamenpin/platform"
 )
@@ -29,6 +30,7 @@
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		gauges.WritePrometheus(w)
 		i.writeGroupMetrics(w)
+		i.writeLimitMetrics(w)
 		i.engine.WriteMetrics(w)
 		metrics.WritePrometheus(w, true)
 	})
@@ -100,6 +102,8 @@
 	Primaries     []leadership.Status `json:"primaries"`
 	Pools         []pooling.Stats     `json:"pools"`
 	Placement     []placement.Status  `json:"placement"`
+	// Limits are those of workspaces, the largest first.
+	Limits []ratelimit.WorkspaceStats `json:"limits"`
 }
 
 // Dump returns the state of the instance. It contains no data of clients.
@@ -108,7 +112,7 @@
 	dump := Dump{
 		Instance: i.settings.Load().Instance, Run: i.run, UptimeSeconds: time.Since(i.started).Seconds(),
 		Ready: i.Ready(), Clients: i.server.Clients(), LeaseLeft: left, Instances: i.leadership.Members(),
-		Primaries: primaries, Pools: i.pools.Stats(), Placement: i.placement.Snapshot(),
+		Primaries: primaries, Pools: i.pools.Stats(), Placement: i.placement.Snapshot(), Limits: i.limits.Stats(),
 	}
 	if routes := i.directory.Routes(); routes != nil {
 		dump.Configuration, dump.Routes = routes.Version, len(routes.Routes)
--- a/internal/entry/modules.go
+++ b/internal/entry/modules.go
@@ -15,6 +15,7 @@
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/leadership"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/placement"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/pooling"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/ratelimit"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/relay"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/rowstore"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
@@ -31,6 +32,7 @@
 	topicConfirmations datagram.Topic = 'v'
 	topicPositions     datagram.Topic = 'p'
 	topicRegistrations datagram.Topic = 'r'
+	topicLimits        datagram.Topic = 'l'
 )
 
 const (
@@ -60,7 +62,7 @@
 			func(s platform.Settings) *platform.Promoter { return platform.NewPromoter(s.PromoteAddress) },
 		)),
 		fx.Module("coordination", fx.Provide(
-			rowstore.NewAvailability, health.NewTracker, newFollowers, newExchange, newDirectory, newPools, newLeadership, newEngine,
+			rowstore.NewAvailability, health.NewTracker, newFollowers, newExchange, newDirectory, newPools, newLeadership, newLimits, newEngine,
 			newPlacement, newHolder,
 		)),
 		fx.Module("transport", fx.Provide(newDialer, newTunnelServer, newServer, newForwardClient, newForwardServer)),
@@ -138,10 +140,19 @@
 	return freshness.NewExchange(freshness.NewTracker(), leaders, clock, leaders, instance.peers.Sender(topicPositions), log)
 }
 
+func newLimits(instance *Instance, settings platform.Settings, dir *directory.Directory, leaders *leadership.Manager, clock state.Clock, log zerolog.Logger, requests requestLog) *ratelimit.Limiter {
+	tolerance := settings.LimitTolerance
+	return ratelimit.New(ratelimit.Config{
+		Self: settings.Instance, Run: instance.run, Tolerance: ratelimit.Tolerance{Window: tolerance.Window, Excess: tolerance.Excess, Slack: tolerance.Slack},
+		Membership: leaders, Routes: dir.Routes, Messenger: instance.peers.Sender(topicLimits), Clock: clock, Log: log, RequestLog: requests.Logger,
+	})
+}
+
 func newEngine(ctx context.Context, settings platform.Settings, codec platform.Codec, dir *directory.Directory, leaders *leadership.Manager, exchange *freshness.Exchange,
-	pools *pooling.Manager, tracker *health.Tracker, clock state.Clock, log requestLog,
+	pools *pooling.Manager, limits *ratelimit.Limiter, tracker *health.Tracker, clock state.Clock, log requestLog,
 ) *relay.Engine {
 	return relay.New(ctx, relay.Config{
+		Limits:    limits,
 		Directory: dir, Leadership: leaders, Freshness: exchange, Pools: pools, Health: tracker, Statements: codec,
 		Identity: identity.Policy(settings.Revocation),
 		Region:   func(dc state.DataCentre) string { return settings.Regions[dc] }, OwnRegion: settings.Region, Clock: clock, Log: log.Logger,
