--- a/internal/coordination/ratelimit/cluster_test.go
+++ b/internal/coordination/ratelimit/cluster_test.go
@@ -89,7 +89,6 @@
 	}
 	c.delay = func() time.Duration { return time.Duration(500+c.random.IntN(12_000)) * time.Microsecond }
 	c.configure(1, limits)
-	c.every(20*time.Millisecond, func() bool { c.checkHomes(); return true })
 	for i := range instances {
 		c.after(time.Duration(c.random.IntN(400))*time.Millisecond, func() { c.start(state.InstanceID(fmt.Sprintf("entry-%d", i))) })
 	}
--- a/internal/coordination/ratelimit/exchange.go
+++ b/internal/coordination/ratelimit/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/leadership"
@@ -272,7 +273,7 @@
 		if row, known := link.row(link.pledgedTo); known && now < link.pledgedUntil {
 			l.send(link, row, &message{Pledge: &pledge{}}, now)
 		}
-		for name := range h.askers {
+		for _, name := range slices.Sorted(maps.Keys(h.askers)) {
 			if row, known := link.row(name); known && name != l.Self {
 				l.outgoing = append(l.outgoing, outgoing{address: row.Address, message: &message{
 					Kind: kindLeave, Shard: h.shard, From: l.Self, Nonce: nonce{Run: l.Config.Run, At: now},
