Tests: the two models share their explorer

The models of leases and eras and of pledges visited states by the same code. The explorer is a package of its own for tests.

--- a/internal/coordination/leadership/model_test.go
+++ b/internal/coordination/leadership/model_test.go
@@ -2,11 +2,11 @@
 
 import (
 	"fmt"
-	"slices"
-	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/cyclamenpin/cyclamenpin/test/modelcheck"
 )
 
 // The model explores all interleavings of two instances, one group with two databases
@@ -296,60 +296,38 @@
 	return true
 }
 
-type modelStep struct {
-	name     string
-	instance int
-	apply    func(s *modelState, i int, rules modelRules) bool
-}
-
-func modelSteps() []modelStep {
-	steps := []modelStep{
-		{"tick", 0, (*modelState).tick}, {"copy", 0, (*modelState).copy}, {"restore", 0, (*modelState).restore}, {"lose power", 0, (*modelState).losePower},
+func modelSteps(rules modelRules) []modelcheck.Step[modelState] {
+	var steps []modelcheck.Step[modelState]
+	add := func(name string, instance int, apply func(s *modelState, i int, rules modelRules) bool) {
+		steps = append(steps, modelcheck.Step[modelState]{
+			Name: fmt.Sprintf("%s %d", name, instance), Apply: func(s *modelState) bool { return apply(s, instance, rules) },
+		})
 	}
+	add("tick", 0, (*modelState).tick)
+	add("copy", 0, (*modelState).copy)
+	add("restore", 0, (*modelState).restore)
+	add("lose power", 0, (*modelState).losePower)
 	for i := range modelInstances {
-		steps = append(steps,
-			modelStep{"renew", i, (*modelState).renew}, modelStep{"await", i, (*modelState).await}, modelStep{"announce", i, (*modelState).announce},
-			modelStep{"decide", i, (*modelState).decide}, modelStep{"promote", i, (*modelState).promote},
-			modelStep{"publish", i, (*modelState).publish}, modelStep{"restart", i, (*modelState).restart})
+		add("renew", i, (*modelState).renew)
+		add("await", i, (*modelState).await)
+		add("announce", i, (*modelState).announce)
+		add("decide", i, (*modelState).decide)
+		add("promote", i, (*modelState).promote)
+		add("publish", i, (*modelState).publish)
+		add("restart", i, (*modelState).restart)
 	}
 	return steps
 }
 
-// explore visits all states, breadth first. At most one instance restarts, or all lose
-// power once, if the flags allow it. It returns the number of states and the shortest
-// trace to a violation, "" if there is none.
+// explore visits all states. At most one instance restarts, or all lose power once, if
+// the flags allow it.
 func explore(rules modelRules, restart, powerLoss bool) (states int, trace string) {
 	first := modelState{restarted: !restart, powerLost: !powerLoss}
 	for i := range first.instances {
 		first.instances[i] = modelInstance{known: true, settled: true, leaseLeft: modelLease, eraAge: modelOld}
 		first.store.rows[i] = modelRow{exists: true}
 	}
-	steps := modelSteps()
-	type visit struct{ from, step int32 }
-	seen := map[modelState]struct{}{first: {}}
-	queue, visits := []modelState{first}, []visit{{-1, -1}}
-	for at := 0; at < len(queue); at++ {
-		for n, step := range steps {
-			next := queue[at]
-			if !step.apply(&next, step.instance, rules) {
-				continue
-			}
-			if _, known := seen[next]; known {
-				continue
-			}
-			seen[next] = struct{}{}
-			queue, visits = append(queue, next), append(visits, visit{int32(at), int32(n)})
-			if broken := next.violation(); broken != "" {
-				names := []string{broken}
-				for v := visits[len(visits)-1]; v.from >= 0; v = visits[v.from] {
-					names = append(names, fmt.Sprintf("%s %d", steps[v.step].name, steps[v.step].instance))
-				}
-				slices.Reverse(names)
-				return len(queue), strings.Join(names, ", ")
-			}
-		}
-	}
-	return len(queue), ""
+	return modelcheck.Explore(first, modelSteps(rules), (*modelState).violation)
 }
 
 // No interleaving of two instances and a restored store lets a superseded primary be
--- a/internal/coordination/ratelimit/model_test.go
+++ b/internal/coordination/ratelimit/model_test.go
@@ -2,11 +2,11 @@
 
 import (
 	"fmt"
-	"slices"
-	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/cyclamenpin/cyclamenpin/test/modelcheck"
 )
 
 // The model of pledges: two instances, of which the second joins late, both homes of
@@ -201,54 +201,33 @@
 	return ""
 }
 
-// exploreModel visits all states, breadth first. It returns their number and the
-// shortest trace to a violation, "" if there is none.
+func modelSteps(rules modelRules) []modelcheck.Step[modelState] {
+	var steps []modelcheck.Step[modelState]
+	add := func(name string, apply func(s *modelState) bool) {
+		steps = append(steps, modelcheck.Step[modelState]{Name: name, Apply: func(s *modelState) bool {
+			if !apply(s) {
+				return false
+			}
+			s.cutTokens(rules)
+			return true
+		}})
+	}
+	add("tick", func(s *modelState) bool { return s.tick(rules) })
+	add("deliver", func(s *modelState) bool { return s.deliver(rules) })
+	for _, name := range []string{"send nonce", "send pledge", "lose", "read", "cut", "join", "restart"} {
+		for k := range 4 {
+			add(fmt.Sprintf("%s %d %d", name, k/2, k%2), func(s *modelState) bool { return s.step(name, k/2, k%2, rules) })
+		}
+	}
+	return steps
+}
+
+// exploreModel visits all states.
 func exploreModel(rules modelRules) (states int, trace string) {
 	first := modelState{}
 	first.instances[0] = modelInstance{up: true, nonce: -1, since: modelJoin}
 	first.instances[1].nonce = -1
-	type visit struct {
-		from int32
-		step string
-	}
-	seen := map[modelState]struct{}{first: {}}
-	queue, visits := []modelState{first}, []visit{{from: -1}}
-	try := func(at int, name string, apply func(*modelState) bool) string {
-		next := queue[at]
-		if !apply(&next) {
-			return ""
-		}
-		next.cutTokens(rules)
-		if _, known := seen[next]; known {
-			return ""
-		}
-		seen[next] = struct{}{}
-		queue, visits = append(queue, next), append(visits, visit{int32(at), name})
-		return next.violation()
-	}
-	for at := 0; at < len(queue); at++ {
-		broken := try(at, "tick", func(s *modelState) bool { return s.tick(rules) })
-		if broken == "" {
-			broken = try(at, "deliver", func(s *modelState) bool { return s.deliver(rules) })
-		}
-		for _, name := range []string{"send nonce", "send pledge", "lose", "read", "cut", "join", "restart"} {
-			for k := range 4 {
-				if broken != "" {
-					break
-				}
-				broken = try(at, fmt.Sprintf("%s %d %d", name, k/2, k%2), func(s *modelState) bool { return s.step(name, k/2, k%2, rules) })
-			}
-		}
-		if broken != "" {
-			names := []string{broken}
-			for v := visits[len(visits)-1]; v.from >= 0; v = visits[v.from] {
-				names = append(names, v.step)
-			}
-			slices.Reverse(names)
-			return len(queue), strings.Join(names, ", ")
-		}
-	}
-	return len(queue), ""
+	return modelcheck.Explore(first, modelSteps(rules), (*modelState).violation)
 }
 
 // No interleaving of late, lost and repeated messages, a join and a restart lets the
