Records of an era are settled while calls to the store take seconds

Cause: each attempt of commitOnce was cancelled after 0.5 s, writeEra likewise, and prepareRenewal used no read that took longer than 1.5 s, so with a store of 2 s or 3 s a call no instance confirmed the records.

Change: repeatCall sends a call again while no response comes and goes on waiting for the earlier attempts; commitOnce and the reads before a settlement use it. A write of a change has 4.5 s in all (3 s before), one slow attempt and a lost one before it.

Ruled out: longer attempts in place of overlapping ones, since a lost response would then cost their whole length; dropping the read of the era before the others, since it is what tells that somebody else has settled it.

--- a/internal/coordination/leadership/heartbeat.go
+++ b/internal/coordination/leadership/heartbeat.go
@@ -243,13 +243,18 @@
 }
 
 func (m *Manager) readPrimaries(ctx context.Context) {
-	requestedAt := m.Clock.Now()
-	snapshot, err := m.Store.List(ctx, TablePrimaries)
+	err := awaitRead(ctx, func(ctx context.Context) error {
+		requestedAt := m.Clock.Now()
+		snapshot, err := m.Store.List(ctx, TablePrimaries)
+		if err != nil {
+			return err
+		}
+		m.Apply(rowstore.Update{Snapshot: snapshot, Complete: true, RequestedAt: requestedAt, RespondedAt: m.Clock.Now()})
+		return nil
+	})
 	if err != nil {
 		m.Log.Warn().Err(err).Msg("failed to read the primaries table")
-		return
 	}
-	m.Apply(rowstore.Update{Snapshot: snapshot, Complete: true, RequestedAt: requestedAt, RespondedAt: m.Clock.Now()})
 }
 
 func (m *Manager) nextHeartbeat() heartbeat {
@@ -325,16 +330,27 @@
 // readMembers reads the instances' rows and deletes those that have not been
 // renewed for staleRowAge. It reports whether the rows could be read.
 func (m *Manager) readMembers(ctx context.Context) bool {
-	var abandoned []rowstore.Transaction
-	err := callStore(ctx, m.membersWaitLimit(), func(ctx context.Context) (err error) {
-		abandoned, err = m.listMembers(ctx)
+	return m.readMembersBy(ctx, func(ctx context.Context, read func(context.Context) error) error {
+		return callStore(ctx, m.membersWaitLimit(), read, func(error) {})
+	})
+}
+
+// readMembersBy is readMembers with the given way to wait for the store.
+func (m *Manager) readMembersBy(ctx context.Context, wait func(context.Context, func(context.Context) error) error) bool {
+	abandoned := make(chan []rowstore.Transaction, 1)
+	err := wait(ctx, func(ctx context.Context) error {
+		found, err := m.listMembers(ctx)
+		select {
+		case abandoned <- found:
+		default: // another attempt has found them
+		}
 		return err
-	}, func(error) {})
+	})
 	if err != nil {
 		m.Log.Debug().Err(err).Msg("failed to read the instances table")
 		return false
 	}
-	for _, removal := range abandoned {
+	for _, removal := range <-abandoned {
 		if _, err := m.Store.Transact(ctx, removal); err != nil {
 			m.Log.Warn().Err(err).Msg("failed to remove the row of an expired instance")
 		}
--- a/internal/coordination/leadership/options.go
+++ b/internal/coordination/leadership/options.go
@@ -140,8 +140,9 @@
 	// promotionTimeout bounds the wait for a promotion to take effect; the slowest
 	// known promotion took one second.
 	promotionTimeout = 5 * time.Second
-	// storeWriteTimeout bounds the retries of one store write in a change.
-	storeWriteTimeout = 3 * time.Second
+	// storeWriteTimeout bounds the attempts at one store write in a change: one that
+	// takes slowCallTimeout, and a lost one before it.
+	storeWriteTimeout = slowCallTimeout + heartbeatTimeout
 	// replicaProbeInterval is the time between two probes of a replica with recent
 	// failures; other replicas serve its reads in the meantime.
 	replicaProbeInterval = 500 * time.Millisecond
--- a/internal/coordination/leadership/settle.go
+++ b/internal/coordination/leadership/settle.go
@@ -31,7 +31,7 @@
 		m.readPrimaries(ctx)
 		return m.restoreRecords(ctx)
 	}
-	if m.readMembers(ctx) {
+	if m.readMembersBy(ctx, awaitRead) {
 		m.writeWaitingRow(ctx)
 		m.settleEra(ctx)
 	}
@@ -49,7 +49,7 @@
 
 // readEra reads the row in TableEras.
 func (m *Manager) readEra(ctx context.Context) error {
-	return callStore(ctx, readTimeout, m.listEra, func(error) {})
+	return awaitRead(ctx, m.listEra)
 }
 
 func (m *Manager) listEra(ctx context.Context) error {
@@ -201,9 +201,10 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
-	defer cancel()
-	_, err = m.Store.Transact(ctx, transaction)
+	err = callStore(ctx, heartbeatTimeout, func(ctx context.Context) error {
+		_, err := m.Store.Transact(ctx, transaction)
+		return err
+	}, func(error) {})
 	m.Log.Info().Err(err).Uint64("era", transaction.Era).Msg("stated that the records of the era are known")
 	return err
 }
--- a/internal/coordination/leadership/transact.go
+++ b/internal/coordination/leadership/transact.go
@@ -6,35 +6,31 @@
 	"errors"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/rowstore"
-	"github.com/cyclamenpin/cyclamenpin/internal/state"
 )
 
-// commitOnce commits a transaction of a change, at most once. If a response is
-// lost, it sends the transaction again: the conditions let only one of the
+// commitOnce commits a transaction of a change, at most once. While no response
+// comes, it sends the transaction again: the conditions let only one of the
 // attempts commit. If the first row then already has the value to be written, an
 // earlier attempt has committed. The value must be unique to the caller, and the
 // conditions must include one on the first row.
 func (m *Manager) commitOnce(ctx context.Context, transaction rowstore.Transaction) (rowstore.Commit, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeWriteTimeout)
 	defer cancel()
-	for lost := false; ; lost = true {
-		commit, err := m.attemptCommit(ctx, transaction)
-		var conflict *rowstore.ConflictError
-		switch {
-		case errors.As(err, &conflict) && lost:
-			return m.earlierCommit(transaction, conflict)
-		case err == nil, errors.Is(err, rowstore.ErrConflict), errors.Is(err, rowstore.ErrEraChanged), errors.Is(err, rowstore.ErrRefused) && !lost, ctx.Err() != nil:
-			return commit, err
+	final := func(err error, sent int) bool {
+		if err == nil || errors.Is(err, rowstore.ErrConflict) || errors.Is(err, rowstore.ErrEraChanged) || errors.Is(err, rowstore.ErrRefused) && sent == 1 {
+			return true
 		}
 		m.Log.Info().Err(err).Str("table", transaction.Puts[0].Table).Msg("no response to a write of a change, sending it again")
-		state.Pause(ctx, acknowledgementInterval)
+		return false
 	}
-}
-
-func (m *Manager) attemptCommit(ctx context.Context, transaction rowstore.Transaction) (rowstore.Commit, error) {
-	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
-	defer cancel()
-	return m.Store.Transact(ctx, transaction)
+	last, sent := repeatCall(ctx, heartbeatTimeout, func(ctx context.Context) (rowstore.Commit, error) {
+		return m.Store.Transact(ctx, transaction)
+	}, final)
+	var conflict *rowstore.ConflictError
+	if errors.As(last.err, &conflict) && sent > 1 {
+		return m.earlierCommit(transaction, conflict)
+	}
+	return last.value, last.err
 }
 
 // earlierCommit returns the commit of an attempt whose response was lost, or the
