A peer that is held up is not taken for a silent link

Cause: the client's side of a link between instances failed it when a ping was not answered within 1 s. A process that gets no processor for that long answers nothing, and the statements that it held were reported as unknown (TestRollingReplacement once in 35 runs at a load of 36 to 39 on 7 processors; i1 logged nothing and went on).

Change: half a second after an unanswered ping the peer is dialled anew. Only a peer that replies there, or refuses the connection, proves the old link silent; the new connection then replaces it. A peer that replies on neither is asked again, for 4 s at most.

Ruled out: a longer ProbeTimeout (a link that is really silent would be noticed later); what the kernel has acknowledged (a proxy between the two acknowledges as well).

--- a/internal/transport/peerlink/client.go
+++ b/internal/transport/peerlink/client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/execution"
@@ -16,6 +17,10 @@
 // after its last dial.
 const routeRetention = 10 * time.Minute
 
+// spareLifetime is how long the connection of a check is kept: until the silent link
+// has surely failed.
+const spareLifetime = 2 * time.Second
+
 // target identifies one incarnation of one instance, the far end of a link.
 type target struct {
 	id          state.InstanceID
@@ -27,6 +32,7 @@
 type peerRoute struct {
 	link     *clientLink   // nil if there is none
 	dialling chan struct{} // closed when the dial ends; nil if no dial is running
+	spare    *clientLink   // result of a check, which replaces link if that is silent; not started
 	failure  error         // error of the last dial; nil if it succeeded
 	failures int           // consecutive failed dials
 	retryAt  time.Time     // earliest time of the next dial
@@ -181,6 +187,11 @@
 		c.prune()
 		return
 	}
+	c.useLink(key, route, link)
+}
+
+// useLink starts a new link. The caller must hold mu.
+func (c *Client) useLink(key target, route *peerRoute, link *clientLink) {
 	dialsDone.Inc()
 	route.failures = 0
 	route.retryAt = time.Time{}
@@ -264,6 +275,49 @@
 	}
 }
 
+// checkPeer dials the peer of a link on which a probe is not answered. If the peer
+// replies, the new connection is kept until the link fails or receives something.
+func (c *Client) checkPeer(link *clientLink) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	route, found := c.routes[target{link.peer.ID, link.peer.Incarnation}]
+	if !found || route.link != link || c.closed || route.spare != nil {
+		return
+	}
+	c.goroutines.Go(func() {
+		spare, err := c.dial(link.peer)
+		c.keepSpare(route, link, spare)
+		c.reportDial(link.peer, spare, err)
+		// A process that has ended refuses connections; its link is lost as well.
+		link.prober.checkEnded(err == nil || errors.Is(err, syscall.ECONNREFUSED))
+	})
+}
+
+// keepSpare keeps the connection of a check while its link is in place.
+func (c *Client) keepSpare(route *peerRoute, link, spare *clientLink) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if spare == nil {
+		return
+	}
+	if c.closed || route.link != link || route.spare != nil {
+		spare.fail(errIdle)
+		return
+	}
+	route.spare = spare
+	time.AfterFunc(spareLifetime, func() { c.dropSpare(route, spare) })
+}
+
+// dropSpare closes the connection of a check whose link did not fail.
+func (c *Client) dropSpare(route *peerRoute, spare *clientLink) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if route.spare == spare {
+		route.spare = nil
+		spare.fail(errIdle)
+	}
+}
+
 // markLeaving records that the link's peer accepts no new streams.
 func (c *Client) markLeaving(link *clientLink) {
 	c.mu.Lock()
@@ -290,6 +344,11 @@
 	if c.closed || route.leaving || route.dialling != nil {
 		return
 	}
+	if spare := route.spare; spare != nil {
+		route.spare = nil
+		c.useLink(key, route, spare)
+		return
+	}
 	if inUse && !errors.Is(cause, errClosed) {
 		c.startDial(key, route, link.peer)
 		return
@@ -306,6 +365,10 @@
 		if route.link != nil {
 			links = append(links, route.link)
 		}
+		if route.spare != nil {
+			links = append(links, route.spare)
+			route.spare = nil
+		}
 	}
 	c.mu.Unlock()
 	c.cancel()
--- a/internal/transport/peerlink/clientlink.go
+++ b/internal/transport/peerlink/clientlink.go
@@ -50,6 +50,7 @@
 		draining: l.handshake.PeerLeaving,
 	}
 	l.prober.onIdle = c.closeIfUnused
+	l.prober.check = func() { client.checkPeer(c) }
 	return c
 }
 
--- a/internal/transport/peerlink/fakes_test.go
+++ b/internal/transport/peerlink/fakes_test.go
@@ -91,6 +91,7 @@
 	mu        sync.Mutex
 	listeners map[string]*memoryListener
 	conns     []*memoryConn // dialling ends, in the order of the dials
+	heldUp    bool          // the peer's process reads nothing, on new connections either
 }
 
 func newNetwork() *network {
@@ -115,10 +116,26 @@
 	}
 	n.mu.Lock()
 	n.conns = append(n.conns, near)
+	up.change(func() { up.frozen = n.heldUp })
 	n.mu.Unlock()
 	return near, nil
 }
 
+// holdUp makes the peer's process read nothing until it is resumed.
+func (n *network) holdUp() {
+	n.mu.Lock()
+	n.heldUp = true
+	n.mu.Unlock()
+	n.freeze()
+}
+
+func (n *network) resume() {
+	n.mu.Lock()
+	n.heldUp = false
+	n.mu.Unlock()
+	n.unfreeze()
+}
+
 func (n *network) each(apply func(w *halfConn)) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/transport/peerlink/peerlink_test.go
+++ b/internal/transport/peerlink/peerlink_test.go
@@ -278,6 +278,36 @@
 	})
 }
 
+// A peer's process gets no processor for longer than a probe may take. It replies on no
+// connection, so its silence says nothing about the link, and its statements go on.
+func TestPeerThatIsHeldUpKeepsItsLink(t *testing.T) {
+	for _, pause := range []time.Duration{1600 * time.Millisecond, 2100 * time.Millisecond, 3 * time.Second} {
+		withPair(t, func(t *testing.T, p *pair) {
+			p.executor.delay = 100 * time.Millisecond
+			stream := openStream(t, p)
+			p.network.holdUp()
+			time.AfterFunc(pause, p.network.resume)
+			require.Nil(t, runUnit(stream, "u/e", time.Hour, 0).failure)
+			require.Nil(t, runUnit(stream, "v/e", time.Hour, 0).failure)
+			stream.Close()
+			time.Sleep(spareLifetime + DefaultHandshakeTimeout)
+			require.Len(t, p.client.Snapshot().Links, 1)
+			require.Len(t, p.server.Snapshot().Links, 1, "connections of checks are closed")
+		})
+	}
+}
+
+// A peer that is out of reach for good must not keep its callers for ever.
+func TestLinkToUnreachablePeerFails(t *testing.T) {
+	withPair(t, func(t *testing.T, p *pair) {
+		stream := openStream(t, p)
+		start := time.Now()
+		p.network.holdUp()
+		require.Equal(t, state.ReasonSilent, runUnit(stream, "u/e", time.Hour, 0).failure.Reason)
+		require.LessOrEqual(t, time.Since(start), maxSilence+DefaultProbeTimeout)
+	})
+}
+
 // Units that are queued while the writer is blocked are withdrawn, both when
 // their caller times out and when the link ends. They must not run afterwards.
 func TestWithdrawnUnitsAreNotRunAfterTheLinkResumes(t *testing.T) {
--- a/internal/transport/peerlink/probe.go
+++ b/internal/transport/peerlink/probe.go
@@ -17,6 +17,10 @@
 	awaitingResponse                 // a response is awaited
 )
 
+// maxSilence is how long a link may receive nothing while the peer replies on no new
+// connection either.
+const maxSilence = 4 * time.Second
+
 // prober detects that a link receives nothing any more, and that it is unused.
 // It has no goroutine of its own, only one timer that is always set to the next
 // deadline.
@@ -31,8 +35,14 @@
 	lastProgress time.Time // last frame received, or last change to a higher activity or to idle
 	pingSent     time.Time // when the unanswered Ping was sent; zero if none
 	timerDue     time.Time // when timer fires
+	checkSent    time.Time // when the check for the unanswered Ping was started; zero if none
+	checkReplied time.Time // when that check was replied to; zero if it was not
 	lastPing     uint64
 	pingCount    uint64
+	// check tries to reach the peer on a new connection and calls checkEnded. A peer
+	// that does not reply there either is held up or out of reach, and its link is not
+	// to blame. It is called without locks; nil if the peer can't be dialled.
+	check func()
 	// onIdle is called without locks when the link has been unused for the idle
 	// timeout; nil if unused links are kept.
 	onIdle func()
@@ -74,11 +84,28 @@
 	}
 	if p.activity() > before || p.activity() == idle {
 		p.lastProgress = time.Now()
-		p.pingSent = time.Time{}
+		p.forgetPing()
 	}
 	p.resetTimer()
 }
 
+// forgetPing ends the wait for the response to a Ping. The caller must hold mu.
+func (p *prober) forgetPing() {
+	p.pingSent, p.checkSent, p.checkReplied = time.Time{}, time.Time{}, time.Time{}
+}
+
+// checkEnded records the result of a check. A peer that refuses connections counts as
+// one that replies: it has ended.
+func (p *prober) checkEnded(replied bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !replied || p.checkSent.IsZero() {
+		return
+	}
+	p.checkReplied = time.Now()
+	p.resetTimer()
+}
+
 // frameReceived records that a frame has arrived. Any frame counts as the
 // response to an outstanding probe.
 func (p *prober) frameReceived() {
@@ -86,7 +113,7 @@
 	defer p.mu.Unlock()
 	p.lastProgress = time.Now()
 	if !p.pingSent.IsZero() {
-		p.pingSent = time.Time{}
+		p.forgetPing()
 		p.resetTimer()
 	}
 }
@@ -115,7 +142,12 @@
 // idle. The caller must hold mu.
 func (p *prober) nextDeadline() time.Time {
 	if !p.pingSent.IsZero() {
-		return p.pingSent.Add(p.link.config.ProbeTimeout)
+		timeout := p.link.config.ProbeTimeout
+		if p.check != nil && p.checkSent.IsZero() {
+			return p.pingSent.Add(timeout / 2)
+		}
+		// A peer that was held up replies on both connections, in any order.
+		return latest(p.pingSent.Add(timeout), p.checkReplied.Add(timeout/4))
 	}
 	switch p.activity() {
 	case awaitingResponse:
@@ -133,6 +165,7 @@
 const (
 	actionNone timerAction = iota
 	actionPing
+	actionCheck
 	actionFail
 	actionReportIdle
 )
@@ -143,6 +176,8 @@
 	case actionPing:
 		probesSent.Inc()
 		p.link.send(peerproto.KindPing, 0, &peerproto.Ping{Number: number})
+	case actionCheck:
+		p.check()
 	case actionFail:
 		silentLinks.Inc()
 		p.link.fail(errSilent)
@@ -165,18 +200,26 @@
 		return actionNone, 0
 	}
 	if p.activity() == idle {
-		p.pingSent = time.Time{}
+		p.forgetPing()
 		p.lastProgress = now
 		p.resetTimer()
 		return actionReportIdle, 0
 	}
 	firedLate := now.Sub(p.timerDue) > p.link.config.ProbeTimeout/2
 	if !p.pingSent.IsZero() && !firedLate {
-		return actionFail, 0
+		switch {
+		case p.check != nil && p.checkSent.IsZero():
+			p.checkSent = now
+			p.resetTimer()
+			return actionCheck, 0
+		case p.check == nil || !p.checkReplied.IsZero() || now.Sub(p.lastProgress) >= maxSilence:
+			return actionFail, 0
+		}
 	}
 	// A timer that fires late indicates that this process was paused. The
 	// response may already wait in the socket buffer, so the link gets another
 	// probe.
+	p.forgetPing()
 	p.pingSent = now
 	p.lastPing++
 	p.pingCount++
@@ -184,6 +227,13 @@
 	return actionPing, p.lastPing
 }
 
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 func (p *prober) counts() (awaited, openStreams int, probes uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
