One instance of a data centre sends its neighbours' renewals, once all builds can

Change: the first instance of a data centre by hash asks its neighbours for their renewals just before its own and commits all in one transaction (coordination/renewals). To a neighbour it is a lossy way to the store: row, conditions and start of the lease are its own, so the leases' argument is unchanged; one that hears nothing renews by itself 0.4 s later. It acts while every instance that may act states level 1 in its row (coordination/levels); a build without a level turns it off with the next read of the rows. A renewal whose response comes after Leave no longer counts.

Ruled out: longer leases (a lost instance would hold up a change for longer); a lease for a data centre held by one instance (a paused holder would need a fence of its own).

--- a/internal/coordination/leadership/heartbeat.go
+++ b/internal/coordination/leadership/heartbeat.go
@@ -25,10 +25,13 @@
 	m.evaluateLoop(ctx)
 }
 
+// errLeft is returned for a renewal whose response comes after Leave.
+var errLeft = errors.New("this instance has left")
+
 // Leave removes this instance's row. It must be called after the last request.
 func (m *Manager) Leave(ctx context.Context) {
 	m.mu.Lock()
-	m.lease.acquired, m.lease.carriedUntil = false, 0
+	m.left, m.lease.acquired, m.lease.carriedUntil = true, false, 0
 	eraNumber := m.era.number
 	m.mu.Unlock()
 	_, err := m.Store.Transact(ctx, rowstore.Transaction{Era: eraNumber, Deletes: []rowstore.Row{m.ownRow(nil)}})
@@ -83,7 +86,18 @@
 		case together:
 			interval, together = rand.N(interval), false
 		}
-		state.PauseOrWake(ctx, interval, m.heartbeatNow)
+		m.pauseHeartbeat(ctx, interval)
+	}
+}
+
+// pauseHeartbeat waits for the given time, and longer while another instance sends this
+// one's renewals.
+func (m *Manager) pauseHeartbeat(ctx context.Context, wait time.Duration) {
+	for wait > 0 && ctx.Err() == nil {
+		if state.PauseOrWake(ctx, wait, m.heartbeatNow) {
+			return
+		}
+		wait = m.untilOwnRenewal()
 	}
 }
 
@@ -145,13 +159,25 @@
 
 func (m *Manager) transactRenewal(ctx context.Context, transaction rowstore.Transaction, row heartbeat) error {
 	sent := m.Clock.Now()
-	commit, err := m.Store.Transact(ctx, transaction)
-	received := m.Clock.Now()
+	sender := m.Renewals
+	if sender == nil {
+		sender = m.Store
+	}
+	commit, err := sender.Transact(ctx, transaction)
 	if err != nil {
 		return err
 	}
+	return m.applyRenewal(transaction, row, sent, commit)
+}
+
+// applyRenewal takes over a renewal that the store has committed since it was sent.
+func (m *Manager) applyRenewal(transaction rowstore.Transaction, row heartbeat, sent state.Instant, commit rowstore.Commit) error {
+	received := m.Clock.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.left {
+		return errLeft
+	}
 	if m.era.number != transaction.Era {
 		return eris.Wrapf(rowstore.ErrEraChanged, "renewal in era %d", transaction.Era)
 	}
@@ -274,7 +300,7 @@
 		Until:  int64(m.lease.nextExpiry(m.Clock.Now(), length)),
 		Demand: demand, Run: m.Config.Run, Era: m.era.number, Address: m.Address, DataCentre: m.DataCentre, Lease: length, Joined: m.joined, Since: m.continuity.update(m), Count: m.heartbeats,
 		Acknowledged: m.acknowledgedGroups(), Suspected: m.suspectedGroups(),
-		Configuration: configuration,
+		Configuration: configuration, Level: m.Level,
 	}
 }
 
--- a/internal/coordination/leadership/manager.go
+++ b/internal/coordination/leadership/manager.go
@@ -46,12 +46,21 @@
 	SinceLastReply(id state.DatabaseID) time.Duration
 }
 
+// Renewals commits renewals of the lease, maybe together with those of others.
+type Renewals interface {
+	Transact(ctx context.Context, transaction rowstore.Transaction) (rowstore.Commit, error)
+}
+
 // Config holds the settings and dependencies of a manager.
 type Config struct {
 	Self    state.InstanceID
 	Run     int64
 	Options Options
 	Store   rowstore.Store
+	// Level is that of this build, stated in the instance's row.
+	Level uint32
+	// Renewals sends renewals to the store; nil stands for Store.
+	Renewals Renewals
 	// Availability records the result of each renewal.
 	Availability *rowstore.Availability
 	// WatchedRows returns the versions that this instance has seen of further
@@ -115,6 +124,8 @@
 	heartbeats    uint64
 	// renewalFailures counts consecutive failures to renew the lease.
 	renewalFailures int
+	// collectedAt is when the last renewal that another instance sent was offered.
+	collectedAt state.Instant
 	// failingSince is when the first of these attempts returned.
 	failingSince state.Instant
 	// joined is when this run first wrote its row, on the store's clock.
@@ -126,6 +137,8 @@
 	heartbeatNow chan struct{}
 	// readMembersNow triggers an immediate read of the instances' rows.
 	readMembersNow chan struct{}
+	// left is set once this instance removes its row; later renewals count no more.
+	left bool
 	// ready is set once the primaries' table has been read.
 	ready bool
 }
--- a/internal/coordination/leadership/options.go
+++ b/internal/coordination/leadership/options.go
@@ -73,6 +73,9 @@
 	// it takes 0.25 s; a response that takes longer may be lost, so that the renewal
 	// is sent again, but still counts when it comes.
 	heartbeatTimeout = 500 * time.Millisecond
+	// collectedGrace is how much later than usual an instance renews by itself whose
+	// last renewal another one sent; the rest of the lease allows several attempts.
+	collectedGrace = 400 * time.Millisecond
 	// slowCallTimeout bounds a call to the store for which its caller no longer
 	// waits; it is the lease, which a later response could not renew. readTimeout is
 	// how long reads are waited for, except the first of the instances' rows.
--- a/internal/coordination/leadership/record.go
+++ b/internal/coordination/leadership/record.go
@@ -103,6 +103,8 @@
 	// Configuration is the version of the configuration in force, below which other
 	// instances must not serve; 0 if it holds no keys that could have been withdrawn.
 	Configuration uint64 `msgpack:"config,omitempty"`
+	// Level is that of the instance's build (package levels); 0 if it states none.
+	Level uint32 `msgpack:"level,omitempty"`
 }
 
 // leaseStart returns the time from which the row's lease counts, on the store's clock.
--- a/internal/coordination/leadership/standing.go
+++ b/internal/coordination/leadership/standing.go
@@ -19,6 +19,8 @@
 	ReadAt, RenewedAt, Joined time.Duration
 	// ReadInterval is the usual time between two reads.
 	ReadInterval time.Duration
+	// RowsLost is set while instances of an earlier era may have rows that were lost.
+	RowsLost bool
 	// Settled is set if instances that started together with this one are listed.
 	Settled bool
 }
@@ -29,6 +31,8 @@
 	Address string
 	// Joined is since when the instance has had a row; 0 while the row does not say so.
 	Joined time.Duration
+	// Level is that of the instance's build.
+	Level uint32
 }
 
 // maxRowGap is the longest time between the last renewal of one run and the first row
@@ -99,12 +103,13 @@
 	standing := Standing{
 		Self: m.Self, Earliest: m.lease.clock.lowerBound(now), Latest: latest, ReadAt: m.members.now, RenewedAt: m.lease.renewedAt,
 		Joined: time.Duration(joined), ReadInterval: m.members.readInterval(), Settled: settled,
+		RowsLost: len(m.members.remembered) > 0,
 	}
 	for name, entry := range m.members.byName {
 		if !m.members.renewedWithin(entry, within) {
 			continue
 		}
-		row := InstanceRow{Name: name, Address: entry.heartbeat.Address}
+		row := InstanceRow{Name: name, Address: entry.heartbeat.Address, Level: entry.heartbeat.Level}
 		if entry.heartbeat.Era == m.era.number {
 			row.Joined = time.Duration(entry.heartbeat.firstRow())
 		}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -23,10 +23,12 @@
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/forwarding"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/freshness"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/leadership"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/levels"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/placement"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/pooling"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/ratelimit"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/relay"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/renewals"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 	"github.com/cyclamenpin/cyclamenpin/internal/transport/datagram"
 	"github.com/cyclamenpin/cyclamenpin/internal/transport/forward"
@@ -86,6 +88,8 @@
 	followers    *followers
 	positions    *freshness.Exchange
 	limits       *ratelimit.Limiter
+	levels       *levels.Gate
+	renewals     *renewals.Collector
 	tunnelServer *tunnel.Server
 	placement    *placement.Table
 	holder       *forwarding.Holder
@@ -127,7 +131,7 @@
 		fx.Supply(settings, i),
 		fx.Provide(func() context.Context { return background }, func() (zerolog.Logger, requestLog) { return i.logs.Logger, i.logs.requests }),
 		modules(),
-		fx.Populate(&i.directory, &i.engine, &i.leadership, &i.pools, &i.server, &i.clock, &i.followers, &i.positions, &i.limits, &i.tunnelServer, &i.placement, &i.holder, &i.links, &i.linkServer),
+		fx.Populate(&i.directory, &i.engine, &i.leadership, &i.pools, &i.server, &i.clock, &i.followers, &i.positions, &i.limits, &i.levels, &i.renewals, &i.tunnelServer, &i.placement, &i.holder, &i.links, &i.linkServer),
 		fx.Invoke(func(lifecycle fx.Lifecycle) {
 			lifecycle.Append(fx.Hook{OnStart: func(context.Context) error { i.startServices(background); return nil }})
 		}),
@@ -198,6 +202,7 @@
 	go i.leadership.Run(ctx)
 	go i.pools.Run(ctx)
 	go i.limits.Run(ctx)
+	go i.levels.Run(ctx)
 	go i.server.Serve(i.clients)
 	go i.serveHTTP(i.readiness)
 	go i.tunnelServer.Serve(i.tunnels)
@@ -205,7 +210,7 @@
 	go i.links.Run(ctx)
 	go i.peers.Serve(map[datagram.Topic]func([]byte) []byte{
 		topicConfirmations: i.leadership.Receive, topicPositions: i.positions.Receive, topicRegistrations: i.followers.servers.Sharing.Receive,
-		topicLimits: i.limits.Receive,
+		topicLimits: i.limits.Receive, topicRenewals: i.renewals.Receive,
 	})
 	if i.metrics != nil {
 		go i.serveHTTP(i.metrics)
--- a/internal/entry/modules.go
+++ b/internal/entry/modules.go
@@ -13,10 +13,12 @@
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/health"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/identity"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/leadership"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/levels"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/placement"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/pooling"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/ratelimit"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/relay"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/renewals"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/rowstore"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 	"github.com/cyclamenpin/cyclamenpin/internal/transport/datagram"
@@ -33,6 +35,7 @@
 	topicPositions     datagram.Topic = 'p'
 	topicRegistrations datagram.Topic = 'r'
 	topicLimits        datagram.Topic = 'l'
+	topicRenewals      datagram.Topic = 'c'
 )
 
 const (
@@ -63,7 +66,7 @@
 		)),
 		fx.Module("coordination", fx.Provide(
 			rowstore.NewAvailability, health.NewTracker, newFollowers, newExchange, newDirectory, newPools, newLeadership, newLimits, newEngine,
-			newPlacement, newHolder,
+			newPlacement, newHolder, newLevels, newRenewals,
 		)),
 		fx.Module("transport", fx.Provide(newDialer, newTunnelServer, newServer, newForwardClient, newForwardServer)),
 	)
@@ -117,12 +120,12 @@
 }
 
 func newLeadership(instance *Instance, settings platform.Settings, store *rowstore.EraStore, promoter *platform.Promoter, dir *directory.Directory,
-	pools *pooling.Manager, tracker *health.Tracker, availability *rowstore.Availability, clock state.Clock, log zerolog.Logger,
+	pools *pooling.Manager, tracker *health.Tracker, availability *rowstore.Availability, collector *renewals.Collector, clock state.Clock, log zerolog.Logger,
 ) *leadership.Manager {
 	options := leadership.DefaultOptions()
 	options.DutyReleaseDelay = settings.DutyReleaseDelay
 	manager := leadership.New(leadership.Config{
-		Self: settings.Instance, Run: instance.run, Options: options, Store: store, Availability: availability, Directory: dir, Databases: pools,
+		Self: settings.Instance, Run: instance.run, Options: options, Store: store, Level: levels.Newest, Renewals: collector, Availability: availability, Directory: dir, Databases: pools,
 		OnPrimaryPosition: func(group state.GroupID, requestedAt state.Instant, position state.Position) {
 			instance.positions.Observe(group, requestedAt, position)
 		},
@@ -136,6 +139,19 @@
 	return manager
 }
 
+func newLevels(leaders *leadership.Manager, clock state.Clock, log zerolog.Logger) *levels.Gate {
+	return levels.NewGate(leaders, leadership.DefaultOptions().MaxLease, clock, log)
+}
+
+func newRenewals(instance *Instance, settings platform.Settings, store *rowstore.EraStore, clock state.Clock, log zerolog.Logger) *renewals.Collector {
+	return renewals.New(renewals.Config{
+		Self: settings.Instance, Store: store, Participant: func() renewals.Participant { return instance.leadership },
+		Membership: func() renewals.Membership { return instance.leadership },
+		InUse:      func() bool { return instance.levels.Uses(levels.CollectedRenewals) },
+		Messenger:  instance.peers.Sender(topicRenewals), Clock: clock, Log: log,
+	})
+}
+
 func newExchange(instance *Instance, leaders *leadership.Manager, clock state.Clock, log zerolog.Logger) *freshness.Exchange {
 	return freshness.NewExchange(freshness.NewTracker(), leaders, clock, leaders, instance.peers.Sender(topicPositions), log)
 }
--- a/internal/state/clock.go
+++ b/internal/state/clock.go
@@ -34,13 +34,14 @@
 
 // Pause waits for a time or until ctx ends, whichever comes first.
 func Pause(ctx context.Context, wait time.Duration) {
-	PauseOrWake(ctx, wait, nil)
+	_ = PauseOrWake(ctx, wait, nil)
 }
 
-// PauseOrWake is like Pause, but also returns when wake is ready to receive.
-func PauseOrWake(ctx context.Context, wait time.Duration, wake <-chan struct{}) {
+// PauseOrWake is like Pause, but also returns when wake is ready to receive. It
+// reports whether that was so.
+func PauseOrWake(ctx context.Context, wait time.Duration, wake <-chan struct{}) bool {
 	if wait <= 0 {
-		return
+		return false
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -48,7 +49,9 @@
 	case <-ctx.Done():
 	case <-timer.C:
 	case <-wake:
+		return true
 	}
+	return false
 }
 
 // Every calls action after each interval until ctx ends.
--- a/test/council/cluster_test.go
+++ b/test/council/cluster_test.go
@@ -19,9 +19,11 @@
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/health"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/identity"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/leadership"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/levels"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/placement"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/pooling"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/relay"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/renewals"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/rowstore"
 	standin "github.com/cyclamenpin/cyclamenpin/internal/standin/platform/council"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
@@ -70,6 +72,9 @@
 	identity identity.Policy
 	// workspaces is the number of workspaces to which connections belong.
 	workspaces int
+	// level is that of the build of instances that are started. One that states none
+	// takes no part in what came with levels.
+	level levels.Level
 	// oneDataCentre places all instances in one data centre, where they share watches
 	// although they are few.
 	oneDataCentre bool
@@ -98,6 +103,8 @@
 	pools      *pooling.Manager
 	engine     *relay.Engine
 	positions  *freshness.Exchange
+	levels     *levels.Gate
+	renewals   *renewals.Collector
 	placement  *placement.Table
 	holder     *forwarding.Holder
 	linkServer *forward.Server
@@ -152,7 +159,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		tc := &testCluster{
 			t: t, ctx: ctx, started: time.Now(), store: standin.NewStore(), group: standin.NewGroup(options), options: options,
-			instances: make(map[string]*instance), datagrams: make(map[string]int), log: log(t),
+			instances: make(map[string]*instance), datagrams: make(map[string]int), log: log(t), level: levels.Newest,
 		}
 		prepare(tc)
 		tc.group.SetPartition(tc.partitioned)
@@ -306,6 +313,13 @@
 func confirmations(i *instance, message []byte) []byte { return i.leadership.Receive(message) }
 func positions(i *instance, message []byte) []byte     { return i.positions.Receive(message) }
 
+func collectedRenewals(i *instance, message []byte) []byte {
+	if i.renewals == nil {
+		return nil
+	}
+	return i.renewals.Receive(message)
+}
+
 func registrations(i *instance, message []byte) []byte {
 	return i.registrations.Receive(message)
 }
@@ -374,7 +388,17 @@
 	if tc.oneDataCentre {
 		options.SmallFleet, dataCentre = 0, "one"
 	}
+	var sender leadership.Renewals
+	if tc.level >= levels.CollectedRenewals {
+		i.renewals = renewals.New(renewals.Config{
+			Self: state.InstanceID(name), Store: store, Participant: func() renewals.Participant { return i.leadership },
+			Membership: func() renewals.Membership { return i.leadership }, InUse: func() bool { return i.levels.Uses(levels.CollectedRenewals) },
+			Messenger: messenger{tc, name, "renewals", collectedRenewals}, Clock: clock, Log: log,
+		})
+		sender = i.renewals
+	}
 	i.leadership = leadership.New(leadership.Config{
+		Level: tc.level, Renewals: sender,
 		Self: state.InstanceID(name), Run: time.Now().UnixNano(), Options: options, Store: store, Availability: availability,
 		OnPrimaryPosition: func(group state.GroupID, requestedAt state.Instant, position state.Position) {
 			i.positions.Observe(group, requestedAt, position)
@@ -385,6 +409,7 @@
 		Messenger: messenger{tc, name, "confirmations", confirmations}, Address: name,
 		DataCentre: dataCentre, Clock: clock, Log: log,
 	})
+	i.levels = levels.NewGate(i.leadership, options.MaxLease, clock, log)
 	i.positions = freshness.NewExchange(freshness.NewTracker(), i.leadership, clock, i.leadership, messenger{tc, name, "positions", positions}, log)
 	i.engine = relay.New(ctx, relay.Config{
 		Directory: i.directory, Leadership: i.leadership, Freshness: i.positions, Pools: i.pools, Health: tracker,
@@ -411,6 +436,7 @@
 	follow(rowstore.FollowerConfig{Table: leadership.TablePrimaries, Wait: rowstore.LongWait, Apply: i.leadership.Apply})
 	go i.leadership.Run(ctx)
 	go i.pools.Run(ctx)
+	go i.levels.Run(ctx)
 	go state.Every(ctx, 250*time.Millisecond, i.placement.Update)
 }
 
--- a/test/council/property_test.go
+++ b/test/council/property_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/identity"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/levels"
 	standin "github.com/cyclamenpin/cyclamenpin/internal/standin/platform/council"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 )
@@ -27,16 +28,20 @@
 	forEachSeed(t, propertyRuns, runSeed)
 }
 
-// The same with instances that share the watch of registrations: the one that watches
-// is killed, cut off or loses the store, too.
+// The same with instances that share the watch of registrations and renew together: the
+// one that does so for the others is killed, cut off or loses the store, too. Instances
+// that restart are of this build or of one that states no level.
 func TestRandomFaultsBreakNoPromiseWithSharedWatches(t *testing.T) {
+	collected := 0
 	forEachSeed(t, propertyRuns/3, func(t *testing.T, seed uint64) {
 		prepare := func(tc *testCluster) { tc.oneDataCentre = true }
 		runPrepared(t, groupOptions(), fourInstances, testLog, prepare, func(tc *testCluster) {
-			tc.playSeed(seed, func(*testCluster, int) {})
+			tc.playSeed(seed, func(tc *testCluster, round int) { tc.level = levels.Newest * levels.Level(round%2) })
 			require.NotZero(tc.t, tc.sent()["registrations"])
+			collected += tc.sent()["renewals"]
 		})
 	})
+	require.NotZero(t, collected)
 }
 
 // forEachSeed runs a test body with each seed. The environment overrides the number of
