Limits without a stated tolerance get a usual one

Cause: with no window in the settings permits lasted 60 ms and a bucket's capacity was cut by what they may exceed; where the burst is below 60 ms of the rate it was zero, so every operation was refused.

Change: without a window the tolerance is 5 s, 0.1 and 20.

Ruled out: no limit at all, since operators state one.

--- a/internal/coordination/ratelimit/limiter.go
+++ b/internal/coordination/ratelimit/limiter.go
@@ -69,6 +69,9 @@
 
 // New returns a limiter, which asks nobody until Run is called.
 func New(config Config) *Limiter {
+	if config.Tolerance.Window == 0 {
+		config.Tolerance = defaultTolerance
+	}
 	l := &Limiter{Config: config, startedAt: config.Clock.Now(), stocks: make(map[state.WorkspaceID]*stock), avoided: make(map[state.InstanceID]avoidance)}
 	for shard := range l.links {
 		l.links[shard] = newLink(uint8(shard))
--- a/internal/coordination/ratelimit/limiter_test.go
+++ b/internal/coordination/ratelimit/limiter_test.go
@@ -163,3 +163,18 @@
 	t.Logf("%d of %d refused", refused, c.asked["hot"])
 	require.LessOrEqual(t, float64(refused), 0.01*float64(c.asked["hot"]))
 }
+
+// The operators limit a workspace and the settings state no tolerance. Without any, a
+// burst that is short beside the rate would admit nothing.
+func TestLimitWithoutATolerance(t *testing.T) {
+	limits := map[state.WorkspaceID]state.RateLimit{"w": {PerSecond: 1000, Burst: 50}}
+	c := newTestCluster(1, 4, limits)
+	c.tolerance = Tolerance{}
+	c.run(14 * time.Second)
+	c.load("w", 500)
+	c.run(2 * time.Second)
+	clear(c.asked)
+	clear(c.admitted)
+	c.run(4 * time.Second)
+	require.GreaterOrEqual(t, float64(len(c.admitted["w"])), 0.95*float64(c.asked["w"]))
+}
--- a/internal/coordination/ratelimit/options.go
+++ b/internal/coordination/ratelimit/options.go
@@ -15,6 +15,9 @@
 	Slack  float64
 }
 
+// defaultTolerance applies where the operators state limits but no tolerance.
+var defaultTolerance = Tolerance{Window: 5 * time.Second, Excess: 0.1, Slack: 20}
+
 const (
 	// shardCount is how many homes share the workspaces. All instances must agree
 	// on it.
