--- a/internal/standin/platform/council/settings.go
+++ b/internal/standin/platform/council/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 )
@@ -15,6 +16,13 @@
 		"Backends":[{"Name":%[2]q,"MaxConns":22,"SyncReplicas":0}],"Limits":{"TxIdleMs":3000}}`, version, group)
 }
 
+// ConfigurationWithWorkspace is Configuration with a workspace that holds the given
+// keys, without which the routes can't be used.
+func ConfigurationWithWorkspace(version uint64, group state.GroupID, keys ...string) []byte {
+	plain := Configuration(version, group)
+	return fmt.Appendf(plain[:len(plain)-1], `,"Tenants":[{"Name":"w1","ApiKeys":["%s"],"RatePerS":2000,"Burst":2000}]}`, strings.Join(keys, `","`))
+}
+
 // Addresses holds the addresses on which an instance listens, and those of the
 // platform's services.
 type Addresses struct {
--- a/test/soak/client_test.go
+++ b/test/soak/client_test.go
@@ -38,13 +38,18 @@
 
 // dial opens a session with the instance at address.
 func dial(address, route string, history *standin.History) (*client, error) {
+	return dialAs(address, route, "u1", history)
+}
+
+// dialAs opens a session with a key.
+func dialAs(address, route, key string, history *standin.History) (*client, error) {
 	conn, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
 		return nil, err
 	}
 	c := &client{conn: conn, reader: bufio.NewReader(conn), history: history, consistency: routeConsistencies[route]}
 	_ = conn.SetDeadline(time.Now().Add(replyTimeout))
-	if _, err := fmt.Fprintf(conn, "CONNECT %s u1\r\n", route); err != nil {
+	if _, err := fmt.Fprintf(conn, "CONNECT %s %s\r\n", route, key); err != nil {
 		return nil, err
 	}
 	line, err := c.reader.ReadString('\n')
--- a/test/soak/system_test.go
+++ b/test/soak/system_test.go
@@ -50,6 +50,12 @@
 	version         uint64
 	instances       []*instance
 	stopped         chan struct{}
+	// build is the program that instances run; empty for the one under test.
+	build string
+	// workspaces is set if clients need the key of a workspace, withdrawn once one of
+	// its keys is no longer valid.
+	workspaces bool
+	withdrawn  atomic.Bool
 	// partitionsPeers allows faults that partition instances from each other.
 	partitionsPeers bool
 }
@@ -71,6 +77,7 @@
 	// lifecycle is held while the process starts or stops. It is taken before mu.
 	lifecycle sync.Mutex
 	mu        sync.Mutex
+	binary    string // the build to run; empty for the one under test
 	process   *exec.Cmd
 	exited    chan struct{}
 	log       *os.File
@@ -78,10 +85,21 @@
 
 func newSystem(t *testing.T, instances int) *system {
 	t.Helper()
-	s := &system{t: t, store: standin.NewStore(), stopped: make(chan struct{}), group: standin.NewGroup(standin.Options{
+	return newSystemOf(t, instances, "", false)
+}
+
+// prepareSystem returns a system that begin starts.
+func prepareSystem(t *testing.T) *system {
+	return &system{t: t, store: standin.NewStore(), stopped: make(chan struct{}), group: standin.NewGroup(standin.Options{
 		Group: group, Databases: databases, MaxConnections: 22, Slots: 3, MaxQueued: 24, ServiceTime: 3 * time.Millisecond,
 		ReceiveDelay: 2 * time.Millisecond, ApplyDelay: 20 * time.Millisecond, PromotionDelay: 300 * time.Millisecond,
 	})}
+}
+
+// begin starts the stand-ins and the instances.
+func (s *system) begin(instances int) {
+	t := s.t
+	t.Helper()
 	for n := 1; n <= databases; n++ {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
@@ -107,7 +125,6 @@
 	for _, i := range s.instances {
 		i.start()
 	}
-	return s
 }
 
 // writeConfiguration writes the next version of the configuration to the store.
@@ -115,7 +132,7 @@
 	s.configurationMu.Lock()
 	defer s.configurationMu.Unlock()
 	s.version += 3
-	s.store.Put(platform.ConfigurationTable, platform.ConfigurationRow, standin.Configuration(s.version, group))
+	s.store.Put(platform.ConfigurationTable, platform.ConfigurationRow, s.configuration())
 }
 
 // rewriteConfiguration writes the newest configuration again, as operators do after
@@ -123,7 +140,7 @@
 func (s *system) rewriteConfiguration() {
 	s.configurationMu.Lock()
 	defer s.configurationMu.Unlock()
-	s.store.Put(platform.ConfigurationTable, platform.ConfigurationRow, standin.Configuration(s.version, group))
+	s.store.Put(platform.ConfigurationTable, platform.ConfigurationRow, s.configuration())
 }
 
 // maintainRegistrations writes the databases' registrations to the store on
@@ -227,7 +244,7 @@
 func (s *system) newInstance(name, promotions string) *instance {
 	peerPort := freePort(s.t)
 	i := &instance{
-		system: s, name: name, address: "127.0.0.1:" + freePort(s.t), settings: filepath.Join(s.t.TempDir(), name+".toml"),
+		system: s, name: name, binary: s.build, address: "127.0.0.1:" + freePort(s.t), settings: filepath.Join(s.t.TempDir(), name+".toml"),
 		peerAddress: "127.0.0.1:" + peerPort, peers: make(map[string]*peerProxy),
 	}
 	endpoint := httptest.NewServer(standin.Endpoint{Store: s.store, Caller: name, Rewrite: i.rewriteRow})
@@ -286,7 +303,7 @@
 		require.NoError(i.system.t, err)
 		i.log = log
 	}
-	process := exec.Command(binary, "entry", "--config", i.settings)
+	process := exec.Command(i.program(), "entry", "--config", i.settings)
 	process.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	process.Stdout, process.Stderr = i.log, i.log
 	require.NoError(i.system.t, process.Start())
