A restarted instance pledges its limits once all have forgotten its earlier runs

Cause: after a loss of power of all instances each waits 0.6 s from its start before it pledges to a home of limits, since a pledge of its earlier run may last.

Change: a restarted instance asks all that may hold such a pledge to forget it, and pledges when all have confirmed it, or after the 0.6 s as before. A home that has confirmed accepts no late message of an earlier run.

The model has three more rules, each red when left out.

--- a/internal/coordination/ratelimit/exchange.go
+++ b/internal/coordination/ratelimit/exchange.go
@@ -15,11 +15,15 @@
 	now := l.Clock.Now()
 	table := l.Routes()
 	standing, known := l.readStanding(now)
+	homes, unforgotten := l.possibleHomes(now)
 	l.mu.Lock()
 	l.adopt(table, now)
 	if known {
 		l.applyStanding(standing, now)
 	}
+	if unforgotten {
+		l.askToForget(homes, now)
+	}
 	maps.DeleteFunc(l.avoided, func(_ state.InstanceID, of avoidance) bool { return of.until <= now })
 	for _, h := range l.homes {
 		h.advance(now)
@@ -150,9 +154,7 @@
 // mayPledge reports whether this instance has a share that it may pledge to the home.
 // The caller must hold l.mu.
 func (l *Limiter) mayPledge(link *link, now state.Instant) bool {
-	// An earlier run's pledge may last.
-	started := now.Sub(l.startedAt) >= withDrift(pledgeLength(l.share.instances))
-	return started && !l.leaving && l.share.valid(now) && link.mayPledge(now)
+	return l.earlierPledgesOver(now) && !l.leaving && l.share.valid(now) && link.mayPledge(now)
 }
 
 // addPledge pledges this instance's share to the home, if it has one that is pledged
--- a/internal/coordination/ratelimit/home.go
+++ b/internal/coordination/ratelimit/home.go
@@ -142,19 +142,13 @@
 		return nil
 	}
 	h.advance(now)
-	a := h.askers[m.From]
-	if a == nil || a.run < m.Run {
-		earlier := a
-		a = &asker{run: m.Run}
-		h.askers[m.From] = a
-		if earlier != nil && earlier.weight > 0 {
-			h.reweigh()
-		}
+	if !h.forget(m.From, m.Run, now) {
+		return nil
 	}
-	if a.run != m.Run || !a.accept(m.Sequence) {
+	a := h.askers[m.From]
+	if !a.accept(m.Sequence) {
 		return nil
 	}
-	a.keptUntil = now.Add(withDrift(maxPledge))
 	if m.Pledge != nil && m.Sequence > a.pledged {
 		h.pledge(a, m)
 	}
--- a/internal/coordination/ratelimit/limiter.go
+++ b/internal/coordination/ratelimit/limiter.go
@@ -44,15 +44,17 @@
 	Config
 	startedAt state.Instant
 
-	mu       sync.Mutex
-	share    share
-	links    [shardCount]*link
-	homes    [shardCount]*home
-	stocks   map[state.WorkspaceID]*stock
-	table    *state.RoutingTable
-	avoided  map[state.InstanceID]avoidance
-	leaving  bool
-	outgoing []outgoing
+	mu      sync.Mutex
+	share   share
+	links   [shardCount]*link
+	homes   [shardCount]*home
+	stocks  map[state.WorkspaceID]*stock
+	table   *state.RoutingTable
+	avoided map[state.InstanceID]avoidance
+	leaving bool
+	// forgetting is about the pledges of earlier runs of this instance.
+	forgetting forgetting
+	outgoing   []outgoing
 	// renewedAt is the last renewal of the own row, and resumedAt the one that ended a
 	// gap in which others may have stopped counting this instance.
 	renewedAt, resumedAt time.Duration
@@ -232,6 +234,10 @@
 		l.receiveGrant(m, now)
 	case kindLeave:
 		l.receiveLeave(m, now)
+	case kindForget:
+		answer = l.forget(m, now)
+	case kindForgotten:
+		l.receiveForgotten(m)
 	}
 	l.flush()
 	if answer == nil {
--- a/internal/coordination/ratelimit/limiter_test.go
+++ b/internal/coordination/ratelimit/limiter_test.go
@@ -178,3 +178,26 @@
 	c.run(4 * time.Second)
 	require.GreaterOrEqual(t, float64(len(c.admitted["w"])), 0.95*float64(c.asked["w"]))
 }
+
+// All instances lose power and start again within a third of a second. Operations that
+// come then wait for partialAnswerWait at most, and homes must have pledges before.
+func TestRateIsBackSoonAfterAllRestart(t *testing.T) {
+	limits := map[state.WorkspaceID]state.RateLimit{"w": {PerSecond: 200, Burst: 200}}
+	c := newTestCluster(3, 26, limits)
+	c.run(20 * time.Second)
+	names := c.names()
+	for _, name := range names {
+		c.kill(name)
+	}
+	c.run(1600 * time.Millisecond)
+	for _, name := range names {
+		c.after(time.Duration(c.random.IntN(300))*time.Millisecond, func() { c.start(name) })
+	}
+	c.run(300 * time.Millisecond)
+	clear(c.admitted)
+	started := c.now
+	c.load("w", 100)
+	c.run(2 * time.Second)
+	require.NotEmpty(t, c.admitted["w"])
+	require.Less(t, slices.Min(c.admitted["w"]).Sub(started), partialAnswerWait)
+}
--- a/internal/coordination/ratelimit/message.go
+++ b/internal/coordination/ratelimit/message.go
@@ -22,6 +22,10 @@
 	kindGrant
 	// kindLeave tells that a home is leaving and holds no pledges any more.
 	kindLeave
+	// kindForget tells that its sender's earlier runs have ended, and kindForgotten
+	// that no pledge of theirs counts any more. Earlier builds answer neither.
+	kindForget
+	kindForgotten
 )
 
 // nonce is a time on the clock of one run of a home.
--- a/internal/coordination/ratelimit/model_test.go
+++ b/internal/coordination/ratelimit/model_test.go
@@ -24,6 +24,7 @@
 // modelRules are promises broken on purpose.
 type modelRules struct {
 	countFromReceipt, pledgeAnywhere, restartAtOnce, joinAtOnce, oldRows, keepTokens bool
+	oneForgets, forgetsNothing, acceptsLate                                          bool
 }
 
 type modelInstance struct {
@@ -49,6 +50,7 @@
 	instance     int8
 	home, age    int8
 	weight       int8
+	earlier      bool // of an earlier run
 }
 
 type modelState struct {
@@ -56,6 +58,8 @@
 	homes     [2]modelHome
 	message   modelMessage
 	restarted bool
+	// forgot says which homes have forgotten the first instance's earlier run.
+	forgot [2]bool
 	// rows is the age of the rows that the first instance has read, and knows whether
 	// they held both. It reads none while cut from the store.
 	rows       int8
@@ -124,7 +128,8 @@
 		established := i == 0 || rules.joinAtOnce || in.since >= modelJoin
 		fresh := i == 1 || s.rows < modelRows || rules.oldRows
 		free := in.left == 0 || in.to == int8(h) || rules.pledgeAnywhere
-		waited := i == 1 || in.since >= modelPledge || rules.restartAtOnce
+		forgotten := s.forgot[0] && s.forgot[1] || rules.oneForgets && (s.forgot[0] || s.forgot[1])
+		waited := i == 1 || in.since >= modelPledge || rules.restartAtOnce || forgotten
 		left := int8(modelPledge) - in.got
 		if in.nonce < 0 || in.from != int8(h) || !established || !fresh || !free || !waited {
 			return false
@@ -154,6 +159,15 @@
 		if !s.message.pledge && s.message.instance == 0 {
 			s.message = modelMessage{}
 		}
+		s.message.earlier = s.message.pledge && s.message.instance == 0
+	case "forget":
+		if i != 0 || !s.restarted || s.forgot[h] || in.since >= modelPledge || in.to != 0 || in.left != 0 {
+			return false
+		}
+		s.forgot[h] = true
+		if !rules.forgetsNothing {
+			s.homes[h].left[0], s.homes[h].weight[0] = 0, 0
+		}
 	default:
 		return false
 	}
@@ -174,6 +188,9 @@
 		in.from, in.nonce, in.got = m.home, m.age, 0
 		return true
 	}
+	if m.earlier && s.forgot[m.home] && !rules.acceptsLate {
+		return false
+	}
 	left := int8(modelPledge) - m.age
 	if rules.countFromReceipt {
 		left = modelPledge
@@ -214,7 +231,7 @@
 	}
 	add("tick", func(s *modelState) bool { return s.tick(rules) })
 	add("deliver", func(s *modelState) bool { return s.deliver(rules) })
-	for _, name := range []string{"send nonce", "send pledge", "lose", "read", "cut", "join", "restart"} {
+	for _, name := range []string{"send nonce", "send pledge", "lose", "read", "cut", "join", "restart", "forget"} {
 		for k := range 4 {
 			add(fmt.Sprintf("%s %d %d", name, k/2, k%2), func(s *modelState) bool { return s.step(name, k/2, k%2, rules) })
 		}
@@ -247,6 +264,9 @@
 		"an instance that joined waits":    {joinAtOnce: true},
 		"old rows give no share":           {oldRows: true},
 		"buckets are cut when pledges end": {keepTokens: true},
+		"both homes forget":                {oneForgets: true},
+		"a home forgets the pledge":        {forgetsNothing: true},
+		"a home accepts no late pledge":    {acceptsLate: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			states, trace := exploreModel(rules)
