The order in a test of a starting instance no longer depends on the scheduler

It checked that nothing is in force before the platform and the peers were queried, but its goroutine could be held up until they had been: what was in force was revision 2, which comes from the query, not the offered revision 1.

Change: the fake platform answers only after the check.

Ruled out: a fault of the follower.

--- a/internal/coordination/configuration/follow_test.go
+++ b/internal/coordination/configuration/follow_test.go
@@ -162,13 +162,16 @@
 		time.Sleep(30 * time.Second)
 		c.tables.mu.Lock()
 		c.tables.down = true
-		c.tables.mu.Unlock()
 
+		// The platform's failure is known only once the lock is released, however long
+		// this goroutine is held up.
 		late := c.startInstance(ctx, 9, 4)
 		changes, unsubscribe := late.Subscribe()
 		defer unsubscribe()
 		late.Offer(ctx, old.Configuration, SourcePeer)
-		require.Nil(t, late.Current(), "nothing is in force before the platform and the peers were queried")
+		current := late.Current()
+		c.tables.mu.Unlock()
+		require.Nil(t, current, "nothing is in force before the platform and the peers were queried")
 		first := <-changes
 		require.EqualValues(t, 2, first.Revision)
 		_, found := late.groups.Get("g")
