--- a/review/stage/case_prepared.go
+++ b/review/stage/case_prepared.go
@@ -10,6 +10,8 @@
 	// greyTime is how long a database refuses part of its requests, greyShare which part.
 	greyTime  = 6500 * time.Millisecond
 	greyShare = 0.36
+	// shapes is how many statements the requesters' programs have, of each kind.
+	shapes = 60
 )
 
 // unknown counts the answers to EXECUTE of a name whose preparing was acknowledged.
@@ -26,9 +28,10 @@
 	var counted atomic.Pointer[unknown]
 	before, during, after := &unknown{}, &unknown{}, &unknown{}
 	counted.Store(before)
+	var sessions atomic.Int64
 	for n := range 12 {
 		e, name := s.entries[n%len(s.entries)], fmt.Sprintf("requester%d", n)
-		s.background(func() { s.preparedRequester(e, name, n, &counted) })
+		s.background(func() { s.preparedRequester(e, name, sessions.Add(1)%shapes, &counted) })
 	}
 	s.pause(8 * time.Second)
 	primary := s.group.primary()
@@ -57,8 +60,8 @@
 	return nil
 }
 
-// preparedRequester prepares a read and a write of its own shape and executes them.
-func (s *stage) preparedRequester(e *entry, name string, n int, counted *atomic.Pointer[unknown]) {
+// preparedRequester opens a session, prepares a read and a write and executes them.
+func (s *stage) preparedRequester(e *entry, name string, shape int64, counted *atomic.Pointer[unknown]) {
 	const pause = 60 * time.Millisecond
 	c, err := connect(e, name, "desk", s.record)
 	if err != nil {
@@ -66,10 +69,10 @@
 		return
 	}
 	defer c.close()
-	if _, answered := c.run(fmt.Sprintf("PREPARE r READ shape%d", n%4)); !answered.ok() {
+	if _, answered := c.run(fmt.Sprintf("PREPARE r READ shape%d", shape)); !answered.ok() {
 		return
 	}
-	if _, answered := c.run(fmt.Sprintf("PREPARE w WRITE shape%d", n%4)); !answered.ok() {
+	if _, answered := c.run(fmt.Sprintf("PREPARE w WRITE shape%d", shape)); !answered.ok() {
 		return
 	}
 	for round := range 40 {
