--- a/review/stage/case_primary.go
+++ b/review/stage/case_primary.go
@@ -71,6 +71,7 @@
 	counted.Store(before)
 	s.load(18, 50*time.Millisecond, &counted)
 	s.pause(10 * time.Second)
+	counted.Store(&tally{})
 	if s.trouble {
 		lost := s.group.primary()
 		s.record.say("the machine of the primary %s goes dark for good", lost.id)
