--- a/review/stage/case_promote.go
+++ b/review/platform/case_promote.go
@@ -6,7 +6,6 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/cyclamenpin/cyclamenpin/internal/coordination/leadership"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/rowstore"
 )
 
@@ -120,11 +119,20 @@
 	return nil
 }
 
+// primariesTable is the table in which instances announce changes of primary.
+const primariesTable = "primaries"
+
+// announcement is the part of a row of primariesTable that tells who makes a change.
+type announcement struct {
+	Changing bool   `msgpack:"changing"`
+	Promoter string `msgpack:"promoter"`
+}
+
 // awaitAnnouncement waits until an instance has announced a change of primary, and
 // returns it.
 func (s *stage) awaitAnnouncement() (*entry, error) {
-	var announced leadership.Record
-	found := s.platform.awaitRow(leadership.TablePrimaries, 5*time.Second, func(row rowstore.Row) bool {
+	var announced announcement
+	found := s.platform.awaitRow(primariesTable, 5*time.Second, func(row rowstore.Row) bool {
 		return msgpack.Unmarshal(row.Value, &announced) == nil && announced.Changing
 	})
 	for _, e := range s.entries {
--- a/review/stage/main.go
+++ b/review/platform/main.go
@@ -1,4 +1,4 @@
-// Command stage plays one case of the review: it starts the project's entry instances as
+// Command platform plays one case of the review: it starts the project's entry instances as
 // separate processes on loopback addresses, with a stand-in for the platform, for the
 // databases and for the clients, and checks one rule by what these have seen.
 //
