A promotion call without an answer keeps the duty until it can't be carried out any more

Cause: the promotion duty passed on when its lease had ended, as if no call could outlive it by more than 0.8 s. The partition held a call back for 12 s. It arrived after another holder had promoted with a higher token, and a database that was being replaced led again.

Change: a call is written to the duty's row before it is sent, and is sent only while the row says that it may still be carried out. A call ends with an answer, after 15 s, or when its database leads, unless a second call was made beside it. A silent call is not repeated.

Why it works: a promoter that is cut off can't write the record, so nothing is on its way; where something is, everyone who could act reads so in the row.

TestPromoterStopsWhenItsAnnouncementIsReplaced called a function that is gone; it now replaces the announcement before and while the call is recorded.

--- a/internal/coordination/leadership/change.go
+++ b/internal/coordination/leadership/change.go
@@ -111,7 +111,7 @@
 	}
 	status := chosen.status
 	if !done {
-		if status, err = m.promote(ctx, attempt, chosen.server); err != nil {
+		if status, err = m.promote(ctx, attempt, chosen); err != nil {
 			return "", err
 		}
 	}
--- a/internal/coordination/leadership/choose.go
+++ b/internal/coordination/leadership/choose.go
@@ -25,12 +25,25 @@
 // chooseReplica returns the replica with the newest received position. It waits
 // up to catchUpTimeout for a replica to receive the old primary's last writes.
 // done is set if the returned database is primary already, by an earlier
-// attempt.
+// attempt. While a promotion call of an earlier attempt may still be carried out, it
+// returns no other database than the one that the call makes primary.
 func (m *Manager) chooseReplica(ctx context.Context, attempt *changeAttempt) (chosen candidate, done bool, err error) {
 	deadline := m.Clock.Now().Add(catchUpTimeout)
 	for {
 		candidates := m.queryCandidates(ctx, attempt)
-		if successor, ok := attempt.newestSuccessor(candidates); ok {
+		successor, found := attempt.newestSuccessor(candidates)
+		if found {
+			m.endCarriedOut(attempt.group, successor)
+		}
+		if database, pending := m.pendingCall(attempt.group); pending && (!found || database != successor.server.ID || attempt.uncertain) {
+			if ctx.Err() != nil {
+				return candidate{}, false, eris.Wrapf(state.ErrNoAnswer, "promotion of %s", database)
+			}
+			deadline = m.Clock.Now().Add(catchUpTimeout)
+			state.Pause(ctx, statusInterval)
+			continue
+		}
+		if found {
 			return successor, !attempt.uncertain, nil
 		}
 		late := m.Clock.Now() >= deadline
--- a/internal/coordination/leadership/doc.go
+++ b/internal/coordination/leadership/doc.go
@@ -23,7 +23,10 @@
 //     while the lease is valid;
 //   - an epoch is acknowledged only after every grant of earlier epochs was
 //     released or its connection closed;
-//   - a promotion is sent only while the duty's lease is valid.
+//   - a promotion is sent only while the duty's lease is valid, and after it was
+//     recorded in the duty's row;
+//   - while a promotion call may still be carried out, the duty passes to no other
+//     instance and no other database of the group is promoted.
 //
 // Locks: Grant.mu and the locks of Directory and Health may be acquired while
 // Manager.mu is held. Closers of grants run without it.
--- a/internal/coordination/leadership/duty.go
+++ b/internal/coordination/leadership/duty.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -21,47 +22,84 @@
 	version uint64
 	// users is the number of changes in progress.
 	users int
-	// uncertain is set when a promotion call failed with an unknown outcome. The
-	// call may still take effect later, so the duty is not released early but
-	// left to expire.
-	uncertain bool
+	// calls holds this run's promotion calls that may still be carried out. They
+	// stay in an era of the store that begins meanwhile.
+	calls []*promotionCall
+	// writeTime is how long the last write of the duty's row took.
+	writeTime time.Duration
 }
 
 // acquireDuty acquires or renews the duty and returns its fencing token.
 func (m *Manager) acquireDuty(ctx context.Context) (uint64, error) {
-	snapshot, err := m.Store.List(ctx, TableDuties)
-	if err != nil {
-		return 0, err
-	}
-	var row rowstore.Row
+	var token uint64
+	err := m.inDutyTurn(ctx, func() error {
+		snapshot, err := m.Store.List(ctx, TableDuties)
+		if err != nil {
+			return err
+		}
+		next, version, err := m.nextDuty(ctx, snapshot)
+		if err != nil {
+			return err
+		}
+		token = next.Token
+		return m.writeDuty(ctx, next, snapshot.Era, version)
+	})
+	return token, err
+}
+
+// nextDuty returns the duty's row as this instance may write it, given the rows of
+// TableDuties, and the version of the row that it replaces.
+func (m *Manager) nextDuty(ctx context.Context, snapshot rowstore.Snapshot) (next dutyRecord, version uint64, err error) {
 	var current dutyRecord
-	for _, candidate := range snapshot.Rows {
-		if candidate.Key == dutyPromotion {
-			row = candidate
+	for _, row := range snapshot.Rows {
+		if row.Key != dutyPromotion {
+			continue
 		}
-	}
-	if row.Version != 0 {
 		if err := decode(row.Key, row.Value, &current); err != nil {
-			return 0, err
+			return dutyRecord{}, 0, err
 		}
+		version = row.Version
 	}
 	m.mu.Lock()
 	lowest, age := m.era.lowest(), m.eraAge(snapshot.Now)
 	m.mu.Unlock()
 	// A holder of an earlier era may be missing from the row.
-	unknown := current.Token < lowest || row.Version == 0
+	unknown := current.Token < lowest || version == 0
 	if unknown && age <= m.Options.DutyLease+leaseMargin {
-		return 0, eris.Wrap(errDutyTaken, "another instance may hold it since before the store was restored")
+		return dutyRecord{}, 0, eris.Wrap(errDutyTaken, "another instance may hold it since before the store was restored")
 	}
 	mine := current.Holder == m.runName && !unknown
-	if !mine && !unknown && int64(snapshot.Now) < current.FreeAt {
-		return 0, eris.Wrapf(errDutyTaken, "held by %s", current.Holder)
+	if !mine && !unknown && !m.dutyFree(ctx, current, snapshot.Now) {
+		return dutyRecord{}, 0, eris.Wrapf(errDutyTaken, "held by %s", current.Holder)
 	}
-	next := dutyRecord{Holder: m.runName, Token: max(current.Token, lowest), FreeAt: int64(snapshot.Now + m.Options.DutyLease + leaseMargin)}
+	next = dutyRecord{Holder: m.runName, Token: max(current.Token, lowest)}
 	if !mine {
 		next.Token++
 	}
-	return next.Token, m.writeDuty(ctx, next, snapshot.Era, row.Version)
+	return m.extendDuty(next, snapshot.Now), version, nil
+}
+
+// dutyFree reports whether the duty in another holder's row may be acquired: its lease
+// has expired, and none of its promotion calls can be carried out any more.
+func (m *Manager) dutyFree(ctx context.Context, current dutyRecord, storeNow time.Duration) bool {
+	if int64(storeNow) >= current.FreeAt {
+		return true
+	}
+	return len(current.Calls) > 0 && int64(storeNow) >= current.HeldUntil && m.allCarriedOut(ctx, current.Calls)
+}
+
+// extendDuty returns the duty's row with a lease from now on. The duty is not free
+// while a promotion call may still be carried out.
+func (m *Manager) extendDuty(record dutyRecord, storeNow time.Duration) dutyRecord {
+	record.HeldUntil = int64(storeNow + m.Options.DutyLease + leaseMargin)
+	record.FreeAt = record.HeldUntil
+	m.mu.Lock()
+	record.Calls = m.duty.pendingCalls(storeNow, m.era.number)
+	m.mu.Unlock()
+	for _, call := range record.Calls {
+		record.FreeAt = max(record.FreeAt, call.Until)
+	}
+	return record
 }
 
 func (m *Manager) writeDuty(ctx context.Context, next dutyRecord, eraNumber, version uint64) error {
@@ -69,22 +107,37 @@
 	if err != nil {
 		return err
 	}
+	started := m.Clock.Now()
 	commit, err := m.commitOnce(ctx, rowstore.Transaction{
 		Era: eraNumber, Conditions: []rowstore.Condition{{Table: TableDuties, Key: dutyPromotion, Version: version}},
 		Puts: []rowstore.Row{{Table: TableDuties, Key: dutyPromotion, Value: value}},
 	})
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.duty.writeTime = m.Clock.Now().Sub(started)
 	if err != nil {
 		return err
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	if m.era.number != eraNumber {
 		return eris.Wrapf(rowstore.ErrEraChanged, "promotion duty of era %d", eraNumber)
 	}
 	m.duty.held, m.duty.record, m.duty.version = true, next, commit.Version
+	m.duty.markRecorded(next.Calls)
 	return nil
 }
 
+// inDutyTurn runs action while no other change of this instance reads or writes the
+// duty's row, so that their writes don't conflict.
+func (m *Manager) inDutyTurn(ctx context.Context, action func() error) error {
+	select {
+	case m.dutyTurn <- struct{}{}:
+		defer func() { <-m.dutyTurn }()
+		return action()
+	case <-ctx.Done():
+		return eris.Wrap(ctx.Err(), "wait for the row of the promotion duty")
+	}
+}
+
 // dutyValid reports whether a promotion may be sent now. The last leaseMargin of
 // the duty's lease is reserved for calls in flight.
 func (m *Manager) dutyValid() bool {
@@ -92,7 +145,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	storeNow, known := m.lease.clock.upperBound(now)
-	return known && m.duty.held && int64(storeNow+leaseMargin) < m.duty.record.FreeAt
+	return known && m.duty.held && int64(storeNow+leaseMargin) < m.duty.record.HeldUntil
 }
 
 // addDutyUser registers a change that uses the duty.
@@ -102,34 +155,38 @@
 	m.duty.users++
 }
 
-// removeDutyUser unregisters a change. After the last one the duty is released:
-// other instances may acquire it after DutyReleaseDelay.
+// removeDutyUser unregisters a change, and releases the duty after the last one.
 func (m *Manager) removeDutyUser(ctx context.Context) {
 	m.mu.Lock()
 	m.duty.users--
-	release := m.duty.users == 0 && m.duty.held && !m.duty.uncertain
-	record, version, eraNumber := m.duty.record, m.duty.version, m.era.number
-	storeNow, _ := m.lease.clock.upperBound(m.Clock.Now())
-	if m.duty.users == 0 {
-		m.duty.uncertain = false
-	}
-	m.mu.Unlock()
-	if !release {
-		return
-	}
-	record.FreeAt = int64(storeNow + m.Options.DutyReleaseDelay)
-	if err := m.writeDuty(ctx, record, eraNumber, version); err != nil {
-		m.Log.Warn().Err(err).Msg("failed to release the promotion duty, it expires on its own")
-	}
-	m.mu.Lock()
-	m.duty.held = m.duty.users > 0 && m.duty.held
 	m.mu.Unlock()
+	m.releaseDuty(ctx)
 }
 
-func (m *Manager) markDutyUncertain() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.duty.uncertain = true
+// releaseDuty gives the duty up if no change uses it and no promotion call may still be
+// carried out: other instances may acquire it after DutyReleaseDelay. Otherwise it is
+// left to expire.
+func (m *Manager) releaseDuty(ctx context.Context) {
+	err := m.inDutyTurn(ctx, func() error {
+		m.mu.Lock()
+		release := m.duty.users == 0 && m.duty.held && len(m.duty.calls) == 0
+		record, version, eraNumber := m.duty.record, m.duty.version, m.era.number
+		storeNow, _ := m.lease.clock.upperBound(m.Clock.Now())
+		m.mu.Unlock()
+		if !release {
+			return nil
+		}
+		record.FreeAt = int64(storeNow + m.Options.DutyReleaseDelay)
+		record.HeldUntil, record.Calls = record.FreeAt, nil
+		err := m.writeDuty(ctx, record, eraNumber, version)
+		m.mu.Lock()
+		m.duty.held = m.duty.users > 0 && m.duty.held
+		m.mu.Unlock()
+		return err
+	})
+	if err != nil {
+		m.Log.Warn().Err(err).Msg("failed to release the promotion duty, it expires on its own")
+	}
 }
 
 // withRetries repeats a store write until it succeeds or conflicts, or until
--- a/internal/coordination/leadership/manager.go
+++ b/internal/coordination/leadership/manager.go
@@ -31,7 +31,8 @@
 	StepDown(ctx context.Context, server state.Server, term state.Term) (state.ServerStatus, error)
 }
 
-// Promoter makes a database its group's primary.
+// Promoter makes a database its group's primary. Its error is state.ErrNoAnswer if the
+// call may still be carried out.
 type Promoter interface {
 	Promote(ctx context.Context, group state.GroupID, database state.DatabaseID, holder state.InstanceID, token uint64) error
 }
@@ -121,7 +122,11 @@
 	rowVersion    uint64
 	confirmations confirmations
 	duty          duty
-	heartbeats    uint64
+	// dutyTurn holds a value while a change reads or writes the duty's row.
+	dutyTurn chan struct{}
+	// lastCall numbers the promotion calls.
+	lastCall   uint64
+	heartbeats uint64
 	// renewalFailures counts consecutive failures to renew the lease.
 	renewalFailures int
 	// collectedAt is when the last renewal that another instance sent was offered.
@@ -172,7 +177,7 @@
 		Config: config, runName: nameOfRun(config.Self, config.Run),
 		groups: make(map[state.GroupID]*group), changed: make(chan struct{}),
 		heartbeatNow: make(chan struct{}, 1), readMembersNow: make(chan struct{}, 1), members: newMembers(config.Self, config.DataCentre),
-		probing: make(map[state.DatabaseID]bool), nextProbe: make(map[state.DatabaseID]state.Instant),
+		dutyTurn: make(chan struct{}, 1), probing: make(map[state.DatabaseID]bool), nextProbe: make(map[state.DatabaseID]state.Instant),
 	}
 }
 
--- a/internal/coordination/leadership/options.go
+++ b/internal/coordination/leadership/options.go
@@ -140,6 +140,9 @@
 	// catchUpTimeout bounds the wait for a replica to receive the old
 	// primary's last writes.
 	catchUpTimeout = 1500 * time.Millisecond
+	// callLifetime is how long after it was sent a promotion call without an answer may
+	// still be carried out. It exceeds the usual partitions, 12 s.
+	callLifetime = 15 * time.Second
 	// promotionTimeout bounds the wait for a promotion to take effect; the slowest
 	// known promotion took one second.
 	promotionTimeout = 5 * time.Second
--- a/internal/coordination/leadership/promote.go
+++ b/internal/coordination/leadership/promote.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -10,55 +11,62 @@
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 )
 
-// promote requests the promotion of a database and waits until it leads.
-func (m *Manager) promote(ctx context.Context, attempt *changeAttempt, server state.Server) (state.ServerStatus, error) {
+// promote requests the promotion of a database and waits until it leads. The call is
+// repeated only if it failed: one that is silent may be slow.
+func (m *Manager) promote(ctx context.Context, attempt *changeAttempt, chosen candidate) (state.ServerStatus, error) {
 	deadline := m.Clock.Now().Add(promotionTimeout)
+	var call *promotionCall
 	var accepted bool
-	var nextRequest state.Instant
+	var nextCall state.Instant
 	for {
-		now := m.Clock.Now()
-		if !accepted && now >= nextRequest {
+		if call == nil && m.Clock.Now() >= nextCall {
 			var err error
-			if accepted, err = m.requestPromotion(ctx, attempt, server); err != nil {
+			if call, err = m.startCall(ctx, attempt, chosen); err != nil {
 				return state.ServerStatus{}, err
 			}
-			nextRequest = m.Clock.Now().Add(promoteInterval)
-			if accepted && attempt.uncertain {
+		}
+		answered, err := call.await(ctx, statusInterval)
+		switch {
+		case !answered:
+		case errors.Is(err, state.ErrNotRunning):
+			return state.ServerStatus{}, err
+		case err != nil:
+			call, nextCall = nil, m.Clock.Now().Add(promoteInterval)
+		default:
+			accepted = true
+			if attempt.uncertain {
 				// The database may report itself as primary of a superseded term
 				// until the promotion takes effect.
 				state.Pause(ctx, promotionSettles)
 			}
 		}
-		if reply, ok := m.queryCandidate(ctx, directory.Entry{Server: server}); ok && attempt.isSuccessor(reply) {
+		reply, ok := m.queryCandidate(ctx, directory.Entry{Server: chosen.server})
+		if ok && attempt.isSuccessor(reply) && (accepted || !attempt.uncertain) {
+			m.endCarriedOut(attempt.group, reply)
 			return reply.status, nil
 		}
 		if ctx.Err() != nil || m.Clock.Now() >= deadline {
-			return state.ServerStatus{}, eris.Errorf("database %s does not lead %s after its promotion was requested", server.ID, promotionTimeout)
+			return state.ServerStatus{}, eris.Errorf("database %s does not lead %s after its promotion was requested", chosen.server.ID, promotionTimeout)
 		}
-		state.Pause(ctx, statusInterval)
 	}
 }
 
-// requestPromotion sends one promotion call. It returns false if the call failed
-// and must be repeated.
-func (m *Manager) requestPromotion(ctx context.Context, attempt *changeAttempt, server state.Server) (bool, error) {
-	if !m.dutyValid() {
-		return false, eris.New("the promotion duty has expired")
-	}
-	if !m.isCurrent(attempt) {
-		return false, eris.Wrapf(errSuperseded, "group %s, epoch %d", attempt.group, attempt.epoch)
-	}
-	sent := m.Clock.Now()
-	err := m.Promoter.Promote(ctx, attempt.group, server.ID, m.Self, attempt.token)
-	m.Log.Info().Err(err).Str("group", string(attempt.group)).Str("database", string(server.ID)).Uint64("epoch", attempt.epoch).
-		Uint64("token", attempt.token).Dur("held_ms", m.Clock.Now().Sub(sent)).Msg("promotion requested")
-	if errors.Is(err, state.ErrNotRunning) {
-		return false, err
+// await waits for the call's answer for up to the given time, or only waits if there is
+// no call or its answer is known. It reports whether the answer came.
+func (c *promotionCall) await(ctx context.Context, limit time.Duration) (answered bool, err error) {
+	var answers chan error
+	if c != nil {
+		answers = c.answered
 	}
-	if err != nil && !errors.Is(err, state.ErrTooManyCalls) {
-		m.markDutyUncertain()
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case err := <-answers:
+		return true, err
+	case <-timer.C:
+	case <-ctx.Done():
 	}
-	return err == nil, nil
+	return false, nil
 }
 
 // isCurrent reports whether no later announcement than the attempt's is known.
--- /dev/null
+++ b/internal/coordination/leadership/promotioncall.go
@@ -0,0 +1,223 @@
+package leadership
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/directory"
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// A promotion call without an answer may be carried out any time during callLifetime,
+// whatever its sender does to the connection, and the platform doesn't refuse a lower
+// fencing token. So a call is first recorded in the duty's row. While it is there,
+//   - the duty passes to no other instance,
+//   - no other database of the group is promoted.
+// A call ends when the platform answers, when callLifetime has passed, or, if no call of
+// its group was made beside it, when the database is seen to lead.
+
+// promotionCall is a promotion call of this run.
+type promotionCall struct {
+	recordedCall
+	// recorded is set once the duty's row holds the call, in the given era. Only then
+	// it may be sent.
+	recorded bool
+	era      uint64
+	// answered receives the outcome; it has room for it.
+	answered chan error
+}
+
+// recordedCall is a promotion call in the duty's row.
+type recordedCall struct {
+	Group    state.GroupID    `msgpack:"g"`
+	Database state.DatabaseID `msgpack:"d"`
+	// Term is the database's term before the call. It leads in a later one once the
+	// call has been carried out.
+	Term state.Term `msgpack:"t"`
+	// Number distinguishes the calls of one run.
+	Number uint64 `msgpack:"n"`
+	// Repeated is set if another call of the group was made while this one was pending:
+	// that the database leads does not show which of them was carried out.
+	Repeated bool `msgpack:"r"`
+	// Until is when the call can't be carried out any more, on the store's clock, in
+	// nanoseconds. So it must be sent callLifetime earlier.
+	Until int64 `msgpack:"u"`
+}
+
+// carriedOut reports whether a database's status shows that the call was carried out.
+func (c recordedCall) carriedOut(status state.ServerStatus) bool {
+	return !c.Repeated && status.Role == state.RolePrimary && status.Term > c.Term
+}
+
+// pendingCalls returns the calls as the duty's row, which is written at the given time
+// of the store's clock, shall hold them. The lock of the manager must be held.
+func (d *duty) pendingCalls(storeNow time.Duration, era uint64) []recordedCall {
+	var calls []recordedCall
+	for _, call := range d.calls {
+		if !call.recorded || call.era != era {
+			// The call is sent when the write has succeeded.
+			call.Until, call.era = int64(storeNow+2*d.writeTime+leaseMargin+callLifetime), era
+		}
+		calls = append(calls, call.recordedCall)
+	}
+	return calls
+}
+
+// markRecorded marks the calls that the duty's row holds now. The lock of the manager
+// must be held.
+func (d *duty) markRecorded(written []recordedCall) {
+	for _, call := range d.calls {
+		if slices.ContainsFunc(written, func(w recordedCall) bool { return w.Number == call.Number && w.Until == call.Until }) {
+			call.recorded = true
+		}
+	}
+}
+
+// pendingCall returns the database of a group that a call which may still be carried
+// out names.
+func (m *Manager) pendingCall(id state.GroupID) (state.DatabaseID, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, call := range m.duty.calls {
+		if call.Group == id {
+			return call.Database, true
+		}
+	}
+	return "", false
+}
+
+// startCall records a promotion call in the duty's row and then sends it.
+func (m *Manager) startCall(ctx context.Context, attempt *changeAttempt, chosen candidate) (*promotionCall, error) {
+	if err := m.mayPromote(attempt); err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	m.lastCall++
+	repeated := false
+	for _, earlier := range m.duty.calls {
+		if earlier.Group == attempt.group {
+			earlier.Repeated, repeated = true, true
+		}
+	}
+	call := &promotionCall{
+		recordedCall: recordedCall{Group: attempt.group, Database: chosen.server.ID, Term: chosen.status.Term, Number: m.lastCall, Repeated: repeated},
+		answered:     make(chan error, 1),
+	}
+	m.duty.calls = append(m.duty.calls, call)
+	m.mu.Unlock()
+	if err := m.recordCall(ctx, call, attempt.token); err != nil {
+		m.endCall(call)
+		return nil, eris.Wrapf(err, "record the promotion of %s", chosen.server.ID)
+	}
+	if err := m.maySend(call, attempt); err != nil {
+		m.endCall(call)
+		return nil, err
+	}
+	go m.sendCall(context.WithoutCancel(ctx), call, attempt)
+	return call, nil
+}
+
+// recordCall writes the duty's row with a call, unless a write for another call of this
+// instance has included it.
+func (m *Manager) recordCall(ctx context.Context, call *promotionCall, token uint64) error {
+	return m.inDutyTurn(ctx, func() error {
+		m.mu.Lock()
+		recorded, held := call.recorded, m.duty.held && m.duty.record.Token == token
+		record, version, eraNumber := m.duty.record, m.duty.version, m.era.number
+		storeNow, _ := m.lease.clock.upperBound(m.Clock.Now())
+		m.mu.Unlock()
+		if recorded {
+			return nil
+		}
+		if !held {
+			return eris.Wrap(errDutyTaken, "the duty was lost before the call")
+		}
+		return m.writeDuty(ctx, m.extendDuty(record, storeNow), eraNumber, version)
+	})
+}
+
+// maySend reports why a recorded call must not be sent now, if it must not: its write may
+// have taken long.
+func (m *Manager) maySend(call *promotionCall, attempt *changeAttempt) error {
+	now := m.Clock.Now()
+	m.mu.Lock()
+	storeNow, _ := m.lease.clock.upperBound(now)
+	late := time.Duration(call.Until) < storeNow+callLifetime
+	m.mu.Unlock()
+	if late {
+		return eris.Wrapf(errDutyTaken, "the promotion of %s was recorded too late", call.Database)
+	}
+	return m.mayPromote(attempt)
+}
+
+// mayPromote reports why this instance must not promote now, if it must not.
+func (m *Manager) mayPromote(attempt *changeAttempt) error {
+	if !m.dutyValid() {
+		return eris.New("the promotion duty has expired")
+	}
+	if !m.isCurrent(attempt) {
+		return eris.Wrapf(errSuperseded, "group %s, epoch %d", attempt.group, attempt.epoch)
+	}
+	return nil
+}
+
+// sendCall sends a call and waits for its end.
+func (m *Manager) sendCall(ctx context.Context, call *promotionCall, attempt *changeAttempt) {
+	sent := m.Clock.Now()
+	callCtx, cancel := context.WithTimeout(ctx, callLifetime)
+	err := m.Promoter.Promote(callCtx, call.Group, call.Database, m.Self, attempt.token)
+	cancel()
+	m.Log.Info().Err(err).Str("group", string(call.Group)).Str("database", string(call.Database)).Uint64("epoch", attempt.epoch).
+		Uint64("token", attempt.token).Dur("held_ms", m.Clock.Now().Sub(sent)).Msg("promotion requested")
+	call.answered <- err
+	if errors.Is(err, state.ErrNoAnswer) {
+		state.Pause(ctx, callLifetime-m.Clock.Now().Sub(sent))
+	}
+	if m.endCall(call) {
+		m.releaseDuty(ctx)
+	}
+}
+
+// endCall removes a call that can't be carried out any more, and reports whether it was
+// the last one.
+func (m *Manager) endCall(call *promotionCall) (last bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	before := len(m.duty.calls)
+	m.duty.calls = slices.DeleteFunc(m.duty.calls, func(other *promotionCall) bool { return other == call })
+	return before > 0 && len(m.duty.calls) == 0
+}
+
+// endCarriedOut removes the group's call if a database's status shows that it was
+// carried out.
+func (m *Manager) endCarriedOut(id state.GroupID, found candidate) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.duty.calls = slices.DeleteFunc(m.duty.calls, func(call *promotionCall) bool {
+		return call.Group == id && call.Database == found.server.ID && call.carriedOut(found.status)
+	})
+}
+
+// allCarriedOut asks the databases that another holder's calls name, and reports
+// whether all of these calls were carried out.
+func (m *Manager) allCarriedOut(ctx context.Context, calls []recordedCall) bool {
+	results := make([]bool, len(calls))
+	var queries sync.WaitGroup
+	for n, call := range calls {
+		entry, registered := m.Directory.Server(call.Group, call.Database)
+		if !registered {
+			return false
+		}
+		queries.Go(func() {
+			reply, ok := m.queryCandidate(ctx, directory.Entry{Server: entry.Server})
+			results[n] = ok && call.carriedOut(reply.status)
+		})
+	}
+	queries.Wait()
+	return !slices.Contains(results, false)
+}
--- a/internal/coordination/leadership/record.go
+++ b/internal/coordination/leadership/record.go
@@ -129,8 +129,13 @@
 	Holder string `msgpack:"holder"`
 	Token  uint64 `msgpack:"token"`
 	// FreeAt is when another instance may acquire the duty, on the store's clock,
-	// in nanoseconds.
+	// in nanoseconds. Promotion calls may be carried out until then.
 	FreeAt int64 `msgpack:"free_at"`
+	// HeldUntil is when the holder's lease ends; it sends no call later. 0 in rows of
+	// builds that state none.
+	HeldUntil int64 `msgpack:"held_until,omitempty"`
+	// Calls holds the holder's calls without an answer.
+	Calls []recordedCall `msgpack:"calls,omitempty"`
 }
 
 func encode(value any) ([]byte, error) {
--- a/internal/coordination/leadership/transact_test.go
+++ b/internal/coordination/leadership/transact_test.go
@@ -176,19 +176,42 @@
 	return nil
 }
 
+// interruptedStore calls during before each transaction.
+type interruptedStore struct {
+	*lossyStore
+	during func()
+}
+
+func (s interruptedStore) Transact(ctx context.Context, transaction rowstore.Transaction) (rowstore.Commit, error) {
+	s.during()
+	return s.lossyStore.Transact(ctx, transaction)
+}
+
 // Another instance announces a change of the group while a promoter has not promoted
-// yet. Two promotions would go out.
+// yet, before or while it records the call. Two promotions would go out.
 func TestPromoterStopsWhenItsAnnouncementIsReplaced(t *testing.T) {
-	clock := &manualClock{now: state.Instant(time.Minute)}
-	m, _ := newTestManager(clock, &fakeStore{clock: clock})
-	promoter := &countingPromoter{}
-	m.Promoter = promoter
-	m.observeStore(clock.now, clock.now, time.Duration(clock.now))
-	m.duty.held, m.duty.record.FreeAt = true, int64(clock.now)+int64(time.Minute)
-	m.applyRecord("g", Record{Epoch: 2, Changing: true, Primary: "d1", Promoter: "b#1"}, 12, clock.now)
-	_, err := m.requestPromotion(t.Context(), &changeAttempt{group: "g", epoch: 1}, state.Server{})
-	require.ErrorIs(t, err, errSuperseded)
-	require.Zero(t, promoter.calls)
+	for _, before := range []bool{true, false} {
+		clock := &manualClock{now: state.Instant(time.Minute)}
+		m, _ := newTestManager(clock, &fakeStore{clock: clock})
+		promoter := &countingPromoter{}
+		m.Promoter = promoter
+		m.observeStore(clock.now, clock.now, time.Duration(clock.now))
+		m.duty.held, m.duty.record.HeldUntil, m.duty.record.Token = true, int64(clock.now)+int64(time.Minute), 7
+		m.applyRecord("g", Record{Epoch: 1, Changing: true, Primary: "d1", Promoter: m.runName}, 11, clock.now)
+		replace := func() {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			m.applyRecord("g", Record{Epoch: 2, Changing: true, Primary: "d1", Promoter: "b#1"}, 12, clock.now)
+		}
+		m.Store = interruptedStore{&lossyStore{clock: clock, rows: map[string]rowstore.Row{}}, replace}
+		if before {
+			replace()
+		}
+		_, err := m.startCall(t.Context(), &changeAttempt{group: "g", epoch: 1, token: 7}, candidate{})
+		require.ErrorIs(t, err, errSuperseded)
+		require.Zero(t, promoter.calls)
+		require.Empty(t, m.duty.calls)
+	}
 }
 
 // A change that was announced because a promotion may have been forgotten is taken
--- a/internal/standin/platform/council/group.go
+++ b/internal/standin/platform/council/group.go
@@ -80,6 +80,12 @@
 	// used each. An entry for token 0 means that two holders used the same token.
 	tokens  []uint64
 	holders map[uint64]state.InstanceID
+	// latePromotions is the number of promotion calls that break without an answer and
+	// are carried out after promotionLateness. If it is 0, calls are carried out and
+	// answered after promotionLateness.
+	latePromotions    int
+	promotionLateness time.Duration
+	unanswered        int
 	// partition reports whether two parties can't reach each other; nil for none.
 	partition func(a, b string) bool
 }
@@ -384,6 +390,26 @@
 	})
 }
 
+// LosePromotions lets the connections of the next n promotion calls break without an
+// answer. The calls are carried out after late all the same.
+func (g *Group) LosePromotions(n int, late time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.latePromotions, g.promotionLateness = n, late
+}
+
+// UnansweredPromotions returns how many promotion calls broke without an answer.
+func (g *Group) UnansweredPromotions() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.unanswered
+}
+
+// DelayPromotions carries out and answers promotion calls late from now on.
+func (g *Group) DelayPromotions(late time.Duration) {
+	g.LosePromotions(0, late)
+}
+
 // Promoter returns the promotion call as instances use it.
 func (g *Group) Promoter() *Promoter { return &Promoter{group: g} }
 
@@ -393,7 +419,42 @@
 // Promote implements leadership.Promoter.
 func (p *Promoter) Promote(ctx context.Context, _ state.GroupID, id state.DatabaseID, holder state.InstanceID, token uint64) error {
 	state.Pause(ctx, callLatency)
-	g := p.group
+	carryOut := func() error { return p.group.carryOut(id, holder, token) }
+	late, lost := p.group.promotionFault()
+	if late == 0 {
+		return carryOut()
+	}
+	result := make(chan error, 1)
+	time.AfterFunc(late, func() { result <- carryOut() })
+	if lost {
+		return eris.Wrapf(state.ErrNoAnswer, "promote %s: the connection was closed", id)
+	}
+	select {
+	case err := <-result:
+		return err
+	case <-ctx.Done():
+		return eris.Wrapf(state.ErrNoAnswer, "promote %s", id)
+	}
+}
+
+// promotionFault returns by how much a promotion call is late, and whether its answer
+// is lost.
+func (g *Group) promotionFault() (late time.Duration, lost bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	late = g.promotionLateness
+	if g.latePromotions == 0 {
+		return late, false
+	}
+	g.unanswered++
+	if g.latePromotions--; g.latePromotions == 0 {
+		g.promotionLateness = 0
+	}
+	return late, true
+}
+
+// carryOut carries out a promotion call.
+func (g *Group) carryOut(id state.DatabaseID, holder state.InstanceID, token uint64) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if other, used := g.holders[token]; used && other != holder {
@@ -406,7 +467,7 @@
 			continue
 		}
 		if database.down {
-			return eris.Errorf("%s does not run", id)
+			return eris.Wrapf(state.ErrNotRunning, "promote %s", id)
 		}
 		if database != g.leader {
 			time.AfterFunc(g.options.PromotionDelay, func() { g.promote(database) })
--- a/internal/state/group.go
+++ b/internal/state/group.go
@@ -36,6 +36,10 @@
 // too many calls.
 var ErrTooManyCalls = errors.New("the platform refused the call because it has too many calls")
 
+// ErrNoAnswer means that a call may have been carried out, or may still be, because no
+// answer came.
+var ErrNoAnswer = errors.New("the call was not answered")
+
 // ErrNoTunnel means that a connection can't be tunnelled through another
 // instance, because none is known that reaches the database.
 var ErrNoTunnel = errors.New("no other instance reaches the database")
--- /dev/null
+++ b/test/council/latepromotion_test.go
@@ -0,0 +1,93 @@
+package council
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// awaitNewLeader waits until another database leads and writes succeed.
+func (tc *testCluster) awaitNewLeader(old state.DatabaseID, limit time.Duration) {
+	tc.t.Helper()
+	tc.eventually(limit, "another primary than "+string(old), func() bool {
+		return tc.group.Leader().ID != old && tc.newestRun("b").writable()
+	})
+}
+
+// A promotion call that was not answered is carried out after its sender has been lost.
+// Until then no other holder may promote, or the call arrives with a lower token and
+// replaces the new primary.
+func TestCallOfALostPromoterArrivesLate(t *testing.T) {
+	run(t, fourInstances, func(tc *testCluster) {
+		time.Sleep(25 * time.Second)
+		const late = 9 * time.Second
+		tc.group.LosePromotions(1, late)
+		old := tc.group.Leader().ID
+		tc.retirePrimary()
+		promoter := tc.awaitPromoter()
+		promoter.kill()
+		for _, name := range without(fourInstances, []string{promoter.name}) {
+			go tc.keepWriting(tc.ctx, name)
+		}
+		time.Sleep(late + 20*time.Second)
+		require.NotEqual(tc.t, old, tc.group.Leader().ID)
+		require.Empty(tc.t, tc.rolledBack())
+		tc.requireValidPromotions()
+	})
+}
+
+// The connection of a promotion call breaks. The call is repeated, and both the first
+// call and later changes must leave one primary: the first one arrives seconds later.
+func TestRepeatedCallDoesNotUndoALaterChange(t *testing.T) {
+	run(t, fourInstances, func(tc *testCluster) {
+		time.Sleep(25 * time.Second)
+		const late = 9 * time.Second
+		tc.group.LosePromotions(1, late)
+		first := tc.group.Leader().ID
+		tc.retirePrimary()
+		tc.awaitNewLeader(first, 5*time.Second)
+		second := tc.group.Leader().ID
+		for _, name := range fourInstances {
+			go tc.keepWriting(tc.ctx, name)
+		}
+		tc.retirePrimary()
+		time.Sleep(late + 20*time.Second)
+		require.NotEqual(tc.t, second, tc.group.Leader().ID)
+		require.Empty(tc.t, tc.rolledBack())
+		tc.requireValidPromotions()
+	})
+}
+
+// The promotion endpoint is slow. The call is neither repeated nor given up, and the
+// change ends once it was carried out.
+func TestSlowPromotionIsWaitedFor(t *testing.T) {
+	run(t, fourInstances, func(tc *testCluster) {
+		time.Sleep(25 * time.Second)
+		const late = 7 * time.Second
+		tc.group.DelayPromotions(late)
+		old := tc.group.Leader().ID
+		tc.retirePrimary()
+		tc.awaitNewLeader(old, late+3*time.Second)
+		tokens, _ := tc.group.Tokens()
+		require.Len(tc.t, tokens, 1)
+		tc.requireValidPromotions()
+	})
+}
+
+// awaitPromoter waits until an instance has sent a promotion call, and returns it.
+func (tc *testCluster) awaitPromoter() *instance {
+	tc.t.Helper()
+	var promoter *instance
+	tc.eventually(5*time.Second, "a promotion call", func() bool {
+		for _, name := range fourInstances {
+			if i := tc.newestRun(name); i.leadership.DutyHeld() {
+				promoter = i
+			}
+		}
+		return promoter != nil && tc.group.UnansweredPromotions() > 0
+	})
+	return promoter
+}
