A recorded primary that reports itself as replica is replaced

Cause: the causes of a change are a primary that leaves, is gone or can't be reached. One that answers was kept, whatever role it reported. A promotion that no record shows, or a request to step down that is carried out after its change was given up, leaves the group without writes.

Change: a primary that refuses a statement as read-only is probed. If it reports itself as replica in a reply to a question asked after the record was seen, that is a cause of its own: the database that leads in a later term is recorded, or the newest replica is promoted.

Evidence: TestPrimaryThatWasSupersededUnnoticedIsReplaced and TestPrimaryThatWasMadeToStepDownIsReplaced wait for 5 s without a write on the old code; both pass now.

Ruled out: probing each primary at all times, which takes a slot of every database in each second for what one refusal tells.

--- a/internal/coordination/leadership/apply.go
+++ b/internal/coordination/leadership/apply.go
@@ -64,7 +64,8 @@
 	if record.Changing && !g.record.Changing {
 		g.changingSince = now
 	}
-	g.record, g.seenAt, g.suspected = record, now, false
+	g.record, g.seenAt = record, now
+	g.suspected, g.doubted, g.demoted = false, false, false
 	m.Log.Info().Str("group", string(id)).Uint64("epoch", record.Epoch).Bool("changing", record.Changing).Bool("planned", record.Planned).
 		Str("primary", string(record.Primary)).Str("promoter", record.Promoter).Int("grants", len(g.grants)).Msg("primary's record changed")
 	switch {
--- a/internal/coordination/leadership/evaluate.go
+++ b/internal/coordination/leadership/evaluate.go
@@ -14,6 +14,7 @@
 const (
 	causeLeaving     cause = "leaving"     // its backend server is being retired
 	causeGone        cause = "gone"        // it is no longer registered
+	causeDemoted     cause = "demoted"     // it reports that it is no primary any more
 	causeUnreachable cause = "unreachable" // more than half of its watchers cannot reach it
 	causeResume      cause = "resume"      // a change announced by this run is unfinished
 	causeTakeOver    cause = "take_over"   // a change by another instance does not progress
@@ -88,6 +89,9 @@
 // findCause reports whether the primary of a group that is not being changed
 // should be replaced, and why. The caller must hold m.mu.
 func (m *Manager) findCause(id state.GroupID, g *group, entry directory.Entry, registered bool) (cause, bool) {
+	if g.demoted {
+		return causeDemoted, true
+	}
 	if !g.suspected {
 		if entry.Leaving {
 			return causeLeaving, true
--- a/internal/coordination/leadership/manager.go
+++ b/internal/coordination/leadership/manager.go
@@ -162,6 +162,9 @@
 	// uses; revoking is the newest epoch whose revocation has started.
 	acknowledged, revoking uint64
 	suspected              bool
+	// doubted is set if a database that was used as primary refused to be one, until
+	// a probe has asked it. demoted is set if it then reported itself as replica.
+	doubted, demoted bool
 	dueSince               state.Instant
 	// changingSince is when the change in progress was first seen.
 	changingSince state.Instant
--- a/internal/coordination/leadership/probe.go
+++ b/internal/coordination/leadership/probe.go
@@ -19,7 +19,7 @@
 	primaryFails := m.Health.Degraded(primary)
 	for _, entry := range m.Directory.Servers(id) {
 		isPrimary := entry.ID == primary
-		due := m.probeDue(entry, isPrimary, watches, primaryFails)
+		due := m.probeDue(entry, isPrimary, watches, primaryFails) || isPrimary && m.doubts(id)
 		if m.reserveProbe(entry.ID, due, isPrimary, watches) {
 			m.probeOnce(ctx, id, entry.Server)
 		}
@@ -111,6 +111,9 @@
 		usable := m.mayUse(group, server.ID)
 		status, err := m.Databases.Probe(ctx, server)
 		m.recordProbe(server.ID, err)
+		if err == nil {
+			m.recordRole(group, server, requestedAt, status)
+		}
 		if err == nil && usable && status.Role == state.RolePrimary {
 			m.OnPrimaryPosition(group, requestedAt, status.Received)
 		}
@@ -130,6 +133,44 @@
 	return grant.Primary == id
 }
 
+// DoubtPrimary has a group's primary asked for its role, after it has refused to run a
+// statement as primary.
+func (m *Manager) DoubtPrimary(id state.GroupID, database state.DatabaseID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	g := m.group(id)
+	if primary, known := m.primaryOf(id, g); known && primary == database && !g.record.Changing {
+		g.doubted = true
+	}
+}
+
+func (m *Manager) doubts(id state.GroupID) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.group(id).doubted
+}
+
+// recordRole records the role that a database reported when it was asked at the given
+// time. The primary of a record that was known by then leads, unless a promotion that
+// the record does not show, or a late request to step down, has taken effect.
+func (m *Manager) recordRole(id state.GroupID, server state.Server, requestedAt state.Instant, status state.ServerStatus) {
+	m.mu.Lock()
+	g := m.group(id)
+	primary, known := m.primaryOf(id, g)
+	relevant := known && primary == server.ID && !g.record.Changing && requestedAt > g.seenAt
+	demoted := status.Role == state.RoleReplica
+	changed := relevant && g.demoted != demoted
+	if relevant {
+		g.doubted, g.demoted = false, demoted
+	}
+	epoch := g.record.Epoch
+	m.mu.Unlock()
+	if changed {
+		m.Log.Warn().Str("group", string(id)).Str("database", string(server.ID)).Uint64("epoch", epoch).
+			Uint64("term", uint64(status.Term)).Bool("demoted", demoted).Msg("the recorded primary reported its role")
+	}
+}
+
 // recordProbe records the result of a probe. A database that closes the
 // connection at startup may only have run out of connections or may be
 // unusable, so this counts as a warning and not as a failure.
--- a/internal/coordination/relay/engine.go
+++ b/internal/coordination/relay/engine.go
@@ -28,6 +28,8 @@
 	Acquire(group state.GroupID) (*leadership.Grant, error)
 	Changed() <-chan struct{}
 	Primary(group state.GroupID) (state.DatabaseID, bool)
+	// DoubtPrimary reports that a primary refused to run a statement as one.
+	DoubtPrimary(group state.GroupID, database state.DatabaseID)
 	TermStart(group state.GroupID) state.Position
 	// PeersReachingPrimary returns other instances that can use the primary.
 	PeersReachingPrimary(group state.GroupID) []string
--- a/internal/coordination/relay/request.go
+++ b/internal/coordination/relay/request.go
@@ -101,6 +101,9 @@
 
 // recordRefusal records a database's error reply as the last error.
 func (r *request) recordRefusal(reply state.Reply) {
+	if reply.Code == state.CodeReadOnly && r.role == "primary" {
+		r.session.engine.Leadership.DoubtPrimary(r.route.Group, r.server)
+	}
 	r.lastError = &pooling.RefusedError{Code: reply.Code, Detail: reply.Detail}
 }
 
--- a/internal/standin/platform/council/group.go
+++ b/internal/standin/platform/council/group.go
@@ -477,6 +477,16 @@
 	return eris.Errorf("%s is not known", id)
 }
 
+// Supersede promotes a database without the knowledge of any instance, as a promotion
+// call does whose sender is gone. The old primary follows it.
+func (g *Group) Supersede(database *Database) {
+	old := g.Leader()
+	g.promote(database)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	old.follow(database)
+}
+
 // promote makes a database the leader of the next term with the log that it has
 // received, and the reachable replicas follow it. The old leader is not notified.
 func (g *Group) promote(database *Database) {
--- a/test/council/latepromotion_test.go
+++ b/test/council/latepromotion_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	standin "github.com/cyclamenpin/cyclamenpin/internal/standin/platform/council"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 )
 
@@ -91,3 +92,53 @@
 	})
 	return promoter
 }
+
+// A promotion takes effect that no record shows. The recorded primary answers, but
+// refuses all writes, and must not be kept because of its answers.
+func TestPrimaryThatWasSupersededUnnoticedIsReplaced(t *testing.T) {
+	run(t, fourInstances, func(tc *testCluster) {
+		time.Sleep(25 * time.Second)
+		first := tc.group.Leader().ID
+		tc.retirePrimary()
+		tc.awaitNewLeader(first, 5*time.Second)
+		recorded := tc.group.Leader()
+		for _, name := range fourInstances {
+			go tc.keepWriting(tc.ctx, name)
+		}
+		time.Sleep(time.Second)
+		for n := 1; n <= tc.options.Databases; n++ {
+			if database := tc.group.Database(n); database != recorded && database.ID != first {
+				tc.group.Supersede(database)
+				break
+			}
+		}
+		tc.eventually(5*time.Second, "writes at the database that leads", func() bool { return tc.instances["a"].writable() })
+		require.NotEqual(tc.t, recorded.ID, tc.group.Leader().ID)
+		tokens, _ := tc.group.Tokens()
+		require.Len(tc.t, tokens, 1, "the database leads already")
+		tc.requireValidPromotions()
+	})
+}
+
+// A request to step down arrives after its sender has given up the change. No database
+// leads then.
+func TestPrimaryThatWasMadeToStepDownIsReplaced(t *testing.T) {
+	run(t, fourInstances, func(tc *testCluster) {
+		time.Sleep(25 * time.Second)
+		old := tc.group.Leader().ID
+		tc.retirePrimary()
+		tc.awaitNewLeader(old, 5*time.Second)
+		tc.instances["a"].stepDown(tc.group.Leader())
+		require.False(tc.t, tc.instances["b"].writable())
+		tc.eventually(5*time.Second, "writes at another primary", func() bool { return tc.instances["b"].writable() })
+		require.Empty(tc.t, tc.rolledBack())
+		tc.requireValidPromotions()
+	})
+}
+
+// stepDown makes a database step down on behalf of this instance.
+func (i *instance) stepDown(database *standin.Database) {
+	server := database.Server()
+	_, err := i.pools.StepDown(i.ctx, server, 3)
+	require.NoError(i.cluster.t, err)
+}
