An instance's row is removed and written only if it is the one that was read

What callers could have seen: a change of primary that does not wait for an instance with a lease, so that a superseded primary acknowledges writes.

Cause: a call to the store without an answer may take effect seconds later. Leave removed the instance's row without a condition, which can hit the row of the next run. The row of an instance that waits in a new era was written without one, which can replace a later renewal: others then read that the instance has no lease.

Change: both depend on the row's version, as renewals do. If a renewal without an answer was committed, an instance that leaves finds its own row in the conflict and removes it.

Evidence: TestLateWriteOfTheOwnRowReplacesNoLaterOne (both writes) and TestLeavingInstanceRemovesTheRowOfAnUnansweredRenewal fail on the old code and pass now.

--- a/internal/coordination/leadership/heartbeat.go
+++ b/internal/coordination/leadership/heartbeat.go
@@ -32,14 +32,41 @@
 func (m *Manager) Leave(ctx context.Context) {
 	m.mu.Lock()
 	m.left, m.lease.acquired, m.lease.carriedUntil = true, false, 0
-	eraNumber := m.era.number
+	eraNumber, version := m.era.number, m.rowVersion
 	m.mu.Unlock()
-	_, err := m.Store.Transact(ctx, rowstore.Transaction{Era: eraNumber, Deletes: []rowstore.Row{m.ownRow(nil)}})
+	err := m.removeOwnRow(ctx, eraNumber, version)
+	var conflict *rowstore.ConflictError
+	if errors.As(err, &conflict) {
+		// A renewal without a response may have been committed.
+		if row, found := conflict.Row(m.ownCondition(version)); found && m.isOfThisRun(row) {
+			err = m.removeOwnRow(ctx, eraNumber, row.Version)
+		}
+	}
 	if err != nil {
 		m.Log.Warn().Err(err).Msg("failed to remove the instance's row, it expires on its own")
 	}
 }
 
+// removeOwnRow removes this instance's row if it has the given version: a removal that
+// takes effect late must not remove the row of the next run.
+func (m *Manager) removeOwnRow(ctx context.Context, eraNumber, version uint64) error {
+	_, err := m.Store.Transact(ctx, rowstore.Transaction{
+		Era: eraNumber, Conditions: []rowstore.Condition{m.ownCondition(version)}, Deletes: []rowstore.Row{m.ownRow(nil)},
+	})
+	return err
+}
+
+// isOfThisRun reports whether this run wrote an instance's row.
+func (m *Manager) isOfThisRun(row rowstore.Row) bool {
+	var written heartbeat
+	return decode(row.Key, row.Value, &written) == nil && written.Run == m.Config.Run
+}
+
+// ownCondition returns the condition that this instance's row has the given version.
+func (m *Manager) ownCondition(version uint64) rowstore.Condition {
+	return rowstore.Condition{Table: TableInstances, Key: string(m.Self), Version: version}
+}
+
 // ownRow returns this instance's row with the given value.
 func (m *Manager) ownRow(value []byte) rowstore.Row {
 	return rowstore.Row{Table: TableInstances, Key: string(m.Self), Value: value}
@@ -136,7 +163,7 @@
 	defer m.mu.Unlock()
 	return m.era.number, []rowstore.Condition{
 		{Table: TableGenerations, Key: rowPrimaries, Version: m.generation},
-		{Table: TableInstances, Key: string(m.Self), Version: m.rowVersion},
+		m.ownCondition(m.rowVersion),
 	}
 }
 
--- a/internal/coordination/leadership/manager.go
+++ b/internal/coordination/leadership/manager.go
@@ -165,7 +165,7 @@
 	// doubted is set if a database that was used as primary refused to be one, until
 	// a probe has asked it. demoted is set if it then reported itself as replica.
 	doubted, demoted bool
-	dueSince               state.Instant
+	dueSince         state.Instant
 	// changingSince is when the change in progress was first seen.
 	changingSince state.Instant
 	// expected is the last expectation of a promoter.
--- a/internal/coordination/leadership/settle.go
+++ b/internal/coordination/leadership/settle.go
@@ -83,11 +83,13 @@
 }
 
 // writeWaitingRow writes this instance's row without renewing its lease. It shows the
-// others that this instance knows of the era and has no lease of an earlier one.
+// others that this instance knows of the era and has no lease of an earlier one. The
+// condition on the row's version keeps a write that takes effect late from replacing a
+// renewal.
 func (m *Manager) writeWaitingRow(ctx context.Context) {
 	m.mu.Lock()
 	written, valid, eraNumber := m.era.waitingRowWritten, m.lease.valid(m.Clock.Now()), m.era.number
-	afterRestore := m.members.afterRestore(eraNumber)
+	afterRestore, condition := m.members.afterRestore(eraNumber), m.ownCondition(m.rowVersion)
 	m.mu.Unlock()
 	if written || valid {
 		return
@@ -100,7 +102,9 @@
 		return
 	}
 	err = callStore(ctx, heartbeatTimeout, func(ctx context.Context) error {
-		_, err := m.Store.Transact(ctx, rowstore.Transaction{Era: eraNumber, Puts: []rowstore.Row{m.ownRow(value)}})
+		_, err := m.Store.Transact(ctx, rowstore.Transaction{
+			Era: eraNumber, Conditions: []rowstore.Condition{condition}, Puts: []rowstore.Row{m.ownRow(value)},
+		})
 		m.recordWaitingRow(eraNumber, err)
 		return err
 	}, func(error) {})
--- a/internal/coordination/leadership/transact_test.go
+++ b/internal/coordination/leadership/transact_test.go
@@ -23,11 +23,14 @@
 	version uint64
 	rows    map[string]rowstore.Row
 	commits int
+	// sent holds the transactions, for their repetition.
+	sent []rowstore.Transaction
 }
 
 func (s *lossyStore) Transact(_ context.Context, transaction rowstore.Transaction) (rowstore.Commit, error) {
 	conflict := &rowstore.ConflictError{Step: "transact"}
 	held := true
+	s.sent = append(s.sent, transaction)
 	for _, condition := range transaction.Conditions {
 		row := s.rows[condition.Key]
 		conflict.Rows = append(conflict.Rows, row)
@@ -40,6 +43,9 @@
 			row.Version = s.version
 			s.rows[row.Key] = row
 		}
+		for _, row := range transaction.Deletes {
+			delete(s.rows, row.Key)
+		}
 	}
 	if s.lose > 0 {
 		s.lose--
@@ -151,6 +157,49 @@
 	require.ErrorIs(t, err, rowstore.ErrConflict)
 }
 
+// A write of an instance's row gets no response and takes effect seconds later, after a
+// renewal, or after the next run has written its row. Then a promoter would not wait for
+// an instance that holds a lease.
+func TestLateWriteOfTheOwnRowReplacesNoLaterOne(t *testing.T) {
+	for name, write := range map[string]func(*Manager){
+		"waiting row": func(m *Manager) { m.writeWaitingRow(t.Context()) },
+		"removal":     func(m *Manager) { m.Leave(t.Context()) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			clock := &manualClock{now: state.Instant(time.Minute)}
+			first, err := encode(heartbeat{Run: 1})
+			require.NoError(t, err)
+			row := rowstore.Row{Table: TableInstances, Key: "a", Value: first, Version: 10}
+			store := &lossyStore{clock: clock, version: 10, rows: map[string]rowstore.Row{"a": row}}
+			m, _ := newTestManager(clock, &fakeStore{clock: clock})
+			m.Store, m.rowVersion = store, 10
+			write(m)
+			late := store.sent[0]
+
+			store.version, store.rows["a"] = 12, rowstore.Row{Table: TableInstances, Key: "a", Value: first, Version: 12}
+			_, err = store.Transact(t.Context(), late)
+			require.ErrorIs(t, err, rowstore.ErrConflict)
+			require.Equal(t, uint64(12), store.rows["a"].Version)
+		})
+	}
+}
+
+// A renewal without a response has been committed when the instance leaves. Its row must
+// go, or promoters wait for the lease, but not the row of another run.
+func TestLeavingInstanceRemovesTheRowOfAnUnansweredRenewal(t *testing.T) {
+	for run, removed := range map[int64]bool{1: true, 2: false} {
+		clock := &manualClock{now: state.Instant(time.Minute)}
+		value, err := encode(heartbeat{Run: run})
+		require.NoError(t, err)
+		store := &lossyStore{clock: clock, version: 11, rows: map[string]rowstore.Row{"a": {Table: TableInstances, Key: "a", Value: value, Version: 11}}}
+		m, _ := newTestManager(clock, &fakeStore{clock: clock})
+		m.Store, m.rowVersion, m.Config.Run = store, 10, 1
+		m.Leave(t.Context())
+		_, found := store.rows["a"]
+		require.Equal(t, removed, !found)
+	}
+}
+
 // A row states when its lease expires, so that a promoter waits no longer although it
 // has read the row late.
 func TestPromoterWaitsForTheLeaseThatTheRowStates(t *testing.T) {
