A group whose primary was never changed gets one if none is registered

Cause: without a record the primary is the database that registers as one, and changes are only made of a known primary. When its registration expires before the restarted instances have found it unreachable, none is known and evaluate returns.

Change: an unknown primary is a cause for a change after 3 s, made like one after a restoration of the store: a database that leads is confirmed, otherwise the newest replica is promoted. Databases register again within 2 s of the store's return, and may start one after the other, so that a shorter wait could replace a live primary.

Ruled out: a record for each group at its first sight, which is a write and a wake-up of all watchers for each of 1,800 groups to cover what one cause does.

--- a/internal/coordination/leadership/change.go
+++ b/internal/coordination/leadership/change.go
@@ -65,7 +65,7 @@
 	started := m.Clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
-	attempt := &changeAttempt{group: id, old: old, planned: why == causeLeaving || why == causeGone, uncertain: why == causeUnconfirmed}
+	attempt := &changeAttempt{group: id, old: old, planned: why == causeLeaving || why == causeGone, uncertain: why == causeUnconfirmed || why == causeNoPrimary}
 	promoted, err := m.attemptChange(ctx, attempt, why)
 	event := m.Log.Info()
 	result := "done"
--- a/internal/coordination/leadership/evaluate.go
+++ b/internal/coordination/leadership/evaluate.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cyclamenpin/cyclamenpin/internal/coordination/directory"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 )
 
@@ -14,6 +13,7 @@
 const (
 	causeLeaving     cause = "leaving"     // its backend server is being retired
 	causeGone        cause = "gone"        // it is no longer registered
+	causeNoPrimary   cause = "no_primary"  // none is recorded, and not one database registers as primary
 	causeDemoted     cause = "demoted"     // it reports that it is no primary any more
 	causeUnreachable cause = "unreachable" // more than half of its watchers cannot reach it
 	causeResume      cause = "resume"      // a change announced by this run is unfinished
@@ -35,16 +35,18 @@
 	m.mu.Lock()
 	g := m.group(id)
 	primary, known := m.primaryOf(id, g)
-	if !m.ready || !known || g.running || !m.lease.valid(m.Clock.Now()) {
+	if !m.ready || g.running || !m.lease.valid(m.Clock.Now()) {
 		m.mu.Unlock()
 		return
 	}
 	m.mu.Unlock()
-	m.probe(ctx, id, primary)
-	m.updateSuspicion(id, primary)
+	if known {
+		m.probe(ctx, id, primary)
+		m.updateSuspicion(id, primary)
+	}
 
 	m.mu.Lock()
-	why, due := m.changeDue(id, g, primary)
+	why, due := m.changeDue(id, g, primary, known)
 	if due {
 		g.running = true
 	}
@@ -61,8 +63,8 @@
 }
 
 // changeDue reports whether this instance should change the group's primary now,
-// and why. The caller must hold m.mu.
-func (m *Manager) changeDue(id state.GroupID, g *group, primary state.DatabaseID) (cause, bool) {
+// and why. known is whether the group has a primary. The caller must hold m.mu.
+func (m *Manager) changeDue(id state.GroupID, g *group, primary state.DatabaseID, known bool) (cause, bool) {
 	stagger := time.Duration(m.rankingOf(id).position) * staggerStep
 	if g.record.Changing {
 		if g.record.Promoter == m.runName {
@@ -74,8 +76,7 @@
 	if !m.hasCandidate(id, primary) {
 		return "", false
 	}
-	entry, registered := m.Directory.Server(id, primary)
-	why, due := m.findCause(id, g, entry, registered)
+	why, due := m.findCause(id, g, primary, known)
 	if !due {
 		g.dueSince = 0
 		return "", false
@@ -83,23 +84,30 @@
 	if g.dueSince == 0 {
 		g.dueSince = m.Clock.Now()
 	}
-	return why, m.Clock.Now().Sub(g.dueSince) >= stagger
+	wait := stagger
+	if why == causeNoPrimary {
+		wait += noPrimaryPatience
+	}
+	return why, m.Clock.Now().Sub(g.dueSince) >= wait
 }
 
 // findCause reports whether the primary of a group that is not being changed
 // should be replaced, and why. The caller must hold m.mu.
-func (m *Manager) findCause(id state.GroupID, g *group, entry directory.Entry, registered bool) (cause, bool) {
-	if g.demoted {
+func (m *Manager) findCause(id state.GroupID, g *group, primary state.DatabaseID, known bool) (cause, bool) {
+	entry, registered := m.Directory.Server(id, primary)
+	switch {
+	case !known:
+		return causeNoPrimary, true
+	case g.demoted:
 		return causeDemoted, true
-	}
-	if !g.suspected {
-		if entry.Leaving {
-			return causeLeaving, true
-		}
+	case g.suspected:
+		watchers := m.rankingOf(id).watchers
+		return causeUnreachable, 2*m.members.votes(watchers, m.Self, id, g.record.Epoch) > len(watchers)
+	case entry.Leaving:
+		return causeLeaving, true
+	default:
 		return causeGone, !registered
 	}
-	watchers := m.rankingOf(id).watchers
-	return causeUnreachable, 2*m.members.votes(watchers, m.Self, id, g.record.Epoch) > len(watchers)
 }
 
 // hasCandidate reports whether another database could lead the group.
--- a/internal/coordination/leadership/options.go
+++ b/internal/coordination/leadership/options.go
@@ -137,6 +137,10 @@
 	// promoteInterval is the time between two promotion calls while the platform
 	// refuses them.
 	promoteInterval = 300 * time.Millisecond
+	// noPrimaryPatience is how long a group whose primary was never changed may have
+	// none registered. Databases register again within about two seconds of the
+	// store's return, and may start one after the other.
+	noPrimaryPatience = 3 * time.Second
 	// catchUpTimeout bounds the wait for a replica to receive the old
 	// primary's last writes.
 	catchUpTimeout = 1500 * time.Millisecond
