A replica is promoted only if it holds what replicas have acknowledged

Cause: the newest of the databases that replied within 0.3 s was promoted, and SyncReplicas was read by nothing. The same choice was wrong for a replica that crashed with the primary and comes back, for a leaving one, which was not asked, and in a planned change, which took any replica after 1.5 s. A second effect of the same bound: if all databases needed longer than 0.3 s, each attempt at the change was given up and started again.

Change: each database is asked on its own, with growing patience. Of n databases that may hold a commit s hold each acknowledged one, so one is promoted if it holds the old primary's last position, or if n - s + 1 have replied and none holds more. Leaving ones count and may be promoted. One that lost its registration counts for a minute, unless the chosen one covers a position of the primary from later. Without SyncReplicas the choice is as before, but an attempt is no longer given up after 1.5 s without a candidate.

Ruled out: only a longer wait, which a replica that is slower still defeats; the positions that instances have seen acknowledged, since an instance may be lost with the primary.

--- a/internal/coordination/directory/directory.go
+++ b/internal/coordination/directory/directory.go
@@ -25,7 +25,8 @@
 
 const (
 	// removedRunMemory is how long a removed database is remembered, so that a copy
-	// of the store that still lists it does not bring it back.
+	// of the store that still lists it does not bring it back, and as one that may
+	// return with its log.
 	removedRunMemory = time.Minute
 	// unconfirmedTime is how long a registration that had been removed before an era
 	// of the store is not used. Until then a live database has written it again, and
@@ -52,8 +53,16 @@
 
 // removedRun is a run of a database that was removed.
 type removedRun struct {
-	born int64
-	at   state.Instant
+	born    int64
+	at      state.Instant
+	group   state.GroupID
+	leaving bool
+}
+
+// Missing is a database that was not leaving when its registration disappeared.
+type Missing struct {
+	ID    state.DatabaseID
+	Since state.Instant
 }
 
 // Directory is the cache of the routing table and of the registered databases.
@@ -144,6 +153,31 @@
 	return Entry{}, false
 }
 
+// SyncReplicas returns how many replicas of a group must have received a commit before
+// it is acknowledged.
+func (d *Directory) SyncReplicas(group state.GroupID) int {
+	if table := d.Routes(); table != nil {
+		return table.Groups[group].SyncReplicas
+	}
+	return 0
+}
+
+// Missing returns the databases of a group that lost their registration within the last
+// minute although they were not leaving.
+func (d *Directory) Missing(group state.GroupID) []Missing {
+	now := d.clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var missing []Missing
+	for id, run := range d.removed {
+		_, registered := d.servers[id]
+		if run.group == group && !run.leaving && !registered && now.Sub(run.at) <= removedRunMemory {
+			missing = append(missing, Missing{ID: id, Since: run.at})
+		}
+	}
+	return missing
+}
+
 // AddressOf returns the address of a registered database.
 func (d *Directory) AddressOf(id state.DatabaseID) (string, bool) {
 	d.mu.Lock()
@@ -360,7 +394,8 @@
 			delete(d.removed, other)
 		}
 	}
-	d.removed[id] = removedRun{born: d.servers[id].Born, at: d.clock.Now()}
+	entry := d.servers[id]
+	d.removed[id] = removedRun{born: entry.Born, at: d.clock.Now(), group: entry.Group, leaving: entry.Leaving}
 	delete(d.servers, id)
 	d.log.Info().Str("database", string(id)).Str("reason", reason).Msg("database removed from the directory")
 	if d.onRemoved != nil {
--- a/internal/coordination/leadership/change.go
+++ b/internal/coordination/leadership/change.go
@@ -29,6 +29,8 @@
 	target state.Position
 	// oldTermStart is the position at which the old primary's term began.
 	oldTermStart state.Position
+	// since is when the change was first announced, by this attempt or an earlier one.
+	since state.Instant
 	// lastResort allows the promotion of a database that has received nothing
 	// of that term.
 	lastResort bool
@@ -98,19 +100,19 @@
 	if err := m.withdrawOldPrimary(ctx, attempt); err != nil {
 		return "", err
 	}
-	if !m.dutyValid() {
-		// The duty expired during the wait: acquire it again, unless another
-		// instance holds it now.
-		if attempt.token, err = m.acquireDuty(ctx); err != nil {
-			return "", err
-		}
-	}
 	chosen, done, err := m.chooseReplica(ctx, attempt)
 	if err != nil {
 		return "", err
 	}
 	status := chosen.status
 	if !done {
+		if !m.dutyValid() {
+			// The duty expired during the waits: acquire it again, unless another
+			// instance holds it now.
+			if attempt.token, err = m.acquireDuty(ctx); err != nil {
+				return "", err
+			}
+		}
 		if status, err = m.promote(ctx, attempt, chosen); err != nil {
 			return "", err
 		}
@@ -127,10 +129,6 @@
 	record, version := g.record, g.version
 	attempt.era = m.era.number
 	lowest := m.era.lowest()
-	lasts := time.Duration(0)
-	if record.Changing {
-		lasts = m.Clock.Now().Sub(g.changingSince)
-	}
 	m.mu.Unlock()
 	// The record may have changed while this instance waited for the duty.
 	continues := why == causeResume || why == causeTakeOver
@@ -153,9 +151,11 @@
 		Primary: old, Term: record.Term, Start: record.Start, Uncertain: attempt.uncertain, Promoter: m.runName,
 	}
 	attempt.epoch, attempt.oldTerm, attempt.oldTermStart = record.Epoch, record.Term, record.Start
-	attempt.lastResort = lasts > lastResortAfter
 	commit, err := m.writeRecord(ctx, attempt.group, record, attempt.era, version)
 	attempt.announceCommit = commit
+	m.mu.Lock()
+	attempt.since = g.changingSince
+	m.mu.Unlock()
 	return err
 }
 
--- a/internal/coordination/leadership/choose.go
+++ b/internal/coordination/leadership/choose.go
@@ -5,7 +5,7 @@
 	"context"
 	"errors"
 	"slices"
-	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -23,78 +23,155 @@
 }
 
 // chooseReplica returns the replica with the newest received position. It waits
-// up to catchUpTimeout for a replica to receive the old primary's last writes.
+// up to catchUpTimeout for a replica to receive the old primary's last writes, and
+// longer where replicas acknowledge commits and one that has not replied may hold more.
 // done is set if the returned database is primary already, by an earlier
 // attempt. While a promotion call of an earlier attempt may still be carried out, it
 // returns no other database than the one that the call makes primary.
 func (m *Manager) chooseReplica(ctx context.Context, attempt *changeAttempt) (chosen candidate, done bool, err error) {
-	deadline := m.Clock.Now().Add(catchUpTimeout)
+	poll := m.newStatusPoll(ctx)
+	defer poll.cancel()
+	started := m.Clock.Now()
 	for {
-		candidates := m.queryCandidates(ctx, attempt)
-		successor, found := attempt.newestSuccessor(candidates)
+		replies := m.pollGroup(poll, attempt)
+		successor, found := replies.successor(attempt)
 		if found {
 			m.endCarriedOut(attempt.group, successor)
 		}
-		if database, pending := m.pendingCall(attempt.group); pending && (!found || database != successor.server.ID || attempt.uncertain) {
-			if ctx.Err() != nil {
-				return candidate{}, false, eris.Wrapf(state.ErrNoAnswer, "promotion of %s", database)
+		database, pending := m.pendingCall(attempt.group)
+		attempt.lastResort = m.Clock.Now().Sub(attempt.since) > lastResortAfter
+		waited := m.Clock.Now().Sub(started)
+		switch {
+		case pending && (!found || database != successor.server.ID || attempt.uncertain):
+			started = m.Clock.Now()
+		case found && !attempt.uncertain:
+			return successor, true, nil
+		case found && replies.proven(successor.status.Received):
+			return successor, false, nil
+		default:
+			if chosen, ok := replies.choose(attempt, waited); ok {
+				return chosen, false, nil
 			}
-			deadline = m.Clock.Now().Add(catchUpTimeout)
-			state.Pause(ctx, statusInterval)
+		}
+		if ctx.Err() != nil {
+			return candidate{}, false, eris.Wrapf(errNoCandidate, "group %s: of %d other databases %d replied, call pending %t",
+				attempt.group, replies.members, len(replies.all), pending)
+		}
+		poll.await(statusInterval)
+	}
+}
+
+// groupReplies are the databases of a group that may hold commits of the old primary,
+// as far as they have replied.
+type groupReplies struct {
+	// all holds all replies, the newest position first. running holds those of them
+	// whose last query got a reply.
+	all, running []candidate
+	// members is the number of databases that may hold commits. holders is the least
+	// number of them that hold each acknowledged commit, 0 if there may be none.
+	members, holders int
+	// target is the last position of the old primary, zero if that is not known.
+	target state.Position
+}
+
+// pollGroup returns the replies of the databases that may take over from the old
+// primary, and has those asked that were not asked yet. Where replicas acknowledge
+// commits, a leaving replica may be the only one that holds some of them.
+func (m *Manager) pollGroup(poll *statusPoll, attempt *changeAttempt) groupReplies {
+	replies := groupReplies{holders: m.Directory.SyncReplicas(attempt.group), target: attempt.target}
+	synchronous := replies.holders > 0
+	if synchronous && attempt.old == "" {
+		replies.holders++ // the old primary is among the databases that are asked
+	}
+	for _, entry := range m.Directory.Servers(attempt.group) {
+		if entry.ID == attempt.old || entry.Leaving && !synchronous {
 			continue
 		}
-		if found {
-			return successor, !attempt.uncertain, nil
+		replies.members++
+		known := poll.ask(entry.Server)
+		if !known.replied {
+			continue
 		}
-		late := m.Clock.Now() >= deadline
-		candidates = slices.DeleteFunc(candidates, func(c candidate) bool { return !attempt.acceptable(c.status) })
-		if len(candidates) > 0 && (late || candidates[0].status.Received.Covers(attempt.target)) {
-			return candidates[0], false, nil
+		known.server = entry.Server
+		replies.all = append(replies.all, known.candidate)
+		if !known.failing {
+			replies.running = append(replies.running, known.candidate)
 		}
-		if late || ctx.Err() != nil {
-			return candidate{}, false, eris.Wrapf(errNoCandidate, "group %s", attempt.group)
+	}
+	replies.sort()
+	if synchronous {
+		replies.members += m.missingHolders(attempt, replies)
+	}
+	return replies
+}
+
+func (r *groupReplies) sort() {
+	newestFirst := func(a, b candidate) int {
+		return cmp.Or(b.status.Received.Compare(a.status.Received), cmp.Compare(a.server.ID, b.server.ID))
+	}
+	slices.SortFunc(r.all, newestFirst)
+	slices.SortFunc(r.running, newestFirst)
+}
+
+// missingHolders returns how many databases that are not registered any more may come
+// back with acknowledged commits that the newest reply lacks. There are none if that
+// covers a position that the primary had after they were gone: from then on only the
+// others can have acknowledged its commits, with all commits before.
+func (m *Manager) missingHolders(attempt *changeAttempt, replies groupReplies) int {
+	missing := 0
+	for _, gone := range m.Directory.Missing(attempt.group) {
+		if gone.ID == attempt.old {
+			continue
+		}
+		position, known := m.PositionAfter(attempt.group, gone.Since)
+		if !known || len(replies.all) == 0 || !replies.all[0].status.Received.Covers(position) {
+			missing++
 		}
-		state.Pause(ctx, statusInterval)
 	}
+	return missing
 }
 
-// newestSuccessor returns the database that leads the group in the highest term after
-// the old primary, if there is one.
-func (a *changeAttempt) newestSuccessor(candidates []candidate) (newest candidate, ok bool) {
-	for _, found := range candidates {
-		if a.isSuccessor(found) && (!ok || found.status.Term > newest.status.Term) {
+// successor returns the database that leads the group in the highest term after the old
+// primary, if there is one.
+func (r groupReplies) successor(attempt *changeAttempt) (newest candidate, ok bool) {
+	for _, found := range r.running {
+		if attempt.isSuccessor(found) && (!ok || found.status.Term > newest.status.Term) {
 			newest, ok = found, true
 		}
 	}
 	return newest, ok
 }
 
-// queryCandidates returns the replicas that respond, ordered by received
-// position, the newest first.
-func (m *Manager) queryCandidates(ctx context.Context, attempt *changeAttempt) []candidate {
-	var mu sync.Mutex
-	var queries sync.WaitGroup
-	var found []candidate
-	for _, entry := range m.Directory.Servers(attempt.group) {
-		if entry.ID == attempt.old || entry.Leaving {
+// proven reports whether a log that ends at a position holds each acknowledged commit.
+// Where no replica acknowledges commits, there is nothing to prove.
+func (r groupReplies) proven(position state.Position) bool {
+	switch {
+	case r.holders == 0:
+		return true
+	case !r.target.IsZero() && position.Covers(r.target):
+		return true
+	default:
+		// So many replies contain one of the databases that hold the newest commit.
+		return len(r.all) >= max(1, r.members-r.holders+1) && position.Covers(r.all[0].status.Received)
+	}
+}
+
+// choose returns the database to promote after it was waited for the given time. A
+// leaving database is promoted if no other holds each acknowledged commit.
+func (r groupReplies) choose(attempt *changeAttempt, waited time.Duration) (candidate, bool) {
+	if len(r.all) < r.members && waited < statusTimeout {
+		return candidate{}, false
+	}
+	late := waited >= catchUpTimeout
+	for _, found := range r.running {
+		if !attempt.acceptable(found.status) || !r.proven(found.status.Received) || found.server.Leaving && !late {
 			continue
 		}
-		queries.Go(func() {
-			if reply, ok := m.queryCandidate(ctx, entry); ok {
-				mu.Lock()
-				found = append(found, reply)
-				mu.Unlock()
-			}
-		})
-	}
-	queries.Wait()
-	slices.SortFunc(found, func(a, b candidate) int {
-		if c := b.status.Received.Compare(a.status.Received); c != 0 {
-			return c
+		if late || found.status.Received.Covers(r.target) {
+			return found, true
 		}
-		return cmp.Compare(a.server.ID, b.server.ID)
-	})
-	return found
+	}
+	return candidate{}, false
 }
 
 func (m *Manager) queryCandidate(ctx context.Context, entry directory.Entry) (candidate, bool) {
--- a/internal/coordination/leadership/manager.go
+++ b/internal/coordination/leadership/manager.go
@@ -18,6 +18,11 @@
 	Groups() []state.GroupID
 	Servers(group state.GroupID) []directory.Entry
 	Server(group state.GroupID, id state.DatabaseID) (directory.Entry, bool)
+	// SyncReplicas returns how many replicas have received each acknowledged commit.
+	SyncReplicas(group state.GroupID) int
+	// Missing returns the databases that may come back although they are not
+	// registered.
+	Missing(group state.GroupID) []directory.Missing
 	// StalenessBound returns the tightest staleness bound of a group's routes.
 	StalenessBound(group state.GroupID) (time.Duration, bool)
 }
@@ -78,10 +83,13 @@
 	// OnPrimaryPosition is called with the position in a primary's reply to a
 	// probe that was sent at requestedAt under a valid lease.
 	OnPrimaryPosition func(group state.GroupID, requestedAt state.Instant, position state.Position)
-	Directory         Directory
-	Databases         Databases
-	Promoter          Promoter
-	Health            Health
+	// PositionAfter returns a position that a group's primary had at a later time than
+	// the given one, if one is known.
+	PositionAfter func(group state.GroupID, since state.Instant) (state.Position, bool)
+	Directory     Directory
+	Databases     Databases
+	Promoter      Promoter
+	Health        Health
 	// Demand returns the recent demand for connections of each group, in tenths
 	// of a connection; Demand is nil if all instances get equal shares.
 	Demand func() map[state.GroupID]uint16
--- a/internal/coordination/leadership/options.go
+++ b/internal/coordination/leadership/options.go
@@ -125,6 +125,9 @@
 	changeTimeout = 30 * time.Second
 	// statusTimeout bounds one status query or step-down request to a database.
 	statusTimeout = 300 * time.Millisecond
+	// maxStatusTimeout bounds such a query to a database that was too slow for shorter
+	// ones.
+	maxStatusTimeout = 4 * time.Second
 	// stepDownGrace is how long a change waits for the old primary to step down
 	// after all acknowledgements have arrived. It covers a round trip between
 	// regions and the opening of a connection.
--- a/internal/coordination/leadership/promote.go
+++ b/internal/coordination/leadership/promote.go
@@ -7,7 +7,6 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/cyclamenpin/cyclamenpin/internal/coordination/directory"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 )
 
@@ -16,6 +15,7 @@
 func (m *Manager) promote(ctx context.Context, attempt *changeAttempt, chosen candidate) (state.ServerStatus, error) {
 	deadline := m.Clock.Now().Add(promotionTimeout)
 	var call *promotionCall
+	var poll *statusPoll
 	var accepted bool
 	var nextCall state.Instant
 	for {
@@ -40,8 +40,11 @@
 				state.Pause(ctx, promotionSettles)
 			}
 		}
-		reply, ok := m.queryCandidate(ctx, directory.Entry{Server: chosen.server})
-		if ok && attempt.isSuccessor(reply) && (accepted || !attempt.uncertain) {
+		if poll == nil && (accepted || !attempt.uncertain) {
+			poll = m.newStatusPoll(ctx)
+			defer poll.cancel()
+		}
+		if reply, ok := poll.reply(chosen.server); ok && attempt.isSuccessor(reply) {
 			m.endCarriedOut(attempt.group, reply)
 			return reply.status, nil
 		}
--- a/internal/entry/modules.go
+++ b/internal/entry/modules.go
@@ -129,6 +129,9 @@
 		OnPrimaryPosition: func(group state.GroupID, requestedAt state.Instant, position state.Position) {
 			instance.positions.Observe(group, requestedAt, position)
 		},
+		PositionAfter: func(group state.GroupID, since state.Instant) (state.Position, bool) {
+			return instance.positions.MinPosition(group, since)
+		},
 		WatchedRows: instance.watchedRows, OnWatchedRowChange: func() { instance.followers.configuration.Refresh() },
 		OnWatchedRowsCurrent: dir.ConfirmConfiguration, ConfigurationInForce: dir.KeysVersion,
 		Promoter: promoter, Health: tracker, Demand: pools.Demand, Messenger: instance.peers.Sender(topicConfirmations), Address: peerAddress(settings),
--- a/internal/standin/platform/council/group.go
+++ b/internal/standin/platform/council/group.go
@@ -29,6 +29,9 @@
 	ReceiveDelay, ApplyDelay time.Duration
 	// PromotionDelay is the time until a promotion takes effect.
 	PromotionDelay time.Duration
+	// SyncReplicas is how many replicas must have received a commit before it is
+	// acknowledged.
+	SyncReplicas int
 }
 
 // entry is one commit in a log.
@@ -103,11 +106,15 @@
 	log     []entry
 	applied int
 	// restarts counts the runs after the first one.
-	restarts        int64
-	applyDelay      time.Duration
-	down            bool
-	leaving         bool
-	unresponsive    bool
+	restarts     int64
+	applyDelay   time.Duration
+	down         bool
+	leaving      bool
+	unresponsive bool
+	// deaf is set while the database receives nothing.
+	deaf bool
+	// statusDelay is how long a status query takes in addition.
+	statusDelay     time.Duration
 	waiting         int
 	connections     map[*Session]struct{}
 	dropReplies     int
@@ -354,9 +361,9 @@
 	position := state.Position{Term: d.term, Offset: uint64(len(d.log)) + 1}
 	d.log = append(d.log, entry{position: position, items: items})
 	d.applied = len(d.log)
-	d.group.commits = append(d.group.commits, Commit{
-		Database: d.ID, Position: position, IDs: ids, At: time.Now(), Superseded: d.group.leader != d, Workspace: workspace,
-	})
+	if d.group.options.SyncReplicas == 0 {
+		d.acknowledge(Commit{Position: position, IDs: ids, Workspace: workspace})
+	}
 	length := len(d.log)
 	for _, replica := range d.group.databases {
 		if replica != d && !replica.down && !d.group.partitioned(string(d.ID), string(replica.ID)) {
@@ -365,12 +372,47 @@
 	}
 }
 
+// acknowledge records an acknowledged commit. It must be called with the lock held.
+func (d *Database) acknowledge(commit Commit) {
+	commit.Database, commit.At, commit.Superseded = d.ID, time.Now(), d.group.leader != d
+	d.group.commits = append(d.group.commits, commit)
+}
+
+// replicated reports whether enough replicas have received a commit for its
+// acknowledgement. It must be called with the lock held.
+func (d *Database) replicated(position state.Position) bool {
+	received := 0
+	for _, replica := range d.group.databases {
+		if replica != d && !replica.down && replica.term == d.term && replica.receivedPosition().Covers(position) {
+			received++
+		}
+	}
+	return received >= d.group.options.SyncReplicas
+}
+
+// SetDeaf makes a replica receive nothing, or receive again.
+func (d *Database) SetDeaf(deaf bool) {
+	d.group.mu.Lock()
+	leader := d.group.leader
+	d.deaf = deaf
+	length := len(leader.log)
+	d.group.mu.Unlock()
+	d.receive(leader, length)
+}
+
+// SetStatusDelay makes status queries take longer.
+func (d *Database) SetStatusDelay(delay time.Duration) {
+	d.group.mu.Lock()
+	defer d.group.mu.Unlock()
+	d.statusDelay = delay
+}
+
 // receive copies the first length entries of a primary's log as far as they are
 // missing.
 func (d *Database) receive(from *Database, length int) {
 	d.group.mu.Lock()
 	defer d.group.mu.Unlock()
-	if d.down || d.role != state.RoleReplica || d.term != from.term || length <= len(d.log) || length > len(from.log) {
+	if d.down || d.deaf || d.role != state.RoleReplica || d.term != from.term || length <= len(d.log) || length > len(from.log) {
 		return
 	}
 	d.log = append(d.log, from.log[len(d.log):length]...)
--- a/internal/standin/platform/council/session.go
+++ b/internal/standin/platform/council/session.go
@@ -35,6 +35,8 @@
 	readOnly bool
 	writes   map[string]string
 	ids      []string
+	// unacknowledged is the commit that waits for replicas, nil if there is none.
+	unacknowledged *Commit
 }
 
 type preparedShape struct {
@@ -168,7 +170,37 @@
 		return s.addSessionState(state.Reply{Code: state.CodeBusy}), nil
 	}
 	defer func() { <-s.database.slots }()
-	return s.addSessionState(s.run(id, verb, rest, after)), nil
+	if verb == "STATUS" {
+		s.database.group.mu.Lock()
+		delay := s.database.statusDelay
+		s.database.group.mu.Unlock()
+		state.Pause(ctx, delay)
+	}
+	reply := s.run(id, verb, rest, after)
+	if s.unacknowledged != nil && !s.awaitReplicas(ctx) {
+		return state.Reply{}, errNoResponse
+	}
+	return s.addSessionState(reply), nil
+}
+
+// awaitReplicas waits until enough replicas have received the session's commit and
+// then acknowledges it. It returns false if that has not happened by ctx's end.
+func (s *Session) awaitReplicas(ctx context.Context) bool {
+	d, commit := s.database, *s.unacknowledged
+	s.unacknowledged = nil
+	for ctx.Err() == nil {
+		d.group.mu.Lock()
+		replicated := !d.down && d.role == state.RolePrimary && d.replicated(commit.Position)
+		if replicated {
+			d.acknowledge(commit)
+		}
+		d.group.mu.Unlock()
+		if replicated {
+			return true
+		}
+		state.Pause(ctx, time.Millisecond)
+	}
+	return false
 }
 
 // runWithoutSlot runs a statement that needs no slot, and reports whether it was
@@ -296,7 +328,7 @@
 		s.ids = append(s.ids, id)
 		return state.Reply{Proof: s.database.group.newProof(id)}
 	}
-	s.database.commit(s.workspace, map[string]string{item: data}, []string{id})
+	s.commitWrites(map[string]string{item: data}, []string{id})
 	return state.Reply{Proof: s.database.group.newProof(id)}
 }
 
@@ -308,13 +340,22 @@
 		if !isPrimary {
 			return s.fail(state.CodeReadOnly)
 		}
-		s.database.commit(s.workspace, maps.Clone(s.writes), s.ids)
+		s.commitWrites(maps.Clone(s.writes), s.ids)
 	}
 	s.inTx, s.ids = false, nil
 	clear(s.writes)
 	return state.Reply{Proof: s.database.group.newProof(id)}
 }
 
+// commitWrites commits writes, to be acknowledged by awaitReplicas where replicas must
+// have received them. It must be called with the group's lock held.
+func (s *Session) commitWrites(items map[string]string, ids []string) {
+	s.database.commit(s.workspace, items, ids)
+	if s.database.group.options.SyncReplicas > 0 {
+		s.unacknowledged = &Commit{Position: s.database.receivedPosition(), IDs: ids, Workspace: s.workspace}
+	}
+}
+
 func (s *Session) status() state.Reply {
 	d := s.database
 	position := d.receivedPosition()
--- a/test/council/cluster_test.go
+++ b/test/council/cluster_test.go
@@ -196,7 +196,7 @@
 func (tc *testCluster) configure(version uint64, names ...string) {
 	table := state.RoutingTable{
 		Version: version, Routes: make(map[string]state.Route), IdleInTransaction: 3 * time.Second,
-		Groups: map[state.GroupID]state.GroupLimits{"g": {MaxConnections: tc.options.MaxConnections}},
+		Groups: map[state.GroupID]state.GroupLimits{"g": {MaxConnections: tc.options.MaxConnections, SyncReplicas: tc.options.SyncReplicas}},
 	}
 	for _, name := range names {
 		table.Routes[name] = state.Route{
@@ -403,6 +403,9 @@
 		OnPrimaryPosition: func(group state.GroupID, requestedAt state.Instant, position state.Position) {
 			i.positions.Observe(group, requestedAt, position)
 		},
+		PositionAfter: func(group state.GroupID, since state.Instant) (state.Position, bool) {
+			return i.positions.MinPosition(group, since)
+		},
 		WatchedRows: i.watchedRows, OnWatchedRowChange: func() { i.configuration.Refresh() },
 		OnWatchedRowsCurrent: i.directory.ConfirmConfiguration, ConfigurationInForce: i.directory.KeysVersion,
 		Directory: i.directory, Databases: i.pools, Promoter: tc.group.Promoter(), Health: tracker, Demand: i.pools.Demand,
--- a/test/council/latepromotion_test.go
+++ b/test/council/latepromotion_test.go
@@ -142,3 +142,20 @@
 	_, err := i.pools.StepDown(i.ctx, server, 3)
 	require.NoError(i.cluster.t, err)
 }
+
+// The database that is promoted is too slow to state soon that it leads. The change must
+// not be given up for that.
+func TestSlowDatabaseIsPromoted(t *testing.T) {
+	run(t, fourInstances, func(tc *testCluster) {
+		time.Sleep(25 * time.Second)
+		old := tc.group.Leader().ID
+		for n := 1; n <= tc.options.Databases; n++ {
+			tc.group.Database(n).SetStatusDelay(time.Second)
+		}
+		tc.retirePrimary()
+		tc.awaitNewLeader(old, 8*time.Second)
+		tokens, _ := tc.group.Tokens()
+		require.Len(tc.t, tokens, 1)
+		tc.requireValidPromotions()
+	})
+}
--- /dev/null
+++ b/test/council/syncreplicas_test.go
@@ -0,0 +1,99 @@
+package council
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	standin "github.com/cyclamenpin/cyclamenpin/internal/standin/platform/council"
+)
+
+// runSynchronous runs a test body with databases that acknowledge a commit once a
+// replica has received it, while all instances write.
+func runSynchronous(t *testing.T, body func(tc *testCluster, first, second, third *standin.Database)) {
+	options := groupOptions()
+	options.SyncReplicas = 1
+	runWith(t, options, fourInstances, testLog, func(tc *testCluster) {
+		time.Sleep(25 * time.Second)
+		for _, name := range fourInstances {
+			go tc.keepWriting(tc.ctx, name)
+		}
+		body(tc, tc.group.Database(1), tc.group.Database(2), tc.group.Database(3))
+		require.NotEmpty(tc.t, tc.group.Commits())
+		require.Empty(tc.t, tc.rolledBack(), "acknowledged commits")
+		tc.requireValidPromotions()
+	})
+}
+
+// One replica has every acknowledged commit and is slow to state its position. The other
+// one has received nothing for a while, answers at once, and must not be promoted.
+func TestSlowReplicaWithTheCommitsIsWaitedFor(t *testing.T) {
+	for _, delay := range []time.Duration{700 * time.Millisecond, 2500 * time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) {
+			runSynchronous(t, func(tc *testCluster, first, second, third *standin.Database) {
+				third.SetDeaf(true)
+				time.Sleep(3 * time.Second)
+				second.SetStatusDelay(delay)
+				time.Sleep(time.Second)
+				first.Crash(true)
+				tc.eventually(12*time.Second, "a new primary", func() bool { return tc.group.Leader() != first })
+				require.Equal(tc.t, second.ID, tc.group.Leader().ID)
+			})
+		})
+	}
+}
+
+// The replica with the acknowledged commits crashes with the primary. It comes back
+// after its registration has expired.
+func TestCrashedReplicaWithTheCommitsIsWaitedFor(t *testing.T) {
+	runSynchronous(t, func(tc *testCluster, first, second, third *standin.Database) {
+		third.SetDeaf(true)
+		time.Sleep(3 * time.Second)
+		first.Crash(true)
+		second.Crash(true)
+		time.Sleep(8 * time.Second)
+		require.Equal(tc.t, first.ID, tc.group.Leader().ID)
+		second.RestartDetached()
+		tc.eventually(5*time.Second, "a new primary", func() bool { return tc.group.Leader() != first })
+		require.Equal(tc.t, second.ID, tc.group.Leader().ID)
+	})
+}
+
+// The only replica with the acknowledged commits is being retired. It counts until it
+// ends.
+func TestLeavingReplicaWithTheCommitsIsPromoted(t *testing.T) {
+	runSynchronous(t, func(tc *testCluster, first, second, third *standin.Database) {
+		third.SetDeaf(true)
+		second.Leave()
+		time.Sleep(3 * time.Second)
+		first.Crash(true)
+		tc.eventually(8*time.Second, "a new primary", func() bool { return tc.group.Leader() != first })
+		third.SetDeaf(false)
+		tc.eventually(8*time.Second, "the replica that stays", func() bool { return tc.group.Leader() == third })
+	})
+}
+
+// A replica was lost for good while the primary went on. The other one has received all
+// commits since, so it is promoted without a wait for the lost one.
+func TestReplicaThatWasLostBeforeIsNotWaitedFor(t *testing.T) {
+	runSynchronous(t, func(tc *testCluster, first, second, third *standin.Database) {
+		second.Crash(true)
+		time.Sleep(15 * time.Second)
+		first.Crash(true)
+		tc.eventually(6*time.Second, "a new primary", func() bool { return tc.group.Leader() == third })
+	})
+}
+
+// A planned change steps the primary down while one replica lags and the other one is
+// slow.
+func TestPlannedChangeKeepsAcknowledgedCommits(t *testing.T) {
+	runSynchronous(t, func(tc *testCluster, first, second, third *standin.Database) {
+		third.SetDeaf(true)
+		time.Sleep(2 * time.Second)
+		second.SetStatusDelay(3 * time.Second)
+		first.Leave()
+		tc.eventually(12*time.Second, "a new primary", func() bool { return tc.group.Leader() != first })
+		require.Equal(tc.t, second.ID, tc.group.Leader().ID)
+	})
+}
