A database whose promotion does not take effect is passed over

What callers could have seen: a group without a primary, with promotion calls that are all accepted.

Cause: for the platform a database that has stepped down is still the primary, and a call for the present primary changes nothing. Where the old primary is not known, it may be the one with the newest log, so each attempt chose it again.

--- a/internal/coordination/leadership/choose.go
+++ b/internal/coordination/leadership/choose.go
@@ -72,13 +72,18 @@
 	members, holders int
 	// target is the last position of the old primary, zero if that is not known.
 	target state.Position
+	// ineffective is the database whose promotion did not take effect before.
+	ineffective state.DatabaseID
 }
 
 // pollGroup returns the replies of the databases that may take over from the old
 // primary, and has those asked that were not asked yet. Where replicas acknowledge
 // commits, a leaving replica may be the only one that holds some of them.
 func (m *Manager) pollGroup(poll *statusPoll, attempt *changeAttempt) groupReplies {
-	replies := groupReplies{holders: m.Directory.SyncReplicas(attempt.group), target: attempt.target}
+	m.mu.Lock()
+	ineffective := m.group(attempt.group).ineffective
+	m.mu.Unlock()
+	replies := groupReplies{holders: m.Directory.SyncReplicas(attempt.group), target: attempt.target, ineffective: ineffective}
 	synchronous := replies.holders > 0
 	if synchronous && attempt.old == "" {
 		replies.holders++ // the old primary is among the databases that are asked
@@ -157,20 +162,26 @@
 }
 
 // choose returns the database to promote after it was waited for the given time. A
-// leaving database is promoted if no other holds each acknowledged commit.
+// leaving database, and one whose promotion did not take effect before, is promoted if no
+// other holds each acknowledged commit.
 func (r groupReplies) choose(attempt *changeAttempt, waited time.Duration) (candidate, bool) {
 	if len(r.all) < r.members && waited < statusTimeout {
 		return candidate{}, false
 	}
 	late := waited >= catchUpTimeout
+	var reserve []candidate
 	for _, found := range r.running {
-		if !attempt.acceptable(found.status) || !r.proven(found.status.Received) || found.server.Leaving && !late {
-			continue
-		}
-		if late || found.status.Received.Covers(r.target) {
+		switch {
+		case !attempt.acceptable(found.status) || !r.proven(found.status.Received) || !late && !found.status.Received.Covers(r.target):
+		case found.server.Leaving || found.server.ID == r.ineffective:
+			reserve = append(reserve, found)
+		default:
 			return found, true
 		}
 	}
+	if late && len(reserve) > 0 {
+		return reserve[0], true
+	}
 	return candidate{}, false
 }
 
--- a/internal/coordination/leadership/manager.go
+++ b/internal/coordination/leadership/manager.go
@@ -176,6 +176,9 @@
 	dueSince         state.Instant
 	// changingSince is when the change in progress was first seen.
 	changingSince state.Instant
+	// ineffective is a database that did not lead although the platform accepted its
+	// promotion in the change in progress.
+	ineffective state.DatabaseID
 	// expected is the last expectation of a promoter.
 	expected expectation
 	// running is set while this instance carries out a change.
--- a/test/council/noprimary_test.go
+++ b/test/council/noprimary_test.go
@@ -61,3 +61,15 @@
 		tc.requireNoChange()
 	})
 }
+
+// The only primary of a group steps down although no change was announced, and
+// registers as replica. For the platform it is still the primary: its promotion is
+// accepted and changes nothing, so that another one must be tried.
+func TestPrimaryThatStepsDownBeforeAnyChangeIsReplaced(t *testing.T) {
+	run(t, fourInstances, func(tc *testCluster) {
+		time.Sleep(25 * time.Second)
+		tc.instances["a"].stepDown(tc.group.Leader())
+		tc.eventually(12*time.Second, "a primary", func() bool { return tc.instances["b"].writable() })
+		tc.requireValidPromotions()
+	})
+}
