A statement counts as prepared on a connection when the database has accepted it

Statements that an overloaded database refused within a transaction were repeated without their PREPARE.

Change: the statement to prepare is part of the call that executes it, on direct, tunnelled and forwarded connections. The note is made when the database has accepted it. A refusal is the call's reply (nothing ran), upon which it is repeated with its PREPARE; NOSTMT for a noted name drops the note and is treated likewise.

The PostgreSQL side was read: it notes a statement at ParseComplete.

Ruled out: an exchange of its own for each PREPARE, a round trip for each new name on each connection.

--- a/internal/coordination/forwarding/holder.go
+++ b/internal/coordination/forwarding/holder.go
@@ -232,10 +232,11 @@
 }
 
 func (s *Session) run(call Call, received time.Time) Answer {
+	statement := pooling.Statement{ID: call.ID, Text: call.Text, After: call.After}
 	if p := call.Prepared; p != nil {
-		s.conn.EnsurePrepared(p.Name, p.Shape, p.Writes)
+		statement.Prepare = &pooling.Prepare{Name: p.Name, Shape: p.Shape, Writes: p.Writes}
 	}
-	reply, err := s.pool.Run(s.conn, pooling.Statement{ID: call.ID, Text: call.Text, After: call.After}, received.Add(call.Left))
+	reply, err := s.pool.Run(s.conn, statement, received.Add(call.Left))
 	if err != nil {
 		s.release(false)
 		return Answer{Refusal: RefusedLost, Detail: err.Error()}
--- a/internal/coordination/forwarding/holder_test.go
+++ b/internal/coordination/forwarding/holder_test.go
@@ -41,6 +41,10 @@
 }
 
 func (d *fakeDatabase) Run(statement pooling.Statement, _ time.Time, _ func()) (state.Reply, error) {
+	if p := statement.Prepare; p != nil {
+		d.sent = append(d.sent, "prepare "+p.Name+" "+p.Shape)
+		p.Accepted = true
+	}
 	d.sent = append(d.sent, statement.ID+" "+statement.Text)
 	select {
 	case <-time.After(d.work):
@@ -50,10 +54,6 @@
 	}
 }
 
-func (d *fakeDatabase) Prepare(name, shape string, _ bool) {
-	d.sent = append(d.sent, "prepare "+name+" "+shape)
-}
-
 func (d *fakeDatabase) Set(name, value string, _ time.Time) (state.Reply, error) {
 	time.Sleep(d.setWork)
 	if d.setWork == 0 {
--- a/internal/coordination/forwarding/sender.go
+++ b/internal/coordination/forwarding/sender.go
@@ -147,7 +147,6 @@
 	ctx       context.Context
 	cancel    context.CancelFunc
 	values    map[string]string
-	prepared  *Prepared
 
 	mu sync.Mutex
 	// stream and holder are set while a transaction is open at a holder or a call
@@ -163,11 +162,6 @@
 	c.values = values.Map()
 }
 
-// Prepare implements pooling.ServerConn.
-func (c *senderConn) Prepare(name, shape string, writes bool) {
-	c.prepared = &Prepared{Name: name, Shape: shape, Writes: writes}
-}
-
 // Alive implements pooling.ServerConn.
 func (c *senderConn) Alive() bool { return c.ctx.Err() == nil }
 
@@ -186,13 +180,16 @@
 	}
 }
 
-// Run implements pooling.ServerConn.
+// Run implements pooling.ServerConn. The holder knows what its connections have
+// prepared, so that the statement to prepare goes with each call.
 func (c *senderConn) Run(statement pooling.Statement, deadline time.Time, _ func()) (state.Reply, error) {
 	call := Call{
 		Group: c.server.Group, Database: c.server.ID, Born: c.server.Born, Workspace: c.request.Workspace, Priority: c.request.Priority,
-		Primary: c.request.Primary, Values: c.values, Prepared: c.prepared, ID: statement.ID, Text: statement.Text, After: statement.After,
+		Primary: c.request.Primary, Values: c.values, ID: statement.ID, Text: statement.Text, After: statement.After,
+	}
+	if p := statement.Prepare; p != nil {
+		call.Prepared = &Prepared{Name: p.Name, Shape: p.Shape, Writes: p.Writes}
 	}
-	c.prepared = nil
 	c.mu.Lock()
 	begun := c.stream != nil || c.local != nil
 	c.mu.Unlock()
--- a/internal/coordination/pooling/conn.go
+++ b/internal/coordination/pooling/conn.go
@@ -14,11 +14,11 @@
 // ServerConn is a connection to a database. Its calls block until the reply or
 // the deadline. After an error the connection is unusable.
 type ServerConn interface {
-	// Run sends a client's statement. late, which may be nil, is called once if
-	// the reply takes longer than usual.
+	// Run sends a client's statement, and before it the statement to prepare. If the
+	// database refuses to prepare that one, the client's has not run, and the reply is
+	// the refusal. late, which may be nil, is called once if the reply takes longer than
+	// usual.
 	Run(statement Statement, deadline time.Time, late func()) (state.Reply, error)
-	// Prepare is sent with the next call, which returns its error if it fails.
-	Prepare(name, shape string, writes bool)
 	Set(name, value string, deadline time.Time) (state.Reply, error)
 	Reset(deadline time.Time) (state.Reply, error)
 	Rollback(deadline time.Time) (state.Reply, error)
@@ -36,6 +36,17 @@
 	Text string
 	// After is the position that the database's log must cover; zero for none.
 	After state.Position
+	// Prepare is the prepared statement that is executed, nil for none.
+	Prepare *Prepare
+}
+
+// Prepare is a statement to be prepared on a connection.
+type Prepare struct {
+	Name   string
+	Shape  string
+	Writes bool
+	// Accepted is set once the connection has the name.
+	Accepted bool
 }
 
 // Dialer opens connections.
@@ -153,15 +164,30 @@
 	return nil
 }
 
-// EnsurePrepared prepares a statement on the connection unless that has been
-// done. Prepare is sent together with the next call.
-func (c *Conn) EnsurePrepared(name, shape string, writes bool) {
-	if c.prepared[name] {
-		return
+// Run implements ServerConn. A statement that the connection has prepared is not
+// prepared again. NOSTMT says that the statement did not run and that the database does
+// not know the name: the reply is then that of an overloaded database, and the statement
+// is prepared again when it is repeated.
+func (c *Conn) Run(statement Statement, deadline time.Time, late func()) (state.Reply, error) {
+	wanted := statement.Prepare
+	if wanted == nil {
+		return c.ServerConn.Run(statement, deadline, late)
+	}
+	var sent Prepare
+	if statement.Prepare = nil; !c.prepared[wanted.Name] {
+		sent = *wanted
+		statement.Prepare = &sent
+	}
+	reply, err := c.ServerConn.Run(statement, deadline, late)
+	switch {
+	case err != nil:
+	case reply.Code == state.CodeNoStatement:
+		delete(c.prepared, wanted.Name)
+		reply.Code, reply.Detail = state.CodeBusy, "the prepared statement is not known to the database"
+	case sent.Accepted:
+		c.prepared[wanted.Name] = true
 	}
-	c.Prepare(name, shape, writes)
-	// The holder of a forwarded connection knows what is prepared.
-	c.prepared[name] = !c.forwarded
+	return reply, err
 }
 
 // RefusedError is a database's error reply to a call.
--- a/internal/coordination/pooling/pool_test.go
+++ b/internal/coordination/pooling/pool_test.go
@@ -20,16 +20,30 @@
 	work     time.Duration
 	values   map[string]string
 	prepared []string
-	resets   int
-	refuse   string // name of a session value that is refused
-	dead     bool
+	// refusals is how many statements to prepare are refused, forgotten whether the
+	// names that are prepared already are unknown.
+	refusals  int
+	forgotten bool
+	resets    int
+	refuse    string // name of a session value that is refused
+	dead      bool
 }
 
-func (c *fakeConn) Run(Statement, time.Time, func()) (state.Reply, error) {
+func (c *fakeConn) Run(statement Statement, _ time.Time, _ func()) (state.Reply, error) {
 	time.Sleep(c.work)
+	if p := statement.Prepare; p != nil {
+		c.prepared = append(c.prepared, p.Name)
+		p.Accepted = c.refusals == 0
+		if c.refusals--; !p.Accepted {
+			return state.Reply{Code: state.CodeBusy}, nil
+		}
+		c.refusals, c.forgotten = 0, false
+	}
+	if c.forgotten {
+		return state.Reply{Code: state.CodeNoStatement}, nil
+	}
 	return state.Reply{Proof: "p"}, nil
 }
-func (c *fakeConn) Prepare(name, _ string, _ bool) { c.prepared = append(c.prepared, name) }
 func (c *fakeConn) Set(name, value string, _ time.Time) (state.Reply, error) {
 	if name == c.refuse {
 		return state.Reply{Code: state.CodeMalformed}, nil
@@ -197,11 +211,11 @@
 	first.Set("lang", "am")
 	second.Set("tz", "west")
 	require.NoError(t, pooled.ApplyValues(&first, time.Now()))
-	pooled.EnsurePrepared("p1", "shape", false)
+	executePrepared(t, pooled)
 	require.NoError(t, pooled.ApplyValues(&second, time.Now()))
 	require.Equal(t, map[string]string{"tz": "west"}, conn.values)
 	require.Equal(t, 1, conn.resets)
-	pooled.EnsurePrepared("p1", "shape", false)
+	executePrepared(t, pooled)
 	require.Equal(t, []string{"p1", "p1"}, conn.prepared, "a reset discards prepared statements")
 	var third Values
 	third.Set("bad", "x")
@@ -209,6 +223,33 @@
 	require.Error(t, pooled.ApplyValues(&third, time.Now()))
 }
 
+// executePrepared executes a prepared statement and returns the reply.
+func executePrepared(t *testing.T, conn *Conn) state.Reply {
+	t.Helper()
+	reply, err := conn.Run(Statement{ID: "id", Text: "EXECUTE p1", Prepare: &Prepare{Name: "p1", Shape: "shape"}}, time.Now(), nil)
+	require.NoError(t, err)
+	return reply
+}
+
+// The database refuses to prepare a statement, or has forgotten a name. Each later
+// execution on the connection would get NOSTMT, although the client's PREPARE was
+// acknowledged.
+func TestStatementIsPreparedAgainAfterARefusal(t *testing.T) {
+	conn := &fakeConn{values: make(map[string]string), refusals: 2}
+	pooled := newConn(conn, state.Server{}, "", false)
+	for range 2 {
+		require.Equal(t, state.CodeBusy, executePrepared(t, pooled).Code)
+	}
+	require.Equal(t, state.CodeNone, executePrepared(t, pooled).Code)
+	require.Equal(t, state.CodeNone, executePrepared(t, pooled).Code)
+	require.Equal(t, []string{"p1", "p1", "p1"}, conn.prepared, "once accepted, it is not prepared again")
+
+	conn.forgotten = true
+	require.Equal(t, state.CodeBusy, executePrepared(t, pooled).Code, "the statement did not run")
+	require.Equal(t, state.CodeNone, executePrepared(t, pooled).Code)
+	require.Len(t, conn.prepared, 4)
+}
+
 func TestDeadConnectionIsNotHandedOut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		dialer := &fakeDialer{}
--- a/internal/coordination/relay/reads.go
+++ b/internal/coordination/relay/reads.go
@@ -180,7 +180,7 @@
 		return reply, true
 	}
 	sent := time.Now()
-	reply, err = pool.Run(conn, r.databaseStatement(conn, minPosition), r.attemptDeadline(pool))
+	reply, err = pool.Run(conn, r.databaseStatement(minPosition), r.attemptDeadline(pool))
 	r.ran = time.Since(sent)
 	pool.Release(conn, reusable(reply, err))
 	if err != nil {
--- a/internal/coordination/relay/request.go
+++ b/internal/coordination/relay/request.go
@@ -124,16 +124,16 @@
 	return r.errorReply(state.CodeBusy, fmt.Sprintf("%s, retry after %d ms", reason, max(1, after.Milliseconds())))
 }
 
-// databaseStatement returns the statement as it is sent to a database. It
-// prepares an executed statement on the connection if necessary.
-func (r *request) databaseStatement(conn *pooling.Conn, after state.Position) pooling.Statement {
-	text := r.statement.Text
+// databaseStatement returns the statement as it is sent to a database whose log must
+// cover a position.
+func (r *request) databaseStatement(after state.Position) pooling.Statement {
+	statement := pooling.Statement{ID: r.statement.ID, Text: r.statement.Text, After: after}
 	if r.statement.Kind == state.StatementExecute {
 		name := r.prepared.name()
-		conn.EnsurePrepared(name, r.prepared.text, r.prepared.writes)
-		text = r.session.engine.Statements.ExecuteText(name, r.statement.Value)
+		statement.Prepare = &pooling.Prepare{Name: name, Shape: r.prepared.text, Writes: r.prepared.writes}
+		statement.Text = r.session.engine.Statements.ExecuteText(name, r.statement.Value)
 	}
-	return pooling.Statement{ID: r.statement.ID, Text: text, After: after}
+	return statement
 }
 
 // recordPrimary records the primary and epoch of the grant under which the
--- a/internal/coordination/relay/single.go
+++ b/internal/coordination/relay/single.go
@@ -62,7 +62,7 @@
 	}
 	requestedAt := s.engine.Clock.Now()
 	sent := time.Now()
-	reply, err = pool.Run(conn, r.databaseStatement(conn, state.Position{}), r.attemptDeadline(pool))
+	reply, err = pool.Run(conn, r.databaseStatement(state.Position{}), r.attemptDeadline(pool))
 	r.ran = time.Since(sent)
 	pool.Release(conn, reusable(reply, err))
 	if err != nil {
--- a/internal/coordination/relay/transaction.go
+++ b/internal/coordination/relay/transaction.go
@@ -102,7 +102,7 @@
 		return s.failStatement(r, state.CodeAborted, "the connection to the database was lost, the transaction was rolled back")
 	}
 	tx.wrote = tx.wrote || r.writes
-	reply, err := tx.send(r, r.databaseStatement(tx.conn, state.Position{}))
+	reply, err := tx.send(r, r.databaseStatement(state.Position{}))
 	if err != nil {
 		tx.discard()
 		return s.failStatement(r, state.CodeAborted, "the connection to the database was lost, the transaction was rolled back")
--- a/internal/standin/platform/council/conn.go
+++ b/internal/standin/platform/council/conn.go
@@ -111,16 +111,16 @@
 	if !statement.After.IsZero() {
 		text = "WAITPOS " + strconv.FormatUint(uint64(statement.After.Term), 10) + "." + strconv.FormatUint(statement.After.Offset, 10) + " " + text
 	}
-	return c.call(statement.ID, text, deadline, late)
-}
-
-// Prepare implements pooling.Conn.
-func (c *conn) Prepare(name, shape string, writes bool) {
-	access := "READ"
-	if writes {
-		access = "WRITE"
+	prepare := statement.Prepare
+	if prepare == nil {
+		return c.call(statement.ID, text, deadline, late)
+	}
+	prepare.Accepted = c.session.prepare(prepare)
+	reply, err := c.call(statement.ID, text, deadline, late)
+	if reply.Code == state.CodeNoStatement && !prepare.Accepted {
+		reply.Code = state.CodeBusy
 	}
-	c.session.runWithoutSlot("PREPARE", name+" "+access+" "+shape)
+	return reply, err
 }
 
 // Set implements pooling.Conn.
--- a/internal/standin/platform/council/group.go
+++ b/internal/standin/platform/council/group.go
@@ -120,6 +120,7 @@
 	dropReplies     int
 	dropConnections int
 	refuseNext      int
+	refusePrepares  int
 	load            Load
 }
 
@@ -318,6 +319,14 @@
 	d.refuseNext = n
 }
 
+// RefusePrepares refuses to prepare the next n statements, as an overloaded database
+// does.
+func (d *Database) RefusePrepares(n int) {
+	d.group.mu.Lock()
+	defer d.group.mu.Unlock()
+	d.refusePrepares = n
+}
+
 // Connections returns the number of open connections.
 func (d *Database) Connections() int {
 	d.group.mu.Lock()
--- a/internal/standin/platform/council/session.go
+++ b/internal/standin/platform/council/session.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/pooling"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 )
 
@@ -152,6 +153,14 @@
 		after, text = parsePosition(position), statement
 	}
 	verb, rest, _ := strings.Cut(text, " ")
+	if verb == "PREPARE" {
+		name, rest, _ := strings.Cut(rest, " ")
+		access, shape, _ := strings.Cut(rest, " ")
+		if !s.prepare(&pooling.Prepare{Name: name, Shape: shape, Writes: access == "WRITE"}) {
+			return s.addSessionState(state.Reply{Code: state.CodeBusy}), nil
+		}
+		return s.addSessionState(state.Reply{}), nil
+	}
 	if s.runWithoutSlot(verb, rest) {
 		return s.addSessionState(state.Reply{}), nil
 	}
@@ -203,6 +212,19 @@
 	return false
 }
 
+// prepare prepares a statement, and reports whether it did.
+func (s *Session) prepare(statement *pooling.Prepare) bool {
+	d := s.database
+	d.group.mu.Lock()
+	defer d.group.mu.Unlock()
+	if d.refusePrepares > 0 {
+		d.refusePrepares--
+		return false
+	}
+	s.prepared[statement.Name] = preparedShape{writes: statement.Writes, shape: statement.Shape}
+	return true
+}
+
 // runWithoutSlot runs a statement that needs no slot, and reports whether it was
 // one.
 func (s *Session) runWithoutSlot(verb, rest string) bool {
@@ -210,10 +232,6 @@
 	case "SET":
 		name, value, _ := strings.Cut(rest, " ")
 		s.values[name] = value
-	case "PREPARE":
-		name, rest, _ := strings.Cut(rest, " ")
-		access, shape, _ := strings.Cut(rest, " ")
-		s.prepared[name] = preparedShape{writes: access == "WRITE", shape: shape}
 	case "CLOSE":
 		delete(s.prepared, rest)
 	case "RESET":
--- a/internal/transport/linebackend/conn.go
+++ b/internal/transport/linebackend/conn.go
@@ -124,9 +124,6 @@
 	codec  Codec
 	peer   string
 	buffer []byte
-	// pendingPrepares is the number of replies to prepared statements that
-	// arrive before the reply to the next call.
-	pendingPrepares int
 }
 
 // ExchangeError reports a call that got no complete reply.
@@ -163,9 +160,10 @@
 	if err := c.raw.SetReadDeadline(deadline); err != nil {
 		return state.Reply{}, c.exchangeError(step, err)
 	}
-	if err := c.readPrepareReplies(); err != nil {
-		return state.Reply{}, c.exchangeError(step, err)
-	}
+	return c.readReply(step)
+}
+
+func (c *Conn) readReply(step string) (state.Reply, error) {
 	reply, err := c.codec.ReadReply(c.reader)
 	if err != nil {
 		return state.Reply{}, c.exchangeError(step, err)
@@ -188,31 +186,30 @@
 	}
 }
 
-// readPrepareReplies reads and discards the replies to the statements prepared
-// before this call. If one was refused, executing it fails with an error.
-func (c *Conn) readPrepareReplies() error {
-	for ; c.pendingPrepares > 0; c.pendingPrepares-- {
-		if _, err := c.codec.ReadReply(c.reader); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 func (c *Conn) exchangeError(step string, err error) error {
 	return &ExchangeError{Step: step, Peer: c.peer, Timeout: errors.Is(err, os.ErrDeadlineExceeded), Cause: err}
 }
 
 // Run implements pooling.ServerConn.
 func (c *Conn) Run(statement pooling.Statement, deadline time.Time, late func()) (state.Reply, error) {
+	prepare := statement.Prepare
+	if prepare != nil {
+		c.buffer = c.codec.AppendPrepare(c.buffer, prepare.Name, prepare.Shape, prepare.Writes)
+	}
 	c.buffer = c.codec.AppendStatement(c.buffer, statement.ID, statement.Text, statement.After)
-	return c.exchange("statement", deadline, late)
-}
-
-// Prepare implements pooling.ServerConn.
-func (c *Conn) Prepare(name, shape string, writes bool) {
-	c.buffer = c.codec.AppendPrepare(c.buffer, name, shape, writes)
-	c.pendingPrepares++
+	if prepare == nil {
+		return c.exchange("statement", deadline, late)
+	}
+	prepared, err := c.exchange("prepare", deadline, late)
+	if err != nil {
+		return state.Reply{}, err
+	}
+	reply, err := c.readReply("statement")
+	prepare.Accepted = prepared.Code == state.CodeNone
+	if err == nil && reply.Code == state.CodeNoStatement && !prepare.Accepted {
+		reply.Code, reply.Detail = prepared.Code, prepared.Detail
+	}
+	return reply, err
 }
 
 // Set implements pooling.ServerConn.
