The rest of a message that stalled is not read as a statement

Change: a message that does not arrive within 5 s, or the time for which its transaction may be idle, ends the session. A stop interrupts waits, not messages; a session in its startup is told to come back instead of MALFORMED.

Ruled out: keeping the part for as long as the session lives, which holds up to 1 MiB and the locks of a transaction for a client that may be gone. PostgreSQL messages and the links between instances were read: neither drops a part and goes on.

--- a/internal/transport/lineserver/client.go
+++ b/internal/transport/lineserver/client.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	// startupTimeout bounds the wait for a client's first message, and the wait
+	// messageTimeout bounds the wait for a client's first message, and the wait
 	// for the rest of a statement that has begun to arrive.
-	startupTimeout = 5 * time.Second
+	messageTimeout = 5 * time.Second
 	// writeTimeout ends a connection whose client does not read its reply.
 	writeTimeout = 10 * time.Second
 	// clientUserTimeout ends a connection whose client machine no longer
@@ -28,6 +28,10 @@
 	readerBytes = 1024
 )
 
+// errStalled is returned for a statement whose rest did not arrive in time. What was
+// read of it is lost, so that whatever arrives later must not be read as a statement.
+var errStalled = errors.New("the rest of the statement did not arrive in time")
+
 // client is one client connection and its session.
 type client struct {
 	server  *Server
@@ -44,6 +48,11 @@
 	// idle is set while the client has neither an open transaction nor an
 	// outstanding reply; closingIdle is set once such a session is to be closed.
 	idle, closingIdle bool
+	// receiving is set while a message arrives. Its read may only be interrupted to
+	// end the session.
+	receiving bool
+	// receivingUntil is when that read ends.
+	receivingUntil time.Time
 }
 
 func newClient(server *Server, raw net.Conn) *client {
@@ -64,10 +73,11 @@
 // startSession reads the startup message and opens the session. It reports
 // whether the session was opened.
 func (c *client) startSession() bool {
-	if err := c.raw.SetReadDeadline(time.Now().Add(startupTimeout)); err != nil {
+	if err := c.beginReceiving(time.Now().Add(messageTimeout)); err != nil {
 		return false
 	}
 	database, key, err := c.server.codec.ReadStartup(c.reader)
+	c.endReceiving()
 	if err != nil {
 		if !errors.Is(err, io.EOF) {
 			c.server.log.Info().Err(err).Stringer("peer", c.raw.RemoteAddr()).Msg("client refused, malformed startup message")
@@ -116,16 +126,49 @@
 		return state.Statement{}, err
 	}
 	_, err = c.reader.Peek(1)
-	c.mu.Lock()
-	c.idle = false
-	c.mu.Unlock()
 	if err != nil {
+		c.mu.Lock()
+		c.idle = false
+		c.mu.Unlock()
 		return state.Statement{}, err
 	}
-	if err := c.raw.SetReadDeadline(time.Now().Add(startupTimeout)); err != nil {
+	if err := c.beginReceiving(c.receiveDeadline()); err != nil {
 		return state.Statement{}, err
 	}
-	return c.server.codec.ReadStatement(c.reader)
+	statement, err := c.server.codec.ReadStatement(c.reader)
+	c.endReceiving()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		err = errStalled
+	}
+	return statement, err
+}
+
+// beginReceiving bounds the read of a message.
+func (c *client) beginReceiving(until time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle, c.closingIdle = false, false
+	c.receiving, c.receivingUntil = true, until
+	if c.draining && c.transactionDeadline.Before(until) {
+		c.receivingUntil = c.transactionDeadline
+	}
+	return c.raw.SetReadDeadline(c.receivingUntil)
+}
+
+func (c *client) endReceiving() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.receiving = false
+}
+
+// receiveDeadline returns until when the rest of a statement may arrive. An open
+// transaction must not be idle for longer than allowed meanwhile.
+func (c *client) receiveDeadline() time.Time {
+	limit := c.session.IdleLimit()
+	if limit <= 0 || limit > messageTimeout {
+		limit = messageTimeout
+	}
+	return time.Now().Add(limit)
 }
 
 // idleDeadline returns when the wait for the next statement ends; the zero time
@@ -172,11 +215,18 @@
 }
 
 // startDraining makes the session end once it is outside a transaction, or at
-// transactionDeadline. It interrupts a wait for the client.
+// transactionDeadline. It interrupts a wait for the client, but not the arrival of a
+// message.
 func (c *client) startDraining(transactionDeadline time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.draining, c.transactionDeadline = true, transactionDeadline
+	if c.receiving {
+		if transactionDeadline.Before(c.receivingUntil) {
+			_ = c.raw.SetReadDeadline(transactionDeadline)
+		}
+		return
+	}
 	// The read of a session within a transaction fails too; handleReadError
 	// lets it continue, and it waits again with its new deadline.
 	_ = c.raw.SetReadDeadline(time.Now())
@@ -190,6 +240,12 @@
 		c.refuse(state.CodeTooBig, "the message is too large")
 		return false
 	}
+	if errors.Is(err, errStalled) {
+		c.server.log.Info().Err(err).Stringer("peer", c.raw.RemoteAddr()).Msg("session ended")
+		c.session.Abort()
+		c.refuse(state.CodeAborted, "the rest of the statement did not arrive in time")
+		return false
+	}
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
 		return false
 	}
--- a/test/council/lines_test.go
+++ b/test/council/lines_test.go
@@ -42,12 +42,17 @@
 // serveLines serves an instance's clients on the wire while body runs. Connections are
 // closed afterwards.
 func (i *instance) serveLines(body func(connect func() *lineClient)) {
+	i.serveLinesWith(func(_ *lineserver.Server, connect func() *lineClient) { body(connect) })
+}
+
+// serveLinesWith is like serveLines, with the server for body.
+func (i *instance) serveLinesWith(body func(server *lineserver.Server, connect func() *lineClient)) {
 	listener := memoryListener{make(chan net.Conn)}
 	clock := virtualClock{i.cluster.started}
 	server := lineserver.New(platform.Codec{}, i.engine, clock, lineserver.Options{MaxClients: 10, MaxMessageError: platform.ErrMessageTooBig}, zerolog.Nop())
 	go server.Serve(listener)
 	defer listener.Close()
-	body(func() *lineClient {
+	body(server, func() *lineClient {
 		near, far := net.Pipe()
 		listener.connections <- far
 		context.AfterFunc(i.cluster.ctx, func() { _ = near.Close() })
@@ -69,6 +74,13 @@
 	}
 }
 
+// write sends a part of a line.
+func (c *lineClient) write(part string) {
+	require.NoError(c.t, c.raw.SetDeadline(time.Now().Add(10*time.Second)))
+	_, err := c.raw.Write([]byte(part))
+	require.NoError(c.t, err)
+}
+
 // requireClosed requires that the instance has closed the connection.
 func (c *lineClient) requireClosed() {
 	_, err := c.from.ReadByte()
@@ -119,3 +131,73 @@
 		})
 	})
 }
+
+// A message stalls in the middle, and its rest has the form of a statement. Whoever
+// chooses the data of a write could run any statement if the rest were read as one.
+func TestRestOfAStalledMessageIsNoStatement(t *testing.T) {
+	for _, name := range []string{"outside a transaction", "within a transaction"} {
+		t.Run(name, func(t *testing.T) {
+			run(t, fourInstances, func(tc *testCluster) {
+				tc.instances["a"].serveLines(func(connect func() *lineClient) {
+					c := connect()
+					require.Contains(t, c.send("CONNECT desk"), "READY I")
+					if name == "within a transaction" {
+						require.Contains(t, c.send("QUERY 1 BEGIN"), "READY T")
+						require.Contains(t, c.send("QUERY 2 WRITE item x"), "READY T")
+					}
+					c.write("QUERY 3 WRITE note ")
+					// Whatever is still sent is not served any more.
+					go func() {
+						time.Sleep(6 * time.Second)
+						_, _ = c.raw.Write([]byte("QUERY 4 WRITE stock 0\r\nQUERY 5 COMMIT\r\n"))
+					}()
+					line, _ := c.from.ReadString('\n')
+					require.True(t, strings.HasPrefix(line, "ERROR ABORTED"), line)
+					c.requireClosed()
+					time.Sleep(4 * time.Second)
+					require.Empty(t, tc.group.Commits())
+				})
+			})
+		})
+	}
+}
+
+// SIGTERM comes while a message arrives. Its rest belongs to it, and the transaction may
+// end within its time.
+func TestMessageThatArrivesDuringAStopIsServedWhole(t *testing.T) {
+	run(t, fourInstances, func(tc *testCluster) {
+		tc.instances["a"].serveLinesWith(func(server *lineserver.Server, connect func() *lineClient) {
+			transaction, single := connect(), connect()
+			require.Contains(t, transaction.send("CONNECT desk"), "READY I")
+			require.Contains(t, single.send("CONNECT desk"), "READY I")
+			require.Contains(t, transaction.send("QUERY 1 BEGIN"), "READY T")
+			transaction.write("QUERY 2 WRITE note QUERY 9 WRI")
+			single.write("QUERY 3 WRITE other QUERY 9 WRI")
+			go server.Drain(tc.ctx, time.Now().Add(3*time.Second))
+			time.Sleep(time.Second)
+			require.Contains(t, transaction.send("TE stock 0"), "READY T")
+			require.Contains(t, single.send("TE stock 0"), "COMPLETE")
+			require.Contains(t, transaction.send("QUERY 4 COMMIT"), "COMPLETE")
+			var ids []string
+			for _, commit := range tc.group.Commits() {
+				ids = append(ids, commit.IDs...)
+			}
+			require.ElementsMatch(t, []string{"2", "3"}, ids)
+		})
+	})
+}
+
+// A session starts while the instance begins to stop. The client must be told to come
+// back, not that its message was malformed.
+func TestStartupDuringAStopIsRefusedAsBusy(t *testing.T) {
+	run(t, fourInstances, func(tc *testCluster) {
+		tc.instances["a"].serveLinesWith(func(server *lineserver.Server, connect func() *lineClient) {
+			c := connect()
+			c.write("CONNECT de")
+			go server.Drain(tc.ctx, time.Now().Add(3*time.Second))
+			time.Sleep(time.Second)
+			require.True(t, strings.HasPrefix(c.send("sk"), "ERROR BUSY"))
+			c.requireClosed()
+		})
+	})
+}
