A slow replica is waited for also where the old primary is not known

What callers could have seen: with SyncReplicas 1 acknowledged commits are lost when the primary of a group without a record is lost together with all instances.

Cause: the count of holders took the old primary for one of the databases that are asked whenever its id was not known. If its registration has expired it is not, and one reply of two replicas seemed to suffice. A database that is known to have registered as primary was counted as a missing replica instead, which would have held up the change for a minute.

Evidence: TestSlowReplicaIsWaitedForWithoutARecord promotes g-3, which lacks commits, on the code before, and g-2 now.

--- a/internal/coordination/directory/directory.go
+++ b/internal/coordination/directory/directory.go
@@ -56,12 +56,14 @@
 	born    int64
 	at      state.Instant
 	group   state.GroupID
+	role    state.Role
 	leaving bool
 }
 
 // Missing is a database that was not leaving when its registration disappeared.
 type Missing struct {
 	ID    state.DatabaseID
+	Role  state.Role
 	Since state.Instant
 }
 
@@ -172,7 +174,7 @@
 	for id, run := range d.removed {
 		_, registered := d.servers[id]
 		if run.group == group && !run.leaving && !registered && now.Sub(run.at) <= removedRunMemory {
-			missing = append(missing, Missing{ID: id, Since: run.at})
+			missing = append(missing, Missing{ID: id, Role: run.role, Since: run.at})
 		}
 	}
 	return missing
@@ -395,7 +397,7 @@
 		}
 	}
 	entry := d.servers[id]
-	d.removed[id] = removedRun{born: entry.Born, at: d.clock.Now(), group: entry.Group, leaving: entry.Leaving}
+	d.removed[id] = removedRun{born: entry.Born, at: d.clock.Now(), group: entry.Group, role: entry.Role, leaving: entry.Leaving}
 	delete(d.servers, id)
 	d.log.Info().Str("database", string(id)).Str("reason", reason).Msg("database removed from the directory")
 	if d.onRemoved != nil {
--- a/internal/coordination/leadership/choose.go
+++ b/internal/coordination/leadership/choose.go
@@ -85,9 +85,6 @@
 	m.mu.Unlock()
 	replies := groupReplies{holders: m.Directory.SyncReplicas(attempt.group), target: attempt.target, ineffective: ineffective}
 	synchronous := replies.holders > 0
-	if synchronous && attempt.old == "" {
-		replies.holders++ // the old primary is among the databases that are asked
-	}
 	for _, entry := range m.Directory.Servers(attempt.group) {
 		if entry.ID == attempt.old || entry.Leaving && !synchronous {
 			continue
@@ -125,7 +122,7 @@
 func (m *Manager) missingHolders(attempt *changeAttempt, replies groupReplies) int {
 	missing := 0
 	for _, gone := range m.Directory.Missing(attempt.group) {
-		if gone.ID == attempt.old {
+		if gone.ID == attempt.old || attempt.old == "" && gone.Role == state.RolePrimary {
 			continue
 		}
 		position, known := m.PositionAfter(attempt.group, gone.Since)
--- a/internal/coordination/pooling/pool_test.go
+++ b/internal/coordination/pooling/pool_test.go
@@ -44,6 +44,7 @@
 	}
 	return state.Reply{Proof: "p"}, nil
 }
+
 func (c *fakeConn) Set(name, value string, _ time.Time) (state.Reply, error) {
 	if name == c.refuse {
 		return state.Reply{Code: state.CodeMalformed}, nil
--- a/test/council/syncreplicas_test.go
+++ b/test/council/syncreplicas_test.go
@@ -97,3 +97,23 @@
 		require.Equal(tc.t, second.ID, tc.group.Leader().ID)
 	})
 }
+
+// The primary of a group without a record and all instances are lost, and one replica is
+// slow. Nobody knows how far the primary's log went.
+func TestSlowReplicaIsWaitedForWithoutARecord(t *testing.T) {
+	runSynchronous(t, func(tc *testCluster, first, second, third *standin.Database) {
+		third.SetDeaf(true)
+		time.Sleep(2 * time.Second)
+		first.Crash(true)
+		second.SetStatusDelay(2 * time.Second)
+		for _, name := range fourInstances {
+			tc.newestRun(name).kill()
+		}
+		time.Sleep(2 * registrationExpiry)
+		for _, name := range fourInstances {
+			tc.start(name)
+		}
+		tc.eventually(14*time.Second, "a new primary", func() bool { return tc.group.Leader() != first })
+		require.Equal(tc.t, second.ID, tc.group.Leader().ID)
+	})
+}
