A promotion call that vanished is repeated for the same database after 8 s

What callers could have seen: 15 s without a primary when the connection of a promotion call goes silent and nothing is carried out.

Cause: while a call may still be carried out, no call was made at all. Only one for another database is unsafe; one for the same database changes nothing if the first is late, and both stay in the duty's row until they have ended.

Change: after 8 s without an answer the call may be repeated for its own database. Where the platform states a time between two holders (LeaseMs), the duty is free that much after the last call may have been carried out, and not sooner because of its effect.

--- a/internal/coordination/leadership/choose.go
+++ b/internal/coordination/leadership/choose.go
@@ -27,7 +27,8 @@
 // longer where replicas acknowledge commits and one that has not replied may hold more.
 // done is set if the returned database is primary already, by an earlier
 // attempt. While a promotion call of an earlier attempt may still be carried out, it
-// returns no other database than the one that the call makes primary.
+// returns no other database than the one that the call names, and that only if it leads
+// or the call has been silent for long.
 func (m *Manager) chooseReplica(ctx context.Context, attempt *changeAttempt) (chosen candidate, done bool, err error) {
 	poll := m.newStatusPoll(ctx)
 	defer poll.cancel()
@@ -38,18 +39,18 @@
 		if found {
 			m.endCarriedOut(attempt.group, successor)
 		}
-		database, pending := m.pendingCall(attempt.group)
+		called, sentAt, pending := m.pendingCall(attempt.group)
 		attempt.lastResort = m.Clock.Now().Sub(attempt.since) > lastResortAfter
 		waited := m.Clock.Now().Sub(started)
 		switch {
-		case pending && (!found || database != successor.server.ID || attempt.uncertain):
-			started = m.Clock.Now()
-		case found && !attempt.uncertain:
+		case found && !attempt.uncertain && (!pending || called == successor.server.ID):
 			return successor, true, nil
-		case found && replies.proven(successor.status.Received):
+		case found && !pending && replies.proven(successor.status.Received):
 			return successor, false, nil
+		case pending && m.Clock.Now().Sub(sentAt) < silentCallPatience:
+			started = m.Clock.Now()
 		default:
-			if chosen, ok := replies.choose(attempt, waited); ok {
+			if chosen, ok := replies.choose(attempt, waited); ok && (!pending || chosen.server.ID == called) {
 				return chosen, false, nil
 			}
 		}
--- a/internal/coordination/leadership/duty.go
+++ b/internal/coordination/leadership/duty.go
@@ -85,7 +85,8 @@
 	if int64(storeNow) >= current.FreeAt {
 		return true
 	}
-	return len(current.Calls) > 0 && int64(storeNow) >= current.HeldUntil && m.allCarriedOut(ctx, current.Calls)
+	// When a call was carried out is not known, so that none may follow soon after.
+	return m.Options.DutyReleaseDelay == 0 && len(current.Calls) > 0 && int64(storeNow) >= current.HeldUntil && m.allCarriedOut(ctx, current.Calls)
 }
 
 // extendDuty returns the duty's row with a lease from now on. The duty is not free
@@ -97,7 +98,7 @@
 	record.Calls = m.duty.pendingCalls(storeNow, m.era.number)
 	m.mu.Unlock()
 	for _, call := range record.Calls {
-		record.FreeAt = max(record.FreeAt, call.Until)
+		record.FreeAt = max(record.FreeAt, call.Until+int64(m.Options.DutyReleaseDelay))
 	}
 	return record
 }
--- a/internal/coordination/leadership/options.go
+++ b/internal/coordination/leadership/options.go
@@ -150,6 +150,9 @@
 	// callLifetime is how long after it was sent a promotion call without an answer may
 	// still be carried out. It exceeds the usual partitions, 12 s.
 	callLifetime = 15 * time.Second
+	// silentCallPatience is how long a promotion call without an answer is waited for
+	// before it is repeated.
+	silentCallPatience = 8 * time.Second
 	// promotionTimeout bounds the wait for a promotion to take effect; the slowest
 	// known promotion took one second.
 	promotionTimeout = 5 * time.Second
--- a/internal/coordination/leadership/promotioncall.go
+++ b/internal/coordination/leadership/promotioncall.go
@@ -28,6 +28,8 @@
 	// it may be sent.
 	recorded bool
 	era      uint64
+	// sentAt is when the call was sent; zero before.
+	sentAt state.Instant
 	// answered receives the outcome; it has room for it.
 	answered chan error
 }
@@ -78,17 +80,17 @@
 	}
 }
 
-// pendingCall returns the database of a group that a call which may still be carried
-// out names.
-func (m *Manager) pendingCall(id state.GroupID) (state.DatabaseID, bool) {
+// pendingCall returns the database that the group's calls name which may still be
+// carried out, and when the last of them was sent.
+func (m *Manager) pendingCall(id state.GroupID) (database state.DatabaseID, sentAt state.Instant, pending bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, call := range m.duty.calls {
 		if call.Group == id {
-			return call.Database, true
+			database, sentAt, pending = call.Database, max(sentAt, call.sentAt), true
 		}
 	}
-	return "", false
+	return database, sentAt, pending
 }
 
 // startCall records a promotion call in the duty's row and then sends it.
@@ -118,6 +120,9 @@
 		m.endCall(call)
 		return nil, err
 	}
+	m.mu.Lock()
+	call.sentAt = m.Clock.Now()
+	m.mu.Unlock()
 	go m.sendCall(context.WithoutCancel(ctx), call, attempt)
 	return call, nil
 }
@@ -168,7 +173,7 @@
 
 // sendCall sends a call and waits for its end.
 func (m *Manager) sendCall(ctx context.Context, call *promotionCall, attempt *changeAttempt) {
-	sent := m.Clock.Now()
+	sent := call.sentAt
 	callCtx, cancel := context.WithTimeout(ctx, callLifetime)
 	err := m.Promoter.Promote(callCtx, call.Group, call.Database, m.Self, attempt.token)
 	cancel()
--- a/test/council/latepromotion_test.go
+++ b/test/council/latepromotion_test.go
@@ -159,3 +159,18 @@
 		tc.requireValidPromotions()
 	})
 }
+
+// A call vanishes: its connection goes silent and nothing is carried out. It is repeated
+// for the same database.
+func TestVanishedCallIsRepeated(t *testing.T) {
+	run(t, fourInstances, func(tc *testCluster) {
+		time.Sleep(25 * time.Second)
+		old := tc.group.Leader().ID
+		tc.group.DelayPromotions(time.Hour)
+		tc.retirePrimary()
+		time.Sleep(2 * time.Second)
+		tc.group.DelayPromotions(0)
+		tc.awaitNewLeader(old, 12*time.Second)
+		tc.requireValidPromotions()
+	})
+}
