Answers that came while an instance was suspended are delivered

What callers could have seen: TIMEOUT or UNKNOWN for statements that the database had answered in time, and sessions ended for messages that had come, after an instance was suspended for longer than the deadline.

Cause: a read whose deadline has passed returns that error although data is ready. Of an answer over a link and its deadline, select takes either.

Change: connections to clients and databases are read by socket.Reader, which reads once more if data is ready at the deadline; links look for the answer first.

--- a/internal/transport/forward/client.go
+++ b/internal/transport/forward/client.go
@@ -250,7 +250,8 @@
 	s.link.addCalls(1)
 	defer s.link.addCalls(-1)
 	s.link.watch()
-	if err := s.link.send(kindCall, s.id, encodeCall(call), deadline); err != nil {
+	err := s.link.send(kindCall, s.id, encodeCall(call), deadline)
+	if err != nil {
 		return forwarding.Answer{}, eris.Wrap(errors.Join(forwarding.ErrNotWritten, err), "send call")
 	}
 	timer := time.NewTimer(time.Until(deadline))
@@ -262,14 +263,18 @@
 	case <-closed:
 		return forwarding.Answer{}, eris.New("the stream was closed")
 	case <-timer.C:
-		return forwarding.Answer{}, eris.Wrap(os.ErrDeadlineExceeded, "await answer")
+		err = eris.Wrap(os.ErrDeadlineExceeded, "await answer")
 	}
+	// An answer that has come is delivered, whatever has happened besides.
 	select {
 	case f := <-s.answers:
 		return s.finish(f)
 	default:
-		return forwarding.Answer{}, errors.Join(forwarding.ErrLinkLost, s.link.cause())
 	}
+	if err == nil {
+		err = errors.Join(forwarding.ErrLinkLost, s.link.cause())
+	}
+	return forwarding.Answer{}, err
 }
 
 func (s *stream) begin() (closed chan struct{}, ok bool) {
--- a/internal/transport/forward/link_test.go
+++ b/internal/transport/forward/link_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"net"
 	"sync"
@@ -174,3 +175,23 @@
 		}
 	})
 }
+
+// An answer has come by the time at which its deadline is noticed, as after a suspension.
+// To drop it would call a statement lost that ran and was answered.
+func TestAnswerThatHasComeIsDeliveredAfterTheDeadline(t *testing.T) {
+	runPair(t, func(t *testing.T, p *pair) {
+		opened, err := p.client.Open(t.Context(), "holder")
+		require.NoError(t, err)
+		s := opened.(*stream)
+		for range 64 {
+			body, err := appendFrame(nil, kindAnswer, s.id, encodeAnswer(forwarding.Answer{Reply: state.Reply{Proof: "p"}}))
+			require.NoError(t, err)
+			f, err := readFrame(bufio.NewReader(bytes.NewReader(body)))
+			require.NoError(t, err)
+			s.answers <- f
+			answer, err := s.Call(forwarding.Call{Text: "READ k", Left: time.Hour}, time.Now().Add(-time.Second))
+			require.NoError(t, err)
+			require.Equal(t, "p", answer.Reply.Proof)
+		}
+	})
+}
--- a/internal/transport/linebackend/conn.go
+++ b/internal/transport/linebackend/conn.go
@@ -99,7 +99,7 @@
 // startSession sends the startup message on a new connection and reads the
 // reply. Errors name the peer.
 func (d *Dialer) startSession(ctx context.Context, raw net.Conn, server state.Server, workspace state.WorkspaceID, peer string) (pooling.ServerConn, error) {
-	conn := &Conn{raw: raw, reader: bufio.NewReaderSize(raw, readerBytes), codec: d.Codec, peer: peer}
+	conn := &Conn{raw: raw, reader: bufio.NewReaderSize(socket.Reader{Conn: raw}, readerBytes), codec: d.Codec, peer: peer}
 	deadline, _ := ctx.Deadline()
 	conn.buffer = d.Codec.AppendConnect(conn.buffer, server.Group, cmp.Or(string(workspace), d.User), server.ID)
 	reply, err := conn.exchange("startup", deadline, nil)
--- a/internal/transport/lineserver/client.go
+++ b/internal/transport/lineserver/client.go
@@ -56,7 +56,7 @@
 }
 
 func newClient(server *Server, raw net.Conn) *client {
-	return &client{server: server, raw: raw, reader: bufio.NewReaderSize(raw, readerBytes)}
+	return &client{server: server, raw: raw, reader: bufio.NewReaderSize(socket.Reader{Conn: raw}, readerBytes)}
 }
 
 func (c *client) serve() {
