A change waits for a promotion call as long as for its repetition

What callers could have seen: two promotion calls where one is slow.

Cause: an attempt at a change was given up 5 s after its call, answered or not. The next one found no call pending when the answer had come meanwhile, and no effect yet, so it called again.

Evidence: TestAnsweredPromotionIsNotRepeated sees two calls on the code before and one now.

--- a/internal/coordination/leadership/promote.go
+++ b/internal/coordination/leadership/promote.go
@@ -13,7 +13,7 @@
 // promote requests the promotion of a database and waits until it leads. The call is
 // repeated only if it failed: one that is silent may be slow.
 func (m *Manager) promote(ctx context.Context, attempt *changeAttempt, chosen candidate) (state.ServerStatus, error) {
-	deadline := m.Clock.Now().Add(promotionTimeout)
+	var deadline state.Instant
 	var call *promotionCall
 	var poll *statusPoll
 	var accepted bool
@@ -24,6 +24,7 @@
 			if call, err = m.startCall(ctx, attempt, chosen); err != nil {
 				return state.ServerStatus{}, err
 			}
+			deadline = m.Clock.Now().Add(silentCallPatience)
 		}
 		answered, err := call.await(ctx, statusInterval)
 		switch {
@@ -33,7 +34,7 @@
 		case err != nil:
 			call, nextCall = nil, m.Clock.Now().Add(promoteInterval)
 		default:
-			accepted = true
+			accepted, deadline = true, m.Clock.Now().Add(promotionTimeout)
 			if attempt.uncertain {
 				// The database may report itself as primary of a superseded term
 				// until the promotion takes effect.
@@ -52,7 +53,7 @@
 			if accepted {
 				m.recordIneffective(attempt.group, chosen.server.ID)
 			}
-			return state.ServerStatus{}, eris.Errorf("database %s does not lead %s after its promotion was requested", chosen.server.ID, promotionTimeout)
+			return state.ServerStatus{}, eris.Errorf("database %s does not lead, promotion accepted %t", chosen.server.ID, accepted)
 		}
 	}
 }
--- a/test/council/latepromotion_test.go
+++ b/test/council/latepromotion_test.go
@@ -174,3 +174,20 @@
 		tc.requireValidPromotions()
 	})
 }
+
+// The endpoint answers after seconds, and the promotion takes effect after that. No
+// second call is made in between.
+func TestAnsweredPromotionIsNotRepeated(t *testing.T) {
+	options := groupOptions()
+	options.PromotionDelay = 2 * time.Second
+	runWith(t, options, fourInstances, testLog, func(tc *testCluster) {
+		time.Sleep(25 * time.Second)
+		tc.group.DelayPromotions(6 * time.Second)
+		old := tc.group.Leader().ID
+		tc.retirePrimary()
+		tc.awaitNewLeader(old, 12*time.Second)
+		time.Sleep(10 * time.Second) // a second call would be carried out late, too
+		tokens, _ := tc.group.Tokens()
+		require.Len(tc.t, tokens, 1)
+	})
+}
