The effect of an accepted promotion call ends no other call

What callers could have seen: writes acknowledged by a superseded primary for seconds.

Cause: a call without an answer ends when its database leads, if no other call was pending beside it. A call that has just been accepted is not pending any more, but takes effect some hundred milliseconds later. That effect ended the next call, which was carried out 9 s later, after another change.

Change: an accepted call is remembered until its effect is seen. A call made meanwhile ends by an answer or by time only.

--- a/internal/coordination/leadership/manager.go
+++ b/internal/coordination/leadership/manager.go
@@ -179,6 +179,9 @@
 	// ineffective is a database that did not lead although the platform accepted its
 	// promotion in the change in progress.
 	ineffective state.DatabaseID
+	// accepted is the last promotion call that the platform accepted and whose effect
+	// was not seen yet; nil if there is none.
+	accepted *promotionCall
 	// expected is the last expectation of a promoter.
 	expected expectation
 	// running is set while this instance carries out a change.
--- a/internal/coordination/leadership/promotioncall.go
+++ b/internal/coordination/leadership/promotioncall.go
@@ -43,8 +43,9 @@
 	Term state.Term `msgpack:"t"`
 	// Number distinguishes the calls of one run.
 	Number uint64 `msgpack:"n"`
-	// Repeated is set if another call of the group was made while this one was pending:
-	// that the database leads does not show which of them was carried out.
+	// Repeated is set if another call of the group was pending, or accepted without effect,
+	// beside this one: that the database leads does not show which of them was carried
+	// out.
 	Repeated bool `msgpack:"r"`
 	// Until is when the call can't be carried out any more, on the store's clock, in
 	// nanoseconds. So it must be sent callLifetime earlier.
@@ -52,8 +53,14 @@
 }
 
 // carriedOut reports whether a database's status shows that the call was carried out.
-func (c recordedCall) carriedOut(status state.ServerStatus) bool {
-	return !c.Repeated && status.Role == state.RolePrimary && status.Term > c.Term
+func (c recordedCall) carriedOut(found candidate) bool {
+	return !c.Repeated && c.effective(found)
+}
+
+// effective reports whether a database's status shows that this call or another one of
+// its kind was carried out.
+func (c recordedCall) effective(found candidate) bool {
+	return found.server.ID == c.Database && found.status.Role == state.RolePrimary && found.status.Term > c.Term
 }
 
 // pendingCalls returns the calls as the duty's row, which is written at the given time
@@ -100,7 +107,8 @@
 	}
 	m.mu.Lock()
 	m.lastCall++
-	repeated := false
+	accepted := m.group(attempt.group).accepted
+	repeated := accepted != nil && m.Clock.Now().Sub(accepted.sentAt) < callLifetime
 	for _, earlier := range m.duty.calls {
 		if earlier.Group == attempt.group {
 			earlier.Repeated, repeated = true, true
@@ -179,6 +187,9 @@
 	cancel()
 	m.Log.Info().Err(err).Str("group", string(call.Group)).Str("database", string(call.Database)).Uint64("epoch", attempt.epoch).
 		Uint64("token", attempt.token).Dur("held_ms", m.Clock.Now().Sub(sent)).Msg("promotion requested")
+	if err == nil {
+		m.recordAccepted(call)
+	}
 	call.answered <- err
 	if errors.Is(err, state.ErrNoAnswer) {
 		state.Pause(ctx, callLifetime-m.Clock.Now().Sub(sent))
@@ -188,6 +199,13 @@
 	}
 }
 
+// recordAccepted records a call whose effect is still to be seen.
+func (m *Manager) recordAccepted(call *promotionCall) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.group(call.Group).accepted = call
+}
+
 // endCall removes a call that can't be carried out any more, and reports whether it was
 // the last one.
 func (m *Manager) endCall(call *promotionCall) (last bool) {
@@ -204,8 +222,11 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.duty.calls = slices.DeleteFunc(m.duty.calls, func(call *promotionCall) bool {
-		return call.Group == id && call.Database == found.server.ID && call.carriedOut(found.status)
+		return call.Group == id && call.carriedOut(found)
 	})
+	if g := m.group(id); g.accepted != nil && g.accepted.effective(found) {
+		g.accepted = nil
+	}
 }
 
 // allCarriedOut asks the databases that another holder's calls name, and reports
@@ -220,7 +241,7 @@
 		}
 		queries.Go(func() {
 			reply, ok := m.queryCandidate(ctx, directory.Entry{Server: entry.Server})
-			results[n] = ok && call.carriedOut(reply.status)
+			results[n] = ok && call.carriedOut(reply)
 		})
 	}
 	queries.Wait()
--- a/internal/standin/platform/council/group.go
+++ b/internal/standin/platform/council/group.go
@@ -268,6 +268,14 @@
 	d.leaving = true
 }
 
+// Stay ends the database's retirement, as if a new one had taken its place.
+func (d *Database) Stay() {
+	d.group.mu.Lock()
+	defer d.group.mu.Unlock()
+	d.leaving = false
+	d.restarts++
+}
+
 // RolledBack returns the positions of the commits that a promotion rolled back.
 func (g *Group) RolledBack() map[state.Position]bool {
 	g.mu.Lock()
--- a/test/council/latepromotion_test.go
+++ b/test/council/latepromotion_test.go
@@ -191,3 +191,29 @@
 		require.Len(tc.t, tokens, 1)
 	})
 }
+
+// A call is answered between two attempts at a change, and takes effect while the next
+// call, which gets no answer, is on its way. The effect is that of the first call, so the
+// second one may still be carried out. Found by
+// TestRandomFaultsBreakNoPromiseWithLatePromotions, seed 2028.
+func TestEffectOfAnAcceptedCallEndsNoOtherCall(t *testing.T) {
+	run(t, fourInstances, func(tc *testCluster) {
+		time.Sleep(25 * time.Second)
+		first := tc.group.Leader().ID
+		tc.group.DelayPromotions(8100 * time.Millisecond)
+		tc.retirePrimary()
+		time.Sleep(2 * time.Second)
+		tc.group.LosePromotions(1, 9*time.Second)
+		tc.awaitNewLeader(first, 12*time.Second)
+		require.Equal(tc.t, 1, tc.group.UnansweredPromotions())
+		second := tc.group.Leader().ID
+		for _, name := range fourInstances {
+			go tc.keepWriting(tc.ctx, name)
+		}
+		tc.retirePrimary()
+		time.Sleep(40 * time.Second)
+		require.NotEqual(tc.t, second, tc.group.Leader().ID)
+		require.Empty(tc.t, tc.rolledBack())
+		tc.requireValidPromotions()
+	})
+}
