--- a/internal/coordination/leadership/choose.go
+++ b/internal/coordination/leadership/choose.go
@@ -32,7 +32,8 @@
 func (m *Manager) chooseReplica(ctx context.Context, attempt *changeAttempt) (chosen candidate, done bool, err error) {
 	poll := m.newStatusPoll(ctx)
 	defer poll.cancel()
-	started := m.Clock.Now()
+	began := m.Clock.Now()
+	started, told := began, false
 	for {
 		replies := m.pollGroup(poll, attempt)
 		successor, found := replies.successor(attempt)
@@ -58,6 +59,11 @@
 			return candidate{}, false, eris.Wrapf(errNoCandidate, "group %s: of %d other databases %d replied, call pending %t",
 				attempt.group, replies.members, len(replies.all), pending)
 		}
+		if !told && m.Clock.Now().Sub(began) >= catchUpTimeout {
+			told = true
+			m.Log.Info().Str("group", string(attempt.group)).Uint64("epoch", attempt.epoch).Bool("call_pending", pending).Str("called", string(called)).
+				Int("databases", replies.members).Int("replied", len(replies.all)).Int("holders", replies.holders).Msg("a change of primary waits for a database to promote")
+		}
 		poll.await(statusInterval)
 	}
 }
--- a/internal/coordination/leadership/promotioncall.go
+++ b/internal/coordination/leadership/promotioncall.go
@@ -92,7 +92,12 @@
 func (m *Manager) pendingCall(id state.GroupID) (database state.DatabaseID, sentAt state.Instant, pending bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, call := range m.duty.calls {
+	return m.duty.pendingCall(id)
+}
+
+// pendingCall is that of the manager, whose lock must be held.
+func (d *duty) pendingCall(id state.GroupID) (database state.DatabaseID, sentAt state.Instant, pending bool) {
+	for _, call := range d.calls {
 		if call.Group == id {
 			database, sentAt, pending = call.Database, max(sentAt, call.sentAt), true
 		}
--- a/internal/coordination/leadership/view.go
+++ b/internal/coordination/leadership/view.go
@@ -140,6 +140,17 @@
 	Grants   int              `json:"grants"`
 	// Watched is set if this instance watches the group.
 	Watched bool `json:"watched"`
+	// Called is the database that a promotion call of this instance names which may
+	// still be carried out.
+	Called state.DatabaseID `json:"called,omitempty"`
+}
+
+// PendingCalls returns the number of this instance's promotion calls that may still be
+// carried out.
+func (m *Manager) PendingCalls() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.duty.calls)
 }
 
 // DutyHeld reports whether this instance holds the promotion duty and has a
@@ -158,7 +169,8 @@
 	for _, id := range m.Directory.Groups() {
 		g := m.group(id)
 		primary, _ := m.primaryOf(id, g)
-		groups = append(groups, Status{Group: id, Epoch: g.record.Epoch, Term: g.record.Term, Changing: g.record.Changing, Primary: primary, Grants: len(g.grants), Watched: m.rankingOf(id).watches()})
+		called, _, _ := m.duty.pendingCall(id)
+		groups = append(groups, Status{Group: id, Epoch: g.record.Epoch, Term: g.record.Term, Changing: g.record.Changing, Primary: primary, Grants: len(g.grants), Watched: m.rankingOf(id).watches(), Called: called})
 	}
 	return groups, m.lease.remaining(now)
 }
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -70,6 +70,7 @@
 	})
 	set.NewGauge(`cyclamenpin_entry_instances_live`, func() float64 { return float64(i.leadership.Members()) })
 	set.NewGauge(`cyclamenpin_entry_promotion_duty_held`, boolGauge(i.leadership.DutyHeld))
+	set.NewGauge(`cyclamenpin_entry_promotion_calls_pending`, func() float64 { return float64(i.leadership.PendingCalls()) })
 	set.NewGauge(`cyclamenpin_entry_isolated`, boolGauge(i.leadership.Isolated))
 	set.NewGauge(`cyclamenpin_entry_lease_left_seconds`, func() float64 {
 		_, left := i.leadership.Snapshot()
