The position of a primary that started anew proves no commit

What callers could have seen: with SyncReplicas 1, acknowledged commits lost when a primary starts again under its id without its log, beside a replica that lags.

Cause: a database counts as holding all commits if it holds the old primary's last position. That was taken from whatever role the old primary reported. One that has started anew reports a replica's, and any replica covers it.

Change: the position counts only if the old primary led until this attempt made it step down. Otherwise the replies of the replicas decide.

--- a/internal/coordination/leadership/change.go
+++ b/internal/coordination/leadership/change.go
@@ -25,8 +25,10 @@
 	token          uint64
 	announceCommit rowstore.Commit
 	// target is the last position of the old primary, zero if the old primary
-	// did not respond.
+	// did not respond. final is set if it led until this attempt made it step down:
+	// one that has started anew reports a position as well, and lacks its commits.
 	target state.Position
+	final  bool
 	// oldTermStart is the position at which the old primary's term began.
 	oldTermStart state.Position
 	// since is when the change was first announced, by this attempt or an earlier one.
@@ -262,12 +264,13 @@
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	status, err := m.Databases.Status(ctx, entry.Server)
-	if err == nil && status.Role == state.RolePrimary {
+	final := status.Role == state.RolePrimary
+	if err == nil && final {
 		status, err = m.Databases.StepDown(ctx, entry.Server, status.Term+1)
 	}
 	if err != nil {
 		m.Log.Warn().Err(err).Str("group", string(attempt.group)).Str("database", string(attempt.old)).Msg("failed to step down the old primary")
 		return
 	}
-	attempt.target = status.Received
+	attempt.target, attempt.final = status.Received, final
 }
--- a/internal/coordination/leadership/choose.go
+++ b/internal/coordination/leadership/choose.go
@@ -77,8 +77,9 @@
 	// members is the number of databases that may hold commits. holders is the least
 	// number of them that hold each acknowledged commit, 0 if there may be none.
 	members, holders int
-	// target is the last position of the old primary, zero if that is not known.
+	// target and final are those of the attempt.
 	target state.Position
+	final  bool
 	// ineffective is the database whose promotion did not take effect before.
 	ineffective state.DatabaseID
 }
@@ -90,7 +91,7 @@
 	m.mu.Lock()
 	ineffective := m.group(attempt.group).ineffective
 	m.mu.Unlock()
-	replies := groupReplies{holders: m.Directory.SyncReplicas(attempt.group), target: attempt.target, ineffective: ineffective}
+	replies := groupReplies{holders: m.Directory.SyncReplicas(attempt.group), target: attempt.target, final: attempt.final, ineffective: ineffective}
 	synchronous := replies.holders > 0
 	for _, entry := range m.Directory.Servers(attempt.group) {
 		if entry.ID == attempt.old || entry.Leaving && !synchronous {
@@ -157,7 +158,7 @@
 	switch {
 	case r.holders == 0:
 		return true
-	case !r.target.IsZero() && position.Covers(r.target):
+	case r.final && !r.target.IsZero() && position.Covers(r.target):
 		return true
 	default:
 		// So many replies contain one of the databases that hold the newest commit.
