--- a/internal/coordination/leadership/choose.go
+++ b/internal/coordination/leadership/choose.go
@@ -62,7 +62,7 @@
 		if !told && m.Clock.Now().Sub(began) >= catchUpTimeout {
 			told = true
 			m.Log.Info().Str("group", string(attempt.group)).Uint64("epoch", attempt.epoch).Bool("call_pending", pending).Str("called", string(called)).
-				Int("databases", replies.members).Int("replied", len(replies.all)).Int("holders", replies.holders).Msg("a change of primary waits for a database to promote")
+				Int("databases", replies.members).Int("replied", len(replies.all)).Int("copies", replies.copies).Msg("a change of primary waits for a database to promote")
 		}
 		poll.await(statusInterval)
 	}
@@ -74,9 +74,9 @@
 	// all holds all replies, the newest position first. running holds those of them
 	// whose last query got a reply.
 	all, running []candidate
-	// members is the number of databases that may hold commits. holders is the least
+	// members is the number of databases that may hold commits. copies is the least
 	// number of them that hold each acknowledged commit, 0 if there may be none.
-	members, holders int
+	members, copies int
 	// target and final are those of the attempt.
 	target state.Position
 	final  bool
@@ -91,8 +91,8 @@
 	m.mu.Lock()
 	ineffective := m.group(attempt.group).ineffective
 	m.mu.Unlock()
-	replies := groupReplies{holders: m.Directory.SyncReplicas(attempt.group), target: attempt.target, final: attempt.final, ineffective: ineffective}
-	synchronous := replies.holders > 0
+	replies := groupReplies{copies: m.Directory.SyncReplicas(attempt.group), target: attempt.target, final: attempt.final, ineffective: ineffective}
+	synchronous := replies.copies > 0
 	for _, entry := range m.Directory.Servers(attempt.group) {
 		if entry.ID == attempt.old || entry.Leaving && !synchronous {
 			continue
@@ -110,7 +110,7 @@
 	}
 	replies.sort()
 	if synchronous {
-		replies.members += m.missingHolders(attempt, replies)
+		replies.members += m.missingReplicas(attempt, replies)
 	}
 	return replies
 }
@@ -123,11 +123,11 @@
 	slices.SortFunc(r.running, newestFirst)
 }
 
-// missingHolders returns how many databases that are not registered any more may come
+// missingReplicas returns how many databases that are not registered any more may come
 // back with acknowledged commits that the newest reply lacks. There are none if that
 // covers a position that the primary had after they were gone: from then on only the
 // others can have acknowledged its commits, with all commits before.
-func (m *Manager) missingHolders(attempt *changeAttempt, replies groupReplies) int {
+func (m *Manager) missingReplicas(attempt *changeAttempt, replies groupReplies) int {
 	missing := 0
 	for _, gone := range m.Directory.Missing(attempt.group) {
 		if gone.ID == attempt.old || attempt.old == "" && gone.Role == state.RolePrimary {
@@ -156,13 +156,13 @@
 // Where no replica acknowledges commits, there is nothing to prove.
 func (r groupReplies) proven(position state.Position) bool {
 	switch {
-	case r.holders == 0:
+	case r.copies == 0:
 		return true
 	case r.final && !r.target.IsZero() && position.Covers(r.target):
 		return true
 	default:
 		// So many replies contain one of the databases that hold the newest commit.
-		return len(r.all) >= max(1, r.members-r.holders+1) && position.Covers(r.all[0].status.Received)
+		return len(r.all) >= max(1, r.members-r.copies+1) && position.Covers(r.all[0].status.Received)
 	}
 }
 
