--- a/internal/coordination/leadership/choose.go
+++ b/internal/coordination/leadership/choose.go
@@ -26,48 +26,54 @@
 // up to catchUpTimeout for a replica to receive the old primary's last writes, and
 // longer where replicas acknowledge commits and one that has not replied may hold more.
 // done is set if the returned database is primary already, by an earlier
-// attempt. While a promotion call of an earlier attempt may still be carried out, it
-// returns no other database than the one that the call names, and that only if it leads
-// or the call has been silent for long.
+// attempt.
 func (m *Manager) chooseReplica(ctx context.Context, attempt *changeAttempt) (chosen candidate, done bool, err error) {
 	poll := m.newStatusPoll(ctx)
 	defer poll.cancel()
 	began := m.Clock.Now()
-	started, told := began, false
+	mayCallSince, told := began, false
 	for {
 		replies := m.pollGroup(poll, attempt)
-		successor, found := replies.successor(attempt)
-		if found {
-			m.endCarriedOut(attempt.group, successor)
+		now := m.Clock.Now()
+		called := m.calledDatabase(attempt.group)
+		if called.awaitsAnswer(now) {
+			mayCallSince = now
 		}
-		called, sentAt, pending := m.pendingCall(attempt.group)
-		attempt.lastResort = m.Clock.Now().Sub(attempt.since) > lastResortAfter
-		waited := m.Clock.Now().Sub(started)
-		switch {
-		case found && !attempt.uncertain && (!pending || called == successor.server.ID):
-			return successor, true, nil
-		case found && !pending && replies.proven(successor.status.Received):
-			return successor, false, nil
-		case pending && m.Clock.Now().Sub(sentAt) < silentCallPatience:
-			started = m.Clock.Now()
-		default:
-			if chosen, ok := replies.choose(attempt, waited); ok && (!pending || chosen.server.ID == called) {
-				return chosen, false, nil
-			}
+		attempt.lastResort = now.Sub(attempt.since) > lastResortAfter
+		if chosen, done, ok := replies.decide(attempt, called, now, now.Sub(mayCallSince)); ok {
+			return chosen, done, nil
 		}
 		if ctx.Err() != nil {
-			return candidate{}, false, eris.Wrapf(errNoCandidate, "group %s: of %d other databases %d replied, call pending %t",
-				attempt.group, replies.members, len(replies.all), pending)
+			return candidate{}, false, eris.Wrapf(errNoCandidate, "group %s: of %d other databases %d replied, promotion of %q pending",
+				attempt.group, replies.members, len(replies.all), called.id)
 		}
-		if !told && m.Clock.Now().Sub(began) >= catchUpTimeout {
+		if !told && now.Sub(began) >= catchUpTimeout {
 			told = true
-			m.Log.Info().Str("group", string(attempt.group)).Uint64("epoch", attempt.epoch).Bool("call_pending", pending).Str("called", string(called)).
+			m.Log.Info().Str("group", string(attempt.group)).Uint64("epoch", attempt.epoch).Str("called", string(called.id)).
 				Int("databases", replies.members).Int("replied", len(replies.all)).Int("copies", replies.copies).Msg("a change of primary waits for a database to promote")
 		}
 		poll.await(statusInterval)
 	}
 }
 
+// decide returns the database that leads already, or is to be promoted now. ok is false
+// while the change has to wait. While a promotion call may still be carried out, only the
+// database that it names is returned, and is promoted once more only if the call has been
+// silent for long. waited is for how long a call has been allowed.
+func (r groupReplies) decide(attempt *changeAttempt, called calledDatabase, now state.Instant, waited time.Duration) (chosen candidate, done, ok bool) {
+	successor, found := r.successor(attempt)
+	switch {
+	case found && !attempt.uncertain:
+		return successor, true, called.allows(successor.server.ID)
+	case called.awaitsAnswer(now):
+		return candidate{}, false, false
+	case found && called.id == "" && r.proven(successor.status.Received):
+		return successor, false, true
+	}
+	chosen, ok = r.choose(attempt, waited)
+	return chosen, false, ok && called.allows(chosen.server.ID)
+}
+
 // groupReplies are the databases of a group that may hold commits of the old primary,
 // as far as they have replied.
 type groupReplies struct {
@@ -86,7 +92,8 @@
 
 // pollGroup returns the replies of the databases that may take over from the old
 // primary, and has those asked that were not asked yet. Where replicas acknowledge
-// commits, a leaving replica may be the only one that holds some of them.
+// commits, a leaving replica may be the only one that holds some of them. A promotion
+// call whose effect is seen ends.
 func (m *Manager) pollGroup(poll *statusPoll, attempt *changeAttempt) groupReplies {
 	m.mu.Lock()
 	ineffective := m.group(attempt.group).ineffective
@@ -112,6 +119,9 @@
 	if synchronous {
 		replies.members += m.missingReplicas(attempt, replies)
 	}
+	if successor, found := replies.successor(attempt); found {
+		m.endCarriedOut(attempt.group, successor)
+	}
 	return replies
 }
 
--- a/internal/coordination/leadership/promotioncall.go
+++ b/internal/coordination/leadership/promotioncall.go
@@ -87,22 +87,39 @@
 	}
 }
 
-// pendingCall returns the database that the group's calls name which may still be
-// carried out, and when the last of them was sent.
-func (m *Manager) pendingCall(id state.GroupID) (database state.DatabaseID, sentAt state.Instant, pending bool) {
+// calledDatabase is the database that a group's pending calls name.
+type calledDatabase struct {
+	// id is empty if no call is pending.
+	id state.DatabaseID
+	// sentAt is when the last call was sent.
+	sentAt state.Instant
+}
+
+// allows reports whether a database may lead, or be promoted, beside the pending calls.
+func (c calledDatabase) allows(id state.DatabaseID) bool {
+	return c.id == "" || c.id == id
+}
+
+// awaitsAnswer reports whether the last call has not been silent for so long that it may
+// be repeated.
+func (c calledDatabase) awaitsAnswer(now state.Instant) bool {
+	return c.id != "" && now.Sub(c.sentAt) < silentCallPatience
+}
+
+func (m *Manager) calledDatabase(id state.GroupID) calledDatabase {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.duty.pendingCall(id)
+	return m.duty.calledDatabase(id)
 }
 
-// pendingCall is that of the manager, whose lock must be held.
-func (d *duty) pendingCall(id state.GroupID) (database state.DatabaseID, sentAt state.Instant, pending bool) {
+// calledDatabase is that of the manager, whose lock must be held.
+func (d *duty) calledDatabase(id state.GroupID) (called calledDatabase) {
 	for _, call := range d.calls {
 		if call.Group == id {
-			database, sentAt, pending = call.Database, max(sentAt, call.sentAt), true
+			called = calledDatabase{call.Database, max(called.sentAt, call.sentAt)}
 		}
 	}
-	return database, sentAt, pending
+	return called
 }
 
 // startCall records a promotion call in the duty's row and then sends it.
--- a/internal/coordination/leadership/view.go
+++ b/internal/coordination/leadership/view.go
@@ -169,8 +169,7 @@
 	for _, id := range m.Directory.Groups() {
 		g := m.group(id)
 		primary, _ := m.primaryOf(id, g)
-		called, _, _ := m.duty.pendingCall(id)
-		groups = append(groups, Status{Group: id, Epoch: g.record.Epoch, Term: g.record.Term, Changing: g.record.Changing, Primary: primary, Grants: len(g.grants), Watched: m.rankingOf(id).watches(), Called: called})
+		groups = append(groups, Status{Group: id, Epoch: g.record.Epoch, Term: g.record.Term, Changing: g.record.Changing, Primary: primary, Grants: len(g.grants), Watched: m.rankingOf(id).watches(), Called: m.duty.calledDatabase(id).id})
 	}
 	return groups, m.lease.remaining(now)
 }
