--- a/test/council/latepromotion_test.go
+++ b/test/council/latepromotion_test.go
@@ -10,6 +10,16 @@
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 )
 
+// retireWithWriters retires the primary while all instances write, and returns its id.
+func (tc *testCluster) retireWithWriters() state.DatabaseID {
+	old := tc.group.Leader().ID
+	for _, name := range fourInstances {
+		go tc.keepWriting(tc.ctx, name)
+	}
+	tc.retirePrimary()
+	return old
+}
+
 // awaitNewLeader waits until another database leads and writes succeed.
 func (tc *testCluster) awaitNewLeader(old state.DatabaseID, limit time.Duration) {
 	tc.t.Helper()
@@ -50,11 +60,7 @@
 		first := tc.group.Leader().ID
 		tc.retirePrimary()
 		tc.awaitNewLeader(first, 5*time.Second)
-		second := tc.group.Leader().ID
-		for _, name := range fourInstances {
-			go tc.keepWriting(tc.ctx, name)
-		}
-		tc.retirePrimary()
+		second := tc.retireWithWriters()
 		time.Sleep(late + 20*time.Second)
 		require.NotEqual(tc.t, second, tc.group.Leader().ID)
 		require.Empty(tc.t, tc.rolledBack())
@@ -206,11 +212,7 @@
 		tc.group.LosePromotions(1, 9*time.Second)
 		tc.awaitNewLeader(first, 12*time.Second)
 		require.Equal(tc.t, 1, tc.group.UnansweredPromotions())
-		second := tc.group.Leader().ID
-		for _, name := range fourInstances {
-			go tc.keepWriting(tc.ctx, name)
-		}
-		tc.retirePrimary()
+		second := tc.retireWithWriters()
 		time.Sleep(40 * time.Second)
 		require.NotEqual(tc.t, second, tc.group.Leader().ID)
 		require.Empty(tc.t, tc.rolledBack())
--- a/test/council/noprimary_test.go
+++ b/test/council/noprimary_test.go
@@ -11,25 +11,8 @@
 // instances. After their restart no row and no registration says who led, and the group
 // must get a primary all the same.
 func TestPrimaryLostWithAllInstancesBeforeAnyChange(t *testing.T) {
-	for name, kill := range map[string]func(*testCluster){
-		"all instances restart": func(tc *testCluster) {
-			for _, name := range fourInstances {
-				tc.newestRun(name).kill()
-			}
-			time.Sleep(1600 * time.Millisecond)
-			for _, name := range fourInstances {
-				tc.start(name)
-			}
-		},
-		"the registration has expired": func(tc *testCluster) {
-			for _, name := range fourInstances {
-				tc.newestRun(name).kill()
-			}
-			time.Sleep(2 * registrationExpiry)
-			for _, name := range fourInstances {
-				tc.start(name)
-			}
-		},
+	for name, down := range map[string]time.Duration{
+		"all instances restart": 1600 * time.Millisecond, "the registration has expired": 2 * registrationExpiry,
 	} {
 		t.Run(name, func(t *testing.T) {
 			run(t, fourInstances, func(tc *testCluster) {
@@ -37,7 +20,7 @@
 				require.True(tc.t, tc.instances["a"].writable())
 				tc.group.Database(1).Crash(true)
 				time.Sleep(300 * time.Millisecond)
-				kill(tc)
+				tc.restartAll(down)
 				tc.eventually(12*time.Second, "a primary", func() bool { return tc.newestRun("a").writable() })
 				require.Empty(tc.t, tc.rolledBack())
 				tc.requireValidPromotions()
@@ -46,6 +29,17 @@
 	}
 }
 
+// restartAll kills all instances and starts them again after a time.
+func (tc *testCluster) restartAll(down time.Duration) {
+	for _, name := range fourInstances {
+		tc.newestRun(name).kill()
+	}
+	time.Sleep(down)
+	for _, name := range fourInstances {
+		tc.start(name)
+	}
+}
+
 // Databases start one after the other, the primary last. None of those that are there
 // may be promoted in its place.
 func TestPrimaryThatRegistersLastIsNotReplaced(t *testing.T) {
--- a/test/council/syncreplicas_test.go
+++ b/test/council/syncreplicas_test.go
@@ -106,13 +106,7 @@
 		time.Sleep(2 * time.Second)
 		first.Crash(true)
 		second.SetStatusDelay(2 * time.Second)
-		for _, name := range fourInstances {
-			tc.newestRun(name).kill()
-		}
-		time.Sleep(2 * registrationExpiry)
-		for _, name := range fourInstances {
-			tc.start(name)
-		}
+		tc.restartAll(2 * registrationExpiry)
 		tc.eventually(14*time.Second, "a new primary", func() bool { return tc.group.Leader() != first })
 		require.Equal(tc.t, second.ID, tc.group.Leader().ID)
 	})
