Test harness: the level of started instances is guarded

Traced by its report: the test sets the cluster's level between two faults, while a timer of an earlier fault starts an instance and reads it. The harness has had that since the levels came; whether the detector sees it depends on the order of two goroutines at one virtual time. The field is now guarded by the cluster's lock, like the other ones that timers read. The test checks what it did.

--- a/test/council/cluster_test.go
+++ b/test/council/cluster_test.go
@@ -72,9 +72,6 @@
 	identity identity.Policy
 	// workspaces is the number of workspaces to which connections belong.
 	workspaces int
-	// level is that of the build of instances that are started. One that states none
-	// takes no part in what came with levels.
-	level levels.Level
 	// oneDataCentre places all instances in one data centre, where they share watches
 	// although they are few.
 	oneDataCentre bool
@@ -82,6 +79,9 @@
 	lastConfiguration []byte
 
 	mu sync.Mutex
+	// level is that of the build of instances that are started. One that states none
+	// takes no part in what came with levels.
+	level levels.Level
 	// delays holds the one-way latency between an instance and the databases where
 	// it is not oneWayDelay.
 	delays map[string]time.Duration
@@ -362,6 +362,7 @@
 	if earlier := tc.instances[name]; earlier != nil {
 		earlier.kill()
 	}
+	level := tc.level
 	tc.mu.Unlock()
 	ctx, cancel := context.WithCancel(tc.ctx)
 	clock := virtualClock{tc.started}
@@ -389,7 +390,7 @@
 		options.SmallFleet, dataCentre = 0, "one"
 	}
 	var sender leadership.Renewals
-	if tc.level >= levels.CollectedRenewals {
+	if level >= levels.CollectedRenewals {
 		i.renewals = renewals.New(renewals.Config{
 			Self: state.InstanceID(name), Store: store, Participant: func() renewals.Participant { return i.leadership },
 			Membership: func() renewals.Membership { return i.leadership }, InUse: func() bool { return i.levels.Uses(levels.CollectedRenewals) },
@@ -398,7 +399,7 @@
 		sender = i.renewals
 	}
 	i.leadership = leadership.New(leadership.Config{
-		Level: tc.level, Renewals: sender,
+		Level: level, Renewals: sender,
 		Self: state.InstanceID(name), Run: time.Now().UnixNano(), Options: options, Store: store, Availability: availability,
 		OnPrimaryPosition: func(group state.GroupID, requestedAt state.Instant, position state.Position) {
 			i.positions.Observe(group, requestedAt, position)
@@ -451,6 +452,13 @@
 	return i.directory.WatchedRows()
 }
 
+// setLevel sets the level of instances that are started from now on, also by timers.
+func (tc *testCluster) setLevel(level levels.Level) {
+	tc.mu.Lock()
+	defer tc.mu.Unlock()
+	tc.level = level
+}
+
 // newestRun returns the newest run of an instance, which another goroutine may replace.
 func (tc *testCluster) newestRun(name string) *instance {
 	tc.mu.Lock()
--- a/test/council/property_test.go
+++ b/test/council/property_test.go
@@ -36,7 +36,7 @@
 	forEachSeed(t, propertyRuns/3, func(t *testing.T, seed uint64) {
 		prepare := func(tc *testCluster) { tc.oneDataCentre = true }
 		runPrepared(t, groupOptions(), fourInstances, testLog, prepare, func(tc *testCluster) {
-			tc.playSeed(seed, func(tc *testCluster, round int) { tc.level = levels.Newest * levels.Level(round%2) })
+			tc.playSeed(seed, func(tc *testCluster, round int) { tc.setLevel(levels.Newest * levels.Level(round%2)) })
 			require.NotZero(tc.t, tc.sent()["registrations"])
 			collected += tc.sent()["renewals"]
 		})
--- a/test/council/renewals_test.go
+++ b/test/council/renewals_test.go
@@ -113,7 +113,7 @@
 	prepare := func(tc *testCluster) { tc.oneDataCentre, tc.level = true, levels.Unstated }
 	runPrepared(t, groupOptions(), fourInstances, testLog, prepare, func(tc *testCluster) {
 		replace := func(level levels.Level, names ...string) {
-			tc.level = level
+			tc.setLevel(level)
 			for _, name := range names {
 				tc.start(name)
 				time.Sleep(3 * time.Second)
