Changes of primary log on whom they rely, each promotion call and its effect

Added lines: 'promotion duty acquired', 'no instance uses the old primary any more', 'sending a promotion call', 'the promoted database leads'; counters of promotion calls by result and of instances whose leases had ended. No decision changes: nextDuty is split from the decoding of the row only so that the previous holder can be logged.

go test -race -cpu 1 ./internal/coordination/leadership, and the parts of test/council on changes of primary: passed.

--- a/internal/coordination/leadership/change.go
+++ b/internal/coordination/leadership/change.go
@@ -102,6 +102,7 @@
 	if err := m.withdrawOldPrimary(ctx, attempt); err != nil {
 		return "", err
 	}
+	m.logWithdrawal(attempt)
 	chosen, done, err := m.chooseReplica(ctx, attempt)
 	if err != nil {
 		return "", err
--- a/internal/coordination/leadership/duty.go
+++ b/internal/coordination/leadership/duty.go
@@ -37,20 +37,28 @@
 		if err != nil {
 			return err
 		}
-		next, version, err := m.nextDuty(ctx, snapshot)
+		current, version, err := currentDuty(snapshot)
+		if err != nil {
+			return err
+		}
+		next, err := m.nextDuty(ctx, snapshot, current, version)
 		if err != nil {
 			return err
 		}
 		token = next.Token
-		return m.writeDuty(ctx, next, snapshot.Era, version)
+		if err := m.writeDuty(ctx, next, snapshot.Era, version); err != nil {
+			return err
+		}
+		if next.Token != current.Token {
+			m.logAcquiredDuty(current, next.Token)
+		}
+		return nil
 	})
 	return token, err
 }
 
-// nextDuty returns the duty's row as this instance may write it, given the rows of
-// TableDuties, and the version of the row that it replaces.
-func (m *Manager) nextDuty(ctx context.Context, snapshot rowstore.Snapshot) (next dutyRecord, version uint64, err error) {
-	var current dutyRecord
+// currentDuty returns the duty's row among the rows of TableDuties, and its version.
+func currentDuty(snapshot rowstore.Snapshot) (current dutyRecord, version uint64, err error) {
 	for _, row := range snapshot.Rows {
 		if row.Key != dutyPromotion {
 			continue
@@ -60,23 +68,29 @@
 		}
 		version = row.Version
 	}
+	return current, version, nil
+}
+
+// nextDuty returns the duty's row as this instance may write it in place of the current
+// one, which has the given version.
+func (m *Manager) nextDuty(ctx context.Context, snapshot rowstore.Snapshot, current dutyRecord, version uint64) (next dutyRecord, err error) {
 	m.mu.Lock()
 	lowest, age := m.era.lowest(), m.eraAge(snapshot.Now)
 	m.mu.Unlock()
 	// A holder of an earlier era may be missing from the row.
 	unknown := current.Token < lowest || version == 0
 	if unknown && age <= m.Options.DutyLease+leaseMargin {
-		return dutyRecord{}, 0, eris.Wrap(errDutyTaken, "another instance may hold it since before the store was restored")
+		return dutyRecord{}, eris.Wrap(errDutyTaken, "another instance may hold it since before the store was restored")
 	}
 	mine := current.Holder == m.runName && !unknown
 	if !mine && !unknown && !m.dutyFree(ctx, current, snapshot.Now) {
-		return dutyRecord{}, 0, eris.Wrapf(errDutyTaken, "held by %s", current.Holder)
+		return dutyRecord{}, eris.Wrapf(errDutyTaken, "held by %s", current.Holder)
 	}
 	next = dutyRecord{Holder: m.runName, Token: max(current.Token, lowest)}
 	if !mine {
 		next.Token++
 	}
-	return m.extendDuty(next, snapshot.Now), version, nil
+	return m.extendDuty(next, snapshot.Now), nil
 }
 
 // dutyFree reports whether the duty in another holder's row may be acquired: its lease
--- a/internal/coordination/leadership/members_test.go
+++ b/internal/coordination/leadership/members_test.go
@@ -179,3 +179,17 @@
 	require.NoError(t, decode("i", value, &earlier))
 	require.Equal(t, map[state.GroupID]uint16{"g": 7}, earlier.Demand)
 }
+
+// On-call engineers must see on whom a change relied: an instance without an
+// acknowledgement is listed apart, and one without a row not at all.
+func TestWithdrawalTellsWhoAcknowledged(t *testing.T) {
+	members := newMembers("a", "dc")
+	for _, row := range []struct {
+		name  state.InstanceID
+		epoch uint64
+	}{{"a", 0}, {"d", 7}, {"b", 8}, {"c", 6}} {
+		members.byName[row.name] = member{heartbeat: heartbeat{Acknowledged: map[state.GroupID]uint64{"g": row.epoch}}}
+	}
+	require.Equal(t, withdrawal{acknowledged: []state.InstanceID{"b", "d"}, lapsed: []state.InstanceID{"c"}}, members.withdrawal("a", "g", 7))
+	require.Equal(t, withdrawal{lapsed: []state.InstanceID{"b", "c", "d"}}, members.withdrawal("a", "other", 7))
+}
--- a/internal/coordination/leadership/promote.go
+++ b/internal/coordination/leadership/promote.go
@@ -47,6 +47,7 @@
 		}
 		if reply, ok := poll.reply(chosen.server); ok && attempt.isSuccessor(reply) {
 			m.endCarriedOut(attempt.group, reply)
+			m.logEffect(attempt, reply)
 			return reply.status, nil
 		}
 		if ctx.Err() != nil || m.Clock.Now() >= deadline {
--- a/internal/coordination/leadership/promotioncall.go
+++ b/internal/coordination/leadership/promotioncall.go
@@ -153,6 +153,7 @@
 	m.mu.Lock()
 	call.sentAt = m.Clock.Now()
 	m.mu.Unlock()
+	m.logSending(attempt, call)
 	go m.sendCall(context.WithoutCancel(ctx), call, attempt)
 	return call, nil
 }
@@ -208,7 +209,8 @@
 	err := m.Promoter.Promote(callCtx, call.Group, call.Database, m.Self, attempt.token)
 	cancel()
 	m.Log.Info().Err(err).Str("group", string(call.Group)).Str("database", string(call.Database)).Uint64("epoch", attempt.epoch).
-		Uint64("token", attempt.token).Dur("held_ms", m.Clock.Now().Sub(sent)).Msg("promotion requested")
+		Uint64("token", attempt.token).Uint64("call", call.Number).Dur("held_ms", m.Clock.Now().Sub(sent)).Msg("promotion requested")
+	promotionCallsTotal(promotionResult(err)).Inc()
 	if err == nil {
 		m.recordAccepted(call)
 	}
@@ -221,6 +223,20 @@
 	}
 }
 
+// promotionResult returns the metric label of a call's outcome.
+func promotionResult(err error) string {
+	switch {
+	case err == nil:
+		return "accepted"
+	case errors.Is(err, state.ErrNoAnswer):
+		return "no_answer"
+	case errors.Is(err, state.ErrNotRunning):
+		return "not_running"
+	default:
+		return "refused"
+	}
+}
+
 // recordAccepted records a call whose effect is still to be seen.
 func (m *Manager) recordAccepted(call *promotionCall) {
 	m.mu.Lock()
