Soak: a fleet of several groups in several data centres, first version

Cause: the incident's faults lie where the soak has none: several groups and data centres, replacements of primaries beside graceful restarts, a promotion endpoint that fails.

--- a/internal/standin/platform/council/group.go
+++ b/internal/standin/platform/council/group.go
@@ -20,8 +20,9 @@
 	Slots          int
 	// MaxQueued limits the statements that wait for a slot.
 	MaxQueued int
-	// ServiceTime is how long a statement takes once it holds a slot.
-	ServiceTime time.Duration
+	// ServiceTime is how long a statement takes once it holds a slot, and WriteTime how
+	// long writes and commits take if they differ.
+	ServiceTime, WriteTime time.Duration
 	// ConnectTime is how long opening a connection occupies a slot.
 	ConnectTime time.Duration
 	// ReceiveDelay is how long a commit takes to reach a replica, and ApplyDelay
@@ -32,6 +33,9 @@
 	// SyncReplicas is how many replicas must have received a commit before it is
 	// acknowledged.
 	SyncReplicas int
+	// FollowDelay is how long a superseded primary goes on once it reaches its successor,
+	// if Maintain runs.
+	FollowDelay time.Duration
 }
 
 // entry is one commit in a log.
@@ -49,6 +53,8 @@
 	At  time.Time
 	// Superseded is set if another database was already the leader at that time.
 	Superseded bool
+	// Caller is who opened the connection of the commit.
+	Caller string
 	// Workspace is the workspace of the session that committed.
 	Workspace state.WorkspaceID
 }
@@ -62,6 +68,8 @@
 	// Applied is the log position up to which the read saw commits.
 	Applied state.Position
 	At      time.Time
+	// Caller is who opened the connection of the read.
+	Caller string
 	// Workspace is the workspace of the session that read.
 	Workspace state.WorkspaceID
 }
@@ -83,6 +91,7 @@
 	// used each. An entry for token 0 means that two holders used the same token.
 	tokens  []uint64
 	holders map[uint64]state.InstanceID
+	promotions []Promotion
 	// latePromotions is the number of promotion calls that break without an answer and
 	// are carried out after promotionLateness. If it is 0, calls are carried out and
 	// answered after promotionLateness.
@@ -122,6 +131,13 @@
 	refuseNext      int
 	refusePrepares  int
 	load            Load
+	dataCentre      string
+	// resumed is closed when the database is resumed; nil if it is not suspended.
+	resumed chan struct{}
+	// slowness multiplies the time that statements take; 0 counts as 1.
+	slowness int
+	// reachesLeader is since when a superseded primary reaches its successor.
+	reachesLeader time.Time
 }
 
 // Load counts what a database was asked.
@@ -145,17 +161,21 @@
 func NewGroup(options Options) *Group {
 	g := &Group{options: options, holders: make(map[uint64]state.InstanceID), rolledBack: make(map[state.Position]bool)}
 	for i := range options.Databases {
-		g.databases = append(g.databases, &Database{
-			group: g, ID: state.DatabaseID(fmt.Sprintf("%s-%d", options.Group, i+1)), term: 1, role: state.RoleReplica,
-			Address: fmt.Sprintf("%s-%d:1", options.Group, i+1), slots: make(chan struct{}, options.Slots),
-			applyDelay: options.ApplyDelay, connections: make(map[*Session]struct{}),
-		})
+		g.databases = append(g.databases, g.newDatabase(i+1))
 	}
 	g.leader = g.databases[0]
 	g.leader.role = state.RolePrimary
 	return g
 }
 
+func (g *Group) newDatabase(n int) *Database {
+	return &Database{
+		group: g, ID: state.DatabaseID(fmt.Sprintf("%s-%d", g.options.Group, n)), term: 1, role: state.RoleReplica,
+		Address: fmt.Sprintf("%s-%d:1", g.options.Group, n), slots: make(chan struct{}, g.options.Slots),
+		applyDelay: g.options.ApplyDelay, connections: make(map[*Session]struct{}), dataCentre: "z",
+	}
+}
+
 // SetPartition sets which parties can't reach each other from now on. Parties
 // are the names of instances and databases; nil removes the partition.
 func (g *Group) SetPartition(partition func(a, b string) bool) {
@@ -374,16 +394,16 @@
 
 // commit appends an entry to the primary's log and sends it to the replicas that
 // can be reached. It must be called with the lock held.
-func (d *Database) commit(workspace state.WorkspaceID, items map[string]string, ids []string) {
+func (d *Database) commit(s *Session, items map[string]string, ids []string) {
 	position := state.Position{Term: d.term, Offset: uint64(len(d.log)) + 1}
 	d.log = append(d.log, entry{position: position, items: items})
 	d.applied = len(d.log)
 	if d.group.options.SyncReplicas == 0 {
-		d.acknowledge(Commit{Position: position, IDs: ids, Workspace: workspace})
+		d.acknowledge(Commit{Position: position, IDs: ids, Workspace: s.workspace, Caller: s.caller})
 	}
 	length := len(d.log)
 	for _, replica := range d.group.databases {
-		if replica != d && !replica.down && !d.group.partitioned(string(d.ID), string(replica.ID)) {
+		if replica != d && !replica.down && replica.resumed == nil && !d.group.partitioned(string(d.ID), string(replica.ID)) {
 			time.AfterFunc(d.group.options.ReceiveDelay, func() { replica.receive(d, length) })
 		}
 	}
@@ -429,7 +449,7 @@
 func (d *Database) receive(from *Database, length int) {
 	d.group.mu.Lock()
 	defer d.group.mu.Unlock()
-	if d.down || d.deaf || d.role != state.RoleReplica || d.term != from.term || length <= len(d.log) || length > len(from.log) {
+	if d.down || d.deaf || d.resumed != nil || d.role != state.RoleReplica || d.term != from.term || length <= len(d.log) || length > len(from.log) {
 		return
 	}
 	d.log = append(d.log, from.log[len(d.log):length]...)
@@ -521,6 +541,8 @@
 	}
 	g.holders[token] = holder
 	g.tokens = append(g.tokens, token)
+	g.promotions = append(g.promotions, Promotion{Database: id, Holder: holder, Token: token, Called: time.Now()})
+	call := len(g.promotions) - 1
 	for _, database := range g.databases {
 		if database.ID != id {
 			continue
@@ -529,7 +551,7 @@
 			return eris.Wrapf(state.ErrNotRunning, "promote %s", id)
 		}
 		if database != g.leader {
-			time.AfterFunc(g.options.PromotionDelay, func() { g.promote(database) })
+			time.AfterFunc(g.options.PromotionDelay, func() { g.takeEffect(call, database) })
 		}
 		return nil
 	}
@@ -560,7 +582,7 @@
 	database.applied = len(database.log)
 	g.markRolledBack()
 	for _, other := range g.databases {
-		if other != database && other != old && !other.down && !g.partitioned(string(other.ID), string(database.ID)) {
+		if other != database && other != old && !other.down && other.resumed == nil && !g.partitioned(string(other.ID), string(database.ID)) {
 			other.follow(database)
 		}
 	}
--- a/internal/standin/platform/council/history.go
+++ b/internal/standin/platform/council/history.go
@@ -1,6 +1,7 @@
 package council
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -36,8 +37,13 @@
 	Consistency state.Consistency
 	// LastWrite is the id of the session's last acknowledged write, if any.
 	LastWrite string
+	// Staleness is the route's bound, if it differs from the one that Check is given.
+	Staleness time.Duration
 }
 
+// timeFormat is the format of times in descriptions of violations.
+const timeFormat = "15:04:05.000"
+
 // NewHistory returns an empty history.
 func NewHistory() *History {
 	return &History{acknowledged: make(map[string]time.Time), reportedFailed: make(map[string]state.ErrorCode), attempts: make(map[string][]string)}
@@ -103,7 +109,7 @@
 				violations = append(violations, fmt.Sprintf("write %s took effect although its client was told %s", id, code))
 			}
 			if _, acknowledged := h.acknowledged[id]; acknowledged && commit.Superseded {
-				violations = append(violations, fmt.Sprintf("write %s was acknowledged by a superseded primary", id))
+				violations = append(violations, fmt.Sprintf("write %s was acknowledged by the superseded primary %s through %s at %s", id, commit.Database, commit.Caller, commit.At.Format(timeFormat)))
 			}
 		}
 		violations = append(violations, h.checkAtomicity(commit)...)
@@ -148,14 +154,15 @@
 		}
 		bound := read.Started
 		if read.Consistency != state.ConsistencyPrimary {
-			bound = bound.Add(-staleness)
+			bound = bound.Add(-cmp.Or(read.Staleness, staleness))
 		}
 		minimum := required.before(bound)
 		if own, held := required.byID[read.LastWrite]; held && read.Consistency == state.ConsistencySession {
 			minimum = state.MaxPosition(minimum, own)
 		}
 		if !run.Applied.Covers(minimum) {
-			violations = append(violations, fmt.Sprintf("read %s (%s) at %v of %s lacks %v", read.ID, read.Consistency, run.Applied, run.Database, minimum))
+			violations = append(violations, fmt.Sprintf("read %s (%s) at %v of %s through %s at %s, sent at %s, lacks %v", read.ID, read.Consistency, run.Applied, run.Database,
+				run.Caller, run.At.Format(timeFormat), read.Started.Format(timeFormat), minimum))
 		}
 	}
 	return violations
@@ -195,3 +202,10 @@
 	}
 	return f.highest[n-1]
 }
+
+// AcknowledgedAny reports whether one of the writes was acknowledged to its client.
+func (h *History) AcknowledgedAny(ids []string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.ContainsFunc(ids, func(id string) bool { _, acknowledged := h.acknowledged[id]; return acknowledged })
+}
--- a/internal/standin/platform/council/serve.go
+++ b/internal/standin/platform/council/serve.go
@@ -158,11 +158,13 @@
 		if err != nil {
 			return
 		}
-		go d.serveConn(raw)
+		go d.ServeConn(raw, "")
 	}
 }
 
-func (d *Database) serveConn(raw net.Conn) {
+// ServeConn serves one connection that was opened by caller. If that is empty, the
+// connection states who opened it.
+func (d *Database) ServeConn(raw net.Conn, caller string) {
 	defer raw.Close()
 	reader := bufio.NewReader(raw)
 	var codec platform.Codec
@@ -175,7 +177,10 @@
 	if len(fields) > 3 {
 		id = state.DatabaseID(fields[3])
 	}
-	session, reply, err := d.Connect(context.Background(), fields[2], state.GroupID(fields[1]), id)
+	if caller == "" {
+		caller = fields[2]
+	}
+	session, reply, err := d.Connect(context.Background(), caller, state.GroupID(fields[1]), id)
 	if err != nil {
 		return
 	}
@@ -222,6 +227,6 @@
 	if server.Leaving {
 		status = "draining"
 	}
-	return fmt.Appendf(nil, `{"Backend":%q,"Addr":%q,"Zone":"z","Version":"v1","Slots":%d,"State":%q,"ColdLeftMs":0,"DbRole":%q,"Seq":1,"born":%d}`,
-		server.Group, address, server.Slots, status, server.Role, server.Born)
+	return fmt.Appendf(nil, `{"Backend":%q,"Addr":%q,"Zone":%q,"Version":"v1","Slots":%d,"State":%q,"ColdLeftMs":0,"DbRole":%q,"Seq":1,"born":%d}`,
+		server.Group, address, d.dataCentre, server.Slots, status, server.Role, server.Born)
 }
--- a/internal/standin/platform/council/session.go
+++ b/internal/standin/platform/council/session.go
@@ -51,6 +51,7 @@
 	if err := d.checkReachable(ctx, caller); err != nil {
 		return nil, state.Reply{}, err
 	}
+	d.awaitResumed()
 	if d.group.options.ConnectTime > 0 {
 		d.slots <- struct{}{}
 		state.Pause(ctx, d.group.options.ConnectTime)
@@ -175,7 +176,7 @@
 			verb = "WRITE"
 		}
 	}
-	if !s.acquireSlot(ctx) {
+	if !s.acquireSlot(ctx, verb) {
 		return s.addSessionState(state.Reply{Code: state.CodeBusy}), nil
 	}
 	defer func() { <-s.database.slots }()
@@ -248,7 +249,7 @@
 
 // acquireSlot waits for a slot and then for the service time. It returns false if
 // the queue is full or a refusal was injected.
-func (s *Session) acquireSlot(ctx context.Context) bool {
+func (s *Session) acquireSlot(ctx context.Context, verb string) bool {
 	d := s.database
 	d.group.mu.Lock()
 	full := d.waiting >= d.group.options.MaxQueued+d.group.options.Slots || d.refuseNext > 0
@@ -265,7 +266,8 @@
 		return false
 	}
 	d.slots <- struct{}{}
-	state.Pause(ctx, d.group.options.ServiceTime)
+	state.Pause(ctx, d.serviceTime(verb))
+	d.awaitResumed()
 	d.group.mu.Lock()
 	d.waiting--
 	d.group.mu.Unlock()
@@ -292,7 +294,7 @@
 			return s.fail(state.CodeReadOnly)
 		}
 		proof := d.group.newProof(id)
-		d.group.reads = append(d.group.reads, Read{ID: id, Proof: proof, Database: d.ID, Applied: d.visiblePosition(), At: time.Now(), Workspace: s.workspace})
+		d.group.reads = append(d.group.reads, Read{ID: id, Proof: proof, Database: d.ID, Applied: d.visiblePosition(), At: time.Now(), Workspace: s.workspace, Caller: s.caller})
 		return state.Reply{Rows: []string{s.lookUp(rest)}, Proof: proof}
 	case "WRITE":
 		return s.write(id, rest, isPrimary)
@@ -368,9 +370,9 @@
 // commitWrites commits writes, to be acknowledged by awaitReplicas where replicas must
 // have received them. It must be called with the group's lock held.
 func (s *Session) commitWrites(items map[string]string, ids []string) {
-	s.database.commit(s.workspace, items, ids)
+	s.database.commit(s, items, ids)
 	if s.database.group.options.SyncReplicas > 0 {
-		s.unacknowledged = &Commit{Position: s.database.receivedPosition(), IDs: ids, Workspace: s.workspace}
+		s.unacknowledged = &Commit{Position: s.database.receivedPosition(), IDs: ids, Workspace: s.workspace, Caller: s.caller}
 	}
 }
 
--- a/internal/standin/platform/council/settings.go
+++ b/internal/standin/platform/council/settings.go
@@ -1,6 +1,7 @@
 package council
 
 import (
+	"cmp"
 	"fmt"
 	"strings"
 
@@ -28,11 +29,33 @@
 type Addresses struct {
 	Clients, Ready, Store, Promotions string
 	PeerPort                          string
+	// Zone is the instance's data centre, "z" if it is empty. Zones holds all of them,
+	// each as a region of its own.
+	Zone  string
+	Zones []string
+	// GraceS is how long a graceful stop may take, three seconds if it is 0.
+	GraceS int
 }
 
 // SettingsFile returns the settings file of an instance on the local machine.
 func SettingsFile(instance state.InstanceID, a Addresses) string {
-	return fmt.Sprintf("Node = %q\nIp = \"127.0.0.1\"\nZone = \"z\"\nHeartbeatMs = 1200\nPortRange = [%s]\n"+
-		"[Listen]\nFront = %q\nReady = %q\n[Limits]\nMemoryMb = 284\nMaxFds = 4300\n[Bounds]\nGraceS = 3\n[platform]\nAddr = %q\n[Cloud]\nAddr = %q\n",
-		instance, a.PeerPort, a.Clients, a.Ready, a.Store, a.Promotions)
+	zone, grace := cmp.Or(a.Zone, "z"), cmp.Or(a.GraceS, 3)
+	text := fmt.Sprintf("Node = %q\nIp = \"127.0.0.1\"\nZone = %q\nRegion = %q\nHeartbeatMs = 1200\nPortRange = [%s]\n"+
+		"[Listen]\nFront = %q\nReady = %q\n[Limits]\nMemoryMb = 284\nMaxFds = 4300\n[Bounds]\nGraceS = %d\n[platform]\nAddr = %q\n[Cloud]\nAddr = %q\n",
+		instance, zone, region(zone, a.Zones), a.PeerPort, a.Clients, a.Ready, grace, a.Store, a.Promotions)
+	if len(a.Zones) > 0 {
+		text += "[Zones]\n"
+	}
+	for _, zone := range a.Zones {
+		text += fmt.Sprintf("%q = %q\n", zone, region(zone, a.Zones))
+	}
+	return text
+}
+
+// region returns the region of a zone: none if the zones have none.
+func region(zone string, zones []string) string {
+	if len(zones) == 0 {
+		return ""
+	}
+	return "region-" + zone
 }
--- a/internal/standin/platform/council/store.go
+++ b/internal/standin/platform/council/store.go
@@ -33,7 +33,8 @@
 const (
 	// callLatency is the usual duration of a call.
 	callLatency = 4 * time.Millisecond
-	// effectDelay is how long after the call a FaultDelayed call takes effect.
+	// effectDelay is how long after the call a FaultDelayed call takes effect, unless
+	// SetEffectDelay states another time.
 	effectDelay = 2 * time.Second
 )
 
@@ -62,6 +63,7 @@
 	transferTimes map[string]time.Duration
 	transfers     map[string]int
 	latency       time.Duration
+	effectDelay   time.Duration
 	// calls is the number of calls by kind and table.
 	calls map[string]int
 	// commitTime is how long each transaction takes, one after another; idleFrom is
@@ -72,7 +74,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{started: time.Now(), latency: callLatency, rows: make(map[rowKey]rowstore.Row), changed: make(chan struct{}), transferTimes: make(map[string]time.Duration), transfers: make(map[string]int), calls: make(map[string]int)}
+	return &Store{started: time.Now(), latency: callLatency, effectDelay: effectDelay, rows: make(map[rowKey]rowstore.Row), changed: make(chan struct{}), transferTimes: make(map[string]time.Duration), transfers: make(map[string]int), calls: make(map[string]int)}
 }
 
 // SetFaults sets the function that selects the fault of each call from now on;
@@ -91,6 +93,13 @@
 	s.latency = latency
 }
 
+// SetEffectDelay sets how long after the call FaultDelayed calls take effect.
+func (s *Store) SetEffectDelay(delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.effectDelay = delay
+}
+
 // SetTransferTime sets how long a response with rows of a table takes to arrive,
 // as a large one does on a slow link.
 func (s *Store) SetTransferTime(table string, duration time.Duration) {
@@ -390,7 +399,10 @@
 		return rowstore.Commit{}, err
 	}
 	if fault == FaultDelayed {
-		time.AfterFunc(effectDelay, func() { c.applyLate(transaction) })
+		c.store.mu.Lock()
+		late := c.store.effectDelay
+		c.store.mu.Unlock()
+		time.AfterFunc(late, func() { c.applyLate(transaction) })
 		state.Pause(ctx, callTimeout)
 		return rowstore.Commit{}, errStoreTimeout
 	}
