Soak: a promoter passes over an instance whose row it has not read

Cause: Manager.awaitAcknowledgements ignores whether its read of the instances' rows succeeded. With rows read before the announcement, an instance that has started since is not among them, so that the change doesn't wait for it.

The fleet's runs draw their kinds of faults from the seed, strike the promoter in the middle of a change, and have a writer on each instance and group. Faults of the stand-in store may depend on the table.

--- a/internal/standin/platform/council/group.go
+++ b/internal/standin/platform/council/group.go
@@ -89,8 +89,8 @@
 	runs       uint64
 	// tokens are the fencing tokens of the promotions in order, and holders who
 	// used each. An entry for token 0 means that two holders used the same token.
-	tokens  []uint64
-	holders map[uint64]state.InstanceID
+	tokens     []uint64
+	holders    map[uint64]state.InstanceID
 	promotions []Promotion
 	// latePromotions is the number of promotion calls that break without an answer and
 	// are carried out after promotionLateness. If it is 0, calls are carried out and
--- a/internal/standin/platform/council/members.go
+++ b/internal/standin/platform/council/members.go
@@ -161,3 +161,8 @@
 		time.AfterFunc(d.group.options.ReceiveDelay, func() { d.receive(leader, length) })
 	}
 }
+
+// Leads reports whether the database is the primary of the newest term.
+func (d *Database) Leads() bool {
+	return d.group.Leader() == d
+}
--- a/internal/standin/platform/council/store.go
+++ b/internal/standin/platform/council/store.go
@@ -57,7 +57,7 @@
 	// era is 0 until the first Restore, and then reported with each response.
 	era     uint64
 	changed chan struct{}
-	faults  func(caller, call string) Fault
+	faults  func(caller, call, table string) Fault
 	// transferTimes holds how long a response with rows of a table takes to
 	// arrive, transfers how many such responses were sent to each caller.
 	transferTimes map[string]time.Duration
@@ -80,6 +80,16 @@
 // SetFaults sets the function that selects the fault of each call from now on;
 // nil injects none.
 func (s *Store) SetFaults(faults func(caller, call string) Fault) {
+	if faults == nil {
+		s.SetTableFaults(nil)
+		return
+	}
+	s.SetTableFaults(func(caller, call, _ string) Fault { return faults(caller, call) })
+}
+
+// SetTableFaults is SetFaults with faults that depend on the table. That of a
+// transaction is its first one.
+func (s *Store) SetTableFaults(faults func(caller, call, table string) Fault) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = faults
@@ -204,6 +214,13 @@
 	s.changed = make(chan struct{})
 }
 
+// Version returns the version of the newest transaction.
+func (s *Store) Version() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
+
 // Era returns the number of the present era.
 func (s *Store) Era() uint64 {
 	s.mu.Lock()
@@ -286,7 +303,7 @@
 	c.store.calls[call+" "+table]++
 	fault := FaultNone
 	if c.store.faults != nil {
-		fault = c.store.faults(c.caller, call)
+		fault = c.store.faults(c.caller, call, table)
 	}
 	latency := c.store.latency
 	c.store.mu.Unlock()
@@ -336,7 +353,7 @@
 	for expired := false; ; {
 		snapshot, changed, err := c.since(table, after)
 		if err != nil || len(snapshot.Rows) > 0 || expired {
-			if c.unreachable() {
+			if c.unreachable(table) {
 				state.Pause(ctx, maxWait)
 				return rowstore.Snapshot{}, errStoreTimeout
 			}
@@ -357,10 +374,10 @@
 
 // unreachable reports whether the caller can't reach the store now, so that the
 // response to an earlier call is lost, too.
-func (c *StoreClient) unreachable() bool {
+func (c *StoreClient) unreachable(table string) bool {
 	c.store.mu.Lock()
 	defer c.store.mu.Unlock()
-	return c.store.faults != nil && c.store.faults(c.caller, "watch response") == FaultRequestLost
+	return c.store.faults != nil && c.store.faults(c.caller, "watch response", table) == FaultRequestLost
 }
 
 func (c *StoreClient) since(table string, after uint64) (rowstore.Snapshot, <-chan struct{}, error) {
--- a/test/soak/fleet_check_test.go
+++ b/test/soak/fleet_check_test.go
@@ -24,11 +24,11 @@
 )
 
 // observe passes the rows of a table to handle as they are written.
-func (f *fleet) observe(table string, handle func(map[string]any)) {
+func (f *fleet) observe(table string, handle func(key string, fields map[string]any)) {
 	client := f.store.Client(observer)
 	ctx, cancel := context.WithCancel(f.t.Context())
 	defer cancel()
-	var after uint64
+	after := f.store.Version()
 	for {
 		select {
 		case <-f.stopped:
@@ -47,7 +47,7 @@
 		for _, row := range snapshot.Rows {
 			var fields map[string]any
 			if msgpack.Unmarshal(row.Value, &fields) == nil {
-				handle(fields)
+				handle(row.Key, fields)
 			}
 		}
 	}
@@ -60,7 +60,8 @@
 		writes, reads := g.history.Acknowledged()
 		promotions := g.Promotions()
 		calls = append(calls, promotions...)
-		f.t.Logf("%s: %d writes and %d reads answered, %d promotion calls", g.id, writes, reads, len(promotions))
+		effects := len(slices.DeleteFunc(slices.Clone(promotions), func(p standin.Promotion) bool { return p.Effect.IsZero() }))
+		f.t.Logf("%s: %d writes and %d reads answered, %d promotion calls, %d took effect", g.id, writes, reads, len(promotions), effects)
 		require.NotZero(f.t, writes)
 		require.NotZero(f.t, reads)
 		f.report(g, g.history.Check(g.Group, 0))
--- a/test/soak/fleet_client_test.go
+++ b/test/soak/fleet_client_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strconv"
+	"sync"
 	"time"
 
 	standin "github.com/cyclamenpin/cyclamenpin/internal/standin/platform/council"
@@ -49,6 +50,51 @@
 	}
 }
 
+// writeThrough writes to a group through one instance, again and again, until stop is
+// closed, so that each instance always has somebody who uses each primary.
+func (f *fleet) writeThrough(i *fleetInstance, g *fleetGroup, random *rand.Rand, stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(random.IntN(60)) * time.Millisecond):
+		}
+		c, err := dial(i.address, "desk-"+string(g.id), g.history)
+		if err != nil {
+			continue
+		}
+		session := &fleetSession{client: c, random: random, writes: true}
+		for err == nil {
+			select {
+			case <-stop:
+				_ = c.conn.Close()
+				return
+			case <-time.After(time.Duration(random.IntN(60)) * time.Millisecond):
+			}
+			err = session.write(strconv.Itoa(random.IntN(200)))
+		}
+		_ = c.conn.Close()
+	}
+}
+
+// startClients starts clients that run until the returned function is called.
+func (f *fleet) startClients() (stop func()) {
+	done := make(chan struct{})
+	var clients sync.WaitGroup
+	for n := range fleetClients {
+		clients.Go(func() { f.generateLoad(f.random(1000+n), done) })
+	}
+	for n, i := range f.members {
+		for k, g := range f.groups {
+			clients.Go(func() { f.writeThrough(i, g, f.random(2000+100*n+k), done) })
+		}
+	}
+	return func() {
+		close(done)
+		clients.Wait()
+	}
+}
+
 // fleetSession is a client session of the fleet.
 type fleetSession struct {
 	*client
--- a/test/soak/fleet_faults_test.go
+++ b/test/soak/fleet_faults_test.go
@@ -34,10 +34,12 @@
 	normalStoreLatency = 4 * time.Millisecond
 )
 
-// fleetFaultKinds are the kinds of faults of a run. FLEET_FAULTS names those to inject,
-// separated by commas; without it all are.
+// fleetFaultKinds are the kinds of faults of a run, of which each has the first
+// fleetBaseKinds. FLEET_FAULTS names others, separated by commas.
 var fleetFaultKinds = []string{"restart", "replace", "strike", "promotion", "store", "instance", "network", "database", "cpu", "configuration"}
 
+const fleetBaseKinds = 2
+
 // disturbance is a fault with the time in which it was active.
 type disturbance struct {
 	what       string
@@ -55,12 +57,13 @@
 
 // storeRule is a fault of some calls to the store.
 type storeRule struct {
-	// member is the instance that is affected, all if it is empty; calls are the kinds
-	// of calls, all if it is empty.
-	member, calls string
-	fault         standin.Fault
-	share         float64
-	random        *rand.Rand
+	// member is the instance that is affected, calls the kinds of calls and table the
+	// table that they concern; each means all if it is empty.
+	member, calls, table string
+	fault                standin.Fault
+	// share is the part of these calls that fail, all if random is nil.
+	share  float64
+	random *rand.Rand
 }
 
 func newFleetFaults(f *fleet) *fleetFaults {
@@ -71,21 +74,25 @@
 const observer = "observer"
 
 // storeFault returns the fault of a call to the store.
-func (x *fleetFaults) storeFault(caller, call string) standin.Fault {
+func (x *fleetFaults) storeFault(caller, call, table string) standin.Fault {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if caller == observer {
 		return standin.FaultNone
 	}
 	for _, rule := range x.rules {
-		affected := (rule.member == "" || rule.member == caller) && (rule.calls == "" || strings.Contains(rule.calls, call))
-		if affected && rule.random.Float64() < rule.share {
+		if rule.affects(caller, call, table) && (rule.random == nil || rule.random.Float64() < rule.share) {
 			return rule.fault
 		}
 	}
 	return standin.FaultNone
 }
 
+func (r storeRule) affects(caller, call, table string) bool {
+	return (r.member == "" || r.member == caller) && (r.table == "" || r.table == table) &&
+		(r.calls == "" || slices.Contains(strings.Split(r.calls, ","), call))
+}
+
 func (x *fleetFaults) addRule(rule storeRule) (remove func()) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -113,30 +120,44 @@
 }
 
 // injects reports whether a kind of faults is part of the run.
-func injects(kind string) bool {
-	names := os.Getenv("FLEET_FAULTS")
-	return names == "" || slices.Contains(strings.Split(names, ","), kind)
+func (f *fleet) injects(kind string) bool { return slices.Contains(f.kinds, kind) }
+
+// chooseKinds chooses the kinds of faults of a run: restarts and replacements, about half
+// of the others, and how often random faults begin.
+func (f *fleet) chooseKinds() {
+	random := f.random(7)
+	f.pause = time.Duration(1000+random.IntN(5000)) * time.Millisecond
+	for n, kind := range fleetFaultKinds {
+		if random.IntN(2) == 0 || n < fleetBaseKinds {
+			f.kinds = append(f.kinds, kind)
+		}
+	}
+	if names := os.Getenv("FLEET_FAULTS"); names != "" {
+		f.kinds = strings.Split(names, ",")
+	}
+	f.t.Logf("faults %v, one within %v in each of two series", f.kinds, f.pause)
 }
 
 // injectFaults injects faults for the given time, and returns when all have ended.
 func (f *fleet) injectFaults(duration time.Duration) {
 	deadline := time.Now().Add(duration)
+	f.chooseKinds()
 	var running sync.WaitGroup
-	if injects("cpu") {
+	if f.injects("cpu") {
 		for n, i := range f.members {
 			i.sharing.limit(i.instance, f.random(200+n))
 		}
 	}
 	beat := make(chan struct{}, fleetGroups)
-	if injects("restart") {
+	if f.injects("restart") {
 		running.Go(func() { f.restartInTurn(f.random(1), deadline, beat) })
 	}
-	if injects("replace") {
+	if f.injects("replace") {
 		for n, g := range f.groups {
 			running.Go(func() { f.replacePrimaries(g, f.random(10+n), deadline, beat) })
 		}
 	}
-	if injects("strike") {
+	if f.injects("strike") {
 		running.Go(func() { f.strikePromoters(f.random(2), deadline) })
 	}
 	running.Go(func() { f.injectSeries(f.random(3), deadline) })
@@ -241,11 +262,8 @@
 func (f *fleet) injectSeries(random *rand.Rand, deadline time.Time) {
 	var running sync.WaitGroup
 	for time.Now().Before(deadline) {
-		time.Sleep(time.Duration(200+random.IntN(2000)) * time.Millisecond)
+		time.Sleep(time.Duration(random.Int64N(int64(f.pause))))
 		fault := f.randomFault(random)
-		if fault == nil {
-			continue
-		}
 		duration := time.Duration(500+random.IntN(5500)) * time.Millisecond
 		end := f.disturb("%s", fault.what)
 		fault.begin()
@@ -264,21 +282,28 @@
 	begin, end func()
 }
 
-// randomFault chooses a fault of a kind that is injected, nil if it chose another one.
+// randomFault chooses a fault of a kind that is injected.
 func (f *fleet) randomFault(random *rand.Rand) *fleetFault {
-	kinds := []struct {
+	var choices []func(*rand.Rand) *fleetFault
+	for _, fault := range []struct {
 		kind   string
 		choose func(*rand.Rand) *fleetFault
 	}{
-		{"promotion", f.promotionFault}, {"promotion", f.promotionFault}, {"store", f.storeFault}, {"store", f.storeFault},
-		{"instance", f.instanceFault}, {"network", f.networkFault}, {"network", f.networkFault}, {"database", f.databaseFault},
+		{"promotion", f.promotionFault},
+		{"store", f.storeFault},
+		{"instance", f.instanceFault},
+		{"network", f.networkFault},
+		{"database", f.databaseFault},
 		{"configuration", f.configurationFault},
+	} {
+		if f.injects(fault.kind) {
+			choices = append(choices, fault.choose)
+		}
 	}
-	chosen := kinds[random.IntN(len(kinds))]
-	if !injects(chosen.kind) {
-		return nil
+	if len(choices) == 0 {
+		return &fleetFault{"none", func() {}, func() {}}
 	}
-	return chosen.choose(random)
+	return choices[random.IntN(len(choices))](random)
 }
 
 func (f *fleet) randomMember(random *rand.Rand) *fleetInstance {
@@ -286,15 +311,15 @@
 }
 
 // randomDatabase chooses a database, the primary in every second case.
-func (f *fleet) randomDatabase(random *rand.Rand) (*fleetGroup, *fleetDatabase) {
+func (f *fleet) randomDatabase(random *rand.Rand) *fleetDatabase {
 	g := f.groups[random.IntN(len(f.groups))]
 	if random.IntN(2) == 0 {
 		if leader := g.find(string(g.Leader().ID)); leader != nil {
-			return g, leader
+			return leader
 		}
 	}
 	members := g.present()
-	return g, members[random.IntN(len(members))]
+	return members[random.IntN(len(members))]
 }
 
 func (f *fleet) promotionFault(random *rand.Rand) *fleetFault {
@@ -409,7 +434,7 @@
 		all := f.linksOfDatabases(func(_ *fleetDatabase, l *link, other *fleetInstance) bool { return other == i })
 		return &fleetFault{"connections of " + i.name + " reset", all.reset, func() {}}
 	default:
-		_, d := f.randomDatabase(random)
+		d := f.randomDatabase(random)
 		cut := random.Perm(len(f.members))[:1+random.IntN(len(f.members)-1)]
 		var l links
 		var names []string
@@ -490,7 +515,7 @@
 }
 
 func (f *fleet) databaseFault(random *rand.Rand) *fleetFault {
-	_, d := f.randomDatabase(random)
+	d := f.randomDatabase(random)
 	id := string(d.ID)
 	switch random.IntN(8) {
 	case 0:
@@ -556,8 +581,8 @@
 			}
 			for _, i := range f.members {
 				if strings.HasPrefix(s.member, i.name) {
-					kind, duration := random.IntN(6), time.Duration(500+random.IntN(5500))*time.Millisecond
-					running.Go(func() { f.strike(i, s.step, kind, duration) })
+					own := rand.New(rand.NewPCG(random.Uint64(), 5))
+					running.Go(func() { f.strike(i, s.step, own) })
 				}
 			}
 		}
@@ -565,38 +590,67 @@
 	running.Wait()
 }
 
-// strike injects one fault of an instance.
-func (f *fleet) strike(i *fleetInstance, step changeStep, kind int, duration time.Duration) {
-	var fault *fleetFault
-	switch kind {
+// strike injects up to two faults of an instance that carries out a change.
+func (f *fleet) strike(i *fleetInstance, step changeStep, random *rand.Rand) {
+	var running sync.WaitGroup
+	for range 1 + random.IntN(2) {
+		fault := f.strikeFault(i, random)
+		duration := time.Duration(500+random.IntN(5500)) * time.Millisecond
+		running.Go(func() {
+			end := f.disturb("%s %s %s", i.name, fault.what, step)
+			fault.begin()
+			time.Sleep(duration)
+			fault.end()
+			end()
+		})
+	}
+	running.Wait()
+}
+
+func (f *fleet) strikeFault(i *fleetInstance, random *rand.Rand) *fleetFault {
+	switch random.IntN(9) {
 	case 0:
-		fault = &fleetFault{"killed", func() { i.stop(syscall.SIGKILL) }, i.start}
+		return &fleetFault{"killed", func() { i.stop(syscall.SIGKILL) }, i.start}
 	case 1:
-		fault = &fleetFault{"terminated", func() { go i.terminate() }, func() { i.terminate(); i.start() }}
-	case 2, 3:
-		fault = &fleetFault{"suspended", func() { i.sharing.suspend(i.instance, true) }, func() { i.sharing.suspend(i.instance, false) }}
-	case 4:
+		return &fleetFault{"terminated", func() { go i.terminate() }, func() { i.terminate(); i.start() }}
+	case 2:
+		return &fleetFault{"suspended", func() { i.sharing.suspend(i.instance, true) }, func() { i.sharing.suspend(i.instance, false) }}
+	case 3:
 		l := links{i.store, i.promotions}
-		fault = &fleetFault{"cut from the store", l.cut(true), l.cut(false)}
-	default:
+		return &fleetFault{"cut from the store", l.cut(true), l.cut(false)}
+	case 4:
 		l := append(f.peersOf(i), i.store, i.promotions)
-		fault = &fleetFault{"cut from store and peers", l.cut(true), l.cut(false)}
+		return &fleetFault{"cut from store and peers", l.cut(true), l.cut(false)}
+	case 5:
+		l := f.primariesOf(i)
+		return &fleetFault{"cut from primaries", l.cut(true), l.cut(false)}
+	case 6:
+		return f.readsFail("is refused reads of the store", storeRule{member: i.name, calls: "list", fault: standin.FaultRefused})
+	case 7:
+		return f.readsFail("beside all others gets no answers to reads of the store", storeRule{calls: "list,watch,watch response", fault: standin.FaultRequestLost})
+	default:
+		return f.readsFail("is refused by the store", storeRule{member: i.name, fault: standin.FaultRefused})
 	}
-	end := f.disturb("%s %s %s", i.name, fault.what, step)
-	fault.begin()
-	time.Sleep(duration)
-	fault.end()
-	end()
+}
+
+func (f *fleet) readsFail(what string, rule storeRule) *fleetFault {
+	remove := func() {}
+	return &fleetFault{what, func() { remove = f.faults.addRule(rule) }, func() { remove() }}
+}
+
+// primariesOf returns the links of an instance to the primaries of all groups.
+func (f *fleet) primariesOf(i *fleetInstance) links {
+	return f.linksOfDatabases(func(d *fleetDatabase, _ *link, other *fleetInstance) bool { return other == i && d.Leads() })
 }
 
 // observeRows reports announcements of changes and recorded calls.
 func (f *fleet) observeRows(report func(changeStep, string)) {
-	go f.observe("primaries", func(fields map[string]any) {
+	go f.observe("primaries", func(_ string, fields map[string]any) {
 		if changing, _ := fields["changing"].(bool); changing {
 			report(stepAnnounced, fmt.Sprint(fields["promoter"]))
 		}
 	})
-	f.observe("duties", func(fields map[string]any) {
+	f.observe("duties", func(_ string, fields map[string]any) {
 		if calls, _ := fields["calls"].([]any); len(calls) > 0 {
 			report(stepRecorded, fmt.Sprint(fields["holder"]))
 		}
@@ -702,4 +756,3 @@
 	}
 	return fmt.Errorf("no group %s", group)
 }
-
--- a/test/soak/fleet_link_test.go
+++ b/test/soak/fleet_link_test.go
@@ -24,11 +24,11 @@
 type link struct {
 	listener net.Listener
 	dial     func() (net.Conn, error)
+	delay    time.Duration // one way
 
 	mu      sync.Mutex
 	changed *sync.Cond
-	delay   time.Duration // one way
-	blocks  int           // cuts that are active
+	blocks  int // cuts that are active
 	refuses bool
 	lost    time.Time // when the far side gives connections up, zero without a cut
 	pairs   map[*linkPair]struct{}
@@ -91,8 +91,6 @@
 
 func (l *link) refuse(active bool) { l.set(func() { l.refuses = active }) }
 
-func (l *link) setDelay(delay time.Duration) { l.set(func() { l.delay = delay }) }
-
 // endLost closes the far sides of all connections if the cut that began then still lasts.
 func (l *link) endLost(lost time.Time) {
 	l.mu.Lock()
@@ -225,9 +223,7 @@
 	for {
 		buffer := make([]byte, linkBufferBytes)
 		n, err := from.Read(buffer)
-		l.mu.Lock()
 		due := time.Now().Add(l.delay)
-		l.mu.Unlock()
 		if n > 0 {
 			chunks <- chunk{due: due, data: buffer[:n]}
 		}
@@ -277,10 +273,7 @@
 
 // pass waits for the delay of one direction and reports whether a datagram arrives.
 func (p *peerLink) pass() bool {
-	p.mu.Lock()
-	delay := p.delay
-	p.mu.Unlock()
-	time.Sleep(delay)
+	time.Sleep(p.delay)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.blocks == 0
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -17,7 +17,6 @@
 	"testing"
 	"time"
 
-
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/rowstore"
 	standin "github.com/cyclamenpin/cyclamenpin/internal/standin/platform/council"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
@@ -58,12 +57,17 @@
 	stopped chan struct{}
 	faults  *fleetFaults
 
-	mu           sync.Mutex
-	version      uint64
-	cutZones     map[[2]string]int
+	// kinds are the kinds of faults of the run, pause is the longest time between the
+	// begins of two random ones in a series.
+	kinds []string
+	pause time.Duration
+
+	mu       sync.Mutex
+	version  uint64
+	cutZones map[[2]string]int
 	// databaseZones holds the data centre of each database.
 	databaseZones map[string]string
-	disturbances []disturbance
+	disturbances  []disturbance
 }
 
 // fleetGroup is a group of databases with what its clients observed.
@@ -103,7 +107,10 @@
 func TestFleet(t *testing.T) {
 	first := intFromEnvironment("FLEET_SEED", 1)
 	for seed := first; seed < first+intFromEnvironment("FLEET_RUNS", fleetRuns); seed++ {
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { runFleet(t, uint64(seed)) })
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			runFleet(t, uint64(seed))
+		})
 	}
 }
 
@@ -111,15 +118,10 @@
 	f := newFleet(t, seed)
 	defer f.end()
 	f.awaitService()
-	stop := make(chan struct{})
-	var clients sync.WaitGroup
-	for n := range fleetClients {
-		clients.Go(func() { f.generateLoad(f.random(1000+n), stop) })
-	}
+	stop := f.startClients()
 	f.injectFaults(time.Duration(intFromEnvironment("FLEET_SECONDS", fleetSeconds)) * time.Second)
 	f.awaitService()
-	close(stop)
-	clients.Wait()
+	stop()
 	f.check()
 }
 
@@ -130,7 +132,7 @@
 	t.Helper()
 	f := &fleet{t: t, seed: seed, began: time.Now(), store: standin.NewStore(), stopped: make(chan struct{}), cutZones: make(map[[2]string]int), databaseZones: make(map[string]string)}
 	f.faults = newFleetFaults(f)
-	f.store.SetFaults(f.faults.storeFault)
+	f.store.SetTableFaults(f.faults.storeFault)
 	for n := range fleetGroups {
 		f.groups = append(f.groups, f.newGroup(state.GroupID(fmt.Sprintf("g%d", n+1)), n))
 	}
