--- a/internal/standin/platform/council/store.go
+++ b/internal/standin/platform/council/store.go
@@ -33,7 +33,8 @@
 const (
 	// callLatency is the usual duration of a call.
 	callLatency = 4 * time.Millisecond
-	// effectDelay is how long after the call a FaultDelayed call takes effect.
+	// effectDelay is how long after the call a FaultDelayed call takes effect, unless
+	// SetEffectDelay states another time.
 	effectDelay = 2 * time.Second
 )
 
@@ -56,12 +57,13 @@
 	// era is 0 until the first Restore, and then reported with each response.
 	era     uint64
 	changed chan struct{}
-	faults  func(caller, call string) Fault
+	faults  func(caller, call, table string) Fault
 	// transferTimes holds how long a response with rows of a table takes to
 	// arrive, transfers how many such responses were sent to each caller.
 	transferTimes map[string]time.Duration
 	transfers     map[string]int
 	latency       time.Duration
+	effectDelay   time.Duration
 	// calls is the number of calls by kind and table.
 	calls map[string]int
 	// commitTime is how long each transaction takes, one after another; idleFrom is
@@ -72,12 +74,22 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{started: time.Now(), latency: callLatency, rows: make(map[rowKey]rowstore.Row), changed: make(chan struct{}), transferTimes: make(map[string]time.Duration), transfers: make(map[string]int), calls: make(map[string]int)}
+	return &Store{started: time.Now(), latency: callLatency, effectDelay: effectDelay, rows: make(map[rowKey]rowstore.Row), changed: make(chan struct{}), transferTimes: make(map[string]time.Duration), transfers: make(map[string]int), calls: make(map[string]int)}
 }
 
 // SetFaults sets the function that selects the fault of each call from now on;
 // nil injects none.
 func (s *Store) SetFaults(faults func(caller, call string) Fault) {
+	if faults == nil {
+		s.SetTableFaults(nil)
+		return
+	}
+	s.SetTableFaults(func(caller, call, _ string) Fault { return faults(caller, call) })
+}
+
+// SetTableFaults is SetFaults with faults that depend on the table. That of a
+// transaction is its first one.
+func (s *Store) SetTableFaults(faults func(caller, call, table string) Fault) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = faults
@@ -91,6 +103,13 @@
 	s.latency = latency
 }
 
+// SetEffectDelay sets how long after the call FaultDelayed calls take effect.
+func (s *Store) SetEffectDelay(delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.effectDelay = delay
+}
+
 // SetTransferTime sets how long a response with rows of a table takes to arrive,
 // as a large one does on a slow link.
 func (s *Store) SetTransferTime(table string, duration time.Duration) {
@@ -195,6 +214,13 @@
 	s.changed = make(chan struct{})
 }
 
+// Version returns the version of the newest transaction.
+func (s *Store) Version() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
+
 // Era returns the number of the present era.
 func (s *Store) Era() uint64 {
 	s.mu.Lock()
@@ -277,7 +303,7 @@
 	c.store.calls[call+" "+table]++
 	fault := FaultNone
 	if c.store.faults != nil {
-		fault = c.store.faults(c.caller, call)
+		fault = c.store.faults(c.caller, call, table)
 	}
 	latency := c.store.latency
 	c.store.mu.Unlock()
@@ -327,7 +353,7 @@
 	for expired := false; ; {
 		snapshot, changed, err := c.since(table, after)
 		if err != nil || len(snapshot.Rows) > 0 || expired {
-			if c.unreachable() {
+			if c.unreachable(table) {
 				state.Pause(ctx, maxWait)
 				return rowstore.Snapshot{}, errStoreTimeout
 			}
@@ -348,10 +374,10 @@
 
 // unreachable reports whether the caller can't reach the store now, so that the
 // response to an earlier call is lost, too.
-func (c *StoreClient) unreachable() bool {
+func (c *StoreClient) unreachable(table string) bool {
 	c.store.mu.Lock()
 	defer c.store.mu.Unlock()
-	return c.store.faults != nil && c.store.faults(c.caller, "watch response") == FaultRequestLost
+	return c.store.faults != nil && c.store.faults(c.caller, "watch response", table) == FaultRequestLost
 }
 
 func (c *StoreClient) since(table string, after uint64) (rowstore.Snapshot, <-chan struct{}, error) {
@@ -390,7 +416,10 @@
 		return rowstore.Commit{}, err
 	}
 	if fault == FaultDelayed {
-		time.AfterFunc(effectDelay, func() { c.applyLate(transaction) })
+		c.store.mu.Lock()
+		late := c.store.effectDelay
+		c.store.mu.Unlock()
+		time.AfterFunc(late, func() { c.applyLate(transaction) })
 		state.Pause(ctx, callTimeout)
 		return rowstore.Commit{}, errStoreTimeout
 	}
