Red: a change is decided on rows read before its announcement

An instance is restarted; its row is removed and written anew. The promoter read the rows in between, and its reads after the announcement are refused while its writes succeed. It promotes without waiting for the instance.

Cause: awaitAcknowledgements ignores the result of readMembers and judges the rows that it has. The store's stand-in learns to fail the lists of one table.

--- a/internal/standin/platform/council/store.go
+++ b/internal/standin/platform/council/store.go
@@ -57,6 +57,8 @@
 	era     uint64
 	changed chan struct{}
 	faults  func(caller, call string) Fault
+	// listFaults selects the faults of lists of a table; nil injects none.
+	listFaults func(caller, table string) Fault
 	// transferTimes holds how long a response with rows of a table takes to
 	// arrive, transfers how many such responses were sent to each caller.
 	transferTimes map[string]time.Duration
@@ -83,6 +85,14 @@
 	s.faults = faults
 }
 
+// SetListFaults sets the function that selects the fault of each list of a table from
+// now on; nil injects none.
+func (s *Store) SetListFaults(faults func(caller, table string) Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listFaults = faults
+}
+
 // SetLatency sets how long calls take from now on, as those to an overloaded store.
 // A transaction takes effect even if its caller no longer waits.
 func (s *Store) SetLatency(latency time.Duration) {
@@ -279,6 +289,9 @@
 	if c.store.faults != nil {
 		fault = c.store.faults(c.caller, call)
 	}
+	if call == "list" && fault == FaultNone && c.store.listFaults != nil {
+		fault = c.store.listFaults(c.caller, table)
+	}
 	latency := c.store.latency
 	c.store.mu.Unlock()
 	timeout := rowstore.CallTimeout(ctx, callTimeout)
--- /dev/null
+++ b/test/council/rows_test.go
@@ -0,0 +1,79 @@
+package council
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/leadership"
+	standin "github.com/cyclamenpin/cyclamenpin/internal/standin/platform/council"
+)
+
+// failRowReads makes reads of the instances' rows by the named instances fail, while
+// their writes and other reads succeed; without names none fails any more.
+func (tc *testCluster) failRowReads(names ...string) {
+	tc.store.SetListFaults(func(caller, table string) standin.Fault {
+		if table == leadership.TableInstances && slices.Contains(names, caller) {
+			return standin.FaultRefused
+		}
+		return standin.FaultNone
+	})
+}
+
+// leave stops an instance gracefully: its row is removed.
+func (i *instance) leave() {
+	i.leadership.Leave(i.ctx)
+	i.kill()
+}
+
+// isolateWithPrimary cuts an instance and the primary off from everything else. The
+// instance goes on writing.
+func (tc *testCluster) isolateWithPrimary(name string) {
+	primary := tc.group.Leader()
+	rest := append([]string{"store"}, without(tc.names(), []string{name})...)
+	for n := 1; n <= tc.options.Databases; n++ {
+		if database := tc.group.Database(n); database != primary {
+			rest = append(rest, string(database.ID))
+		}
+	}
+	tc.partition(between([]string{name, string(primary.ID)}, rest))
+	go tc.keepWriting(tc.ctx, name)
+}
+
+// names returns the names of all instances that were started.
+func (tc *testCluster) names() []string {
+	tc.mu.Lock()
+	defer tc.mu.Unlock()
+	var names []string
+	for name := range tc.instances {
+		names = append(names, name)
+	}
+	return names
+}
+
+// Guards against a change decided on rows that were read before its announcement: an
+// instance that started in between is missing in them and goes on at the old primary.
+func TestChangeWaitsForAnInstanceThatStartedSinceTheRowsWereRead(t *testing.T) {
+	run(t, fourInstances, func(tc *testCluster) {
+		time.Sleep(25 * time.Second)
+		others := []string{"a", "b", "c"}
+		tc.newestRun("d").leave()
+		time.Sleep(5 * time.Second)
+		tc.failRowReads(others...)
+		tc.start("d")
+		tc.eventually(2*time.Second, "a write through d", tc.newestRun("d").writable)
+		old := tc.group.Leader()
+		tc.isolateWithPrimary("d")
+		for _, name := range others {
+			go tc.keepWriting(tc.ctx, name)
+		}
+		time.Sleep(3 * time.Second)
+		tc.failRowReads()
+		tc.eventually(12*time.Second, "a new primary", func() bool { return tc.newestRun("a").writable() })
+		time.Sleep(2 * time.Second)
+		require.NotEqual(tc.t, old, tc.group.Leader())
+		tc.requireValidPromotions()
+	})
+}
