A change is decided only on rows that were read after its announcement

Cause: awaitAcknowledgements ignored the result of readMembers, so that with failing reads it judged rows from before the announcement. An instance that had joined in between was missing and could hold a lease.

Change: the rows remember the store's version at which they were read, and a change waits until that is at or above the version of its announcement, in the same era. An instance that joins later has seen the announcement, since its renewal is conditional on `generations`. A lost response to the announcement (earlierCommit) states the row's own version, so nothing special is needed. The loop reads the rows after the announcement already, so the usual case makes no further call.

Ruled out: to count only reads that the loop itself has made. A read by another loop that is as new is as good, and one sent before the announcement may be answered after it.

--- a/internal/coordination/leadership/change.go
+++ b/internal/coordination/leadership/change.go
@@ -234,15 +234,16 @@
 		storeNow := m.members.now
 		announced.earlierLeases = !m.earlierLeasesOver(storeNow, m.Options.MaxLease)
 		pending := m.members.pending(m.Self, announced, m.Options, storeNow)
+		complete := m.members.show(announced.commit)
 		own := m.group(attempt.group).acknowledged >= attempt.epoch && m.earlierLeasesOver(storeNow, m.nextLease())
 		m.mu.Unlock()
-		if !own || !pending.isMinority() {
+		if !own || !complete || !pending.isMinority() {
 			minoritySince = 0
 		} else if minoritySince == 0 {
 			minoritySince = now
 		}
 		unconfirmed := minoritySince != 0 && now.Sub(minoritySince) > confirmationTTL
-		if own && len(pending.leased) == 0 && (len(pending.confirmed) == 0 || unconfirmed) {
+		if own && complete && len(pending.leased) == 0 && (len(pending.confirmed) == 0 || unconfirmed) {
 			return nil
 		}
 		if err := ctx.Err(); err != nil {
--- a/internal/coordination/leadership/members.go
+++ b/internal/coordination/leadership/members.go
@@ -24,6 +24,9 @@
 	byName map[state.InstanceID]member
 	// now is the store's time of the last read, 0 before the first one in an era.
 	now time.Duration
+	// version is the store's version at the last read, 0 before the first one in an era.
+	// The rows show all that was committed up to it.
+	version uint64
 	// reads counts the reads.
 	reads uint64
 	// remembered are the instances of earlier eras that have no row in this one.
@@ -60,7 +63,7 @@
 	for name := range m.byName {
 		m.remembered[name] = true
 	}
-	m.outdated, m.currentEra = true, false
+	m.outdated, m.currentEra, m.version = true, false, 0
 }
 
 // afterRestore reports whether an instance wrote its row before the given era, as far
@@ -110,13 +113,19 @@
 	}
 	maps.DeleteFunc(m.byName, func(_ state.InstanceID, entry member) bool { return entry.read != m.reads })
 	if m.outdated {
-		m.now, m.outdated = 0, false
+		m.now, m.version, m.outdated = 0, 0, false
 	}
-	m.now = max(m.now, snapshot.Now)
+	m.now, m.version = max(m.now, snapshot.Now), max(m.version, snapshot.Version)
 	m.rankings.outdated, m.demands = true, nil
 	return unreadable
 }
 
+// show reports whether the rows were read after a commit. Instances that joined before
+// it are then among them.
+func (m *members) show(commit rowstore.Commit) bool {
+	return !m.outdated && m.version >= commit.Version
+}
+
 // readInterval returns the time between two reads of the rows by one instance
 // while nothing changes.
 func (m *members) readInterval() time.Duration {
