Red: a promoter that was held up promotes after a take-over

What callers could see: writes acknowledged by a primary after another database was promoted, until the old one steps down by itself.

Cause: an attempt at a change that has lost the duty acquires it again with a new token and promotes the database that it chose before. mayPromote compares with the record that this instance knows, and its watch and renewals may have been silent while another instance took the change over, promoted, published and released the duty.

The stand-in's faults can be chosen by table.

Ruled out: the same without a lost duty. The taker's acquisition changes the version of the duty's row, on which the record of the call depends.

--- a/internal/standin/platform/council/store.go
+++ b/internal/standin/platform/council/store.go
@@ -57,6 +57,8 @@
 	era     uint64
 	changed chan struct{}
 	faults  func(caller, call string) Fault
+	// tableFaults selects the faults of calls that faults lets pass.
+	tableFaults func(caller, call, table string) Fault
 	// transferTimes holds how long a response with rows of a table takes to
 	// arrive, transfers how many such responses were sent to each caller.
 	transferTimes map[string]time.Duration
@@ -83,6 +85,26 @@
 	s.faults = faults
 }
 
+// SetTableFaults sets the function that selects the fault of each call from now on by
+// the table that it names first; nil injects none.
+func (s *Store) SetTableFaults(faults func(caller, call, table string) Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tableFaults = faults
+}
+
+// faultOf selects the fault of a call. It must be called with the lock held.
+func (s *Store) faultOf(caller, call, table string) Fault {
+	fault := FaultNone
+	if s.faults != nil {
+		fault = s.faults(caller, call)
+	}
+	if fault == FaultNone && s.tableFaults != nil {
+		fault = s.tableFaults(caller, call, table)
+	}
+	return fault
+}
+
 // SetLatency sets how long calls take from now on, as those to an overloaded store.
 // A transaction takes effect even if its caller no longer waits.
 func (s *Store) SetLatency(latency time.Duration) {
@@ -275,10 +297,7 @@
 func (c *StoreClient) begin(ctx context.Context, call, table string) (Fault, error) {
 	c.store.mu.Lock()
 	c.store.calls[call+" "+table]++
-	fault := FaultNone
-	if c.store.faults != nil {
-		fault = c.store.faults(c.caller, call)
-	}
+	fault := c.store.faultOf(c.caller, call, table)
 	latency := c.store.latency
 	c.store.mu.Unlock()
 	timeout := rowstore.CallTimeout(ctx, callTimeout)
@@ -327,7 +346,7 @@
 	for expired := false; ; {
 		snapshot, changed, err := c.since(table, after)
 		if err != nil || len(snapshot.Rows) > 0 || expired {
-			if c.unreachable() {
+			if c.unreachable(table) {
 				state.Pause(ctx, maxWait)
 				return rowstore.Snapshot{}, errStoreTimeout
 			}
@@ -348,10 +367,10 @@
 
 // unreachable reports whether the caller can't reach the store now, so that the
 // response to an earlier call is lost, too.
-func (c *StoreClient) unreachable() bool {
+func (c *StoreClient) unreachable(table string) bool {
 	c.store.mu.Lock()
 	defer c.store.mu.Unlock()
-	return c.store.faults != nil && c.store.faults(c.caller, "watch response") == FaultRequestLost
+	return c.store.faultOf(c.caller, "watch response", table) == FaultRequestLost
 }
 
 func (c *StoreClient) since(table string, after uint64) (rowstore.Snapshot, <-chan struct{}, error) {
