Red: a call with an earlier token is sent when the duty came back for another group

Cause: changes of several groups share the duty. A change whose duty expired and passed to another instance finds the duty held again, because a change of another group has acquired it with a new token. Its call is recorded by that change's write, which records all calls of the instance, and recordCall compares the token only if it writes itself.

Ruled out: the same with one group. attemptChange then takes the token of the acquisition.

--- /dev/null
+++ b/internal/coordination/leadership/promotioncall_test.go
@@ -0,0 +1,69 @@
+package leadership
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/rowstore"
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+// newPromoterOf returns a manager that holds the duty with token 7 and has announced a
+// change of each group, and its store.
+func newPromoterOf(t *testing.T, promoter Promoter, groups ...state.GroupID) (*Manager, *lossyStore) {
+	t.Helper()
+	clock := &manualClock{now: state.Instant(time.Minute)}
+	store := &lossyStore{clock: clock, version: 10, rows: map[string]rowstore.Row{}}
+	m, _ := newTestManager(clock, &fakeStore{clock: clock})
+	m.Store, m.Promoter = store, promoter
+	m.observeStore(clock.now, clock.now, time.Duration(clock.now))
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.duty.held, m.duty.record.HeldUntil, m.duty.record.Token = true, int64(clock.now)+int64(time.Minute), 7
+	for _, id := range groups {
+		m.applyRecord(id, Record{Epoch: 1, Changing: true, Primary: "d1", Promoter: m.runName}, 5, clock.now)
+		store.rows[string(id)] = rowstore.Row{Table: TablePrimaries, Key: string(id), Version: 5}
+	}
+	return m, store
+}
+
+// attemptOf returns the attempt at a change that newPromoterOf has announced.
+func attemptOf(id state.GroupID, token uint64) *changeAttempt {
+	return &changeAttempt{group: id, epoch: 1, token: token, announceCommit: rowstore.Commit{Version: 5}}
+}
+
+// startTogether starts calls of several changes while another one has the duty's turn, so
+// that the first one's write may record all. It returns their errors.
+func (m *Manager) startTogether(t *testing.T, attempts ...*changeAttempt) []error {
+	t.Helper()
+	m.dutyTurn <- struct{}{}
+	errs := make([]error, len(attempts))
+	for n, attempt := range attempts {
+		go func() {
+			_, errs[n] = m.startCall(t.Context(), attempt, candidate{server: server("d2")})
+		}()
+		synctest.Wait()
+	}
+	<-m.dutyTurn
+	time.Sleep(time.Second)
+	synctest.Wait()
+	return errs
+}
+
+// A change has promoted nothing yet when the duty expires, passes to another instance and
+// comes back for a change of another group, whose write of the duty's row finds the first
+// one's call. A call with the first token would be lower than one that the platform has seen.
+func TestCallOfAnEarlierTokenIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		promoter := &countingPromoter{}
+		m, _ := newPromoterOf(t, promoter, "g", "h")
+		errs := m.startTogether(t, attemptOf("h", 7), attemptOf("g", 5))
+		require.NoError(t, errs[0])
+		require.ErrorIs(t, errs[1], errDutyTaken)
+		require.Equal(t, 1, promoter.calls)
+		time.Sleep(time.Minute)
+	})
+}
