A promotion is recorded only for the newest announced change of its group

What callers could see: writes acknowledged by a primary after another database was promoted; a promotion with a lower token than the platform has seen.

Cause: the write that records a call depended on the duty's row only. Whether the group's change was still this attempt's, and the token its own, was compared with what the instance knew. A promoter that was held up knows neither that another took its change over nor, if a change of another group has acquired the duty again, that its token is outdated.

Change: the write also depends on the announcement's version of each group whose call it adds, and adds only calls of the row's token and era. If a group's row differs, that group's call ends, the row in the conflict is taken over at once, and the write is made again for the others. Acquisitions add no calls. The rows are as before, so builds may be mixed. A call of an earlier era's announcement is not recorded any more; its publication failed anyway.

Ruled out: reading the group's row before the call, which is one more call and proves nothing for the moment of the sending. One write for each group's call, which is one more write if groups change at once.

--- a/internal/coordination/leadership/duty.go
+++ b/internal/coordination/leadership/duty.go
@@ -42,7 +42,7 @@
 			return err
 		}
 		token = next.Token
-		return m.writeDuty(ctx, next, snapshot.Era, version)
+		return m.writeDuty(ctx, next, snapshot.Era, version, nil)
 	})
 	return token, err
 }
@@ -76,7 +76,7 @@
 	if !mine {
 		next.Token++
 	}
-	return m.extendDuty(next, snapshot.Now), version, nil
+	return m.extendDuty(next, snapshot.Now, nil), version, nil
 }
 
 // dutyFree reports whether the duty in another holder's row may be acquired: its lease
@@ -89,13 +89,13 @@
 	return m.Options.DutyReleaseDelay == 0 && len(current.Calls) > 0 && int64(storeNow) >= current.HeldUntil && m.allCarriedOut(ctx, current.Calls)
 }
 
-// extendDuty returns the duty's row with a lease from now on. The duty is not free
-// while a promotion call may still be carried out.
-func (m *Manager) extendDuty(record dutyRecord, storeNow time.Duration) dutyRecord {
+// extendDuty returns the duty's row with a lease from now on and the added calls. The
+// duty is not free while a promotion call may still be carried out.
+func (m *Manager) extendDuty(record dutyRecord, storeNow time.Duration, added []*promotionCall) dutyRecord {
 	record.HeldUntil = int64(storeNow + m.Options.DutyLease + leaseMargin)
 	record.FreeAt = record.HeldUntil
 	m.mu.Lock()
-	record.Calls = m.duty.pendingCalls(storeNow, m.era.number)
+	record.Calls = m.duty.pendingCalls(storeNow, m.era.number, added)
 	m.mu.Unlock()
 	for _, call := range record.Calls {
 		record.FreeAt = max(record.FreeAt, call.Until+int64(m.Options.DutyReleaseDelay))
@@ -103,14 +103,15 @@
 	return record
 }
 
-func (m *Manager) writeDuty(ctx context.Context, next dutyRecord, eraNumber, version uint64) error {
+// writeDuty replaces the duty's row of the given version if the further conditions hold.
+func (m *Manager) writeDuty(ctx context.Context, next dutyRecord, eraNumber, version uint64, further []rowstore.Condition) error {
 	value, err := encode(next)
 	if err != nil {
 		return err
 	}
 	started := m.Clock.Now()
 	commit, err := m.commitOnce(ctx, rowstore.Transaction{
-		Era: eraNumber, Conditions: []rowstore.Condition{{Table: TableDuties, Key: dutyPromotion, Version: version}},
+		Era: eraNumber, Conditions: append([]rowstore.Condition{{Table: TableDuties, Key: dutyPromotion, Version: version}}, further...),
 		Puts: []rowstore.Row{{Table: TableDuties, Key: dutyPromotion, Value: value}},
 	})
 	m.mu.Lock()
@@ -179,7 +180,7 @@
 		}
 		record.FreeAt = int64(storeNow + m.Options.DutyReleaseDelay)
 		record.HeldUntil, record.Calls = record.FreeAt, nil
-		err := m.writeDuty(ctx, record, eraNumber, version)
+		err := m.writeDuty(ctx, record, eraNumber, version, nil)
 		m.mu.Lock()
 		m.duty.held = m.duty.users > 0 && m.duty.held
 		m.mu.Unlock()
--- a/internal/coordination/leadership/promotioncall.go
+++ b/internal/coordination/leadership/promotioncall.go
@@ -10,12 +10,15 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/directory"
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/rowstore"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 )
 
 // A promotion call without an answer may be carried out any time during callLifetime,
 // whatever its sender does to the connection, and the platform doesn't refuse a lower
-// fencing token. So a call is first recorded in the duty's row. While it is there,
+// fencing token. So a call is first recorded in the duty's row, on the condition that the
+// group's row is still the announcement of its change: a promoter that was held up may not
+// have seen yet that another has taken the change over. While the call is there,
 //   - the duty passes to no other instance,
 //   - no other database of the group is promoted.
 // A call ends when the platform answers, when callLifetime has passed, or, if no call of
@@ -24,8 +27,14 @@
 // promotionCall is a promotion call of this run.
 type promotionCall struct {
 	recordedCall
+	// token is that of the duty's row that may record the call. announcement is the
+	// condition that the group's row is that of the attempt.
+	token        uint64
+	announcement rowstore.Condition
+	// superseded is set once the announcement was found replaced.
+	superseded bool
 	// recorded is set once the duty's row holds the call, in the given era. Only then
-	// it may be sent.
+	// it may be sent. Before, era is that of the announcement.
 	recorded bool
 	era      uint64
 	// sentAt is when the call was sent; zero before.
@@ -64,11 +73,16 @@
 }
 
 // pendingCalls returns the calls as the duty's row, which is written at the given time
-// of the store's clock, shall hold them. The lock of the manager must be held.
-func (d *duty) pendingCalls(storeNow time.Duration, era uint64) []recordedCall {
+// of the store's clock, shall hold them: those that were recorded before, and the added
+// ones. The lock of the manager must be held.
+func (d *duty) pendingCalls(storeNow time.Duration, era uint64, added []*promotionCall) []recordedCall {
 	var calls []recordedCall
 	for _, call := range d.calls {
-		if !call.recorded || call.era != era {
+		isAdded := slices.Contains(added, call)
+		if !call.recorded && !isAdded {
+			continue
+		}
+		if isAdded || call.era != era {
 			// The call is sent when the write has succeeded.
 			call.Until, call.era = int64(storeNow+2*d.writeTime+leaseMargin+callLifetime), era
 		}
@@ -77,6 +91,18 @@
 	return calls
 }
 
+// unrecordedCalls returns the calls that may be recorded with the given token in the
+// given era. The lock of the manager must be held.
+func (d *duty) unrecordedCalls(token, era uint64) []*promotionCall {
+	var calls []*promotionCall
+	for _, call := range d.calls {
+		if !call.recorded && call.token == token && call.era == era {
+			calls = append(calls, call)
+		}
+	}
+	return calls
+}
+
 // markRecorded marks the calls that the duty's row holds now. The lock of the manager
 // must be held.
 func (d *duty) markRecorded(written []recordedCall) {
@@ -138,11 +164,14 @@
 	}
 	call := &promotionCall{
 		recordedCall: recordedCall{Group: attempt.group, Database: chosen.server.ID, Term: chosen.status.Term, Number: m.lastCall, Repeated: repeated},
+		token:        attempt.token,
+		announcement: rowstore.Condition{Table: TablePrimaries, Key: string(attempt.group), Version: attempt.announceCommit.Version},
+		era:          attempt.era,
 		answered:     make(chan error, 1),
 	}
 	m.duty.calls = append(m.duty.calls, call)
 	m.mu.Unlock()
-	if err := m.recordCall(ctx, call, attempt.token); err != nil {
+	if err := m.recordCall(ctx, call); err != nil {
 		m.endCall(call)
 		return nil, eris.Wrapf(err, "record the promotion of %s", chosen.server.ID)
 	}
@@ -158,24 +187,76 @@
 }
 
 // recordCall writes the duty's row with a call, unless a write for another call of this
-// instance has included it.
-func (m *Manager) recordCall(ctx context.Context, call *promotionCall, token uint64) error {
+// instance has included it. The write depends on the announcements of all calls that it
+// adds, so that a call is recorded only for the newest change of its group.
+func (m *Manager) recordCall(ctx context.Context, call *promotionCall) error {
 	return m.inDutyTurn(ctx, func() error {
-		m.mu.Lock()
-		recorded, held := call.recorded, m.duty.held && m.duty.record.Token == token
-		record, version, eraNumber := m.duty.record, m.duty.version, m.era.number
-		storeNow, _ := m.lease.clock.upperBound(m.Clock.Now())
-		m.mu.Unlock()
-		if recorded {
-			return nil
+		for {
+			added, err := m.writeCalls(ctx, call)
+			if !m.endSuperseded(added, err) {
+				return err
+			}
 		}
-		if !held {
-			return eris.Wrap(errDutyTaken, "the duty was lost before the call")
-		}
-		return m.writeDuty(ctx, m.extendDuty(record, storeNow), eraNumber, version)
 	})
 }
 
+// writeCalls writes the duty's row with a call and the others that may be recorded with
+// it, which it returns.
+func (m *Manager) writeCalls(ctx context.Context, call *promotionCall) ([]*promotionCall, error) {
+	m.mu.Lock()
+	held := m.duty.held && m.duty.record.Token == call.token
+	record, version, eraNumber := m.duty.record, m.duty.version, m.era.number
+	storeNow, _ := m.lease.clock.upperBound(m.Clock.Now())
+	recorded, superseded, announcedIn := call.recorded, call.superseded, call.era
+	added := m.duty.unrecordedCalls(record.Token, eraNumber)
+	m.mu.Unlock()
+	switch {
+	case recorded:
+		return nil, nil
+	case superseded:
+		return nil, eris.Wrapf(errSuperseded, "group %s", call.Group)
+	case !held:
+		return nil, eris.Wrap(errDutyTaken, "the duty was lost before the call")
+	case announcedIn != eraNumber:
+		return nil, eris.Wrapf(rowstore.ErrEraChanged, "change announced in era %d", announcedIn)
+	}
+	return added, m.writeDuty(ctx, m.extendDuty(record, storeNow, added), eraNumber, version, announcements(added))
+}
+
+// announcements returns the conditions that the calls' changes are the newest ones.
+func announcements(calls []*promotionCall) []rowstore.Condition {
+	conditions := make([]rowstore.Condition, len(calls))
+	for n, call := range calls {
+		conditions[n] = call.announcement
+	}
+	return conditions
+}
+
+// endSuperseded ends those of the calls whose announcements a conflict shows to be
+// replaced, takes over what replaced them, and reports whether there were any.
+func (m *Manager) endSuperseded(calls []*promotionCall, err error) (found bool) {
+	var conflict *rowstore.ConflictError
+	if !errors.As(err, &conflict) {
+		return false
+	}
+	for _, call := range calls {
+		if conflict.Holds(call.announcement) {
+			continue
+		}
+		found = true
+		m.endCall(call)
+		row, _ := conflict.Row(call.announcement)
+		m.mu.Lock()
+		call.superseded = true
+		if conflict.Era == m.era.number && row.Version != 0 {
+			m.applyRow(row, m.Clock.Now())
+			m.broadcast()
+		}
+		m.mu.Unlock()
+	}
+	return found
+}
+
 // maySend reports why a recorded call must not be sent now, if it must not: its write may
 // have taken long.
 func (m *Manager) maySend(call *promotionCall, attempt *changeAttempt) error {
--- a/internal/coordination/leadership/promotioncall_test.go
+++ b/internal/coordination/leadership/promotioncall_test.go
@@ -53,6 +53,24 @@
 	return errs
 }
 
+// One write records the calls of two groups, and another instance has taken one of the
+// changes over. The other group's promotion must go on, and the first must not be sent.
+func TestReplacedAnnouncementFailsOnlyItsOwnCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		promoter := &countingPromoter{}
+		m, store := newPromoterOf(t, promoter, "g", "h")
+		value, err := encode(Record{Epoch: 2, Primary: "d3", Promoter: "b#1"})
+		require.NoError(t, err)
+		store.rows["g"] = rowstore.Row{Table: TablePrimaries, Key: "g", Value: value, Version: 9}
+		errs := m.startTogether(t, attemptOf("h", 7), attemptOf("g", 7))
+		require.NoError(t, errs[0])
+		require.ErrorIs(t, errs[1], errSuperseded)
+		require.Equal(t, 1, promoter.calls)
+		require.Equal(t, uint64(2), m.group("g").record.Epoch, "the conflict tells of the other change")
+		time.Sleep(time.Minute)
+	})
+}
+
 // A change has promoted nothing yet when the duty expires, passes to another instance and
 // comes back for a change of another group, whose write of the duty's row finds the first
 // one's call. A call with the first token would be lower than one that the platform has seen.
