--- a/internal/standin/platform/council/store.go
+++ b/internal/standin/platform/council/store.go
@@ -57,9 +57,11 @@
 	// era is 0 until the first Restore, and then reported with each response.
 	era     uint64
 	changed chan struct{}
-	faults  func(caller, call, table string) Fault
-	// listFaults selects the faults of lists of a table; nil injects none.
-	listFaults func(caller, table string) Fault
+	faults  func(caller, call string) Fault
+	// tableFaults selects the faults of calls that faults lets pass, listFaults those of
+	// lists that both let pass.
+	tableFaults func(caller, call, table string) Fault
+	listFaults  func(caller, table string) Fault
 	// transferTimes holds how long a response with rows of a table takes to
 	// arrive, transfers how many such responses were sent to each caller.
 	transferTimes map[string]time.Duration
@@ -82,16 +84,6 @@
 // SetFaults sets the function that selects the fault of each call from now on;
 // nil injects none.
 func (s *Store) SetFaults(faults func(caller, call string) Fault) {
-	if faults == nil {
-		s.SetTableFaults(nil)
-		return
-	}
-	s.SetTableFaults(func(caller, call, _ string) Fault { return faults(caller, call) })
-}
-
-// SetTableFaults is SetFaults with faults that depend on the table. That of a
-// transaction is its first one.
-func (s *Store) SetTableFaults(faults func(caller, call, table string) Fault) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = faults
@@ -105,6 +97,29 @@
 	s.listFaults = faults
 }
 
+// SetTableFaults sets the function that selects the fault of each call from now on by
+// the table that it names first; nil injects none.
+func (s *Store) SetTableFaults(faults func(caller, call, table string) Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tableFaults = faults
+}
+
+// faultOf selects the fault of a call. It must be called with the lock held.
+func (s *Store) faultOf(caller, call, table string) Fault {
+	fault := FaultNone
+	if s.faults != nil {
+		fault = s.faults(caller, call)
+	}
+	if fault == FaultNone && s.tableFaults != nil {
+		fault = s.tableFaults(caller, call, table)
+	}
+	if call == "list" && fault == FaultNone && s.listFaults != nil {
+		fault = s.listFaults(caller, table)
+	}
+	return fault
+}
+
 // SetLatency sets how long calls take from now on, as those to an overloaded store.
 // A transaction takes effect even if its caller no longer waits.
 func (s *Store) SetLatency(latency time.Duration) {
@@ -311,13 +326,7 @@
 func (c *StoreClient) begin(ctx context.Context, call, table string) (Fault, error) {
 	c.store.mu.Lock()
 	c.store.calls[call+" "+table]++
-	fault := FaultNone
-	if c.store.faults != nil {
-		fault = c.store.faults(c.caller, call, table)
-	}
-	if call == "list" && fault == FaultNone && c.store.listFaults != nil {
-		fault = c.store.listFaults(c.caller, table)
-	}
+	fault := c.store.faultOf(c.caller, call, table)
 	latency := c.store.latency
 	c.store.mu.Unlock()
 	timeout := rowstore.CallTimeout(ctx, callTimeout)
@@ -390,7 +399,7 @@
 func (c *StoreClient) unreachable(table string) bool {
 	c.store.mu.Lock()
 	defer c.store.mu.Unlock()
-	return c.store.faults != nil && c.store.faults(c.caller, "watch response", table) == FaultRequestLost
+	return c.store.faultOf(c.caller, "watch response", table) == FaultRequestLost
 }
 
 func (c *StoreClient) since(table string, after uint64) (rowstore.Snapshot, <-chan struct{}, error) {
