Red: statements outlast the lease under which they were sent

Cause: a grant is checked when a statement is sent; nothing ends what is under way when the lease ends. Only announcements close connections, and an instance that is cut off sees none.

The stand-in database learns to become slow, and a cluster's routes to have another timeout.

--- a/internal/standin/platform/council/group.go
+++ b/internal/standin/platform/council/group.go
@@ -115,6 +115,7 @@
 	deaf bool
 	// statusDelay is how long a status query takes in addition.
 	statusDelay     time.Duration
+	serviceTime     time.Duration
 	waiting         int
 	connections     map[*Session]struct{}
 	dropReplies     int
@@ -148,7 +149,7 @@
 		g.databases = append(g.databases, &Database{
 			group: g, ID: state.DatabaseID(fmt.Sprintf("%s-%d", options.Group, i+1)), term: 1, role: state.RoleReplica,
 			Address: fmt.Sprintf("%s-%d:1", options.Group, i+1), slots: make(chan struct{}, options.Slots),
-			applyDelay: options.ApplyDelay, connections: make(map[*Session]struct{}),
+			applyDelay: options.ApplyDelay, serviceTime: options.ServiceTime, connections: make(map[*Session]struct{}),
 		})
 	}
 	g.leader = g.databases[0]
@@ -424,6 +425,13 @@
 	d.statusDelay = delay
 }
 
+// SetServiceTime sets how long statements take from now on once they hold a slot.
+func (d *Database) SetServiceTime(duration time.Duration) {
+	d.group.mu.Lock()
+	defer d.group.mu.Unlock()
+	d.serviceTime = duration
+}
+
 // receive copies the first length entries of a primary's log as far as they are
 // missing.
 func (d *Database) receive(from *Database, length int) {
--- a/internal/standin/platform/council/history.go
+++ b/internal/standin/platform/council/history.go
@@ -87,6 +87,13 @@
 	return append(violations, h.checkReads(g, position, staleness)...)
 }
 
+// CheckCommits compares the recorded writes with what the databases of a group committed.
+func (h *History) CheckCommits(g *Group) (violations []string, position map[string]state.Position) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.checkCommits(g.Commits())
+}
+
 // checkCommits checks that each write took effect at most once, that attempts
 // were committed as a whole, that no write took effect that was reported as
 // without effect, and that no superseded primary acknowledged one. It returns the
--- a/internal/standin/platform/council/session.go
+++ b/internal/standin/platform/council/session.go
@@ -260,12 +260,13 @@
 	} else {
 		d.waiting++
 	}
+	serviceTime := d.serviceTime
 	d.group.mu.Unlock()
 	if full {
 		return false
 	}
 	d.slots <- struct{}{}
-	state.Pause(ctx, d.group.options.ServiceTime)
+	state.Pause(ctx, serviceTime)
 	d.group.mu.Lock()
 	d.waiting--
 	d.group.mu.Unlock()
--- a/test/council/cluster_test.go
+++ b/test/council/cluster_test.go
@@ -75,6 +75,8 @@
 	// oneDataCentre places all instances in one data centre, where they share watches
 	// although they are few.
 	oneDataCentre bool
+	// statementTimeout overrides that of the routes unless it is 0.
+	statementTimeout time.Duration
 	// lastConfiguration is the newest value that the operators wrote.
 	lastConfiguration []byte
 
@@ -201,7 +203,7 @@
 	for _, name := range names {
 		table.Routes[name] = state.Route{
 			Database: name, Group: "g", Consistency: consistencies[name], MaxStaleness: maxStaleness,
-			StatementTimeout: 800 * time.Millisecond, Objective: 800 * time.Millisecond, Priority: 1, Public: tc.public[name],
+			StatementTimeout: cmp.Or(tc.statementTimeout, 800*time.Millisecond), Objective: 800 * time.Millisecond, Priority: 1, Public: tc.public[name],
 		}
 	}
 	if tc.keys != nil {
--- a/test/council/rows_test.go
+++ b/test/council/rows_test.go
@@ -28,8 +28,7 @@
 	i.kill()
 }
 
-// isolateWithPrimary cuts an instance and the primary off from everything else. The
-// instance goes on writing.
+// isolateWithPrimary cuts an instance and the primary off from everything else.
 func (tc *testCluster) isolateWithPrimary(name string) {
 	primary := tc.group.Leader()
 	rest := append([]string{"store"}, without(tc.names(), []string{name})...)
@@ -39,7 +38,6 @@
 		}
 	}
 	tc.partition(between([]string{name, string(primary.ID)}, rest))
-	go tc.keepWriting(tc.ctx, name)
 }
 
 // names returns the names of all instances that were started.
@@ -66,7 +64,7 @@
 		tc.eventually(2*time.Second, "a write through d", tc.newestRun("d").writable)
 		old := tc.group.Leader()
 		tc.isolateWithPrimary("d")
-		for _, name := range others {
+		for _, name := range fourInstances {
 			go tc.keepWriting(tc.ctx, name)
 		}
 		time.Sleep(3 * time.Second)
