What is under way on a primary ends with the lease

Cause: nothing ended statements when the lease ended, and promoters wait for 0.8 s beyond it, the usual statement timeout. Routes may allow more, and a slow primary that nobody can make step down then acknowledges after its successor leads.

Change: one watcher in the manager revokes all grants 0.6 s after the lease has ended, which closes their connections: the result of a write or COMMIT is not known, a read is tried again, a transaction is rolled back. Direct and tunnelled connections, and both ends of forwarded ones, are closed by the closers that announcements use. An answer that has come until then is delivered. The watcher looks each 50 ms, since a timer would stand still while the machine is suspended; while the lease runs that is one comparison.

Ruled out: a timer for each statement (thousands of sessions), a longer wait of promoters (each change beside a lost instance would take as long as the longest timeout), closing at the moment the lease ends (statements of the usual length would end as unknown).

--- a/internal/coordination/leadership/apply.go
+++ b/internal/coordination/leadership/apply.go
@@ -84,15 +84,7 @@
 // some if this instance had no lease during the change and did not see its
 // announcement. The caller must hold m.mu.
 func (m *Manager) revokeSuperseded(g *group) {
-	for grant := range g.grants {
-		if grant.Epoch >= g.record.Epoch {
-			continue
-		}
-		if closer := grant.revoke(); closer != nil {
-			go closer()
-		}
-		delete(g.grants, grant)
-	}
+	g.revokeGrants(func(grant *Grant) bool { return grant.Epoch < g.record.Epoch })
 }
 
 // broadcast wakes those who wait on Changed. The caller must hold m.mu.
--- a/internal/coordination/leadership/grant.go
+++ b/internal/coordination/leadership/grant.go
@@ -50,6 +50,41 @@
 	delete(g.manager.group(g.Group).grants, g)
 }
 
+// revokeAfterLease revokes all grants once the lease has ended and statements under way
+// have had leaseGrace to end. Without it a statement whose timeout exceeds leaseMargin
+// could be acknowledged by a superseded primary.
+func (m *Manager) revokeAfterLease() {
+	now := m.Clock.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if now < m.lease.ends().Add(leaseGrace) {
+		return
+	}
+	closed := 0
+	for _, g := range m.groups {
+		closed += g.revokeGrants(func(*Grant) bool { return true })
+	}
+	if closed > 0 {
+		m.Log.Warn().Int("closed", closed).Msg("the lease has ended, the use of primaries was broken off")
+	}
+}
+
+// revokeGrants revokes the grants that are due, closes their connections in the
+// background and returns their number. The caller must hold the manager's lock.
+func (g *group) revokeGrants(due func(*Grant) bool) (closed int) {
+	for grant := range g.grants {
+		if !due(grant) {
+			continue
+		}
+		if closer := grant.revoke(); closer != nil {
+			closed++
+			go closer()
+		}
+		delete(g.grants, grant)
+	}
+	return closed
+}
+
 func (g *Grant) revoke() func() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/coordination/leadership/heartbeat.go
+++ b/internal/coordination/leadership/heartbeat.go
@@ -22,6 +22,7 @@
 	go m.heartbeatLoop(ctx)
 	go m.memberLoop(ctx)
 	go m.confirmationLoop(ctx)
+	go state.Every(ctx, leaseWatchInterval, m.revokeAfterLease)
 	m.evaluateLoop(ctx)
 }
 
--- a/internal/coordination/leadership/lease.go
+++ b/internal/coordination/leadership/lease.go
@@ -48,7 +48,16 @@
 }
 
 func (l *lease) valid(now state.Instant) bool {
-	return l.remaining(now) > 0 || l.confirmed(now) || now < l.carriedUntil
+	return now < l.ends()
+}
+
+// ends returns when the lease ends, as far as is known now.
+func (l *lease) ends() state.Instant {
+	if !l.acquired || !l.clock.current.known {
+		return l.carriedUntil
+	}
+	own, longest := l.clock.earliest(l.renewedAt+l.length), l.clock.earliest(l.renewedAt+l.maxLength)
+	return max(l.carriedUntil, own, min(l.confirmedUntil, longest))
 }
 
 // beginEra forgets the store's clock and versions. What is left of the lease stays
--- a/internal/coordination/leadership/options.go
+++ b/internal/coordination/leadership/options.go
@@ -87,6 +87,12 @@
 	// leaseMargin covers a request that was sent just before the lease expired;
 	// it is the usual statement timeout.
 	leaseMargin = 800 * time.Millisecond
+	// leaseGrace is how long after the end of the lease statements under way may still
+	// get their answer. leaseWatchInterval is the time between two looks whether it is
+	// over: a timer would stand still while the machine is suspended. Both together,
+	// and the closing of connections, take less than leaseMargin.
+	leaseGrace         = 600 * time.Millisecond
+	leaseWatchInterval = 50 * time.Millisecond
 	// confirmationLead is how long before the lease expires an instance starts to
 	// request confirmations from others, confirmationInterval the time between two
 	// requests, and confirmationTTL how long a confirmation is valid: several
--- a/internal/coordination/leadership/storeclock.go
+++ b/internal/coordination/leadership/storeclock.go
@@ -70,6 +70,12 @@
 	return time.Duration(local) + c.upperOffset() + driftAllowance, c.current.known
 }
 
+// earliest returns the local time before which the store's clock surely has not reached
+// the given one.
+func (c *storeClock) earliest(storeTime time.Duration) state.Instant {
+	return state.Instant(storeTime - c.upperOffset() - driftAllowance)
+}
+
 // lowerBound returns a time that the store's clock has reached; zero before the
 // first response.
 func (c *storeClock) lowerBound(local state.Instant) time.Duration {
