Red: a position counts from after the check of the lease

What callers could see: a bounded or session read from a replica that lacks commits (rule STALE), after a process was suspended in the middle of a statement on the primary.

Cause: requestedAt is read after grant.Valid(). If the process is suspended between the two for longer than its lease, a superseded primary replies, and its position counts as that of the primary at the later time. The statement's timeout must exceed the suspension.

Harness: an instance's clock that is suspended where the engine reads it. Checked and no fault: probes take the time before they ask for a grant (probeOnce); holders record no positions, senders do under their own grant.

--- a/test/council/cluster_test.go
+++ b/test/council/cluster_test.go
@@ -77,6 +77,8 @@
 	oneDataCentre bool
 	// statementTimeout overrides that of the routes unless it is 0.
 	statementTimeout time.Duration
+	// clock replaces that of an instance that is started; nil replaces none.
+	clock func(name string, clock state.Clock) state.Clock
 	// lastConfiguration is the newest value that the operators wrote.
 	lastConfiguration []byte
 
@@ -367,7 +369,14 @@
 	level := tc.level
 	tc.mu.Unlock()
 	ctx, cancel := context.WithCancel(tc.ctx)
-	clock := virtualClock{tc.started}
+	var clock state.Clock = virtualClock{tc.started}
+	if tc.clock != nil {
+		clock = tc.clock(name, clock)
+	}
+	engineClock := clock
+	if process, ok := clock.(*suspendedClock); ok {
+		engineClock = engineView{process}
+	}
 	log := tc.log.With().Str("instance", name).Logger()
 	i := &instance{name: name, cluster: tc, ctx: ctx, cancel: cancel}
 	tracker := health.NewTracker(clock)
@@ -419,7 +428,7 @@
 	i.positions = freshness.NewExchange(freshness.NewTracker(), i.leadership, clock, i.leadership, messenger{tc, name, "positions", positions}, log)
 	i.engine = relay.New(ctx, relay.Config{
 		Directory: i.directory, Leadership: i.leadership, Freshness: i.positions, Pools: i.pools, Health: tracker,
-		Identity: tc.identity, Statements: platform.Codec{}, Clock: clock, Log: log,
+		Identity: tc.identity, Statements: platform.Codec{}, Clock: engineClock, Log: log,
 	})
 	i.registrations = rowstore.NewSharing(tableServers, state.InstanceID(name), i.leadership, messenger{tc, name, "registrations", registrations}, clock, log)
 	store.OnNewEra(i.leadership.BeginEra)
--- a/test/council/lease_end_test.go
+++ b/test/council/lease_end_test.go
@@ -91,7 +91,7 @@
 	runWithLongTimeouts(t, fourInstances, func(tc *testCluster) {
 		o := newOutcomes()
 		require.True(tc.t, tc.newestRun("d").reads())
-		tc.isolateWithPrimary("d")
+		tc.isolateWithPrimary()
 		tc.awaitLeaseEnd("d", time.Second)
 		tc.endSlowly(3, func() {
 			c := tc.newestRun("d").open("desk")
@@ -106,7 +106,7 @@
 func TestCommitUnderWayEndsWithTheLease(t *testing.T) {
 	runWithLongTimeouts(t, fourInstances, func(tc *testCluster) {
 		o := newOutcomes()
-		tc.isolateWithPrimary("d")
+		tc.isolateWithPrimary()
 		tc.awaitLeaseEnd("d", 3*time.Second)
 		c := tc.newestRun("d").open("desk")
 		defer c.session.Close()
--- a/test/council/rows_test.go
+++ b/test/council/rows_test.go
@@ -28,16 +28,16 @@
 	i.kill()
 }
 
-// isolateWithPrimary cuts an instance and the primary off from everything else.
-func (tc *testCluster) isolateWithPrimary(name string) {
+// isolateWithPrimary cuts instance d and the primary off from everything else.
+func (tc *testCluster) isolateWithPrimary() {
 	primary := tc.group.Leader()
-	rest := append([]string{"store"}, without(tc.names(), []string{name})...)
+	rest := append([]string{"store"}, without(tc.names(), []string{"d"})...)
 	for n := 1; n <= tc.options.Databases; n++ {
 		if database := tc.group.Database(n); database != primary {
 			rest = append(rest, string(database.ID))
 		}
 	}
-	tc.partition(between([]string{name, string(primary.ID)}, rest))
+	tc.partition(between([]string{"d", string(primary.ID)}, rest))
 }
 
 // names returns the names of all instances that were started.
@@ -63,7 +63,7 @@
 		tc.start("d")
 		tc.eventually(2*time.Second, "a write through d", tc.newestRun("d").writable)
 		old := tc.group.Leader()
-		tc.isolateWithPrimary("d")
+		tc.isolateWithPrimary()
 		for _, name := range fourInstances {
 			go tc.keepWriting(tc.ctx, name)
 		}
