--- a/test/council/cluster_test.go
+++ b/test/council/cluster_test.go
@@ -75,6 +75,10 @@
 	// oneDataCentre places all instances in one data centre, where they share watches
 	// although they are few.
 	oneDataCentre bool
+	// statementTimeout overrides that of the routes unless it is 0.
+	statementTimeout time.Duration
+	// clock replaces that of an instance that is started; nil replaces none.
+	clock func(name string, clock state.Clock) state.Clock
 	// lastConfiguration is the newest value that the operators wrote.
 	lastConfiguration []byte
 
@@ -201,7 +205,7 @@
 	for _, name := range names {
 		table.Routes[name] = state.Route{
 			Database: name, Group: "g", Consistency: consistencies[name], MaxStaleness: maxStaleness,
-			StatementTimeout: 800 * time.Millisecond, Objective: 800 * time.Millisecond, Priority: 1, Public: tc.public[name],
+			StatementTimeout: cmp.Or(tc.statementTimeout, 800*time.Millisecond), Objective: 800 * time.Millisecond, Priority: 1, Public: tc.public[name],
 		}
 	}
 	if tc.keys != nil {
@@ -365,7 +369,14 @@
 	level := tc.level
 	tc.mu.Unlock()
 	ctx, cancel := context.WithCancel(tc.ctx)
-	clock := virtualClock{tc.started}
+	var clock state.Clock = virtualClock{tc.started}
+	if tc.clock != nil {
+		clock = tc.clock(name, clock)
+	}
+	engineClock := clock
+	if process, ok := clock.(*suspendedClock); ok {
+		engineClock = engineView{process}
+	}
 	log := tc.log.With().Str("instance", name).Logger()
 	i := &instance{name: name, cluster: tc, ctx: ctx, cancel: cancel}
 	tracker := health.NewTracker(clock)
@@ -417,7 +428,7 @@
 	i.positions = freshness.NewExchange(freshness.NewTracker(), i.leadership, clock, i.leadership, messenger{tc, name, "positions", positions}, log)
 	i.engine = relay.New(ctx, relay.Config{
 		Directory: i.directory, Leadership: i.leadership, Freshness: i.positions, Pools: i.pools, Health: tracker,
-		Identity: tc.identity, Statements: platform.Codec{}, Clock: clock, Log: log,
+		Identity: tc.identity, Statements: platform.Codec{}, Clock: engineClock, Log: log,
 	})
 	i.registrations = rowstore.NewSharing(tableServers, state.InstanceID(name), i.leadership, messenger{tc, name, "registrations", registrations}, clock, log)
 	store.OnNewEra(i.leadership.BeginEra)
