Red: an accepted promotion takes effect after another database was published

What callers could see: writes acknowledged by the recorded primary for about a second after another database was promoted; nobody notices until the recorded one steps down.

Cause: a call ends with the platform's answer, and its promotion takes effect later, some hundred milliseconds as a rule. If the change ends in between (its instance is stopped, its 30 s are over), the duty is released at once. If the call has no answer yet then, the same happens with the answer. Another instance that does not reach the first database promotes and publishes another one.

The stand-in's time from acceptance to effect can be changed.

Ruled out: SIGKILL between acceptance and effect. The duty's row then keeps the call until it can't be carried out any more, or its effect is seen.

Result: go test -race -cpu 1 -run TestAcceptedPromotionOutlasts ./test/council: red in both cases (stopped before and after the answer), g-2 leads after g-3 was published.

--- a/internal/standin/platform/council/group.go
+++ b/internal/standin/platform/council/group.go
@@ -457,6 +457,14 @@
 	g.latePromotions, g.promotionLateness = n, late
 }
 
+// SetPromotionDelay sets how long promotions that are accepted from now on take to take
+// effect.
+func (g *Group) SetPromotionDelay(delay time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.options.PromotionDelay = delay
+}
+
 // UnansweredPromotions returns how many promotion calls broke without an answer.
 func (g *Group) UnansweredPromotions() int {
 	g.mu.Lock()
--- a/test/council/takenover_test.go
+++ b/test/council/takenover_test.go
@@ -62,3 +62,73 @@
 		tc.requireValidPromotions()
 	})
 }
+
+// stopAndLeave stops an instance gracefully. A moment later its process has ended, so that
+// it makes no more calls to the store.
+func (tc *testCluster) stopAndLeave(i *instance) {
+	i.leadership.Leave(tc.ctx)
+	i.kill()
+	time.AfterFunc(100*time.Millisecond, func() {
+		tc.store.SetTableFaults(func(caller, _, _ string) standin.Fault {
+			if caller == i.name {
+				return standin.FaultRequestLost
+			}
+			return standin.FaultNone
+		})
+	})
+}
+
+// A promoter is stopped gracefully after its promotion call was accepted, or sent, and
+// before the promotion takes effect. Another instance takes the change over at once and
+// does not reach the database. It must not promote another one until the first promotion
+// has taken effect or surely never will.
+func TestAcceptedPromotionOutlastsItsPromoter(t *testing.T) {
+	for name, answerAfter := range map[string]time.Duration{"stopped after the answer": 0, "stopped before the answer": 80 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			run(t, fourInstances, func(tc *testCluster) {
+				time.Sleep(25 * time.Second)
+				const effectAfter = 4 * time.Second
+				tc.group.SetPromotionDelay(effectAfter)
+				tc.group.DelayPromotions(answerAfter)
+				// The announcement is old enough to be taken over when the call is sent.
+				tc.losePrimaryWith("d")
+				promoter := tc.awaitSentCall()
+				tc.stopAndLeave(promoter)
+				tc.awaitAcceptance()
+				tc.group.SetPromotionDelay(groupOptions().PromotionDelay)
+				others := without([]string{"a", "b", "c"}, []string{promoter.name})
+				tc.partition(between(others, []string{string(tc.group.Database(2).ID)}))
+				tc.eventually(25*time.Second, "a primary of the other instances", func() bool { return tc.newestRun(others[0]).writable() })
+				time.Sleep(2 * effectAfter)
+				require.Equal(tc.t, tc.group.Database(3).ID, tc.group.Leader().ID)
+				tc.requireValidPromotions()
+			})
+		})
+	}
+}
+
+// awaitSentCall waits until an instance has sent a promotion call and has received the
+// answer, if that comes at once. It returns the instance.
+func (tc *testCluster) awaitSentCall() (promoter *instance) {
+	tc.t.Helper()
+	const usualRecord = 20 * time.Millisecond
+	for began := time.Now(); promoter == nil; time.Sleep(time.Millisecond) {
+		require.Less(tc.t, time.Since(began), 15*time.Second, "a promotion call")
+		for _, name := range fourInstances {
+			if i := tc.newestRun(name); i.leadership.PendingCalls() > 0 {
+				promoter = i
+			}
+		}
+	}
+	time.Sleep(usualRecord)
+	return promoter
+}
+
+// awaitAcceptance waits until the platform has accepted a promotion.
+func (tc *testCluster) awaitAcceptance() {
+	tc.t.Helper()
+	tc.eventually(time.Second, "an accepted promotion", func() bool {
+		tokens, _ := tc.group.Tokens()
+		return len(tokens) > 0
+	})
+}
