An accepted promotion call stays in the duty's row until its effect

What callers could see: writes acknowledged by the recorded primary for about a second after another database was promoted.

Cause: a call ended with the platform's answer, its promotion takes effect later. A change that ended in between released the duty at once, and its successor could promote another database. So could the next attempt of the same instance: promote recorded the database as one whose promotion has no effect when its context ended, however short the wait was.

Change: an accepted call ends when its effect is seen or promotionTimeout after its acceptance; until then no other database of the group is promoted and the call isn't repeated. A usual change sees the effect before it publishes and releases the duty as before, with the same calls.

Ruled out: waiting for the effect before the change ends, since a stopped process does not wait; a separate write on acceptance, which is one more call for each change.

Left: a change of an uncertain primary may promote the one that leads already.

--- a/internal/coordination/leadership/choose.go
+++ b/internal/coordination/leadership/choose.go
@@ -36,7 +36,7 @@
 		replies := m.pollGroup(poll, attempt)
 		now := m.Clock.Now()
 		called := m.calledDatabase(attempt.group)
-		if called.awaitsAnswer(now) {
+		if called.isAwaited(now) {
 			mayCallSince = now
 		}
 		attempt.lastResort = now.Sub(attempt.since) > lastResortAfter
@@ -59,13 +59,13 @@
 // decide returns the database that leads already, or is to be promoted now. ok is false
 // while the change has to wait. While a promotion call may still be carried out, only the
 // database that it names is returned, and is promoted once more only if the call has been
-// silent for long. waited is for how long a call has been allowed.
+// silent for long and was not accepted. waited is for how long a call has been allowed.
 func (r groupReplies) decide(attempt *changeAttempt, called calledDatabase, now state.Instant, waited time.Duration) (chosen candidate, done, ok bool) {
 	successor, found := r.successor(attempt)
 	switch {
 	case found && !attempt.uncertain:
 		return successor, true, called.allows(successor.server.ID)
-	case called.awaitsAnswer(now):
+	case called.isAwaited(now):
 		return candidate{}, false, false
 	case found && called.id == "" && r.proven(successor.status.Received):
 		return successor, false, true
--- a/internal/coordination/leadership/doc.go
+++ b/internal/coordination/leadership/doc.go
@@ -24,7 +24,7 @@
 //   - an epoch is acknowledged only after every grant of earlier epochs was
 //     released or its connection closed;
 //   - a promotion is sent only while the duty's lease is valid, and after it was
-//     recorded in the duty's row;
+//     recorded in the duty's row, while its announcement was the newest of the group;
 //   - while a promotion call may still be carried out, the duty passes to no other
 //     instance and no other database of the group is promoted.
 //
--- a/internal/coordination/leadership/duty.go
+++ b/internal/coordination/leadership/duty.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -92,7 +93,12 @@
 // extendDuty returns the duty's row with a lease from now on and the added calls. The
 // duty is not free while a promotion call may still be carried out.
 func (m *Manager) extendDuty(record dutyRecord, storeNow time.Duration, added []*promotionCall) dutyRecord {
-	record.HeldUntil = int64(storeNow + m.Options.DutyLease + leaseMargin)
+	return m.holdDuty(record, storeNow, storeNow+m.Options.DutyLease+leaseMargin, added)
+}
+
+// holdDuty returns the duty's row with a lease until the given time.
+func (m *Manager) holdDuty(record dutyRecord, storeNow, until time.Duration, added []*promotionCall) dutyRecord {
+	record.HeldUntil = int64(until)
 	record.FreeAt = record.HeldUntil
 	m.mu.Lock()
 	record.Calls = m.duty.pendingCalls(storeNow, m.era.number, added)
@@ -103,6 +109,12 @@
 	return record
 }
 
+// allAccepted reports whether no call is without an answer. The lock of the manager must
+// be held.
+func (d *duty) allAccepted() bool {
+	return !slices.ContainsFunc(d.calls, func(call *promotionCall) bool { return !call.accepted })
+}
+
 // writeDuty replaces the duty's row of the given version if the further conditions hold.
 func (m *Manager) writeDuty(ctx context.Context, next dutyRecord, eraNumber, version uint64, further []rowstore.Condition) error {
 	value, err := encode(next)
@@ -165,22 +177,20 @@
 	m.releaseDuty(ctx)
 }
 
-// releaseDuty gives the duty up if no change uses it and no promotion call may still be
-// carried out: other instances may acquire it after DutyReleaseDelay. Otherwise it is
-// left to expire.
+// releaseDuty gives the duty up if no change uses it and no promotion call is without an
+// answer: other instances may acquire it after DutyReleaseDelay, or once accepted calls
+// have ended. Otherwise it is left to expire.
 func (m *Manager) releaseDuty(ctx context.Context) {
 	err := m.inDutyTurn(ctx, func() error {
 		m.mu.Lock()
-		release := m.duty.users == 0 && m.duty.held && len(m.duty.calls) == 0
+		release := m.duty.users == 0 && m.duty.held && m.duty.allAccepted()
 		record, version, eraNumber := m.duty.record, m.duty.version, m.era.number
 		storeNow, _ := m.lease.clock.upperBound(m.Clock.Now())
 		m.mu.Unlock()
 		if !release {
 			return nil
 		}
-		record.FreeAt = int64(storeNow + m.Options.DutyReleaseDelay)
-		record.HeldUntil, record.Calls = record.FreeAt, nil
-		err := m.writeDuty(ctx, record, eraNumber, version, nil)
+		err := m.writeDuty(ctx, m.holdDuty(record, storeNow, storeNow+m.Options.DutyReleaseDelay, nil), eraNumber, version, nil)
 		m.mu.Lock()
 		m.duty.held = m.duty.users > 0 && m.duty.held
 		m.mu.Unlock()
--- a/internal/coordination/leadership/promote.go
+++ b/internal/coordination/leadership/promote.go
@@ -50,9 +50,6 @@
 			return reply.status, nil
 		}
 		if ctx.Err() != nil || m.Clock.Now() >= deadline {
-			if accepted {
-				m.recordIneffective(attempt.group, chosen.server.ID)
-			}
 			return state.ServerStatus{}, eris.Errorf("database %s does not lead, promotion accepted %t", chosen.server.ID, accepted)
 		}
 	}
@@ -76,15 +73,6 @@
 	return false, nil
 }
 
-// recordIneffective records that a promotion which the platform accepted did not take
-// effect. So it is with a database that is the primary for the platform and has stepped
-// down: the call changes nothing, however often it is made.
-func (m *Manager) recordIneffective(id state.GroupID, database state.DatabaseID) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.group(id).ineffective = database
-}
-
 // isCurrent reports whether no later announcement than the attempt's is known.
 func (m *Manager) isCurrent(attempt *changeAttempt) bool {
 	m.mu.Lock()
--- a/internal/coordination/leadership/promotioncall.go
+++ b/internal/coordination/leadership/promotioncall.go
@@ -21,8 +21,9 @@
 // have seen yet that another has taken the change over. While the call is there,
 //   - the duty passes to no other instance,
 //   - no other database of the group is promoted.
-// A call ends when the platform answers, when callLifetime has passed, or, if no call of
-// its group was made beside it, when the database is seen to lead.
+// A call ends when the platform refuses it, when callLifetime has passed, or, if no call
+// of its group was made beside it, when the database is seen to lead. One that the
+// platform has accepted takes effect within promotionTimeout or never.
 
 // promotionCall is a promotion call of this run.
 type promotionCall struct {
@@ -37,8 +38,10 @@
 	// it may be sent. Before, era is that of the announcement.
 	recorded bool
 	era      uint64
-	// sentAt is when the call was sent; zero before.
-	sentAt state.Instant
+	// sentAt is when the call was sent; zero before. accepted is set once the platform
+	// has accepted it.
+	sentAt   state.Instant
+	accepted bool
 	// answered receives the outcome; it has room for it.
 	answered chan error
 }
@@ -119,6 +122,8 @@
 	id state.DatabaseID
 	// sentAt is when the last call was sent.
 	sentAt state.Instant
+	// accepted is set if the effect of an accepted call may still come.
+	accepted bool
 }
 
 // allows reports whether a database may lead, or be promoted, beside the pending calls.
@@ -126,10 +131,10 @@
 	return c.id == "" || c.id == id
 }
 
-// awaitsAnswer reports whether the last call has not been silent for so long that it may
-// be repeated.
-func (c calledDatabase) awaitsAnswer(now state.Instant) bool {
-	return c.id != "" && now.Sub(c.sentAt) < silentCallPatience
+// isAwaited reports whether the calls may not be repeated: one was accepted, or the last
+// one has not been silent for long.
+func (c calledDatabase) isAwaited(now state.Instant) bool {
+	return c.id != "" && (c.accepted || now.Sub(c.sentAt) < silentCallPatience)
 }
 
 func (m *Manager) calledDatabase(id state.GroupID) calledDatabase {
@@ -142,7 +147,7 @@
 func (d *duty) calledDatabase(id state.GroupID) (called calledDatabase) {
 	for _, call := range d.calls {
 		if call.Group == id {
-			called = calledDatabase{call.Database, max(called.sentAt, call.sentAt)}
+			called = calledDatabase{call.Database, max(called.sentAt, call.sentAt), called.accepted || call.accepted}
 		}
 	}
 	return called
@@ -294,7 +299,11 @@
 		m.recordAccepted(call)
 	}
 	call.answered <- err
-	if errors.Is(err, state.ErrNoAnswer) {
+	switch {
+	case err == nil:
+		state.Pause(ctx, promotionTimeout)
+		m.recordIneffective(call)
+	case errors.Is(err, state.ErrNoAnswer):
 		state.Pause(ctx, callLifetime-m.Clock.Now().Sub(sent))
 	}
 	if m.endCall(call) {
@@ -304,11 +313,27 @@
 
 // recordAccepted records a call whose effect is still to be seen.
 func (m *Manager) recordAccepted(call *promotionCall) {
+	now := m.Clock.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	call.accepted = true
+	if storeNow, known := m.lease.clock.upperBound(now); known && call.era == m.era.number {
+		call.Until = min(call.Until, int64(storeNow+promotionTimeout))
+	}
 	m.group(call.Group).accepted = call
 }
 
+// recordIneffective records that a promotion which the platform accepted did not take
+// effect in time. So it is with a database that is the primary for the platform and has
+// stepped down: the call changes nothing, however often it is made.
+func (m *Manager) recordIneffective(call *promotionCall) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if g := m.group(call.Group); g.accepted == call && g.record.Changing {
+		g.ineffective = call.Database
+	}
+}
+
 // endCall removes a call that can't be carried out any more, and reports whether it was
 // the last one.
 func (m *Manager) endCall(call *promotionCall) (last bool) {
--- a/internal/coordination/leadership/record.go
+++ b/internal/coordination/leadership/record.go
@@ -134,7 +134,7 @@
 	// HeldUntil is when the holder's lease ends; it sends no call later. 0 in rows of
 	// builds that state none.
 	HeldUntil int64 `msgpack:"held_until,omitempty"`
-	// Calls holds the holder's calls without an answer.
+	// Calls holds the holder's calls that may still take effect.
 	Calls []recordedCall `msgpack:"calls,omitempty"`
 }
 
