A position counts from before the check of the lease

Cause: the time of the question was taken after the check. Change: it is taken before, for single statements, the first one of a transaction and its COMMIT.

--- a/internal/coordination/relay/single.go
+++ b/internal/coordination/relay/single.go
@@ -55,12 +55,14 @@
 	if err != nil {
 		return s.unsentReply(r, err)
 	}
+	// The time is taken before the check of the lease: the process may be suspended
+	// between the two.
+	requestedAt := s.engine.Clock.Now()
 	// The lease may have ended during the wait for the connection.
 	if !grant.Attach(conn.Close) || !grant.Valid() {
 		pool.Release(conn, false)
 		return r.busyReply("the primary is being changed", retryAfterChange), s.timeLeft(r)
 	}
-	requestedAt := s.engine.Clock.Now()
 	sent := time.Now()
 	reply, err = pool.Run(conn, r.databaseStatement(state.Position{}), r.attemptDeadline(pool))
 	r.ran = time.Since(sent)
--- a/internal/coordination/relay/transaction.go
+++ b/internal/coordination/relay/transaction.go
@@ -243,11 +243,11 @@
 		reply, _ = s.unsentReply(r, err)
 		return reply, grant == nil
 	}
+	requestedAt := s.engine.Clock.Now()
 	if grant != nil && (!grant.Attach(conn.Close) || !grant.Valid()) {
 		pool.Release(conn, false)
 		return r.busyReply("the primary is being changed", retryAfterChange), s.timeLeft(r)
 	}
-	requestedAt := s.engine.Clock.Now()
 	sent := time.Now()
 	begin := s.tx.begin
 	reply, err = pool.Run(conn, pooling.Statement{ID: begin.ID, Text: begin.Text, After: minPosition}, r.deadline())
@@ -290,14 +290,15 @@
 	}
 	tx := s.tx
 	s.tx = nil
+	requestedAt := s.engine.Clock.Now()
 	if !tx.resume(r) {
 		return r.errorReply(state.CodeAborted, "the primary was changed, the transaction was rolled back")
 	}
-	return s.sendCommit(r, tx)
+	return s.sendCommit(r, tx, requestedAt)
 }
 
-func (s *Session) sendCommit(r *request, tx *transaction) state.Reply {
-	requestedAt := s.engine.Clock.Now()
+// sendCommit sends the COMMIT. requestedAt is a time before the lease was checked.
+func (s *Session) sendCommit(r *request, tx *transaction, requestedAt state.Instant) state.Reply {
 	reply, err := tx.send(r, pooling.Statement{ID: r.statement.ID, Text: r.statement.Text})
 	if err != nil {
 		tx.discard()
