Red: a lease is confirmed by outdated rows

An instance knows itself and one more, its reads of the rows fail for half a minute while it goes on to renew, and three others join. It is cut off with the primary, and confirms its lease itself: it is half of the two that it knows.

Cause: "at least half of the instances" is counted in rows of any age, also in none. The promoter's argument (pending, established) assumes rows that were read within two read intervals before the last renewal.

--- a/test/council/rows_test.go
+++ b/test/council/rows_test.go
@@ -75,3 +75,25 @@
 		tc.requireValidPromotions()
 	})
 }
+
+// Guards against a lease that an instance confirms by rows which it has not read for long:
+// half of the instances in them may be far less than half of all.
+func TestOutdatedRowsConfirmNoLease(t *testing.T) {
+	run(t, []string{"c", "d"}, func(tc *testCluster) {
+		time.Sleep(10 * time.Second)
+		tc.failRowReads("d")
+		for _, name := range []string{"a", "b", "e"} {
+			tc.start(name)
+		}
+		time.Sleep(30 * time.Second)
+		old := tc.group.Leader()
+		tc.isolateWithPrimary()
+		for _, name := range tc.names() {
+			go tc.keepWriting(tc.ctx, name)
+		}
+		tc.eventually(12*time.Second, "a new primary", func() bool { return tc.newestRun("a").writable() })
+		time.Sleep(12 * time.Second)
+		require.NotEqual(tc.t, old, tc.group.Leader())
+		tc.requireValidPromotions()
+	})
+}
