Confirmations count only beside rows that were read recently

Change: confirmations extend the lease only if the rows were read in the present era and within two read intervals before the last renewal; otherwise the lease ends with its own length. The constant is the one that promoters use for `established`. An instance that reads its rows as usual is never concerned: reads come once an interval.

Ruled out: an age that doesn't depend on the number of instances. Above 80 instances the usual reads are further apart than two intervals of a small fleet.

--- a/internal/coordination/leadership/confirmation.go
+++ b/internal/coordination/leadership/confirmation.go
@@ -156,6 +156,9 @@
 // extendLeaseIfConfirmed extends the lease if at least half of the instances have
 // responded to the last request. The caller must hold m.mu.
 func (m *Manager) extendLeaseIfConfirmed() {
+	if !m.members.readWithin(rowReadIntervals*m.members.readInterval(), m.lease.renewedAt) {
+		return // half of these may be less than half of all
+	}
 	if 2*len(m.confirmations.from) >= len(m.members.byName) {
 		m.lease.confirmedUntil = max(m.lease.confirmedUntil, m.confirmations.requestedAt.Add(confirmationTTL))
 	}
--- a/internal/coordination/leadership/members.go
+++ b/internal/coordination/leadership/members.go
@@ -126,6 +126,12 @@
 	return !m.outdated && m.version >= commit.Version
 }
 
+// readWithin reports whether the rows were read in this era, and no earlier than the
+// given time before a moment.
+func (m *members) readWithin(limit, moment time.Duration) bool {
+	return !m.outdated && m.now != 0 && m.now >= moment-limit
+}
+
 // readInterval returns the time between two reads of the rows by one instance
 // while nothing changes.
 func (m *members) readInterval() time.Duration {
@@ -266,7 +272,7 @@
 	// until it can't be confirmed either.
 	leasedFor, confirmedFor time.Duration
 	// established is the number of instances, pending or not, that joined early
-	// enough to be known to every pending instance.
+	// enough to be known to every pending instance that counts confirmations.
 	established int
 }
 
@@ -312,7 +318,7 @@
 		}
 	}
 	for _, entry := range m.byName {
-		if joined := time.Duration(entry.heartbeat.Joined); joined != 0 && joined < earliest-2*m.readInterval() {
+		if joined := time.Duration(entry.heartbeat.Joined); joined != 0 && joined < earliest-rowReadIntervals*m.readInterval() {
 			found.established++
 		}
 	}
--- a/internal/coordination/leadership/options.go
+++ b/internal/coordination/leadership/options.go
@@ -57,6 +57,9 @@
 	// in proportion, so that the reads of all instances together do not.
 	membersInterval     = 4 * time.Second
 	fullReadRateMembers = 40
+	// rowReadIntervals is within how many read intervals before its last renewal an
+	// instance must have read the rows for confirmations to count. Promoters rely on it.
+	rowReadIntervals = 2
 	// membersSettledAfter is how long after its start an instance reads the rows
 	// again; instances that were started together have written theirs by then.
 	membersSettledAfter = time.Second
