Red: rows of later pages of a list

(1) A list states its first page's version, while the generation of the primaries is the highest version of its rows. A row of a later page may be newer than a change that the first page lacks; renewals then succeed with the change unseen. (2) A row of a later page counts as written before the first page was read, so a promoter waits for less than its lease if the pages come slowly; and of two lists under way the one that began later may hold an older version of a row, which then replaces the newer one.

--- a/internal/coordination/leadership/renewal_test.go
+++ b/internal/coordination/leadership/renewal_test.go
@@ -49,7 +49,7 @@
 	value, err := encode(Record{Epoch: 1, Changing: true, Primary: "d1"})
 	return rowstore.Snapshot{
 		Rows:    []rowstore.Row{{Table: TablePrimaries, Key: "g", Value: value, Version: v.rows[rowPrimaries]}},
-		Version: v.version, Now: time.Duration(v.clock.now),
+		Version: max(v.version, v.rows[rowPrimaries]), Now: time.Duration(v.clock.now),
 	}, err
 }
 
--- a/internal/coordination/rowstore/rowstore.go
+++ b/internal/coordination/rowstore/rowstore.go
@@ -39,6 +39,9 @@
 	Rows    []Row
 	Version uint64
 	Now     time.Duration
+	// Latest is a reading by which all rows had been written, if that is later than Now:
+	// a list that was read in pages also holds rows newer than Version.
+	Latest time.Duration
 	// Era is the era of the response; 0 if the store has not reported one.
 	Era uint64
 }
