A row of a later page does not stand for the changes before it

Change: the generation that renewals are conditional on is raised only by rows up to the version of the list, which is its first page's. A newer row is applied, and the renewal that conflicts reads the primaries again, or the watch repeats the change.

Ruled out: to read all pages again until none has changed, which a busy table might never allow.

Measured: TestRowOfALaterPageHidesNoChange is red before and green after, with the tests of renewals.

--- a/internal/coordination/leadership/apply.go
+++ b/internal/coordination/leadership/apply.go
@@ -16,7 +16,10 @@
 	}
 	for _, row := range update.Rows {
 		m.applyRow(row, update.RespondedAt)
-		m.generation = max(m.generation, row.Version)
+		if row.Version <= update.Version {
+			// A newer row is of a later page, and other changes may be unseen.
+			m.generation = max(m.generation, row.Version)
+		}
 	}
 	m.observeStore(update.RequestedAt, update.RespondedAt, update.Now)
 	m.lease.seenVersion = max(m.lease.seenVersion, update.Version)
