Rows of later pages count from their own page, and no older row replaces a newer one

Change: a list states the time of its last page as well. A row that is newer than the list's version counts as written by then. A row is replaced by a newer version only, within an era.

--- a/internal/coordination/leadership/members.go
+++ b/internal/coordination/leadership/members.go
@@ -12,8 +12,7 @@
 type member struct {
 	heartbeat heartbeat
 	version   uint64
-	// seenAt is the store's time of the first response that held this version,
-	// so the row was written no later.
+	// seenAt is a reading of the store's clock by which the row had been written.
 	seenAt time.Duration
 	// read is the number of the last read that found the row.
 	read uint64
@@ -93,6 +92,14 @@
 	return e.heartbeat.Waiting && e.heartbeat.Era == era
 }
 
+// writtenBy returns a time by which a row of a snapshot had been written.
+func writtenBy(row rowstore.Row, snapshot rowstore.Snapshot) time.Duration {
+	if row.Version <= snapshot.Version {
+		return snapshot.Now
+	}
+	return max(snapshot.Now, snapshot.Latest)
+}
+
 // update replaces the members with a snapshot of all rows. Only rows that have
 // changed are decoded. Rows that cannot be decoded are kept as instances that
 // acknowledge nothing; their keys are returned.
@@ -102,8 +109,8 @@
 		name := state.InstanceID(row.Key)
 		delete(m.remembered, name)
 		entry, known := m.byName[name]
-		if !known || entry.version != row.Version || m.outdated {
-			entry = member{version: row.Version, seenAt: snapshot.Now}
+		if !known || entry.version < row.Version || m.outdated {
+			entry = member{version: row.Version, seenAt: writtenBy(row, snapshot)}
 			if err := decode(row.Key, row.Value, &entry.heartbeat); err != nil {
 				unreadable = append(unreadable, row.Key)
 			}
