Red: confirmed leases that promoters believe to be over

What callers could see: writes acknowledged by a superseded primary (rule ONE), by an instance that is cut off from the store and lives on confirmations.

(1) A promoter no longer waits for a minority once it has been one for a second, as long as a confirmation lasts: nothing is added for statements sent just before. Statements of the usual timeout are enough, whoever closes them; the watcher of leases comes later than that, too. (2) An instance whose own lease has ended answers requests for confirmations. Promoters wait for it no longer and count it as one that can't confirm. Four instances: c loses the store, d does 5 s later or more, then both and the primary are cut off from the others. When c's lease can't be confirmed any more, d is a minority of one, and is confirmed by c.

--- a/test/council/lease_end_test.go
+++ b/test/council/lease_end_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -171,3 +172,52 @@
 	tc.partition(func(a, b string) bool { return cut(a, b) || tunnelled && detour(a, b) })
 	return minority
 }
+
+// Guards against a promoter that stops waiting for a minority at the moment when the last
+// confirmation of its leases ends: statements sent just before are still under way.
+func TestStatementUnderWayEndsWithAConfirmedLease(t *testing.T) {
+	options := groupOptions()
+	options.PromotionDelay = 50 * time.Millisecond
+	runWith(t, options, fourInstances, testLog, func(tc *testCluster) {
+		time.Sleep(25 * time.Second)
+		o := newOutcomes()
+		old := tc.group.Leader()
+		others := []string{"a", "b", "c"}
+		lost := between([]string{"d"}, []string{"store"})
+		tc.partition(lost)
+		time.Sleep(6 * time.Second)
+		c := tc.newestRun("d").open("desk")
+		defer c.session.Close()
+		_, reply := c.read("k")
+		require.Equal(tc.t, state.CodeNone, reply.Code, "confirmed by the others")
+		for _, name := range others {
+			go tc.keepWriting(tc.ctx, name)
+		}
+		dark := between([]string{string(old.ID)}, append([]string{"store"}, others...))
+		tc.partition(func(a, b string) bool { return lost(a, b) || dark(a, b) })
+		for !tc.changing("a") {
+			time.Sleep(time.Millisecond)
+		}
+		apart := between([]string{"d"}, others)
+		tc.partition(func(a, b string) bool { return lost(a, b) || dark(a, b) || apart(a, b) })
+		old.SetServiceTime(600 * time.Millisecond)
+		time.Sleep(confirmedFor)
+		id, reply := c.write("k", "v")
+		require.Equal(tc.t, state.CodeNone, reply.Code, "sent while the lease was confirmed")
+		o.add(id, reply)
+		tc.eventually(10*time.Second, "a new primary", func() bool { return tc.group.Leader() != old })
+		violations, _ := o.history.CheckCommits(tc.group)
+		violations = slices.DeleteFunc(violations, func(v string) bool { return !strings.Contains(v, id) })
+		require.Empty(tc.t, violations)
+	})
+}
+
+// confirmedFor is less than the rest of a lease after its last confirmation, wherever the
+// next request for one would have been.
+const confirmedFor = 700 * time.Millisecond
+
+// changing reports whether an instance knows of a change of the primary in progress.
+func (tc *testCluster) changing(name string) bool {
+	groups, _ := tc.newestRun(name).leadership.Snapshot()
+	return groups[0].Changing
+}
--- a/test/council/rows_test.go
+++ b/test/council/rows_test.go
@@ -97,3 +97,31 @@
 		tc.requireValidPromotions()
 	})
 }
+
+// Guards against a lease that is confirmed by an instance whose own has ended: no promoter
+// counts that one among those which may still confirm, so it takes the rest for a minority.
+func TestInstanceWithoutALeaseConfirmsNone(t *testing.T) {
+	run(t, fourInstances, func(tc *testCluster) {
+		time.Sleep(25 * time.Second)
+		old := tc.group.Leader()
+		primary := string(old.ID)
+		lostFirst := between([]string{"c"}, []string{"store"})
+		tc.partition(lostFirst)
+		time.Sleep(15 * time.Second)
+		near := []string{"c", "d", primary}
+		far := []string{"a", "b", "store"}
+		for n := 1; n <= tc.options.Databases; n++ {
+			if database := tc.group.Database(n); database != old {
+				far = append(far, string(database.ID))
+			}
+		}
+		tc.partition(between(near, far))
+		for _, name := range []string{"a", "b", "d"} {
+			go tc.keepWriting(tc.ctx, name)
+		}
+		tc.eventually(30*time.Second, "a new primary", func() bool { return tc.newestRun("a").writable() })
+		time.Sleep(15 * time.Second)
+		require.NotEqual(tc.t, old, tc.group.Leader())
+		tc.requireValidPromotions()
+	})
+}
