A promoter leaves a minority the margin beyond its last confirmation

Change: 1.8 s instead of one, confirmationTTL and leaseMargin. It passes beside the wait for the instances' own leases (4.8 s after their last renewal), so a change takes longer only where those have ended before the announcement.

Ruled out: to break off statements 0.8 s before a confirmation ends. Confirmations last one second and are asked for each quarter: statements would be broken off at one lost message.

--- a/internal/coordination/leadership/change.go
+++ b/internal/coordination/leadership/change.go
@@ -216,7 +216,7 @@
 // awaitAcknowledgements returns when no instance can use the old primary.
 // Instances whose own lease has expired, so that they depend on confirmations
 // from others, are not waited for any more once those that have not acknowledged
-// have been a minority for longer than a confirmation is valid.
+// have been a minority for minorityPatience.
 func (m *Manager) awaitAcknowledgements(ctx context.Context, attempt *changeAttempt) error {
 	announced := announcement{group: attempt.group, epoch: attempt.epoch, commit: attempt.announceCommit}
 	expectations := expectationSender{announcedAt: m.Clock.Now()}
@@ -242,7 +242,7 @@
 		} else if minoritySince == 0 {
 			minoritySince = now
 		}
-		unconfirmed := minoritySince != 0 && now.Sub(minoritySince) > confirmationTTL
+		unconfirmed := minoritySince != 0 && now.Sub(minoritySince) > minorityPatience
 		if own && complete && len(pending.leased) == 0 && (len(pending.confirmed) == 0 || unconfirmed) {
 			return nil
 		}
--- a/internal/coordination/leadership/expect.go
+++ b/internal/coordination/leadership/expect.go
@@ -100,7 +100,7 @@
 	case !p.isMinority():
 		return p.confirmedFor
 	case len(p.confirmed) > 0:
-		return max(p.leasedFor, confirmationTTL)
+		return max(p.leasedFor, minorityPatience)
 	default:
 		return p.leasedFor
 	}
--- a/internal/coordination/leadership/options.go
+++ b/internal/coordination/leadership/options.go
@@ -103,6 +103,10 @@
 	confirmationLead     = 1500 * time.Millisecond
 	confirmationInterval = 250 * time.Millisecond
 	confirmationTTL      = time.Second
+	// minorityPatience is how long instances that depend on confirmations must have been
+	// a minority before a change no longer waits for them: until their last confirmation
+	// has ended, and what they sent before it.
+	minorityPatience = confirmationTTL + leaseMargin
 	// maxRestoreDelay bounds the wait of an instance for others to write back a record
 	// that the store has lost.
 	maxRestoreDelay = time.Second
