An instance confirms no lease once its own could not be confirmed

Cause: a promoter takes the pending instances for a minority, and those whose own lease is over for neither pending nor able to confirm. These did confirm.

Change: an instance confirms only while its own lease could still be confirmed, within MaxLease of its last renewal: just as long promoters wait for it. Afterwards it still tells changes and acknowledgements, under a nonce of no request, so that builds of before count nothing either. Promoters count every instance that has not acknowledged and may confirm: the pending ones, and any whose row does not state the new behaviour (leased_only), as long as the row is there.

Ruled out: to confirm only with a valid lease. While the store is away for all, a lost second would end all leases, and none could be confirmed again. To discount responders by what the requester has read of them: that is older than the truth, and would end confirmations before 15 s of an outage.

Open: in a fleet of two builds, a row that was removed after a minute of silence is counted by nobody, while an instance that read it before counts its owner's confirmation if that one is of the earlier build. Both must have been cut off from the store, 39 to 60 s apart.

--- a/internal/coordination/leadership/confirmation.go
+++ b/internal/coordination/leadership/confirmation.go
@@ -212,12 +212,17 @@
 
 // respond returns the response to a request, with all records that the sender has
 // not seen. It returns nil until this instance has read the primaries, because it
-// could not report their changes. The caller must hold m.mu.
+// could not report their changes. If its own lease could not be confirmed any more, it
+// confirms none, by a nonce of no request: promoters no longer wait for its
+// acknowledgement. The caller must hold m.mu.
 func (m *Manager) respond(request peerMessage) []byte {
 	if !m.ready {
 		return nil
 	}
 	response := peerMessage{Kind: kindResponse, Nonce: request.Nonce, Era: m.era.number, From: m.Self, Acknowledged: m.acknowledgedGroups(), Suspected: m.suspectedGroups()}
+	if now := m.Clock.Now(); !m.lease.valid(now) && !m.lease.confirmable(now) {
+		response.Nonce = 0
+	}
 	for id, g := range m.groups {
 		if g.version > request.Seen || request.Era != m.era.number && g.record.Epoch != 0 {
 			response.Rows = append(response.Rows, recordRow{Group: id, Version: g.version, Record: g.record})
--- a/internal/coordination/leadership/heartbeat.go
+++ b/internal/coordination/leadership/heartbeat.go
@@ -328,7 +328,7 @@
 		Until:  int64(m.lease.nextExpiry(m.Clock.Now(), length)),
 		Demand: demand, Run: m.Config.Run, Era: m.era.number, Address: m.Address, DataCentre: m.DataCentre, Lease: length, Joined: m.joined, Since: m.continuity.update(m), Count: m.heartbeats,
 		Acknowledged: m.acknowledgedGroups(), Suspected: m.suspectedGroups(),
-		Configuration: configuration, Level: m.Level,
+		Configuration: configuration, Level: m.Level, LeasedOnly: true,
 	}
 }
 
--- a/internal/coordination/leadership/lease.go
+++ b/internal/coordination/leadership/lease.go
@@ -72,8 +72,13 @@
 
 // confirmed reports whether confirmations of other instances extend the lease.
 func (l *lease) confirmed(now state.Instant) bool {
+	return now < l.confirmedUntil && l.confirmable(now)
+}
+
+// confirmable reports whether confirmations of other instances could extend the lease.
+func (l *lease) confirmable(now state.Instant) bool {
 	storeNow, known := l.clock.upperBound(now)
-	return known && l.acquired && now < l.confirmedUntil && storeNow < l.renewedAt+l.maxLength
+	return known && l.acquired && storeNow < l.renewedAt+l.maxLength
 }
 
 // remaining returns a lower bound of the time until the lease expires, without
--- a/internal/coordination/leadership/members.go
+++ b/internal/coordination/leadership/members.go
@@ -275,6 +275,9 @@
 	// leased instances may still hold their own lease; confirmed ones can use the
 	// old primary only if other instances confirm their lease.
 	leased, confirmed []state.InstanceID
+	// confirming is the number of instances, pending or not, that don't know of the change
+	// and may confirm leases.
+	confirming int
 	// leasedFor is the longest time until one's own lease expires, confirmedFor that
 	// until it can't be confirmed either.
 	leasedFor, confirmedFor time.Duration
@@ -283,10 +286,10 @@
 	established int
 }
 
-// isMinority reports whether the pending instances are less than half of the
-// established ones, so that they cannot confirm each other's leases.
+// isMinority reports whether the instances that may confirm the leases of pending ones
+// are less than half of the established ones.
 func (p pendingInstances) isMinority() bool {
-	return 2*(len(p.leased)+len(p.confirmed)) < p.established
+	return 2*p.confirming < p.established
 }
 
 // pending returns the instances that may still use the old primary of an
@@ -295,7 +298,13 @@
 	var found pendingInstances
 	earliest := announced.commit.Now
 	for name, entry := range m.byName {
-		if name == self || entry.heartbeat.Acknowledged[announced.group] >= announced.epoch || entry.waitsIn(announced.commit.Era) {
+		if name == self || entry.heartbeat.Acknowledged[announced.group] >= announced.epoch {
+			continue
+		}
+		if !entry.heartbeat.LeasedOnly {
+			found.confirming++
+		}
+		if entry.waitsIn(announced.commit.Era) {
 			continue
 		}
 		// The last renewal that can keep the old primary in use was made before
@@ -317,11 +326,17 @@
 			found.leased = append(found.leased, name)
 		case storeNow <= renewed+options.MaxLease+leaseMargin:
 			found.confirmed = append(found.confirmed, name)
+		default:
+			continue
+		}
+		if entry.heartbeat.LeasedOnly {
+			found.confirming++
 		}
 	}
 	for name := range m.remembered {
 		if name != self && announced.earlierLeases {
 			found.leased = append(found.leased, name)
+			found.confirming++
 		}
 	}
 	for _, entry := range m.byName {
--- a/internal/coordination/leadership/record.go
+++ b/internal/coordination/leadership/record.go
@@ -100,6 +100,9 @@
 	// AfterRestore is set in a waiting row if the table held a row of an earlier era
 	// before.
 	AfterRestore bool `msgpack:"after_restore"`
+	// LeasedOnly is set if this run confirms the leases of others only while its own
+	// could be confirmed. Earlier builds always do.
+	LeasedOnly bool `msgpack:"leased_only,omitempty"`
 	// Configuration is the version of the configuration in force, below which other
 	// instances must not serve; 0 if it holds no keys that could have been withdrawn.
 	Configuration uint64 `msgpack:"config,omitempty"`
