Red: rows are frozen when the store's clock is set back

Which of two reads is the later one is told by the store's clock. If that is set back, all reads are ignored until it has caught up: instances that join are missing in the rows, and since the announcement must be covered by a read, no change of a primary ends. The platform promises a steady clock, so no caller has seen it.

--- a/internal/coordination/leadership/members_test.go
+++ b/internal/coordination/leadership/members_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"fmt"
 	"maps"
 	"runtime"
@@ -179,3 +180,33 @@
 	require.NoError(t, decode("i", value, &earlier))
 	require.Equal(t, map[state.GroupID]uint16{"g": 7}, earlier.Demand)
 }
+
+// listedStore responds to each list with the given snapshot.
+type listedStore struct {
+	rowstore.Store
+	snapshot rowstore.Snapshot
+}
+
+func (s *listedStore) List(context.Context, string) (rowstore.Snapshot, error) {
+	return s.snapshot, nil
+}
+
+// Guards against rows that are not replaced any more once the store's clock was set back:
+// instances that join later would be missing in them for as long.
+func TestRowsAreReplacedAlthoughTheStoresClockWasSetBack(t *testing.T) {
+	clock := &manualClock{now: state.Instant(time.Minute)}
+	m, _ := newTestManager(clock, &fakeStore{clock: clock})
+	value, err := encode(heartbeat{Address: "b"})
+	require.NoError(t, err)
+	store := &listedStore{snapshot: rowstore.Snapshot{Version: 10, Now: time.Hour}}
+	m.Store = store
+	require.True(t, m.readMembers(t.Context()))
+	store.snapshot = rowstore.Snapshot{Version: 12, Now: time.Minute, Rows: []rowstore.Row{{Table: TableInstances, Key: "b", Value: value, Version: 11}}}
+	require.True(t, m.readMembers(t.Context()))
+	require.Contains(t, m.members.byName, state.InstanceID("b"))
+	require.Equal(t, time.Minute, m.members.now)
+
+	store.snapshot = rowstore.Snapshot{Version: 10, Now: time.Hour}
+	require.True(t, m.readMembers(t.Context()))
+	require.Contains(t, m.members.byName, state.InstanceID("b"), "an earlier read that is answered late")
+}
