The store's versions tell which read of the rows is the later one

Change: of two reads in one era the one with the lower version is ignored, the clock counts only where the versions are equal, and the rows' time is that of the read which they come from. Responses are linearizable, so a later read never has a lower version.

Measured: TestRowsAreReplacedAlthoughTheStoresClockWasSetBack is red before and green after.

--- a/internal/coordination/leadership/members.go
+++ b/internal/coordination/leadership/members.go
@@ -119,14 +119,20 @@
 		m.byName[name] = entry
 	}
 	maps.DeleteFunc(m.byName, func(_ state.InstanceID, entry member) bool { return entry.read != m.reads })
-	if m.outdated {
-		m.now, m.version, m.outdated = 0, 0, false
-	}
-	m.now, m.version = max(m.now, snapshot.Now), max(m.version, snapshot.Version)
+	m.now, m.version, m.outdated = snapshot.Now, snapshot.Version, false
 	m.rankings.outdated, m.demands = true, nil
 	return unreadable
 }
 
+// follow reports whether the rows are those of a later read than the snapshot. The
+// store's versions tell, as its clock may have been set.
+func (m *members) follow(snapshot rowstore.Snapshot) bool {
+	if m.outdated {
+		return false
+	}
+	return snapshot.Version < m.version || snapshot.Version == m.version && snapshot.Now < m.now
+}
+
 // show reports whether the rows were read after a commit. Instances that joined before
 // it are then among them.
 func (m *members) show(commit rowstore.Commit) bool {
