--- a/internal/coordination/leadership/members.go
+++ b/internal/coordination/leadership/members.go
@@ -12,8 +12,7 @@
 type member struct {
 	heartbeat heartbeat
 	version   uint64
-	// seenAt is the store's time of the first response that held this version,
-	// so the row was written no later.
+	// seenAt is a reading of the store's clock by which the row had been written.
 	seenAt time.Duration
 	// read is the number of the last read that found the row.
 	read uint64
@@ -93,6 +92,14 @@
 	return e.heartbeat.Waiting && e.heartbeat.Era == era
 }
 
+// writtenBy returns a time by which a row of a snapshot had been written.
+func writtenBy(row rowstore.Row, snapshot rowstore.Snapshot) time.Duration {
+	if row.Version <= snapshot.Version {
+		return snapshot.Now
+	}
+	return max(snapshot.Now, snapshot.Latest)
+}
+
 // update replaces the members with a snapshot of all rows. Only rows that have
 // changed are decoded. Rows that cannot be decoded are kept as instances that
 // acknowledge nothing; their keys are returned.
@@ -102,8 +109,8 @@
 		name := state.InstanceID(row.Key)
 		delete(m.remembered, name)
 		entry, known := m.byName[name]
-		if !known || entry.version != row.Version || m.outdated {
-			entry = member{version: row.Version, seenAt: snapshot.Now}
+		if !known || entry.version < row.Version || m.outdated {
+			entry = member{version: row.Version, seenAt: writtenBy(row, snapshot)}
 			if err := decode(row.Key, row.Value, &entry.heartbeat); err != nil {
 				unreadable = append(unreadable, row.Key)
 			}
@@ -112,20 +119,32 @@
 		m.byName[name] = entry
 	}
 	maps.DeleteFunc(m.byName, func(_ state.InstanceID, entry member) bool { return entry.read != m.reads })
-	if m.outdated {
-		m.now, m.version, m.outdated = 0, 0, false
-	}
-	m.now, m.version = max(m.now, snapshot.Now), max(m.version, snapshot.Version)
+	m.now, m.version, m.outdated = snapshot.Now, snapshot.Version, false
 	m.rankings.outdated, m.demands = true, nil
 	return unreadable
 }
 
+// follow reports whether the rows are those of a later read than the snapshot. The
+// store's versions tell, as its clock may have been set.
+func (m *members) follow(snapshot rowstore.Snapshot) bool {
+	if m.outdated {
+		return false
+	}
+	return snapshot.Version < m.version || snapshot.Version == m.version && snapshot.Now < m.now
+}
+
 // show reports whether the rows were read after a commit. Instances that joined before
 // it are then among them.
 func (m *members) show(commit rowstore.Commit) bool {
 	return !m.outdated && m.version >= commit.Version
 }
 
+// readWithin reports whether the rows were read in this era, and no earlier than the
+// given time before a moment.
+func (m *members) readWithin(limit, moment time.Duration) bool {
+	return !m.outdated && m.now != 0 && m.now >= moment-limit
+}
+
 // readInterval returns the time between two reads of the rows by one instance
 // while nothing changes.
 func (m *members) readInterval() time.Duration {
@@ -262,18 +281,21 @@
 	// leased instances may still hold their own lease; confirmed ones can use the
 	// old primary only if other instances confirm their lease.
 	leased, confirmed []state.InstanceID
+	// confirming is the number of instances, pending or not, that don't know of the change
+	// and may confirm leases.
+	confirming int
 	// leasedFor is the longest time until one's own lease expires, confirmedFor that
 	// until it can't be confirmed either.
 	leasedFor, confirmedFor time.Duration
 	// established is the number of instances, pending or not, that joined early
-	// enough to be known to every pending instance.
+	// enough to be known to every pending instance that counts confirmations.
 	established int
 }
 
-// isMinority reports whether the pending instances are less than half of the
-// established ones, so that they cannot confirm each other's leases.
+// isMinority reports whether the instances that may confirm the leases of pending ones
+// are less than half of the established ones.
 func (p pendingInstances) isMinority() bool {
-	return 2*(len(p.leased)+len(p.confirmed)) < p.established
+	return 2*p.confirming < p.established
 }
 
 // pending returns the instances that may still use the old primary of an
@@ -282,7 +304,13 @@
 	var found pendingInstances
 	earliest := announced.commit.Now
 	for name, entry := range m.byName {
-		if name == self || entry.heartbeat.Acknowledged[announced.group] >= announced.epoch || entry.waitsIn(announced.commit.Era) {
+		if name == self || entry.heartbeat.Acknowledged[announced.group] >= announced.epoch {
+			continue
+		}
+		if !entry.heartbeat.LeasedOnly {
+			found.confirming++
+		}
+		if entry.waitsIn(announced.commit.Era) {
 			continue
 		}
 		// The last renewal that can keep the old primary in use was made before
@@ -304,15 +332,21 @@
 			found.leased = append(found.leased, name)
 		case storeNow <= renewed+options.MaxLease+leaseMargin:
 			found.confirmed = append(found.confirmed, name)
+		default:
+			continue
+		}
+		if entry.heartbeat.LeasedOnly {
+			found.confirming++
 		}
 	}
 	for name := range m.remembered {
 		if name != self && announced.earlierLeases {
 			found.leased = append(found.leased, name)
+			found.confirming++
 		}
 	}
 	for _, entry := range m.byName {
-		if joined := time.Duration(entry.heartbeat.Joined); joined != 0 && joined < earliest-2*m.readInterval() {
+		if joined := time.Duration(entry.heartbeat.Joined); joined != 0 && joined < earliest-rowReadIntervals*m.readInterval() {
 			found.established++
 		}
 	}
--- a/internal/coordination/leadership/options.go
+++ b/internal/coordination/leadership/options.go
@@ -57,6 +57,9 @@
 	// in proportion, so that the reads of all instances together do not.
 	membersInterval     = 4 * time.Second
 	fullReadRateMembers = 40
+	// rowReadIntervals is within how many read intervals before its last renewal an
+	// instance must have read the rows for confirmations to count. Promoters rely on it.
+	rowReadIntervals = 2
 	// membersSettledAfter is how long after its start an instance reads the rows
 	// again; instances that were started together have written theirs by then.
 	membersSettledAfter = time.Second
@@ -100,6 +103,10 @@
 	confirmationLead     = 1500 * time.Millisecond
 	confirmationInterval = 250 * time.Millisecond
 	confirmationTTL      = time.Second
+	// minorityPatience is how long instances that depend on confirmations must have been
+	// a minority before a change no longer waits for them: until their last confirmation
+	// has ended, and what they sent before it.
+	minorityPatience = confirmationTTL + leaseMargin
 	// maxRestoreDelay bounds the wait of an instance for others to write back a record
 	// that the store has lost.
 	maxRestoreDelay = time.Second
