Of several databases promoted in one change, the last one is published

What callers could see: writes acknowledged by a primary after another database was promoted.

Cause: an instance that takes a change over publishes a database that leads already. If two were promoted in the change, the first one may still be primary of its term, because it was down. The first reply decided.

Change: a database that leads is published only if the last known call of the change names it (this run's own, or those in the duty's row of the holder before), or if all registered databases have replied, also the one that this call names.

Ruled out: waiting for all replies only. The later database may be out of reach or not registered, which is when the earlier one is taken. Writing the promoted database to the group's row: one more write, which all instances must read.

Left: a later promotion whose call is in no row any more (its effect was seen, its publication failed, and another holder has written the row since), if its database is not registered, or leaving and so not asked.

A usual change doesn't come here. A take-over of a promoted database publishes at once as before, if the row names it or all reply.

--- a/internal/coordination/leadership/choose.go
+++ b/internal/coordination/leadership/choose.go
@@ -57,23 +57,37 @@
 }
 
 // decide returns the database that leads already, or is to be promoted now. ok is false
-// while the change has to wait. While a promotion call may still be carried out, only the
+// while the change has to wait. A database that leads may have been superseded within this
+// change by one that does not reply; unless that is known not to be so, it is promoted once
+// more. While a promotion call may still be carried out, only the
 // database that it names is returned, and is promoted once more only if the call has been
 // silent for long and was not accepted. waited is for how long a call has been allowed.
 func (r groupReplies) decide(attempt *changeAttempt, called calledDatabase, now state.Instant, waited time.Duration) (chosen candidate, done, ok bool) {
 	successor, found := r.successor(attempt)
 	switch {
-	case found && !attempt.uncertain:
+	case found && !attempt.uncertain && r.isNewest(successor, called):
 		return successor, true, called.allows(successor.server.ID)
 	case called.isAwaited(now):
 		return candidate{}, false, false
 	case found && called.id == "" && r.proven(successor.status.Received):
-		return successor, false, true
+		return successor, false, attempt.uncertain || waited >= statusTimeout
 	}
 	chosen, ok = r.choose(attempt, waited)
 	return chosen, false, ok && called.allows(chosen.server.ID)
 }
 
+// isNewest reports whether no other database can have been promoted after the successor:
+// the last known call of the change names it, or all databases have replied, also the one
+// that this call names.
+func (r groupReplies) isNewest(successor candidate, called calledDatabase) bool {
+	last := cmp.Or(called.id, r.inherited)
+	if successor.server.ID == last {
+		return true
+	}
+	heard := last == "" || slices.ContainsFunc(r.all, func(found candidate) bool { return found.server.ID == last })
+	return heard && len(r.all) >= r.members
+}
+
 // groupReplies are the databases of a group that may hold commits of the old primary,
 // as far as they have replied.
 type groupReplies struct {
@@ -88,6 +102,8 @@
 	final  bool
 	// ineffective is the database whose promotion did not take effect before.
 	ineffective state.DatabaseID
+	// inherited is the database that the last call of the duty's holder before names.
+	inherited state.DatabaseID
 }
 
 // pollGroup returns the replies of the databases that may take over from the old
@@ -96,9 +112,9 @@
 // call whose effect is seen ends.
 func (m *Manager) pollGroup(poll *statusPoll, attempt *changeAttempt) groupReplies {
 	m.mu.Lock()
-	ineffective := m.group(attempt.group).ineffective
+	replies := groupReplies{target: attempt.target, final: attempt.final, ineffective: m.group(attempt.group).ineffective, inherited: m.duty.inherited[attempt.group]}
 	m.mu.Unlock()
-	replies := groupReplies{copies: m.Directory.SyncReplicas(attempt.group), target: attempt.target, final: attempt.final, ineffective: ineffective}
+	replies.copies = m.Directory.SyncReplicas(attempt.group)
 	synchronous := replies.copies > 0
 	for _, entry := range m.Directory.Servers(attempt.group) {
 		if entry.ID == attempt.old || entry.Leaving && !synchronous {
--- a/internal/coordination/leadership/choose_test.go
+++ b/internal/coordination/leadership/choose_test.go
@@ -41,6 +41,14 @@
 	require.True(t, ok && !done, "it is promoted once more")
 	require.Equal(t, first, chosen)
 
+	replies.members, replies.inherited = 1, "d3"
+	_, done, _ = replies.decide(attempt, calledDatabase{}, 0, statusTimeout)
+	require.False(t, done, "the database that was called last is not registered")
+	replies.inherited = "d2"
+	_, done, ok = replies.decide(attempt, calledDatabase{}, 0, 0)
+	require.True(t, ok && done, "the last call names it")
+
+	replies.members, replies.inherited = 2, ""
 	replies.all, replies.running = append(replies.all, second), append(replies.running, second)
 	chosen, done, ok = replies.decide(attempt, calledDatabase{}, 0, 0)
 	require.True(t, ok && done)
--- a/internal/coordination/leadership/duty.go
+++ b/internal/coordination/leadership/duty.go
@@ -26,6 +26,9 @@
 	// calls holds this run's promotion calls that may still be carried out. They
 	// stay in an era of the store that begins meanwhile.
 	calls []*promotionCall
+	// inherited holds the databases that the calls of the last other holder name, except
+	// for groups in which this run has made a later call.
+	inherited map[state.GroupID]state.DatabaseID
 	// writeTime is how long the last write of the duty's row took.
 	writeTime time.Duration
 }
@@ -73,6 +76,9 @@
 	if !mine && !unknown && !m.dutyFree(ctx, current, snapshot.Now) {
 		return dutyRecord{}, 0, eris.Wrapf(errDutyTaken, "held by %s", current.Holder)
 	}
+	if !mine {
+		m.inheritCalls(current.Calls)
+	}
 	next = dutyRecord{Holder: m.runName, Token: max(current.Token, lowest)}
 	if !mine {
 		next.Token++
@@ -80,6 +86,16 @@
 	return m.extendDuty(next, snapshot.Now, nil), version, nil
 }
 
+// inheritCalls records the calls of the holder before.
+func (m *Manager) inheritCalls(calls []recordedCall) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.duty.inherited = make(map[state.GroupID]state.DatabaseID, len(calls))
+	for _, call := range calls {
+		m.duty.inherited[call.Group] = call.Database
+	}
+}
+
 // dutyFree reports whether the duty in another holder's row may be acquired: its lease
 // has expired, and none of its promotion calls can be carried out any more.
 func (m *Manager) dutyFree(ctx context.Context, current dutyRecord, storeNow time.Duration) bool {
--- a/internal/coordination/leadership/promote.go
+++ b/internal/coordination/leadership/promote.go
@@ -18,6 +18,8 @@
 	var poll *statusPoll
 	var accepted bool
 	var nextCall state.Instant
+	// A database that leads already may be the primary of a superseded term.
+	mayLead := attempt.uncertain || attempt.isSuccessor(chosen)
 	for {
 		if call == nil && m.Clock.Now() >= nextCall {
 			var err error
@@ -35,13 +37,13 @@
 			call, nextCall = nil, m.Clock.Now().Add(promoteInterval)
 		default:
 			accepted, deadline = true, m.Clock.Now().Add(promotionTimeout)
-			if attempt.uncertain {
+			if mayLead {
 				// The database may report itself as primary of a superseded term
 				// until the promotion takes effect.
 				state.Pause(ctx, promotionSettles)
 			}
 		}
-		if poll == nil && (accepted || !attempt.uncertain) {
+		if poll == nil && (accepted || !mayLead) {
 			poll = m.newStatusPoll(ctx)
 			defer poll.cancel()
 		}
--- a/internal/coordination/leadership/promotioncall.go
+++ b/internal/coordination/leadership/promotioncall.go
@@ -175,6 +175,7 @@
 		answered:     make(chan error, 1),
 	}
 	m.duty.calls = append(m.duty.calls, call)
+	delete(m.duty.inherited, attempt.group)
 	m.mu.Unlock()
 	if err := m.recordCall(ctx, call); err != nil {
 		m.endCall(call)
