Red: a promotion call is sent after a suspension

What callers could see: writes acknowledged by a primary after another database was promoted.

Cause: the duty's row protects a call for 15 s after its sending, which is checked before the call's connection is opened. A process that is suspended after that sends the call when it goes on, also if the row has passed to another instance meanwhile (suspended for over 16 s), or with less time than a usual partition lasts (suspended for 6 s, then 12 s on its way).

Ruled out: a deadline of the context. It starts with the sending, its timers stand still while a machine is suspended, and a connection that is ready beside an expired timer may still be written to.

--- a/internal/coordination/leadership/manager.go
+++ b/internal/coordination/leadership/manager.go
@@ -39,7 +39,7 @@
 // Promoter makes a database its group's primary. Its error is state.ErrNoAnswer if the
 // call may still be carried out.
 type Promoter interface {
-	Promote(ctx context.Context, group state.GroupID, database state.DatabaseID, holder state.InstanceID, token uint64) error
+	Promote(ctx context.Context, call state.PromotionCall) error
 }
 
 // Health tracks which databases respond.
--- a/internal/coordination/leadership/promotioncall.go
+++ b/internal/coordination/leadership/promotioncall.go
@@ -292,7 +292,7 @@
 func (m *Manager) sendCall(ctx context.Context, call *promotionCall, attempt *changeAttempt) {
 	sent := call.sentAt
 	callCtx, cancel := context.WithTimeout(ctx, callLifetime)
-	err := m.Promoter.Promote(callCtx, call.Group, call.Database, m.Self, attempt.token)
+	err := m.Promoter.Promote(callCtx, state.PromotionCall{Group: call.Group, Database: call.Database, Holder: m.Self, Token: attempt.token})
 	cancel()
 	m.Log.Info().Err(err).Str("group", string(call.Group)).Str("database", string(call.Database)).Uint64("epoch", attempt.epoch).
 		Uint64("token", attempt.token).Dur("held_ms", m.Clock.Now().Sub(sent)).Msg("promotion requested")
--- a/internal/coordination/leadership/promotioncall_test.go
+++ b/internal/coordination/leadership/promotioncall_test.go
@@ -1,6 +1,7 @@
 package leadership
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -85,3 +86,33 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// suspendedPromoter is suspended for a while before it sends a call.
+type suspendedPromoter struct {
+	clock     *manualClock
+	suspended time.Duration
+	sent      int
+}
+
+func (p *suspendedPromoter) Promote(_ context.Context, call state.PromotionCall) error {
+	p.clock.now = p.clock.now.Add(p.suspended)
+	if call.MaySend == nil || call.MaySend() {
+		p.sent++
+	}
+	return nil
+}
+
+// The time for which a call may be on its way counts from its sending. A sender that is
+// suspended before would let it arrive when the duty's row does not protect it any more.
+func TestCallIsNotSentAfterASuspension(t *testing.T) {
+	for suspended, sent := range map[time.Duration]int{0: 1, 5 * time.Second: 0} {
+		synctest.Test(t, func(t *testing.T) {
+			promoter := &suspendedPromoter{suspended: suspended}
+			m, store := newPromoterOf(t, promoter, "g")
+			promoter.clock = store.clock
+			require.NoError(t, m.startTogether(t, attemptOf("g", 7))[0])
+			require.Equal(t, sent, promoter.sent, "suspended for %v", suspended)
+			time.Sleep(time.Minute)
+		})
+	}
+}
--- a/internal/coordination/leadership/transact_test.go
+++ b/internal/coordination/leadership/transact_test.go
@@ -220,7 +220,7 @@
 // countingPromoter counts the promotions that it is asked for.
 type countingPromoter struct{ calls int }
 
-func (p *countingPromoter) Promote(context.Context, state.GroupID, state.DatabaseID, state.InstanceID, uint64) error {
+func (p *countingPromoter) Promote(context.Context, state.PromotionCall) error {
 	p.calls++
 	return nil
 }
--- a/internal/standin/platform/council/group.go
+++ b/internal/standin/platform/council/group.go
@@ -484,9 +484,9 @@
 type Promoter struct{ group *Group }
 
 // Promote implements leadership.Promoter.
-func (p *Promoter) Promote(ctx context.Context, _ state.GroupID, id state.DatabaseID, holder state.InstanceID, token uint64) error {
+func (p *Promoter) Promote(ctx context.Context, call state.PromotionCall) error {
 	state.Pause(ctx, callLatency)
-	carryOut := func() error { return p.group.carryOut(id, holder, token) }
+	carryOut := func() error { return p.group.carryOut(call.Database, call.Holder, call.Token) }
 	late, lost := p.group.promotionFault()
 	if late == 0 {
 		return carryOut()
@@ -494,13 +494,13 @@
 	result := make(chan error, 1)
 	time.AfterFunc(late, func() { result <- carryOut() })
 	if lost {
-		return eris.Wrapf(state.ErrNoAnswer, "promote %s: the connection was closed", id)
+		return eris.Wrapf(state.ErrNoAnswer, "promote %s: the connection was closed", call.Database)
 	}
 	select {
 	case err := <-result:
 		return err
 	case <-ctx.Done():
-		return eris.Wrapf(state.ErrNoAnswer, "promote %s", id)
+		return eris.Wrapf(state.ErrNoAnswer, "promote %s", call.Database)
 	}
 }
 
--- a/internal/standin/platform/council/serve.go
+++ b/internal/standin/platform/council/serve.go
@@ -146,7 +146,8 @@
 	}
 	token, _ := strconv.ParseUint(r.Header.Get("Fence-Token"), 10, 64)
 	holder := state.InstanceID(r.Header.Get("Lease-Holder"))
-	if err := g.Promoter().Promote(r.Context(), g.options.Group, state.DatabaseID(request.Id), holder, token); err != nil {
+	call := state.PromotionCall{Group: g.options.Group, Database: state.DatabaseID(request.Id), Holder: holder, Token: token}
+	if err := g.Promoter().Promote(r.Context(), call); err != nil {
 		http.Error(w, err.Error(), http.StatusConflict)
 	}
 }
--- a/internal/state/group.go
+++ b/internal/state/group.go
@@ -145,3 +145,14 @@
 	// from its primary, by the replica's monotonic clock. Zero on a primary.
 	PrimaryContactAge time.Duration `msgpack:"contact" json:"primary_contact_age_ns"`
 }
+
+// PromotionCall requests that a database become the primary of its group.
+type PromotionCall struct {
+	Group    GroupID
+	Database DatabaseID
+	// Holder and Token are the holder of the promotion duty and its fencing token.
+	Holder InstanceID
+	Token  uint64
+	// MaySend is asked just before the call is sent; nil allows it.
+	MaySend func() bool
+}
