Soak: the removal of an instance's row is carried out late; more of the platform's trouble

Cause: the removal of the row at a graceful stop had no condition until, so a late one removes the row of the next run, and a promoter doesn't wait for that one.

The fleet gets trouble of the platform and of primaries in long series.

--- /dev/null
+++ b/test/soak/fleet_platform_test.go
@@ -0,0 +1,169 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	standin "github.com/cyclamenpin/cyclamenpin/internal/standin/platform/council"
+)
+
+const (
+	// platformSeries is how many troubles of the platform there are at a time.
+	platformSeries = 2
+	// shortestTrouble and longestTrouble bound how long such a trouble lasts.
+	shortestTrouble = 3 * time.Second
+	longestTrouble  = 12 * time.Second
+	// promoterCutTime is how long a promoter does not reach the primary that it replaces.
+	promoterCutTime = 3 * time.Second
+)
+
+// injectLong injects one trouble after the other.
+func (f *fleet) injectLong(random *rand.Rand, deadline time.Time, choose func(*rand.Rand) *fleetFault) {
+	for time.Now().Before(deadline) {
+		time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
+		fault := choose(random)
+		end := f.disturb("%s", fault.what)
+		fault.begin()
+		time.Sleep(shortestTrouble + time.Duration(random.Int64N(int64(longestTrouble-shortestTrouble))))
+		fault.end()
+		end()
+	}
+}
+
+// someMembers chooses one or two instances, or all of them in one of three cases.
+func (f *fleet) someMembers(random *rand.Rand) (chosen []*fleetInstance, names string) {
+	order := random.Perm(len(f.members))
+	if random.IntN(3) != 0 {
+		order = order[:1+random.IntN(2)]
+	}
+	var all []string
+	for _, n := range order {
+		chosen = append(chosen, f.members[n])
+		all = append(all, f.members[n].name)
+	}
+	return chosen, strings.Join(all, ", ")
+}
+
+// platformTrouble is trouble of the store of the kinds around the incident.
+func (f *fleet) platformTrouble(random *rand.Rand) *fleetFault {
+	members, names := f.someMembers(random)
+	own := rand.New(rand.NewPCG(random.Uint64(), 4))
+	share := 0.3 + 0.4*random.Float64()
+	var stores links
+	for _, i := range members {
+		stores = append(stores, i.store)
+	}
+	switch random.IntN(9) {
+	case 0:
+		return f.rulesFor("loses answers", f.members, storeRule{calls: "transact,removal", fault: standin.FaultResponseLost, share: share, random: own})
+	case 1, 2, 3:
+		f.store.SetEffectDelay(time.Duration(1000+random.IntN(5000)) * time.Millisecond)
+		return f.rulesFor("writes late", f.members, storeRule{calls: "transact,removal", fault: standin.FaultDelayed, share: share, random: own})
+	case 4:
+		return &fleetFault{"store slow", func() { f.store.SetLatency(slowStoreLatency) }, func() { f.store.SetLatency(normalStoreLatency) }}
+	case 5:
+		return f.rulesFor("refuses", members, storeRule{fault: standin.FaultRefused})
+	case 6:
+		return f.rulesFor("refuses reads of", members, storeRule{calls: "list,watch", fault: standin.FaultRefused})
+	case 7:
+		return &fleetFault{"store silent to " + names, stores.cut(true), stores.cut(false)}
+	default:
+		return &fleetFault{"open connections silent between the store and " + names, stores.do((*link).silence), stores.do((*link).endSilence)}
+	}
+}
+
+// rulesFor applies a rule to the calls of some instances.
+func (f *fleet) rulesFor(what string, members []*fleetInstance, rule storeRule) *fleetFault {
+	var removals []func()
+	var names []string
+	for _, i := range members {
+		names = append(names, i.name)
+	}
+	begin := func() {
+		for _, i := range members {
+			rule.member = i.name
+			removals = append(removals, f.faults.addRule(rule))
+		}
+	}
+	return &fleetFault{fmt.Sprintf("store %s %s", what, strings.Join(names, ", ")), begin, func() {
+		for _, remove := range removals {
+			remove()
+		}
+	}}
+}
+
+func (l links) do(what func(*link)) func() {
+	return func() {
+		for _, one := range l {
+			what(one)
+		}
+	}
+}
+
+// primaryTrouble is trouble of a primary that some instances still reach.
+func (f *fleet) primaryTrouble(random *rand.Rand) *fleetFault {
+	g := f.groups[random.IntN(len(f.groups))]
+	d := g.find(string(g.Leader().ID))
+	if d == nil {
+		return &fleetFault{"none", func() {}, func() {}}
+	}
+	if random.IntN(4) == 0 {
+		end := func() {}
+		return &fleetFault{string(d.ID) + " unregistered", func() { end = f.unregister(d) }, func() { end() }}
+	}
+	var l links
+	var names []string
+	for _, n := range random.Perm(len(f.members))[:1+random.IntN(len(f.members)-1)] {
+		names = append(names, f.members[n].name)
+		l = append(l, f.linkTo(d, f.members[n]))
+	}
+	return &fleetFault{fmt.Sprintf("%s cut from %s", d.ID, strings.Join(names, ", ")), l.cut(true), l.cut(false)}
+}
+
+func (f *fleet) linkTo(d *fleetDatabase, i *fleetInstance) *link {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return d.links[i]
+}
+
+// cutPromoters cuts every second promoter from the primary that it replaces.
+func (f *fleet) cutPromoters(random *rand.Rand, deadline time.Time) {
+	var running sync.WaitGroup
+	announced := make(chan [2]string, 100)
+	go f.observe("primaries", func(key string, fields map[string]any) {
+		if changing, _ := fields["changing"].(bool); changing {
+			select {
+			case announced <- [2]string{key, fmt.Sprint(fields["promoter"])}:
+			default:
+			}
+		}
+	})
+	for time.Now().Before(deadline) {
+		select {
+		case <-time.After(time.Until(deadline)):
+		case change := <-announced:
+			if random.IntN(2) == 0 {
+				running.Go(func() { f.cutPromoter(change[0], f.memberOf(change[1])) })
+			}
+		}
+	}
+	running.Wait()
+}
+
+func (f *fleet) cutPromoter(group string, promoter *fleetInstance) {
+	for _, g := range f.groups {
+		old := g.find(string(g.Leader().ID))
+		if string(g.id) != group || old == nil || promoter == nil {
+			continue
+		}
+		end := f.disturb("%s announces a change and is cut from %s", promoter.name, old.ID)
+		l := f.linkTo(old, promoter)
+		l.cut(true)
+		time.Sleep(promoterCutTime)
+		l.cut(false)
+		end()
+	}
+}
