--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -29,6 +29,7 @@
 	// FLEET_SEED sets the first seed and FLEET_SECONDS how long the faults last.
 	fleetRuns       = 1
 	fleetSeconds    = 40
+	fleetsAtOnce    = 3
 	fleetGroups     = 3
 	fleetClients    = 36
 	betweenZones    = 12 * time.Millisecond
@@ -138,8 +139,13 @@
 // random returns the source of random numbers of one part of the run.
 func (f *fleet) random(part int) *rand.Rand { return rand.New(rand.NewPCG(f.seed, uint64(part))) }
 
+// fleetSlots holds an entry for each fleet that runs.
+var fleetSlots = make(chan struct{}, fleetsAtOnce)
+
 func newFleet(t *testing.T, seed uint64) *fleet {
 	t.Helper()
+	fleetSlots <- struct{}{}
+	t.Cleanup(func() { <-fleetSlots })
 	f := &fleet{t: t, seed: seed, began: time.Now(), store: standin.NewStore(), stopped: make(chan struct{}), cutZones: make(map[[2]string]int), lateLinks: make(map[[2]string]links), databaseZones: make(map[string]string)}
 	f.faults = newFleetFaults(f)
 	f.store.SetTableFaults(f.faults.storeFault)
