--- a/test/soak/fleet_faults_test.go
+++ b/test/soak/fleet_faults_test.go
@@ -189,7 +189,12 @@
 	for n := 0; time.Now().Before(deadline); n++ {
 		began := time.Now()
 		i := f.members[order[n%len(order)]]
-		f.restart(i, time.Duration(random.IntN(1000))*time.Millisecond)
+		down := time.Duration(random.IntN(1000)) * time.Millisecond
+		if f.injects("start") && random.IntN(2) == 0 {
+			f.restartWithoutAnswer(random, i, down)
+		} else {
+			f.restart(i, down)
+		}
 		for range fleetGroups {
 			select {
 			case beat <- struct{}{}:
--- a/test/soak/fleet_platform_test.go
+++ b/test/soak/fleet_platform_test.go
@@ -78,12 +78,23 @@
 	}
 }
 
+// restartWithoutAnswer restarts an instance whose removal of its row is carried out late
+// and not answered.
+func (f *fleet) restartWithoutAnswer(random *rand.Rand, i *fleetInstance, down time.Duration) {
+	end := f.disturb("the row of %s is removed late", i.name)
+	defer end()
+	f.store.SetEffectDelay(time.Duration(1000+random.IntN(5000)) * time.Millisecond)
+	remove := f.faults.addRule(storeRule{member: i.name, calls: "removal", fault: standin.FaultDelayed})
+	defer remove()
+	f.restart(i, down)
+}
+
 // turnAwayStarted turns every second instance away that has just been restarted.
 func (f *fleet) turnAwayStarted(random *rand.Rand, i *fleetInstance) {
 	if random.IntN(2) == 0 {
 		return
 	}
-	time.Sleep(time.Duration(1000+random.IntN(3000)) * time.Millisecond)
+	time.Sleep(time.Duration(random.IntN(3000)) * time.Millisecond)
 	fault := f.turnAway(random, []*fleetInstance{i})
 	end := f.disturb("%s", fault.what)
 	fault.begin()
