Soak: instances that are turned away hear nothing on open connections either

Cause: a watch that was open when an instance was turned away still delivered the next change, so the instance heard of it in time.

--- a/test/soak/fleet_platform_test.go
+++ b/test/soak/fleet_platform_test.go
@@ -66,18 +66,24 @@
 		names = append(names, i.name)
 	}
 	who := strings.Join(names, ", ")
+	silent := &fleetFault{"open connections silent between the store and " + who, stores.do((*link).silence), stores.do((*link).endSilence)}
 	switch random.IntN(5) {
 	case 0:
-		return f.rulesFor("refuses", members, storeRule{fault: standin.FaultRefused})
-	case 1:
-		return f.rulesFor("refuses reads of", members, storeRule{calls: "list,watch", fault: standin.FaultRefused})
-	case 2:
+		return f.rulesFor("refuses", members, storeRule{fault: standin.FaultRefused}).beside(silent)
+	case 1, 2:
+		return f.rulesFor("refuses reads of", members, storeRule{calls: "list,watch", fault: standin.FaultRefused}).beside(silent)
+	case 3:
 		return &fleetFault{"store silent to " + who, stores.cut(true), stores.cut(false)}
 	default:
-		return &fleetFault{"open connections silent between the store and " + who, stores.do((*link).silence), stores.do((*link).endSilence)}
+		return silent
 	}
 }
 
+// beside returns both faults together.
+func (x *fleetFault) beside(other *fleetFault) *fleetFault {
+	return &fleetFault{x.what + ", " + other.what, func() { other.begin(); x.begin() }, func() { x.end(); other.end() }}
+}
+
 // restartWithoutAnswer restarts an instance whose removal of its row is carried out late
 // and not answered.
 func (f *fleet) restartWithoutAnswer(random *rand.Rand, i *fleetInstance, down time.Duration) {
