Directory: a start time of another writer does not stay

Cause: a registration of an earlier run than the known one was ignored for ever, because it may come from a copy that the store was restored from.

Ruled out: a bound by the time of day, since clocks are stepped and a database's may differ; taking earlier runs at once, since a write that takes effect late would then end the connections of the present run.

TestStartTimeOfAnotherWriterDoesNotStay failed before (the false start stayed); two broken variants are red.

--- a/internal/coordination/directory/directory.go
+++ b/internal/coordination/directory/directory.go
@@ -61,6 +61,12 @@
 	leaving bool
 }
 
+// unconfirmed is a registration that is used once it has stood until the given time.
+type unconfirmed struct {
+	server   state.Server
+	usableAt state.Instant
+}
+
 // Missing is a database that was not leaving when its registration disappeared.
 type Missing struct {
 	ID    state.DatabaseID
@@ -93,13 +99,14 @@
 	// removed holds the last runs of databases that were removed lately.
 	removed map[state.DatabaseID]removedRun
 	// unconfirmed holds registrations that were read again after their removal,
-	// because the store was restored from a copy.
-	unconfirmed map[state.DatabaseID]state.Server
+	// because the store was restored from a copy, and those of a run before the known
+	// one.
+	unconfirmed map[state.DatabaseID]unconfirmed
 	// refused holds the row versions of the registrations that can't be decoded.
 	refused map[state.DatabaseID]uint64
 	// afterOutage is that of the last update.
 	afterOutage bool
-	// unsettled is set while an entry has no registration.
+	// unsettled is set while an entry has no registration, or one is not used yet.
 	unsettled atomic.Bool
 	// eraBegan is when the newest era of the store was first seen.
 	eraBegan state.Instant
@@ -113,7 +120,7 @@
 // the row that holds the configuration.
 func New(decoder Decoder, configurationKey rowstore.Row, clock state.Clock, log zerolog.Logger, onRemoved func(state.DatabaseID)) *Directory {
 	d := &Directory{decoder: decoder, configurationKey: configurationKey, clock: clock, log: log, servers: make(map[state.DatabaseID]Entry), onRemoved: onRemoved}
-	d.removed, d.unconfirmed = make(map[state.DatabaseID]removedRun), make(map[state.DatabaseID]state.Server)
+	d.removed, d.unconfirmed = make(map[state.DatabaseID]removedRun), make(map[state.DatabaseID]unconfirmed)
 	d.refused = make(map[state.DatabaseID]uint64)
 	d.byGroup.Store(&map[state.GroupID][]Entry{})
 	d.stalenessBounds.Store(&map[state.GroupID]time.Duration{})
@@ -302,7 +309,7 @@
 }
 
 // Unsettled reports whether a database is listed only until it must have registered
-// again, so that each response of the store counts.
+// again, or a registration is not used yet, so that each response of the store counts.
 func (d *Directory) Unsettled() bool { return d.unsettled.Load() }
 
 // applyServers applies an update row by row. A complete update also covers the
@@ -311,6 +318,7 @@
 	listed := make(map[state.DatabaseID]bool, len(update.Rows))
 	for _, row := range update.Rows {
 		id := state.DatabaseID(row.Key)
+		earlier := d.unconfirmed[id]
 		delete(d.unconfirmed, id)
 		if row.Removed {
 			delete(d.refused, id)
@@ -324,12 +332,14 @@
 			continue
 		}
 		delete(d.refused, id)
-		if update.Complete && d.wasRemoved(server, now) {
-			d.unconfirmed[id] = server
-			d.log.Info().Str("database", row.Key).Msg("registration of a removed database read from the restored store, not used yet")
-			continue
+		switch {
+		case update.Complete && d.wasRemoved(server, now):
+			d.hold(server, earlier, now, "it was removed before the store was restored")
+		case d.isOfEarlierRun(server):
+			d.hold(server, earlier, now, "it is of an earlier run")
+		default:
+			d.register(server, now)
 		}
-		d.register(server, now)
 	}
 	if !update.Complete {
 		return
@@ -366,27 +376,46 @@
 	return found && server.Born != 0 && server.Born <= run.born
 }
 
-// acceptUnconfirmed registers the databases whose registration is still there although
-// that of a gone database would have expired. The lock must be held.
-func (d *Directory) acceptUnconfirmed(now state.Instant) {
-	if now.Sub(d.eraBegan) <= unconfirmedTime {
+// isOfEarlierRun reports whether a registration is of a run before the known one. It
+// comes from a copy that the store was restored from, or was written late; or the known
+// start time is another writer's. The lock must be held.
+func (d *Directory) isOfEarlierRun(server state.Server) bool {
+	return server.Born != 0 && server.Born < d.servers[server.ID].Born
+}
+
+// hold keeps a registration unused until a live database has written a newer one and, in
+// a new era, that of a gone database has expired. One that says the same as the one held
+// before keeps its time. The lock must be held.
+func (d *Directory) hold(server state.Server, earlier unconfirmed, now state.Instant, reason string) {
+	if earlier.usableAt != 0 && earlier.server.Born == server.Born {
+		d.unconfirmed[server.ID] = unconfirmed{server, earlier.usableAt}
 		return
 	}
-	for id, server := range d.unconfirmed {
-		delete(d.unconfirmed, id)
-		d.register(server, now)
+	usableAt := now.Add(reregistrationGrace)
+	if d.eraBegan != 0 {
+		usableAt = max(usableAt, d.eraBegan.Add(unconfirmedTime))
 	}
+	d.unconfirmed[server.ID] = unconfirmed{server, usableAt}
+	d.log.Info().Str("database", string(server.ID)).Str("reason", reason).Int64("born", server.Born).Int64("known", d.servers[server.ID].Born).
+		Msg("registration not used yet")
 }
 
-// register adds or updates an entry. A run that was leaving stays so, and a run is not
-// replaced by an earlier one: such registrations come from a copy that the store was
-// restored from. The lock must be held.
+// acceptUnconfirmed registers the databases whose registration has stood for long
+// enough. The lock must be held.
+func (d *Directory) acceptUnconfirmed(now state.Instant) {
+	for id, held := range d.unconfirmed {
+		if now.Sub(held.usableAt) > 0 {
+			delete(d.unconfirmed, id)
+			d.register(held.server, now)
+		}
+	}
+}
+
+// register adds or updates an entry. A run that was leaving stays so: a registration in
+// which it is not comes from a copy that the store was restored from. The lock must be
+// held.
 func (d *Directory) register(server state.Server, now state.Instant) {
 	old, known := d.servers[server.ID]
-	if known && server.Born != 0 && server.Born < old.Born {
-		d.log.Info().Str("database", string(server.ID)).Int64("born", server.Born).Int64("known", old.Born).Msg("registration of an earlier run ignored")
-		return
-	}
 	if known && server.Born != 0 && server.Born == old.Born && old.Leaving {
 		server.Leaving = true
 	}
@@ -470,7 +499,7 @@
 // publish rebuilds byGroup and unsettled from the current entries. The lock must be held.
 func (d *Directory) publish() {
 	groups := make(map[state.GroupID][]Entry)
-	unsettled := false
+	unsettled := len(d.unconfirmed) > 0
 	for _, id := range slices.Sorted(maps.Keys(d.servers)) {
 		entry := d.servers[id]
 		unsettled = unsettled || entry.missingSince != 0
--- a/test/council/oddregistrations_test.go
+++ b/test/council/oddregistrations_test.go
@@ -89,6 +89,36 @@
 	require.False(t, known)
 }
 
+// Another writer states a start in the future for a database. The rows of its true run
+// count again.
+func TestStartTimeOfAnotherWriterDoesNotStay(t *testing.T) {
+	born := func(d testDirectory) int64 {
+		entry, _ := d.entry("d1")
+		return entry.Born
+	}
+	d := newTestDirectory(t)
+	d.list(row(t, "d1", 5, false))
+	d.watch(row(t, "d1", 1000, false))
+	require.EqualValues(t, 1000, born(d), "a later run counts at once")
+	for range 3 {
+		d.watch(row(t, "d1", 5, false)) // as often as a database writes it
+		require.EqualValues(t, 1000, born(d))
+		require.True(t, d.Unsettled())
+		d.pass(time.Second)
+	}
+	require.EqualValues(t, 5, born(d))
+	require.False(t, d.Unsettled())
+
+	// A write of an earlier run that takes effect late is soon replaced.
+	d.watch(row(t, "d1", 9, false))
+	d.watch(row(t, "d1", 5, false))
+	d.pass(rewrittenWithin)
+	d.watch(row(t, "d1", 9, false))
+	d.pass(time.Minute)
+	require.EqualValues(t, 9, born(d))
+	require.Equal(t, 2, bytes.Count(d.log.Bytes(), []byte("not used yet")), "logged once for each start time")
+}
+
 // What is refused is logged once for each change, however often it is read.
 func TestOddRegistrationIsLoggedOnce(t *testing.T) {
 	d := newTestDirectory(t)
