Directory: a run that is placed elsewhere is not followed there at once

Cause: a row that gave a running database (with the same start) another address or group replaced its entry at once, and the pool with it: clients lost their connections, and the new ones went to a database that refuses them, or nowhere, until the database had written its row again. In another group it was lost to its own.

Ruled out: refusing such rows for ever. An instance that reads the false row first would then refuse the true one.

Change: such a row counts once it has stood for reregistrationGrace, as that of an earlier run. With another start it counts at once: a database that restarts may be elsewhere.

--- a/internal/coordination/directory/directory.go
+++ b/internal/coordination/directory/directory.go
@@ -99,8 +99,8 @@
 	// removed holds the last runs of databases that were removed lately.
 	removed map[state.DatabaseID]removedRun
 	// unconfirmed holds registrations that were read again after their removal,
-	// because the store was restored from a copy, and those of a run before the known
-	// one.
+	// because the store was restored from a copy, and those that contradict what is
+	// known of the database.
 	unconfirmed map[state.DatabaseID]unconfirmed
 	// refused holds the row versions of the registrations that can't be decoded.
 	refused map[state.DatabaseID]uint64
@@ -337,6 +337,8 @@
 			d.hold(server, earlier, now, "it was removed before the store was restored")
 		case d.isOfEarlierRun(server):
 			d.hold(server, earlier, now, "it is of an earlier run")
+		case d.isElsewhere(server):
+			d.hold(server, earlier, now, "the same run is known at another address or in another group")
 		default:
 			d.register(server, now)
 		}
@@ -383,11 +385,19 @@
 	return server.Born != 0 && server.Born < d.servers[server.ID].Born
 }
 
+// isElsewhere reports whether a registration places the known run elsewhere. A database
+// changes address and group with a restart only, so one of the two is another writer's.
+// The lock must be held.
+func (d *Directory) isElsewhere(server state.Server) bool {
+	known := d.servers[server.ID]
+	return server.Born != 0 && server.Born == known.Born && (server.Address != known.Address || server.Group != known.Group)
+}
+
 // hold keeps a registration unused until a live database has written a newer one and, in
 // a new era, that of a gone database has expired. One that says the same as the one held
 // before keeps its time. The lock must be held.
 func (d *Directory) hold(server state.Server, earlier unconfirmed, now state.Instant, reason string) {
-	if earlier.usableAt != 0 && earlier.server.Born == server.Born {
+	if earlier.usableAt != 0 && earlier.server.Born == server.Born && earlier.server.Address == server.Address && earlier.server.Group == server.Group {
 		d.unconfirmed[server.ID] = unconfirmed{server, earlier.usableAt}
 		return
 	}
@@ -397,7 +407,7 @@
 	}
 	d.unconfirmed[server.ID] = unconfirmed{server, usableAt}
 	d.log.Info().Str("database", string(server.ID)).Str("reason", reason).Int64("born", server.Born).Int64("known", d.servers[server.ID].Born).
-		Msg("registration not used yet")
+		Str("address", server.Address).Str("group", string(server.Group)).Msg("registration not used yet")
 }
 
 // acceptUnconfirmed registers the databases whose registration has stood for long
--- a/test/council/oddregistrations_test.go
+++ b/test/council/oddregistrations_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/rowstore"
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
 )
 
 const (
@@ -22,6 +23,13 @@
 	replacedWithin = 15 * time.Second
 )
 
+func mustJSON(t *testing.T, value any) []byte {
+	t.Helper()
+	text, err := json.Marshal(value)
+	require.NoError(t, err)
+	return text
+}
+
 // odd is a row that can't be decoded.
 func odd(id string, version uint64) rowstore.Row {
 	return rowstore.Row{Key: id, Value: []byte("odd"), Version: version}
@@ -119,6 +127,47 @@
 	require.Equal(t, 2, bytes.Count(d.log.Bytes(), []byte("not used yet")), "logged once for each start time")
 }
 
+// Another writer places a running database elsewhere, which then writes its row again. An
+// instance that knew the false row first corrects itself.
+func TestRunThatIsPlacedElsewhere(t *testing.T) {
+	elsewhere := map[string]func(server *state.Server){
+		"address": func(server *state.Server) { server.Address = "d2" },
+		"group":   func(server *state.Server) { server.Group = "other" },
+	}
+	for name, change := range elsewhere {
+		t.Run(name, func(t *testing.T) {
+			server := state.Server{Database: state.Database{ID: "d1", Address: "d1"}, Group: "g", Born: 5}
+			change(&server)
+			wrong, right := rowstore.Row{Key: "d1", Value: mustJSON(t, server)}, row(t, "d1", 5, false)
+
+			d := newTestDirectory(t)
+			d.list(right)
+			d.watch(wrong)
+			entry, known := d.entry("d1")
+			require.True(t, known)
+			require.Equal(t, "d1", entry.Address)
+			d.pass(rewrittenWithin)
+			d.watch(right)
+			d.pass(time.Minute)
+			entry, known = d.entry("d1")
+			require.True(t, known)
+			require.Equal(t, "d1", entry.Address)
+
+			d = newTestDirectory(t)
+			d.list(wrong)
+			d.watch(right)
+			d.pass(rewrittenWithin + time.Second)
+			entry, known = d.entry("d1")
+			require.True(t, known)
+			require.Equal(t, "d1", entry.Address)
+
+			d.watch(rowstore.Row{Key: "d1", Value: mustJSON(t, state.Server{Database: state.Database{ID: "d1", Address: "d3"}, Group: "g", Born: 6})})
+			entry, _ = d.entry("d1")
+			require.Equal(t, "d3", entry.Address, "a restarted database may be elsewhere")
+		})
+	}
+}
+
 // What is refused is logged once for each change, however often it is read.
 func TestOddRegistrationIsLoggedOnce(t *testing.T) {
 	d := newTestDirectory(t)
@@ -143,8 +192,7 @@
 		defer cancel()
 		go tc.keepWriting(ctx, "a1")
 		primary := tc.group.Leader()
-		right, err := json.Marshal(primary.Server())
-		require.NoError(tc.t, err)
+		right := mustJSON(tc.t, primary.Server())
 		time.Sleep(time.Second)
 		tc.store.Put(tableServers, string(primary.ID), []byte("odd"))
 		time.Sleep(rewrittenWithin)
