Directory: a database that another writer says leaves is used again

Cause: a run that was leaving stayed so whatever its later rows said, because a restored copy may hold one in which it is ready. A single row of another writer so took a replica out of use, or the primary out of the lead, until the database restarted.

A row that took effect late is replaced within that time by the next of a database that does leave.

Left: the false row itself is valid, so a primary begins to be replaced at once.

--- a/internal/coordination/directory/directory.go
+++ b/internal/coordination/directory/directory.go
@@ -340,6 +340,9 @@
 		case d.isElsewhere(server):
 			d.hold(server, earlier, now, "the same run is known at another address or in another group")
 		default:
+			if d.returns(server) {
+				d.hold(server, earlier, now, "the same run was leaving")
+			}
 			d.register(server, now)
 		}
 	}
@@ -393,6 +396,14 @@
 	return server.Born != 0 && server.Born == known.Born && (server.Address != known.Address || server.Group != known.Group)
 }
 
+// returns reports whether a registration says that the known run, which was leaving, is
+// not. It comes from a copy that the store was restored from, or was written late; or
+// another writer's said that the database leaves. The lock must be held.
+func (d *Directory) returns(server state.Server) bool {
+	known := d.servers[server.ID]
+	return known.Leaving && !server.Leaving && server.Born != 0 && server.Born == known.Born
+}
+
 // hold keeps a registration unused until a live database has written a newer one and, in
 // a new era, that of a gone database has expired. One that says the same as the one held
 // before keeps its time. The lock must be held.
@@ -416,19 +427,21 @@
 	for id, held := range d.unconfirmed {
 		if now.Sub(held.usableAt) > 0 {
 			delete(d.unconfirmed, id)
-			d.register(held.server, now)
+			d.list(held.server, now)
 		}
 	}
 }
 
-// register adds or updates an entry. A run that was leaving stays so: a registration in
-// which it is not comes from a copy that the store was restored from. The lock must be
-// held.
+// register adds or updates an entry. A run that was leaving stays so at first. The lock
+// must be held.
 func (d *Directory) register(server state.Server, now state.Instant) {
+	server.Leaving = server.Leaving || d.returns(server)
+	d.list(server, now)
+}
+
+// list adds or updates an entry. The lock must be held.
+func (d *Directory) list(server state.Server, now state.Instant) {
 	old, known := d.servers[server.ID]
-	if known && server.Born != 0 && server.Born == old.Born && old.Leaving {
-		server.Leaving = true
-	}
 	entry := Entry{Server: server}
 	if server.Leaving {
 		entry.LeavingSince = now
--- a/test/council/oddregistrations_test.go
+++ b/test/council/oddregistrations_test.go
@@ -168,6 +168,35 @@
 	}
 }
 
+// Another writer states that a running database is leaving. Its own rows, which go on to
+// say otherwise, count after a while.
+func TestRunThatIsSaidToLeave(t *testing.T) {
+	leaving := func(d testDirectory) bool {
+		entry, known := d.entry("d1")
+		require.True(t, known)
+		return entry.Leaving
+	}
+	d := newTestDirectory(t)
+	d.list(row(t, "d1", 5, false))
+	for range 2 {
+		d.watch(row(t, "d1", 5, true))
+		require.True(t, leaving(d))
+		for range 3 {
+			d.watch(row(t, "d1", 5, false))
+			require.True(t, leaving(d), "a late write of a database that leaves is soon replaced")
+			d.pass(time.Second)
+		}
+		require.False(t, leaving(d))
+	}
+	// A late write is followed by that of the database that leaves.
+	d.watch(row(t, "d1", 5, true))
+	d.watch(row(t, "d1", 5, false))
+	d.pass(rewrittenWithin)
+	d.watch(row(t, "d1", 5, true))
+	d.pass(time.Minute)
+	require.True(t, leaving(d))
+}
+
 // What is refused is logged once for each change, however often it is read.
 func TestOddRegistrationIsLoggedOnce(t *testing.T) {
 	d := newTestDirectory(t)
