Directory: a registration without the start that was known is refused

Cause: the start time is optional, since not all deployments state it. A row of another writer that lacks it replaced the known run: its start became 0, so that the pool was replaced, and what is kept for a run (that it leaves, which run is the later one) was lost.

Ruled out: needing the field from all as soon as one row has it. A single odd row would then refuse all databases of a deployment that doesn't state it.

Change: a row without it is refused for a database that stated one before, as one that can't be decoded: the database stays for reregistrationGrace. It doesn't bring a removed one back.

TestDatabaseWhoseRegistrationTurnsOdd/without_a_start failed before; the broken variant is red.

--- a/internal/coordination/directory/directory.go
+++ b/internal/coordination/directory/directory.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/rowstore"
@@ -327,6 +328,9 @@
 		}
 		listed[id] = true
 		server, err := d.decoder.ParseServer(row.Key, row.Value)
+		if err == nil && server.Born == 0 && d.statedStart(row) {
+			err = eris.Errorf("registration %q: no start time, unlike before", row.Key)
+		}
 		if err != nil {
 			d.refuse(row, now, err)
 			continue
@@ -357,7 +361,7 @@
 	maps.DeleteFunc(d.refused, func(id state.DatabaseID, _ uint64) bool { return !listed[id] })
 }
 
-// refuse handles a registration that can't be decoded, which another writer left. It
+// refuse handles a registration that can't be used, which another writer left. It
 // names no database, but a live one in whose place it stands soon writes its own again.
 // The lock must be held.
 func (d *Directory) refuse(row rowstore.Row, now state.Instant, cause error) {
@@ -371,6 +375,14 @@
 	d.log.Warn().Err(cause).Uint64("row_version", row.Version).Bool("replaces_database", listed).Msg("registration refused")
 }
 
+// statedStart reports whether a database stated a start time before, or the row was
+// refused for lack of one. The lock must be held.
+func (d *Directory) statedStart(row rowstore.Row) bool {
+	id := state.DatabaseID(row.Key)
+	version, refused := d.refused[id]
+	return d.servers[id].Born != 0 || d.removed[id].born != 0 || refused && version == row.Version
+}
+
 // wasRemoved reports whether a registration is that of a run which was removed before
 // the store was restored. The lock must be held.
 func (d *Directory) wasRemoved(server state.Server, now state.Instant) bool {
--- a/test/council/oddregistrations_test.go
+++ b/test/council/oddregistrations_test.go
@@ -44,6 +44,7 @@
 		},
 		"list after outage":   func(d testDirectory) { d.list(odd("d1", 8)) },
 		"leaving, then odd":   func(d testDirectory) { d.watch(row(t, "d1", 5, true)); d.watch(odd("d1", 8)) },
+		"without a start":     func(d testDirectory) { d.watch(row(t, "d1", 0, false)) },
 		"odd again and again": func(d testDirectory) { d.watch(odd("d1", 8)); d.pass(time.Second); d.watch(odd("d1", 9)) },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -69,6 +70,7 @@
 			require.False(t, d.Unsettled())
 			d.watch(odd("d1", 10))
 			d.list(odd("d1", 10))
+			d.list(row(t, "d1", 0, false))
 			_, known = d.entry("d1")
 			require.False(t, known)
 			d.watch(row(t, "d1", 5, false))
