Directory: a group that no configuration names is not used

Cause: whatever group a registration states counted as one of the system's. Two rows of another writer with an unknown group and the role of a replica, in every other way valid, made the instances evaluate it, find no primary there, and begin a change of its primary: a row in the table of primaries that stays (seen in the test; a promotion call was not looked for). One such row could also make an instance ready (read in the code).

Ruled out: refusing the row when it is decoded. A database may register before the configuration that names its group, and its row then doesn't change again.

Change: databases of groups that no configuration has named are known but listed nowhere, nor reached by tunnels. The next configuration that names the group (among its groups or in a route) lists them. A group stays named: transactions may still run in it. Until the first configuration is read all are listed, as before; nobody is served then.

TestGroupThatIsNotNamed failed before (the group was listed; a record of a change under way was written), TestGroupThatIsNamedLater, too; the broken variant is red.

--- a/internal/coordination/directory/directory.go
+++ b/internal/coordination/directory/directory.go
@@ -105,6 +105,9 @@
 	unconfirmed map[state.DatabaseID]unconfirmed
 	// refused holds the row versions of the registrations that can't be decoded.
 	refused map[state.DatabaseID]uint64
+	// named holds the groups that a configuration has named; nil before the first one.
+	// Registrations of others are not used.
+	named map[state.GroupID]bool
 	// afterOutage is that of the last update.
 	afterOutage bool
 	// unsettled is set while an entry has no registration, or one is not used yet.
@@ -150,13 +153,13 @@
 	return bound, ok
 }
 
-// Servers returns the registered databases of a group, ordered by id. The
-// caller must not modify the slice.
+// Servers returns the registered databases of a group that a configuration has named,
+// ordered by id. The caller must not modify the slice.
 func (d *Directory) Servers(group state.GroupID) []Entry {
 	return (*d.byGroup.Load())[group]
 }
 
-// Groups returns the groups that have a registered database, sorted.
+// Groups returns the named groups that have a registered database, sorted.
 func (d *Directory) Groups() []state.GroupID {
 	return slices.Sorted(maps.Keys(*d.byGroup.Load()))
 }
@@ -196,12 +199,12 @@
 	return missing
 }
 
-// AddressOf returns the address of a registered database.
+// AddressOf returns the address of a registered database of a named group.
 func (d *Directory) AddressOf(id state.DatabaseID) (string, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	entry, known := d.servers[id]
-	return entry.Address, known
+	return entry.Address, known && d.isNamed(entry.Group)
 }
 
 // ApplyConfiguration applies changes of the operators' table.
@@ -269,12 +272,36 @@
 	if current != nil && table.Version <= current.Version {
 		return
 	}
+	d.nameGroups(table)
 	d.routes.Store(table)
 	bounds := stalenessBounds(table)
 	d.stalenessBounds.Store(&bounds)
 	d.log.Info().Uint64("version", table.Version).Int("routes", len(table.Routes)).Int("groups", len(table.Groups)).Msg("configuration in force")
 }
 
+// nameGroups lists the databases of the groups that a configuration names. Those that
+// earlier ones named stay, since transactions may still run there.
+func (d *Directory) nameGroups(table *state.RoutingTable) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.named == nil {
+		d.named = make(map[state.GroupID]bool, len(table.Groups))
+	}
+	for group := range table.Groups {
+		d.named[group] = true
+	}
+	for _, route := range table.Routes {
+		d.named[route.Group] = true
+	}
+	d.publish()
+}
+
+// isNamed reports whether a configuration has named a group, or none was read yet. The
+// lock must be held.
+func (d *Directory) isNamed(group state.GroupID) bool {
+	return d.named == nil || d.named[group]
+}
+
 // stalenessBounds returns the tightest staleness bound of each group's routes that
 // replicas may serve.
 func stalenessBounds(table *state.RoutingTable) map[state.GroupID]time.Duration {
@@ -463,7 +490,7 @@
 	}
 	if !known || old.Role != server.Role || old.Leaving != server.Leaving || old.Address != server.Address || old.Born != server.Born {
 		d.log.Info().Str("database", string(server.ID)).Str("group", string(server.Group)).Stringer("role", server.Role).
-			Bool("leaving", server.Leaving).Str("address", server.Address).Str("data_centre", string(server.DataCentre)).Msg("database registered")
+			Bool("leaving", server.Leaving).Str("address", server.Address).Str("data_centre", string(server.DataCentre)).Bool("group_named", d.isNamed(server.Group)).Msg("database registered")
 	}
 	d.servers[server.ID] = entry
 }
@@ -538,6 +565,9 @@
 	for _, id := range slices.Sorted(maps.Keys(d.servers)) {
 		entry := d.servers[id]
 		unsettled = unsettled || entry.missingSince != 0
+		if !d.isNamed(entry.Group) {
+			continue
+		}
 		groups[entry.Group] = append(groups[entry.Group], entry)
 	}
 	d.byGroup.Store(&groups)
