Directory: a registration that is no longer listed is not used

Cause: a registration that is kept unused until it has stood for a while was dropped when a change removed its row, but not when a later list of the table lacked it (a watch whose history was lost, or a second era). It was used some seconds later, and stayed, since its row was removed already and no change of it would come.

Change: a list drops those that it lacks.

--- a/internal/coordination/directory/directory.go
+++ b/internal/coordination/directory/directory.go
@@ -386,6 +386,7 @@
 		}
 	}
 	maps.DeleteFunc(d.refused, func(id state.DatabaseID, _ uint64) bool { return !listed[id] })
+	maps.DeleteFunc(d.unconfirmed, func(id state.DatabaseID, _ unconfirmed) bool { return !listed[id] })
 }
 
 // refuse handles a registration that can't be used, which another writer left. It
--- a/test/council/registrations_test.go
+++ b/test/council/registrations_test.go
@@ -96,6 +96,20 @@
 	require.False(t, known)
 }
 
+// The registration of a database that is gone is in the copy, but no longer in a list that
+// follows.
+func TestRegistrationThatIsNoLongerListedIsNotUsed(t *testing.T) {
+	d := newTestDirectory(t)
+	d.list(row(t, "d2", 5, false))
+	d.watch(rowstore.Row{Key: "d2", Removed: true})
+	d.BeginEra(1)
+	d.list(row(t, "d2", 5, false))
+	d.list()
+	d.pass(listedAgainAfter)
+	_, known := d.entry("d2")
+	require.False(t, known)
+}
+
 // The registration of a database that runs had expired before the copy was restored.
 // It is used once it is written again, or is still there when others would have
 // expired.
