Messages and rows: lengths and nesting are checked before they are decoded

Cause: the msgpack decoder allocates what the length of an array claims. Eight bytes, as a datagram to an instance's port or as a row of the instances' own tables (a duty with its calls), claim four billion entries, for which 240 GB were asked: "fatal error: runtime: out of memory", which nothing can catch. All instances that read such a row end, again after each start. Nesting is followed without end, too: 1 MB took 256 MB of stack.

Ruled out: the databases' registrations and the operators' configuration, which are JSON and have no lengths; another decoder, since builds of both kinds must understand each other.

Change: internal/state/packed walks the value first: lengths must fit into what is left, and nesting ends at 32.

--- a/internal/app/peer_calls.go
+++ b/internal/app/peer_calls.go
@@ -6,7 +6,6 @@
 	"sync"
 
 	"github.com/rotisserie/eris"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/configuration"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/execution"
@@ -14,6 +13,7 @@
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/membership"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/ownership"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
+	"github.com/cyclamenpin/cyclamenpin/internal/state/packed"
 	"github.com/cyclamenpin/cyclamenpin/internal/transport/peerlink"
 	"github.com/cyclamenpin/cyclamenpin/internal/transport/pgserver"
 )
@@ -193,7 +193,7 @@
 // decodeAndServe decodes the body of a call and passes it to serve.
 func decodeAndServe[Request any](body []byte, serve func(Request) (any, error)) (any, error) {
 	var request Request
-	if err := msgpack.Unmarshal(body, &request); err != nil {
+	if err := packed.Unmarshal(body, &request); err != nil {
 		return nil, eris.Wrap(err, "decode call")
 	}
 	return serve(request)
--- a/internal/coordination/freshness/exchange.go
+++ b/internal/coordination/freshness/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
+	"github.com/cyclamenpin/cyclamenpin/internal/state/packed"
 )
 
 const (
@@ -214,7 +215,7 @@
 // nil if there is none to send.
 func (x *Exchange) Receive(datagram []byte) []byte {
 	var message positionMessage
-	if err := msgpack.Unmarshal(datagram, &message); err != nil {
+	if err := packed.Unmarshal(datagram, &message); err != nil {
 		x.log.Warn().Err(err).Int("bytes", len(datagram)).Msg("undecodable position message ignored")
 		return nil
 	}
--- a/internal/coordination/leadership/confirmation.go
+++ b/internal/coordination/leadership/confirmation.go
@@ -6,6 +6,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
+	"github.com/cyclamenpin/cyclamenpin/internal/state/packed"
 )
 
 // An instance that cannot renew its lease in the store requests from its peers
@@ -177,7 +178,7 @@
 // send back, or nil.
 func (m *Manager) Receive(datagram []byte) []byte {
 	var message peerMessage
-	if err := msgpack.Unmarshal(datagram, &message); err != nil {
+	if err := packed.Unmarshal(datagram, &message); err != nil {
 		m.Log.Warn().Err(err).Int("bytes", len(datagram)).Msg("cannot decode a peer message")
 		return nil
 	}
--- a/internal/coordination/leadership/record.go
+++ b/internal/coordination/leadership/record.go
@@ -7,6 +7,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
+	"github.com/cyclamenpin/cyclamenpin/internal/state/packed"
 )
 
 // Tables of the shared store that this package writes.
@@ -144,5 +145,5 @@
 }
 
 func decode(key string, value []byte, into any) error {
-	return eris.Wrapf(msgpack.Unmarshal(value, into), "decode row %q", key)
+	return eris.Wrapf(packed.Unmarshal(value, into), "decode row %q", key)
 }
--- a/internal/coordination/ratelimit/message.go
+++ b/internal/coordination/ratelimit/message.go
@@ -8,6 +8,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
+	"github.com/cyclamenpin/cyclamenpin/internal/state/packed"
 )
 
 const messageVersion = 1
@@ -102,7 +103,7 @@
 
 func decodeMessage(datagram []byte) (*message, error) {
 	var m message
-	if err := msgpack.Unmarshal(datagram, &m); err != nil {
+	if err := packed.Unmarshal(datagram, &m); err != nil {
 		return nil, eris.Wrap(err, "decode a message on limits")
 	}
 	if m.Version != messageVersion || m.Shard >= shardCount || len(m.Items) > maxItems {
--- a/internal/coordination/renewals/messages.go
+++ b/internal/coordination/renewals/messages.go
@@ -10,6 +10,7 @@
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/leadership"
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/rowstore"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
+	"github.com/cyclamenpin/cyclamenpin/internal/state/packed"
 )
 
 // Kinds of messages.
@@ -55,7 +56,7 @@
 
 func decode(datagram []byte) (message, error) {
 	var m message
-	err := msgpack.Unmarshal(datagram, &m)
+	err := packed.Unmarshal(datagram, &m)
 	return m, eris.Wrap(err, "decode a message on renewals")
 }
 
--- a/internal/coordination/rowstore/sharing.go
+++ b/internal/coordination/rowstore/sharing.go
@@ -11,6 +11,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
+	"github.com/cyclamenpin/cyclamenpin/internal/state/packed"
 )
 
 // The instances of a data centre share the watch of a table. Those that watch it send
@@ -115,7 +116,7 @@
 // Receive handles a notice. It never returns a response.
 func (s *Sharing) Receive(datagram []byte) []byte {
 	var received notice
-	if err := msgpack.Unmarshal(datagram, &received); err != nil {
+	if err := packed.Unmarshal(datagram, &received); err != nil {
 		s.log.Warn().Err(err).Int("bytes", len(datagram)).Msg("cannot decode a neighbour's notice")
 		return nil
 	}
--- a/internal/protocol/peerproto/body.go
+++ b/internal/protocol/peerproto/body.go
@@ -9,6 +9,7 @@
 
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/execution"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
+	"github.com/cyclamenpin/cyclamenpin/internal/state/packed"
 )
 
 // InitialWindow is how many bytes of event bodies may be sent on a stream
@@ -82,7 +83,7 @@
 	if err := validateBody(data); err != nil {
 		return eris.Wrapf(err, "decode %T", target)
 	}
-	if err := msgpack.Unmarshal(data, target); err != nil {
+	if err := packed.Unmarshal(data, target); err != nil {
 		return eris.Wrapf(err, "decode %T", target)
 	}
 	return nil
--- a/internal/transport/forward/convert.go
+++ b/internal/transport/forward/convert.go
@@ -5,10 +5,10 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/forwarding"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
+	"github.com/cyclamenpin/cyclamenpin/internal/state/packed"
 )
 
 func milliseconds(d time.Duration) uint32 {
@@ -37,7 +37,7 @@
 
 func decodeCall(body []byte) (forwarding.Call, error) {
 	var m callMessage
-	if err := msgpack.Unmarshal(body, &m); err != nil {
+	if err := packed.Unmarshal(body, &m); err != nil {
 		return forwarding.Call{}, eris.Wrap(err, "decode call")
 	}
 	if forwarding.Operation(m.Operation) > forwarding.OperationRollback {
@@ -65,7 +65,7 @@
 
 func decodeAnswer(body []byte) (forwarding.Answer, error) {
 	var m answerMessage
-	if err := msgpack.Unmarshal(body, &m); err != nil {
+	if err := packed.Unmarshal(body, &m); err != nil {
 		return forwarding.Answer{}, eris.Wrap(err, "decode answer")
 	}
 	if forwarding.Refusal(m.Refusal) > forwarding.RefusedPrimary || state.ErrorCode(m.Code) > state.CodeOther || state.TransactionState(m.Transaction) > state.TransactionFailed {
--- a/internal/transport/tunnel/tunnel.go
+++ b/internal/transport/tunnel/tunnel.go
@@ -19,6 +19,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
+	"github.com/cyclamenpin/cyclamenpin/internal/state/packed"
 	"github.com/cyclamenpin/cyclamenpin/internal/transport/socket"
 )
 
@@ -112,7 +113,7 @@
 	if _, err := io.ReadFull(r, body); err != nil {
 		return eris.Wrap(err, "read frame body")
 	}
-	return eris.Wrap(msgpack.Unmarshal(body, message), "decode frame")
+	return eris.Wrap(packed.Unmarshal(body, message), "decode frame")
 }
 
 // Server forwards connections of other instances to databases.
