Messages: a panic of the decoder is an error

Cause: where a type decodes itself and can't be nil, as a time, the msgpack decoder panics at a nil in its place ("call of reflect.Value.IsNil on struct Value"), in the goroutine that reads, so the process ends.

Ruled out: roles, which decode themselves from text. A nil leaves them as they are.

Change: packed.Unmarshal returns such a panic as an error.

TestValuesAtWhichTheDecoderPanics ended the test process before.

--- a/internal/state/packed/packed.go
+++ b/internal/state/packed/packed.go
@@ -13,11 +13,17 @@
 // maxDepth is how deeply values may be nested. No message needs more than six.
 const maxDepth = 32
 
-// Unmarshal decodes a message whose lengths hold what they claim.
-func Unmarshal(data []byte, into any) error {
+// Unmarshal decodes a message whose lengths hold what they claim. The decoder panics when
+// nothing stands in the place of some types, which is an error here.
+func Unmarshal(data []byte, into any) (err error) {
 	if err := Check(data); err != nil {
 		return err
 	}
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = eris.Errorf("packed value: the decoder panicked: %v", cause)
+		}
+	}()
 	return msgpack.Unmarshal(data, into)
 }
 
--- a/internal/state/packed/packed_test.go
+++ b/internal/state/packed/packed_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"github.com/vmihailenco/msgpack/v5"
@@ -17,13 +18,14 @@
 	Whole   uint64            `msgpack:"u"`
 	Part    float64           `msgpack:"f"`
 	Yes     bool              `msgpack:"y"`
+	At      time.Time         `msgpack:"a"`
 	Inner   *nested           `msgpack:"n"`
 	List    []nested          `msgpack:"l"`
 	Numbers map[string]uint64 `msgpack:"m"`
 }
 
 func sample(long int) nested {
-	s := nested{Text: strings.Repeat("x", long), Bytes: make([]byte, long), Signed: math.MinInt64, Whole: math.MaxUint64, Part: 1.5, Yes: true, Numbers: map[string]uint64{}}
+	s := nested{Text: strings.Repeat("x", long), Bytes: make([]byte, long), Signed: math.MinInt64, Whole: math.MaxUint64, Part: 1.5, Yes: true, At: time.Unix(1, 5), Numbers: map[string]uint64{}}
 	for n := range long {
 		s.Numbers[strings.Repeat("k", n%300)+"k"] = 1 << (n % 64)
 		s.List = append(s.List, nested{Signed: -int64(n)})
@@ -70,6 +72,12 @@
 	}
 }
 
+// The decoder panics when nothing stands in the place of a time.
+func TestValuesAtWhichTheDecoderPanics(t *testing.T) {
+	var got nested
+	require.Error(t, Unmarshal([]byte{0x81, 0xa1, 'a', 0xc0}, &got))
+}
+
 func FuzzUnmarshal(f *testing.F) {
 	whole, err := msgpack.Marshal(sample(3))
 	require.NoError(f, err)
