--- a/test/soak/odd_test.go
+++ b/test/soak/odd_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"testing"
 	"time"
 
@@ -100,3 +101,27 @@
 		s.requireService("a retired primary")
 	})
 }
+
+// peerTopics holds the first bytes of the datagrams that instances exchange.
+const peerTopics = "vprlc"
+
+// Someone sends an instance datagrams whose lengths claim four billion entries, in the
+// field of a list and in one that is not known.
+func TestOddDatagrams(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t, soakInstances)
+	s.runUnderLoad(1, func() {
+		for _, i := range s.instances {
+			conn, err := net.Dial("udp", i.peerAddress)
+			require.NoError(t, err)
+			for _, topic := range []byte(peerTopics) {
+				for _, field := range []byte("rcx") {
+					_, err := conn.Write([]byte{topic, 0x81, 0xa1, field, 0xdd, 0xff, 0xff, 0xff, 0xff})
+					require.NoError(t, err)
+				}
+			}
+			require.NoError(t, conn.Close())
+		}
+		s.requireService("odd datagrams")
+	})
+}
