--- a/internal/coordination/directory/directory.go
+++ b/internal/coordination/directory/directory.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/rowstore"
@@ -19,8 +20,9 @@
 )
 
 // reregistrationGrace is how long a database stays listed after its
-// registration disappeared during an outage of the store. Databases register
-// again within about two seconds of the store's return.
+// registration disappeared during an outage of the store, or was replaced by one that
+// can't be decoded. Databases register again within about two seconds of the store's
+// return, and write their registration again all the time.
 const reregistrationGrace = 2500 * time.Millisecond
 
 const (
@@ -46,8 +48,8 @@
 	// LeavingSince is when this instance first read that the database is
 	// leaving; zero while it is not.
 	LeavingSince state.Instant
-	// missingSince is when the registration disappeared, while the entry is
-	// kept for reregistrationGrace.
+	// missingSince is when the registration disappeared or could no longer be decoded,
+	// while the entry is kept for reregistrationGrace.
 	missingSince state.Instant
 }
 
@@ -60,6 +62,12 @@
 	leaving bool
 }
 
+// unconfirmed is a registration that is used once it has stood until the given time.
+type unconfirmed struct {
+	server   state.Server
+	usableAt state.Instant
+}
+
 // Missing is a database that was not leaving when its registration disappeared.
 type Missing struct {
 	ID    state.DatabaseID
@@ -92,8 +100,18 @@
 	// removed holds the last runs of databases that were removed lately.
 	removed map[state.DatabaseID]removedRun
 	// unconfirmed holds registrations that were read again after their removal,
-	// because the store was restored from a copy.
-	unconfirmed map[state.DatabaseID]state.Server
+	// because the store was restored from a copy, and those that contradict what is
+	// known of the database.
+	unconfirmed map[state.DatabaseID]unconfirmed
+	// refused holds the row versions of the registrations that can't be decoded.
+	refused map[state.DatabaseID]uint64
+	// named holds the groups that a configuration has named; nil before the first one.
+	// Registrations of others are not used.
+	named map[state.GroupID]bool
+	// afterOutage is that of the last update.
+	afterOutage bool
+	// unsettled is set while an entry has no registration, or one is not used yet.
+	unsettled atomic.Bool
 	// eraBegan is when the newest era of the store was first seen.
 	eraBegan state.Instant
 	// byGroup is replaced whenever servers changes.
@@ -106,7 +124,8 @@
 // the row that holds the configuration.
 func New(decoder Decoder, configurationKey rowstore.Row, clock state.Clock, log zerolog.Logger, onRemoved func(state.DatabaseID)) *Directory {
 	d := &Directory{decoder: decoder, configurationKey: configurationKey, clock: clock, log: log, servers: make(map[state.DatabaseID]Entry), onRemoved: onRemoved}
-	d.removed, d.unconfirmed = make(map[state.DatabaseID]removedRun), make(map[state.DatabaseID]state.Server)
+	d.removed, d.unconfirmed = make(map[state.DatabaseID]removedRun), make(map[state.DatabaseID]unconfirmed)
+	d.refused = make(map[state.DatabaseID]uint64)
 	d.byGroup.Store(&map[state.GroupID][]Entry{})
 	d.stalenessBounds.Store(&map[state.GroupID]time.Duration{})
 	return d
@@ -134,13 +153,13 @@
 	return bound, ok
 }
 
-// Servers returns the registered databases of a group, ordered by id. The
-// caller must not modify the slice.
+// Servers returns the registered databases of a group that a configuration has named,
+// ordered by id. The caller must not modify the slice.
 func (d *Directory) Servers(group state.GroupID) []Entry {
 	return (*d.byGroup.Load())[group]
 }
 
-// Groups returns the groups that have a registered database, sorted.
+// Groups returns the named groups that have a registered database, sorted.
 func (d *Directory) Groups() []state.GroupID {
 	return slices.Sorted(maps.Keys(*d.byGroup.Load()))
 }
@@ -180,12 +199,12 @@
 	return missing
 }
 
-// AddressOf returns the address of a registered database.
+// AddressOf returns the address of a registered database of a named group.
 func (d *Directory) AddressOf(id state.DatabaseID) (string, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	entry, known := d.servers[id]
-	return entry.Address, known
+	return entry.Address, known && d.isNamed(entry.Group)
 }
 
 // ApplyConfiguration applies changes of the operators' table.
@@ -253,12 +272,36 @@
 	if current != nil && table.Version <= current.Version {
 		return
 	}
+	d.nameGroups(table)
 	d.routes.Store(table)
 	bounds := stalenessBounds(table)
 	d.stalenessBounds.Store(&bounds)
 	d.log.Info().Uint64("version", table.Version).Int("routes", len(table.Routes)).Int("groups", len(table.Groups)).Msg("configuration in force")
 }
 
+// nameGroups lists the databases of the groups that a configuration names. Those that
+// earlier ones named stay, since transactions may still run there.
+func (d *Directory) nameGroups(table *state.RoutingTable) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.named == nil {
+		d.named = make(map[state.GroupID]bool, len(table.Groups))
+	}
+	for group := range table.Groups {
+		d.named[group] = true
+	}
+	for _, route := range table.Routes {
+		d.named[route.Group] = true
+	}
+	d.publish()
+}
+
+// isNamed reports whether a configuration has named a group, or none was read yet. The
+// lock must be held.
+func (d *Directory) isNamed(group state.GroupID) bool {
+	return d.named == nil || d.named[group]
+}
+
 // stalenessBounds returns the tightest staleness bound of each group's routes that
 // replicas may serve.
 func stalenessBounds(table *state.RoutingTable) map[state.GroupID]time.Duration {
@@ -275,11 +318,16 @@
 }
 
 // ApplyServers applies changed registrations. Databases whose registration
-// disappears after a recent outage of the store get time to register again.
+// disappears after a recent outage of the store, or can't be decoded, get time to
+// register again.
 func (d *Directory) ApplyServers(update rowstore.Update) {
 	now := d.clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if update.AfterOutage && !d.afterOutage {
+		d.restartGrace(now)
+	}
+	d.afterOutage = update.AfterOutage
 	if len(update.Rows) > 0 || update.Complete {
 		d.applyServers(update, now)
 	}
@@ -288,29 +336,46 @@
 	d.publish()
 }
 
+// Unsettled reports whether a database is listed only until it must have registered
+// again, or a registration is not used yet, so that each response of the store counts.
+func (d *Directory) Unsettled() bool { return d.unsettled.Load() }
+
 // applyServers applies an update row by row. A complete update also covers the
 // databases that it does not list. The lock must be held.
 func (d *Directory) applyServers(update rowstore.Update, now state.Instant) {
 	listed := make(map[state.DatabaseID]bool, len(update.Rows))
 	for _, row := range update.Rows {
 		id := state.DatabaseID(row.Key)
+		earlier := d.unconfirmed[id]
 		delete(d.unconfirmed, id)
 		if row.Removed {
+			delete(d.refused, id)
 			d.handleMissing(id, now, update.AfterOutage)
 			continue
 		}
+		listed[id] = true
 		server, err := d.decoder.ParseServer(row.Key, row.Value)
+		if err == nil && server.Born == 0 && d.statedStart(row) {
+			err = eris.Errorf("registration %q: no start time, unlike before", row.Key)
+		}
 		if err != nil {
-			d.log.Warn().Err(err).Msg("invalid database registration ignored")
+			d.refuse(row, now, err)
 			continue
 		}
-		listed[id] = true
-		if update.Complete && d.wasRemoved(server, now) {
-			d.unconfirmed[id] = server
-			d.log.Info().Str("database", row.Key).Msg("registration of a removed database read from the restored store, not used yet")
-			continue
+		delete(d.refused, id)
+		switch {
+		case update.Complete && d.wasRemoved(server, now):
+			d.hold(server, earlier, now, "it was removed before the store was restored")
+		case d.isOfEarlierRun(server):
+			d.hold(server, earlier, now, "it is of an earlier run")
+		case d.isElsewhere(server):
+			d.hold(server, earlier, now, "the same run is known at another address or in another group")
+		default:
+			if d.returns(server) {
+				d.hold(server, earlier, now, "the same run was leaving")
+			}
+			d.register(server, now)
 		}
-		d.register(server, now)
 	}
 	if !update.Complete {
 		return
@@ -320,6 +385,30 @@
 			d.handleMissing(id, now, update.AfterOutage)
 		}
 	}
+	maps.DeleteFunc(d.refused, func(id state.DatabaseID, _ uint64) bool { return !listed[id] })
+	maps.DeleteFunc(d.unconfirmed, func(id state.DatabaseID, _ unconfirmed) bool { return !listed[id] })
+}
+
+// refuse handles a registration that can't be used, which another writer left. It
+// names no database, but a live one in whose place it stands soon writes its own again.
+// The lock must be held.
+func (d *Directory) refuse(row rowstore.Row, now state.Instant, cause error) {
+	id := state.DatabaseID(row.Key)
+	d.awaitRegistration(id, now)
+	if version, known := d.refused[id]; known && version == row.Version {
+		return
+	}
+	d.refused[id] = row.Version
+	_, listed := d.servers[id]
+	d.log.Warn().Err(cause).Uint64("row_version", row.Version).Bool("replaces_database", listed).Msg("registration refused")
+}
+
+// statedStart reports whether a database stated a start time before, or the row was
+// refused for lack of one. The lock must be held.
+func (d *Directory) statedStart(row rowstore.Row) bool {
+	id := state.DatabaseID(row.Key)
+	version, refused := d.refused[id]
+	return d.servers[id].Born != 0 || d.removed[id].born != 0 || refused && version == row.Version
 }
 
 // wasRemoved reports whether a registration is that of a run which was removed before
@@ -332,30 +421,67 @@
 	return found && server.Born != 0 && server.Born <= run.born
 }
 
-// acceptUnconfirmed registers the databases whose registration is still there although
-// that of a gone database would have expired. The lock must be held.
-func (d *Directory) acceptUnconfirmed(now state.Instant) {
-	if now.Sub(d.eraBegan) <= unconfirmedTime {
+// isOfEarlierRun reports whether a registration is of a run before the known one. It
+// comes from a copy that the store was restored from, or was written late; or the known
+// start time is another writer's. The lock must be held.
+func (d *Directory) isOfEarlierRun(server state.Server) bool {
+	return server.Born != 0 && server.Born < d.servers[server.ID].Born
+}
+
+// isElsewhere reports whether a registration places the known run elsewhere. A database
+// changes address and group with a restart only, so one of the two is another writer's.
+// The lock must be held.
+func (d *Directory) isElsewhere(server state.Server) bool {
+	known := d.servers[server.ID]
+	return server.Born != 0 && server.Born == known.Born && (server.Address != known.Address || server.Group != known.Group)
+}
+
+// returns reports whether a registration says that the known run, which was leaving, is
+// not. It comes from a copy that the store was restored from, or was written late; or
+// another writer's said that the database leaves. The lock must be held.
+func (d *Directory) returns(server state.Server) bool {
+	known := d.servers[server.ID]
+	return known.Leaving && !server.Leaving && server.Born != 0 && server.Born == known.Born
+}
+
+// hold keeps a registration unused until a live database has written a newer one and, in
+// a new era, that of a gone database has expired. One that says the same as the one held
+// before keeps its time. The lock must be held.
+func (d *Directory) hold(server state.Server, earlier unconfirmed, now state.Instant, reason string) {
+	if earlier.usableAt != 0 && earlier.server.Born == server.Born && earlier.server.Address == server.Address && earlier.server.Group == server.Group {
+		d.unconfirmed[server.ID] = unconfirmed{server, earlier.usableAt}
 		return
 	}
-	for id, server := range d.unconfirmed {
-		delete(d.unconfirmed, id)
-		d.register(server, now)
+	usableAt := now.Add(reregistrationGrace)
+	if d.eraBegan != 0 {
+		usableAt = max(usableAt, d.eraBegan.Add(unconfirmedTime))
+	}
+	d.unconfirmed[server.ID] = unconfirmed{server, usableAt}
+	d.log.Info().Str("database", string(server.ID)).Str("reason", reason).Int64("born", server.Born).Int64("known", d.servers[server.ID].Born).
+		Str("address", server.Address).Str("group", string(server.Group)).Msg("registration not used yet")
+}
+
+// acceptUnconfirmed registers the databases whose registration has stood for long
+// enough. The lock must be held.
+func (d *Directory) acceptUnconfirmed(now state.Instant) {
+	for id, held := range d.unconfirmed {
+		if now.Sub(held.usableAt) > 0 {
+			delete(d.unconfirmed, id)
+			d.list(held.server, now)
+		}
 	}
 }
 
-// register adds or updates an entry. A run that was leaving stays so, and a run is not
-// replaced by an earlier one: such registrations come from a copy that the store was
-// restored from. The lock must be held.
+// register adds or updates an entry. A run that was leaving stays so at first. The lock
+// must be held.
 func (d *Directory) register(server state.Server, now state.Instant) {
+	server.Leaving = server.Leaving || d.returns(server)
+	d.list(server, now)
+}
+
+// list adds or updates an entry. The lock must be held.
+func (d *Directory) list(server state.Server, now state.Instant) {
 	old, known := d.servers[server.ID]
-	if known && server.Born != 0 && server.Born < old.Born {
-		d.log.Info().Str("database", string(server.ID)).Int64("born", server.Born).Int64("known", old.Born).Msg("registration of an earlier run ignored")
-		return
-	}
-	if known && server.Born != 0 && server.Born == old.Born && old.Leaving {
-		server.Leaving = true
-	}
 	entry := Entry{Server: server}
 	if server.Leaving {
 		entry.LeavingSince = now
@@ -365,7 +491,7 @@
 	}
 	if !known || old.Role != server.Role || old.Leaving != server.Leaving || old.Address != server.Address || old.Born != server.Born {
 		d.log.Info().Str("database", string(server.ID)).Str("group", string(server.Group)).Stringer("role", server.Role).
-			Bool("leaving", server.Leaving).Str("address", server.Address).Str("data_centre", string(server.DataCentre)).Msg("database registered")
+			Bool("leaving", server.Leaving).Str("address", server.Address).Str("data_centre", string(server.DataCentre)).Bool("group_named", d.isNamed(server.Group)).Msg("database registered")
 	}
 	d.servers[server.ID] = entry
 }
@@ -379,13 +505,30 @@
 		return
 	}
 	if afterOutage && !entry.Leaving {
-		if entry.missingSince == 0 {
+		d.awaitRegistration(id, now)
+		return
+	}
+	d.remove(id, "registration removed")
+}
+
+// awaitRegistration keeps a listed database for reregistrationGrace. The lock must be
+// held.
+func (d *Directory) awaitRegistration(id state.DatabaseID, now state.Instant) {
+	if entry, known := d.servers[id]; known && entry.missingSince == 0 {
+		entry.missingSince = now
+		d.servers[id] = entry
+	}
+}
+
+// restartGrace gives all awaited databases the full time again, since during an outage
+// they could not register. The lock must be held.
+func (d *Directory) restartGrace(now state.Instant) {
+	for id, entry := range d.servers {
+		if entry.missingSince != 0 {
 			entry.missingSince = now
 			d.servers[id] = entry
 		}
-		return
 	}
-	d.remove(id, "registration removed")
 }
 
 // remove drops an entry and calls onRemoved in the background. The lock must be
@@ -411,17 +554,23 @@
 func (d *Directory) removeExpired(now state.Instant) {
 	for id, entry := range d.servers {
 		if entry.missingSince != 0 && now.Sub(entry.missingSince) > reregistrationGrace {
-			d.remove(id, "not registered again after the store's return")
+			d.remove(id, "not registered again in time")
 		}
 	}
 }
 
-// publish rebuilds byGroup from the current entries. The lock must be held.
+// publish rebuilds byGroup and unsettled from the current entries. The lock must be held.
 func (d *Directory) publish() {
 	groups := make(map[state.GroupID][]Entry)
+	unsettled := len(d.unconfirmed) > 0
 	for _, id := range slices.Sorted(maps.Keys(d.servers)) {
 		entry := d.servers[id]
+		unsettled = unsettled || entry.missingSince != 0
+		if !d.isNamed(entry.Group) {
+			continue
+		}
 		groups[entry.Group] = append(groups[entry.Group], entry)
 	}
 	d.byGroup.Store(&groups)
+	d.unsettled.Store(unsettled)
 }
