--- a/internal/standin/platform/council/serve.go
+++ b/internal/standin/platform/council/serve.go
@@ -12,6 +12,8 @@
 	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/rowstore"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 	"github.com/cyclamenpin/cyclamenpin/platform"
@@ -137,16 +139,25 @@
 	_ = json.NewEncoder(w).Encode(response)
 }
 
-// ServePromotions serves the promotion call.
-func (g *Group) ServePromotions(w http.ResponseWriter, r *http.Request) {
+// ReadPromotionCall reads a promotion call as the platform receives it.
+func ReadPromotionCall(r *http.Request) (state.PromotionCall, error) {
 	var request struct{ Backend, Id string } //nolint:revive // the platform's spelling
 	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+		return state.PromotionCall{}, eris.Wrap(err, "decode promotion call")
+	}
+	token, err := strconv.ParseUint(r.Header.Get("Fence-Token"), 10, 64)
+	return state.PromotionCall{
+		Group: state.GroupID(request.Backend), Database: state.DatabaseID(request.Id), Holder: state.InstanceID(r.Header.Get("Lease-Holder")), Token: token,
+	}, eris.Wrap(err, "token of promotion call")
+}
+
+// ServePromotions serves the promotion call.
+func (g *Group) ServePromotions(w http.ResponseWriter, r *http.Request) {
+	call, err := ReadPromotionCall(r)
+	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	token, _ := strconv.ParseUint(r.Header.Get("Fence-Token"), 10, 64)
-	holder := state.InstanceID(r.Header.Get("Lease-Holder"))
-	call := state.PromotionCall{Group: g.options.Group, Database: state.DatabaseID(request.Id), Holder: holder, Token: token}
 	if err := g.Promoter().Promote(r.Context(), call); err != nil {
 		http.Error(w, err.Error(), http.StatusConflict)
 	}
--- a/test/soak/fleet_faults_test.go
+++ b/test/soak/fleet_faults_test.go
@@ -1,13 +1,11 @@
 package soak
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"os"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -740,25 +738,23 @@
 }
 
 func (e *promotionEndpoint) serve(w http.ResponseWriter, r *http.Request) {
-	var request struct{ Backend, Id string } //nolint:revive // the platform's spelling
-	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+	call, err := standin.ReadPromotionCall(r)
+	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	token, _ := strconv.ParseUint(r.Header.Get("Fence-Token"), 10, 64)
-	holder := state.InstanceID(r.Header.Get("Lease-Holder"))
 	e.mu.Lock()
 	mode, late, report := e.mode, e.late, e.report
 	e.mu.Unlock()
-	received := e.fleet.disturb("call of %s for %s, token %d, promotion endpoint %s", holder, request.Id, token, mode)
+	received := e.fleet.disturb("call of %s for %s, token %d, promotion endpoint %s", call.Holder, call.Database, call.Token, mode)
 	received()
 	if report != nil {
-		report(stepCalled, string(holder))
+		report(stepCalled, string(call.Holder))
 	}
 	carryOut := func() error {
-		err := e.fleet.promote(state.GroupID(request.Backend), state.DatabaseID(request.Id), holder, token)
+		err := e.fleet.promote(call)
 		if err == nil && report != nil {
-			time.AfterFunc(350*time.Millisecond, func() { report(stepEffective, string(holder)) })
+			time.AfterFunc(350*time.Millisecond, func() { report(stepEffective, string(call.Holder)) })
 		}
 		return err
 	}
@@ -787,11 +783,11 @@
 }
 
 // promote carries out a promotion call.
-func (f *fleet) promote(group state.GroupID, id state.DatabaseID, holder state.InstanceID, token uint64) error {
+func (f *fleet) promote(call state.PromotionCall) error {
 	for _, g := range f.groups {
-		if g.id == group {
-			return g.Promoter().Promote(f.t.Context(), state.PromotionCall{Group: group, Database: id, Holder: holder, Token: token})
+		if g.id == call.Group {
+			return g.Promoter().Promote(f.t.Context(), call)
 		}
 	}
-	return fmt.Errorf("no group %s", group)
+	return fmt.Errorf("no group %s", call.Group)
 }
