A promotion call asks just before its first byte whether it may be sent

What callers could see: writes acknowledged by a primary after another database was promoted.

Cause: the duty's row protects a call for 15 s after its sending. That was checked before the connection was opened, and a process may be suspended in between.

Change: the connection of a call asks once more before it writes the first byte. A call that is stopped there is known not to be sent, so that it may be repeated. An error before the first byte means that nothing was sent, also if there was a connection.

Left: a suspension between this check and the system call right after it. Only a platform that refuses a lower token could close that.

--- a/internal/coordination/leadership/promotioncall.go
+++ b/internal/coordination/leadership/promotioncall.go
@@ -264,7 +264,7 @@
 }
 
 // maySend reports why a recorded call must not be sent now, if it must not: its write may
-// have taken long.
+// have taken long, or this process may have been suspended since.
 func (m *Manager) maySend(call *promotionCall, attempt *changeAttempt) error {
 	now := m.Clock.Now()
 	m.mu.Lock()
@@ -292,7 +292,10 @@
 func (m *Manager) sendCall(ctx context.Context, call *promotionCall, attempt *changeAttempt) {
 	sent := call.sentAt
 	callCtx, cancel := context.WithTimeout(ctx, callLifetime)
-	err := m.Promoter.Promote(callCtx, state.PromotionCall{Group: call.Group, Database: call.Database, Holder: m.Self, Token: attempt.token})
+	err := m.Promoter.Promote(callCtx, state.PromotionCall{
+		Group: call.Group, Database: call.Database, Holder: m.Self, Token: attempt.token,
+		MaySend: func() bool { return m.maySend(call, attempt) == nil },
+	})
 	cancel()
 	m.Log.Info().Err(err).Str("group", string(call.Group)).Str("database", string(call.Database)).Uint64("epoch", attempt.epoch).
 		Uint64("token", attempt.token).Dur("held_ms", m.Clock.Now().Sub(sent)).Msg("promotion requested")
