--- a/internal/coordination/leadership/record.go
+++ b/internal/coordination/leadership/record.go
@@ -7,6 +7,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
+	"github.com/cyclamenpin/cyclamenpin/internal/state/packed"
 )
 
 // Tables of the shared store that this package writes.
@@ -100,6 +101,9 @@
 	// AfterRestore is set in a waiting row if the table held a row of an earlier era
 	// before.
 	AfterRestore bool `msgpack:"after_restore"`
+	// LeasedOnly is set if this run confirms the leases of others only while its own
+	// could be confirmed. Earlier builds always do.
+	LeasedOnly bool `msgpack:"leased_only,omitempty"`
 	// Configuration is the version of the configuration in force, below which other
 	// instances must not serve; 0 if it holds no keys that could have been withdrawn.
 	Configuration uint64 `msgpack:"config,omitempty"`
@@ -144,5 +148,5 @@
 }
 
 func decode(key string, value []byte, into any) error {
-	return eris.Wrapf(msgpack.Unmarshal(value, into), "decode row %q", key)
+	return eris.Wrapf(packed.Unmarshal(value, into), "decode row %q", key)
 }
