An instance that replaces one of an earlier build guards its row

What callers could see: writes acknowledged by an old primary (rule ONE), during an upgrade from a build before. Those remove their row at a graceful stop without a condition; a removal that the store carries out late takes the row of the next run, and promoters don't wait for it.

A renewal notices the missing row and, by its condition, a change announced beside it; a promotion takes effect later than that. An instance whose row was removed by somebody else says so.

Ruled out: a promoter that waits for rows that vanished, which would hold up each change beside a restart; a key for each run, which other builds read as another instance.

--- a/internal/coordination/leadership/heartbeat.go
+++ b/internal/coordination/leadership/heartbeat.go
@@ -114,6 +114,9 @@
 		case together:
 			interval, together = rand.N(interval), false
 		}
+		if guarded, guards := m.guardsRow(); guards {
+			interval, together = min(interval, guarded), true
+		}
 		m.pauseHeartbeat(ctx, interval)
 	}
 }
@@ -283,6 +286,9 @@
 	m.rowVersion = row.Version
 	var written heartbeat
 	if !found {
+		if m.joined != 0 {
+			m.Log.Warn().Msg("this instance's row was removed by somebody else, it is written again")
+		}
 		return
 	}
 	if err := decode(row.Key, row.Value, &written); err != nil {
--- a/internal/coordination/leadership/options.go
+++ b/internal/coordination/leadership/options.go
@@ -96,6 +96,11 @@
 	// and the closing of connections, take less than leaseMargin.
 	leaseGrace         = 600 * time.Millisecond
 	leaseWatchInterval = 50 * time.Millisecond
+	// lateRemovalTime is how long after the start of a run a removal of the row of the
+	// run before may still be carried out. rowGuardInterval is the time between two
+	// renewals meanwhile, in fleets of up to FullRateMembers.
+	lateRemovalTime  = 8 * time.Second
+	rowGuardInterval = 200 * time.Millisecond
 	// confirmationLead is how long before the lease expires an instance starts to
 	// request confirmations from others, confirmationInterval the time between two
 	// requests, and confirmationTTL how long a confirmation is valid: several
--- a/internal/coordination/leadership/standing.go
+++ b/internal/coordination/leadership/standing.go
@@ -47,14 +47,32 @@
 	// since is as in heartbeat, in an era of the store.
 	since int64
 	era   uint64
+	// guardUntil is until when a removal of the earlier run's row may still be carried
+	// out that has no condition.
+	guardUntil state.Instant
 }
 
 // recordOwnRow records the row found in the store in place of the expected one. The
 // caller must hold m.mu.
 func (c *continuity) recordOwnRow(m *Manager, row heartbeat) {
-	if row.Run != m.Config.Run {
-		c.earlier = row
+	if row.Run == m.Config.Run {
+		return
 	}
+	c.earlier = row
+	if !row.LeasedOnly {
+		c.guardUntil = m.Clock.Now().Add(lateRemovalTime)
+	}
+}
+
+// guardsRow reports whether this run's row is at risk: earlier builds remove their rows
+// without a condition, so that a removal which is carried out late takes the row of the
+// next run, and promoters don't wait for it. If so, renewals come so often that the row
+// is missed, and a change beside it noticed, before a promotion takes effect.
+func (m *Manager) guardsRow() (interval time.Duration, guards bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	load := float64(len(m.members.byName)) / float64(m.Options.FullRateMembers)
+	return time.Duration(float64(rowGuardInterval) * max(1, load)), m.Clock.Now() < m.continuity.guardUntil
 }
 
 // update returns since when there has been a row, for the next one to state. The
--- a/test/council/rows_test.go
+++ b/test/council/rows_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/cyclamenpin/cyclamenpin/internal/coordination/leadership"
 	standin "github.com/cyclamenpin/cyclamenpin/internal/standin/platform/council"
@@ -125,3 +127,61 @@
 		tc.requireValidPromotions()
 	})
 }
+
+// writeEarlierRow writes the row of a run of an instance as builds write it that remove
+// their rows without a condition.
+func (tc *testCluster) writeEarlierRow(name string) {
+	value, err := msgpack.Marshal(map[string]any{"run": int64(1), "address": name, "dc": "dc", "lease": 4 * time.Second, "count": uint64(1)})
+	require.NoError(tc.t, err)
+	tc.store.Put(leadership.TableInstances, name, value)
+}
+
+// Guards against an instance that promoters don't know of after an upgrade: the removal of
+// the row of its run before, of an earlier build, is carried out late and removes its own.
+// The old primary can't be told of the change, and the instance's watches are silent.
+func TestRowThatAnEarlierBuildRemovesLateIsWrittenAgainInTime(t *testing.T) {
+	// The time from a renewal to the loss of the primary.
+	for phase := range 5 {
+		run(t, fourInstances, func(tc *testCluster) { tc.removeRowLateBesideAChange(time.Duration(phase) * 400 * time.Millisecond) })
+	}
+}
+
+func (tc *testCluster) removeRowLateBesideAChange(after time.Duration) {
+	time.Sleep(25 * time.Second)
+	tc.newestRun("d").leave()
+	tc.writeEarlierRow("d")
+	time.Sleep(time.Second)
+	tc.start("d")
+	tc.eventually(2*time.Second, "a write through d", tc.newestRun("d").writable)
+	old := tc.group.Leader()
+	others := []string{"a", "b", "c"}
+	for _, name := range fourInstances {
+		go tc.keepWriting(tc.ctx, name)
+	}
+	tc.store.SetTableFaults(func(caller, call, table string) standin.Fault {
+		if call == "transact" && table == leadership.TablePrimaries && caller != "d" {
+			time.AfterFunc(0, func() { tc.store.Delete(leadership.TableInstances, "d") })
+		}
+		if strings.HasPrefix(call, "watch") && caller == "d" {
+			return standin.FaultRequestLost
+		}
+		return standin.FaultNone
+	})
+	time.Sleep(after)
+	tc.partition(between(append([]string{"d"}, string(old.ID)), append(others, tc.replicas()...)))
+	tc.eventually(12*time.Second, "a new primary", func() bool { return tc.newestRun("a").writable() })
+	time.Sleep(5 * time.Second)
+	require.NotEqual(tc.t, old, tc.group.Leader())
+	tc.requireValidPromotions()
+}
+
+// replicas returns the names of the databases but the leader.
+func (tc *testCluster) replicas() []string {
+	var names []string
+	for n := 1; n <= tc.options.Databases; n++ {
+		if database := tc.group.Database(n); database != tc.group.Leader() {
+			names = append(names, string(database.ID))
+		}
+	}
+	return names
+}
