A change whose publication failed goes on with the database that leads

What callers could see: with SyncReplicas, no primary for up to a minute, if a promotion took effect, its publication failed and another replica went down.

A call of this run is forgotten as soon as its effect is seen, so that it did not count, and to promote the database once more waits for the replica that is down.

Change: what the last call of a group named stays known until its change ends.

Result: TestDatabaseOfTheOwnCallIsPublishedAfterAFailedPublication red without the line that remembers the call, green with it; the package passes.

--- a/internal/coordination/leadership/apply.go
+++ b/internal/coordination/leadership/apply.go
@@ -71,6 +71,7 @@
 	g.suspected, g.doubted, g.demoted = false, false, false
 	if !record.Changing {
 		g.ineffective = ""
+		delete(m.duty.lastCalled, id)
 	}
 	m.Log.Info().Str("group", string(id)).Uint64("epoch", record.Epoch).Bool("changing", record.Changing).Bool("planned", record.Planned).
 		Str("primary", string(record.Primary)).Str("promoter", record.Promoter).Int("grants", len(g.grants)).Msg("primary's record changed")
--- a/internal/coordination/leadership/choose.go
+++ b/internal/coordination/leadership/choose.go
@@ -58,10 +58,10 @@
 
 // decide returns the database that leads already, or is to be promoted now. ok is false
 // while the change has to wait. A database that leads may have been superseded within this
-// change by one that does not reply; unless that is known not to be so, it is promoted once
-// more. While a promotion call may still be carried out, only the
-// database that it names is returned, and is promoted once more only if the call has been
-// silent for long and was not accepted. waited is for how long a call has been allowed.
+// change by one that does not reply. It is promoted once more unless isNewest shows that it
+// was not. While a promotion call may still be carried out, only the database that it names
+// is returned, and is promoted once more only if the call has been silent for long and was
+// not accepted. waited is for how long a call has been allowed.
 func (r groupReplies) decide(attempt *changeAttempt, called calledDatabase, now state.Instant, waited time.Duration) (chosen candidate, done, ok bool) {
 	successor, found := r.successor(attempt)
 	switch {
@@ -80,7 +80,7 @@
 // the last known call of the change names it, or all databases have replied, also the one
 // that this call names.
 func (r groupReplies) isNewest(successor candidate, called calledDatabase) bool {
-	last := cmp.Or(called.id, r.inherited)
+	last := cmp.Or(called.id, r.lastCalled)
 	if successor.server.ID == last {
 		return true
 	}
@@ -102,8 +102,9 @@
 	final  bool
 	// ineffective is the database whose promotion did not take effect before.
 	ineffective state.DatabaseID
-	// inherited is the database that the last call of the duty's holder before names.
-	inherited state.DatabaseID
+	// lastCalled is the database that the last call names which is not pending any more,
+	// empty if none is known.
+	lastCalled state.DatabaseID
 }
 
 // pollGroup returns the replies of the databases that may take over from the old
@@ -112,7 +113,7 @@
 // call whose effect is seen ends.
 func (m *Manager) pollGroup(poll *statusPoll, attempt *changeAttempt) groupReplies {
 	m.mu.Lock()
-	replies := groupReplies{target: attempt.target, final: attempt.final, ineffective: m.group(attempt.group).ineffective, inherited: m.duty.inherited[attempt.group]}
+	replies := groupReplies{target: attempt.target, final: attempt.final, ineffective: m.group(attempt.group).ineffective, lastCalled: m.duty.lastCalled[attempt.group]}
 	m.mu.Unlock()
 	replies.copies = m.Directory.SyncReplicas(attempt.group)
 	synchronous := replies.copies > 0
--- a/internal/coordination/leadership/choose_test.go
+++ b/internal/coordination/leadership/choose_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cyclamenpin/cyclamenpin/internal/coordination/rowstore"
 	"github.com/cyclamenpin/cyclamenpin/internal/state"
 )
 
@@ -41,16 +42,42 @@
 	require.True(t, ok && !done, "it is promoted once more")
 	require.Equal(t, first, chosen)
 
-	replies.members, replies.inherited = 1, "d3"
+	replies.members, replies.lastCalled = 1, "d3"
 	_, done, _ = replies.decide(attempt, calledDatabase{}, 0, statusTimeout)
 	require.False(t, done, "the database that was called last is not registered")
-	replies.inherited = "d2"
+	replies.lastCalled = "d2"
 	_, done, ok = replies.decide(attempt, calledDatabase{}, 0, 0)
 	require.True(t, ok && done, "the last call names it")
 
-	replies.members, replies.inherited = 2, ""
+	replies.members, replies.lastCalled = 2, ""
 	replies.all, replies.running = append(replies.all, second), append(replies.running, second)
 	chosen, done, ok = replies.decide(attempt, calledDatabase{}, 0, 0)
 	require.True(t, ok && done)
 	require.Equal(t, second, chosen)
 }
+
+// A promotion has taken effect, its publication fails, and another replica goes down. The
+// change goes on with the database that leads, which this run's own call named: to promote
+// it once more would wait for the replica, where replicas acknowledge commits.
+func TestDatabaseOfTheOwnCallIsPublishedAfterAFailedPublication(t *testing.T) {
+	clock := &manualClock{now: state.Instant(time.Minute)}
+	m, _ := newTestManager(clock, &fakeStore{clock: clock})
+	leads := candidate{server: server("d2"), status: state.ServerStatus{Role: state.RolePrimary, Term: 2, Received: state.Position{Term: 1, Offset: 7}}}
+	m.duty.calls = []*promotionCall{{recordedCall: recordedCall{Group: "g", Database: "d2", Term: 1}}}
+	m.endCarriedOut("g", leads)
+	attempt := &changeAttempt{group: "g", old: "d1", oldTerm: 1}
+	replies := groupReplies{all: []candidate{leads}, running: []candidate{leads}, members: 2, copies: 1, lastCalled: m.duty.lastCalled["g"]}
+	chosen, done, ok := replies.decide(attempt, m.calledDatabase("g"), clock.now, 0)
+	require.True(t, ok && done)
+	require.Equal(t, leads, chosen)
+	m.Apply(rowstore.Update{Snapshot: rowstore.Snapshot{Version: 9, Rows: []rowstore.Row{recordRowOf(t, "g", Record{Epoch: 4, Primary: "d2", Term: 2}, 9)}}})
+	require.Empty(t, m.duty.lastCalled, "the change has ended")
+}
+
+// recordRowOf returns a group's row in the store.
+func recordRowOf(t *testing.T, id state.GroupID, record Record, version uint64) rowstore.Row {
+	t.Helper()
+	value, err := encode(record)
+	require.NoError(t, err)
+	return rowstore.Row{Table: TablePrimaries, Key: string(id), Value: value, Version: version}
+}
--- a/internal/coordination/leadership/duty.go
+++ b/internal/coordination/leadership/duty.go
@@ -26,9 +26,10 @@
 	// calls holds this run's promotion calls that may still be carried out. They
 	// stay in an era of the store that begins meanwhile.
 	calls []*promotionCall
-	// inherited holds the databases that the calls of the last other holder name, except
-	// for groups in which this run has made a later call.
-	inherited map[state.GroupID]state.DatabaseID
+	// lastCalled holds the databases that the last calls name which were carried out, or
+	// are the last other holder's, except for groups in which this run has made a later
+	// call. It holds none for groups that are not being changed.
+	lastCalled map[state.GroupID]state.DatabaseID
 	// writeTime is how long the last write of the duty's row took.
 	writeTime time.Duration
 }
@@ -104,9 +105,9 @@
 func (m *Manager) inheritCalls(calls []recordedCall) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.duty.inherited = make(map[state.GroupID]state.DatabaseID, len(calls))
+	m.duty.lastCalled = make(map[state.GroupID]state.DatabaseID, len(calls))
 	for _, call := range calls {
-		m.duty.inherited[call.Group] = call.Database
+		m.duty.lastCalled[call.Group] = call.Database
 	}
 }
 
--- a/internal/coordination/leadership/promotioncall.go
+++ b/internal/coordination/leadership/promotioncall.go
@@ -175,7 +175,7 @@
 		answered:     make(chan error, 1),
 	}
 	m.duty.calls = append(m.duty.calls, call)
-	delete(m.duty.inherited, attempt.group)
+	delete(m.duty.lastCalled, attempt.group)
 	m.mu.Unlock()
 	if err := m.recordCall(ctx, call); err != nil {
 		m.endCall(call)
@@ -370,7 +370,11 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.duty.calls = slices.DeleteFunc(m.duty.calls, func(call *promotionCall) bool {
-		return call.Group == id && call.carriedOut(found)
+		carriedOut := call.Group == id && call.carriedOut(found)
+		if carriedOut {
+			m.duty.lastCalled[id] = call.Database
+		}
+		return carriedOut
 	})
 	if g := m.group(id); g.accepted != nil && g.accepted.effective(found) {
 		g.accepted = nil
