A registration is given up by what the store has shown, not by the time that passed

What callers could see: a live primary dropped, with a change of primary, or its connections moved to a false address, after a suspension, a slow store, a silent watch of a neighbour or an outage beside an odd registration.

Cause (found in review): the times in which a database may write its registration again ended by the local clock, at the next response whatever its age. Notices of neighbours may be 5 s old, a suspended process applies a response of before, and a held registration was used at the first response after an outage.

Change: these times end with a response to a question that was asked after them; a follower whose reader waits for rows watches by itself; held registrations get the full time again after an outage. The tests' updates state when they were asked for, as followers do.

Result: TestLateResponseEndsNoGrace and TestHeldRegistrationIsNotUsedRightAfterAnOutage fail on the code before (the former by the local clock, the latter at the first response), and pass now, with all tests of registrations.

--- a/internal/coordination/directory/directory.go
+++ b/internal/coordination/directory/directory.go
@@ -331,8 +331,9 @@
 	if len(update.Rows) > 0 || update.Complete {
 		d.applyServers(update, now)
 	}
-	d.removeExpired(now)
-	d.acceptUnconfirmed(now)
+	// A response shows no more than what the store held when it was asked.
+	d.removeExpired(update.RequestedAt)
+	d.acceptUnconfirmed(update.RequestedAt)
 	d.publish()
 }
 
@@ -461,13 +462,13 @@
 		Str("address", server.Address).Str("group", string(server.Group)).Msg("registration not used yet")
 }
 
-// acceptUnconfirmed registers the databases whose registration has stood for long
-// enough. The lock must be held.
-func (d *Directory) acceptUnconfirmed(now state.Instant) {
+// acceptUnconfirmed registers the databases whose registration has stood until the given
+// time for long enough. The lock must be held.
+func (d *Directory) acceptUnconfirmed(seen state.Instant) {
 	for id, held := range d.unconfirmed {
-		if now.Sub(held.usableAt) > 0 {
+		if seen.Sub(held.usableAt) > 0 {
 			delete(d.unconfirmed, id)
-			d.list(held.server, now)
+			d.list(held.server, d.clock.Now())
 		}
 	}
 }
@@ -520,8 +521,8 @@
 	}
 }
 
-// restartGrace gives all awaited databases the full time again, since during an outage
-// they could not register. The lock must be held.
+// restartGrace gives all awaited databases, and those whose registration is held, the full
+// time again, since during an outage they could not register. The lock must be held.
 func (d *Directory) restartGrace(now state.Instant) {
 	for id, entry := range d.servers {
 		if entry.missingSince != 0 {
@@ -529,6 +530,10 @@
 			d.servers[id] = entry
 		}
 	}
+	for id, held := range d.unconfirmed {
+		held.usableAt = max(held.usableAt, now.Add(reregistrationGrace))
+		d.unconfirmed[id] = held
+	}
 }
 
 // remove drops an entry and calls onRemoved in the background. The lock must be
@@ -548,12 +553,11 @@
 	}
 }
 
-// removeExpired drops the databases that did not register again within
-// reregistrationGrace. It must be called with the lock held, and only while the
-// store responds.
-func (d *Directory) removeExpired(now state.Instant) {
+// removeExpired drops the databases that had not registered again within
+// reregistrationGrace when the store was asked at the given time. The lock must be held.
+func (d *Directory) removeExpired(seen state.Instant) {
 	for id, entry := range d.servers {
-		if entry.missingSince != 0 && now.Sub(entry.missingSince) > reregistrationGrace {
+		if entry.missingSince != 0 && seen.Sub(entry.missingSince) > reregistrationGrace {
 			d.remove(id, "not registered again in time")
 		}
 	}
--- a/internal/coordination/rowstore/follower.go
+++ b/internal/coordination/rowstore/follower.go
@@ -91,7 +91,8 @@
 	// tables whose missing rows are expected to be written again; 0 means Wait.
 	WaitAfterOutage time.Duration
 	// Unsettled reports whether the reader of the table waits for rows to be written
-	// again, so that WaitAfterOutage replaces Wait. It may be nil.
+	// again, so that WaitAfterOutage replaces Wait, and the table is watched here: notices
+	// of others may be older than what they are waited for. It may be nil.
 	Unsettled func() bool
 	// MinInterval is the least time between two calls of which the first
 	// returned changes, so that changes in quick succession come in one
@@ -222,7 +223,7 @@
 	}
 	for ctx.Err() == nil {
 		f.enterNewestEra(ctx)
-		if f.Sharing != nil && f.listed && f.Sharing.silentIn() > 0 {
+		if f.Sharing != nil && f.listed && !f.unsettled() && f.Sharing.silentIn() > 0 {
 			f.stopSharing()
 			f.followNeighbour(ctx)
 			f.enterNewestEra(ctx)
@@ -307,14 +308,6 @@
 	return f.Unsettled != nil && f.Unsettled()
 }
 
-// noticeWait is the least time between two updates from notices without changes.
-func (f *Follower) noticeWait() time.Duration {
-	if f.unsettled() {
-		return f.WaitAfterOutage
-	}
-	return f.Wait
-}
-
 // cancelStaleCall cancels a call with errCallRestarted when the store becomes
 // available again or Refresh is called. It returns when ctx ends.
 func (f *Follower) cancelStaleCall(ctx context.Context, cancel context.CancelCauseFunc) {
--- a/internal/coordination/rowstore/sharing.go
+++ b/internal/coordination/rowstore/sharing.go
@@ -200,7 +200,7 @@
 // table. It returns when the table must be watched.
 func (f *Follower) followNeighbour(ctx context.Context) {
 	for ctx.Err() == nil {
-		if unavailable, _ := f.Availability.status(); unavailable || f.afterRecentOutage(f.Clock.Now()) {
+		if unavailable, _ := f.Availability.status(); unavailable || f.unsettled() || f.afterRecentOutage(f.Clock.Now()) {
 			return
 		}
 		silentIn := f.Sharing.silentIn()
@@ -238,7 +238,7 @@
 		return true
 	case len(received.Rows) > 0:
 		f.changedVersion = max(f.changedVersion, received.Version)
-	case now.Sub(f.appliedAt) < f.noticeWait():
+	case now.Sub(f.appliedAt) < f.Wait:
 		f.afterVersion = max(f.afterVersion, received.Version)
 		return true
 	}
--- a/test/council/oddregistrations_test.go
+++ b/test/council/oddregistrations_test.go
@@ -40,7 +40,7 @@
 	for name, turn := range map[string]func(d testDirectory){
 		"change": func(d testDirectory) { d.watch(odd("d1", 8)) },
 		"list": func(d testDirectory) {
-			d.ApplyServers(rowstore.Update{Snapshot: rowstore.Snapshot{Rows: []rowstore.Row{odd("d1", 8)}}, Complete: true})
+			d.ApplyServers(rowstore.Update{Snapshot: rowstore.Snapshot{Rows: []rowstore.Row{odd("d1", 8)}}, Complete: true, RequestedAt: d.clock.now})
 		},
 		"list after outage":   func(d testDirectory) { d.list(odd("d1", 8)) },
 		"leaving, then odd":   func(d testDirectory) { d.watch(row(t, "d1", 5, true)); d.watch(odd("d1", 8)) },
@@ -90,11 +90,11 @@
 	_, known := d.entry("d1")
 	require.False(t, known)
 	d.clock.now = d.clock.now.Add(time.Minute)
-	d.ApplyServers(rowstore.Update{AfterOutage: true})
+	d.ApplyServers(rowstore.Update{AfterOutage: true, RequestedAt: d.clock.now})
 	_, known = d.entry("d2")
 	require.True(t, known)
 	d.clock.now = d.clock.now.Add(rewrittenWithin + time.Second)
-	d.ApplyServers(rowstore.Update{AfterOutage: true})
+	d.ApplyServers(rowstore.Update{AfterOutage: true, RequestedAt: d.clock.now})
 	_, known = d.entry("d2")
 	require.False(t, known)
 }
@@ -248,3 +248,34 @@
 		}
 	})
 }
+
+// A response to a question that was asked before the time was over comes late, as after a
+// suspension: it does not show whether the database has written its registration again.
+func TestLateResponseEndsNoGrace(t *testing.T) {
+	d := newTestDirectory(t)
+	d.list(row(t, "d1", 5, false))
+	d.watch(odd("d1", 8))
+	asked := d.clock.now.Add(time.Second)
+	d.clock.now = d.clock.now.Add(time.Minute)
+	d.ApplyServers(rowstore.Update{RequestedAt: asked})
+	_, known := d.entry("d1")
+	require.True(t, known)
+	d.watch()
+	_, known = d.entry("d1")
+	require.False(t, known)
+}
+
+// A registration that places the known run elsewhere is held. The store goes away before
+// the database could write its own again, which it does within two seconds of the return.
+func TestHeldRegistrationIsNotUsedRightAfterAnOutage(t *testing.T) {
+	d := newTestDirectory(t)
+	d.list(row(t, "d1", 5, false))
+	d.pass(time.Second)
+	server := state.Server{Database: state.Database{ID: "d1", Address: "d2"}, Group: "g", Born: 5}
+	d.watch(rowstore.Row{Key: "d1", Value: mustJSON(t, server)})
+	d.clock.now = d.clock.now.Add(time.Minute)
+	d.ApplyServers(rowstore.Update{AfterOutage: true, RequestedAt: d.clock.now})
+	entry, known := d.entry("d1")
+	require.True(t, known)
+	require.Equal(t, "d1", entry.Address)
+}
--- a/test/council/registrations_test.go
+++ b/test/council/registrations_test.go
@@ -47,11 +47,11 @@
 
 // list applies a list of the table, watch changes of it.
 func (d testDirectory) list(rows ...rowstore.Row) {
-	d.ApplyServers(rowstore.Update{Snapshot: rowstore.Snapshot{Rows: rows}, Complete: true, AfterOutage: true})
+	d.ApplyServers(rowstore.Update{Snapshot: rowstore.Snapshot{Rows: rows}, Complete: true, AfterOutage: true, RequestedAt: d.clock.now})
 }
 
 func (d testDirectory) watch(rows ...rowstore.Row) {
-	d.ApplyServers(rowstore.Update{Snapshot: rowstore.Snapshot{Rows: rows}})
+	d.ApplyServers(rowstore.Update{Snapshot: rowstore.Snapshot{Rows: rows}, RequestedAt: d.clock.now})
 }
 
 // pass lets time pass, after which the store responds without changes.
