A run that leaves twice is leaving since the first time

Cause (found in review): since a run that was leaving may be listed as not leaving, after a row that was written late.

Change: an entry remembers when its run was first read to leave.

--- a/internal/coordination/directory/directory.go
+++ b/internal/coordination/directory/directory.go
@@ -6,6 +6,7 @@
 package directory
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -48,6 +49,9 @@
 	// LeavingSince is when this instance first read that the database is
 	// leaving; zero while it is not.
 	LeavingSince state.Instant
+	// firstLeaving is when this instance first read that this run is leaving, also if it
+	// was said not to be since; zero if it never read so.
+	firstLeaving state.Instant
 	// missingSince is when the registration disappeared or could no longer be decoded,
 	// while the entry is kept for reregistrationGrace.
 	missingSince state.Instant
@@ -484,11 +488,12 @@
 func (d *Directory) list(server state.Server, now state.Instant) {
 	old, known := d.servers[server.ID]
 	entry := Entry{Server: server}
+	if known && old.Born == server.Born {
+		entry.firstLeaving = old.firstLeaving
+	}
 	if server.Leaving {
-		entry.LeavingSince = now
-		if known && old.LeavingSince != 0 {
-			entry.LeavingSince = old.LeavingSince
-		}
+		entry.LeavingSince = cmp.Or(old.LeavingSince, entry.firstLeaving, now)
+		entry.firstLeaving = entry.LeavingSince
 	}
 	if !known || old.Role != server.Role || old.Leaving != server.Leaving || old.Address != server.Address || old.Born != server.Born {
 		d.log.Info().Str("database", string(server.ID)).Str("group", string(server.Group)).Stringer("role", server.Role).
--- a/test/council/oddregistrations_test.go
+++ b/test/council/oddregistrations_test.go
@@ -279,3 +279,23 @@
 	require.True(t, known)
 	require.Equal(t, "d1", entry.Address)
 }
+
+// A run that leaves is said to stay for a while, by a row that was written late. When it
+// says again that it leaves, the time in which it may still be used has begun long ago.
+func TestRunThatLeavesTwiceIsLeavingSinceTheFirstTime(t *testing.T) {
+	d := newTestDirectory(t)
+	d.list(row(t, "d1", 5, false))
+	d.watch(row(t, "d1", 5, true))
+	first, _ := d.entry("d1")
+	d.watch(row(t, "d1", 5, false))
+	d.pass(rewrittenWithin + time.Second)
+	between, _ := d.entry("d1")
+	require.False(t, between.Leaving)
+	d.watch(row(t, "d1", 5, true))
+	again, _ := d.entry("d1")
+	require.True(t, again.Leaving)
+	require.Equal(t, first.LeavingSince, again.LeavingSince)
+	d.watch(row(t, "d1", 6, false), row(t, "d1", 6, true))
+	restarted, _ := d.entry("d1")
+	require.Equal(t, d.clock.now, restarted.LeavingSince, "another run")
+}
