A malformed lease in a row holds up no change

What callers could see: no change of primary for a minute or longer, beside a row of the instances' table that states a lease of an hour (found in review).

Change: promoters wait for at most MaxLease, the longest that instances renew for.

Result: TestMalformedLeaseHoldsUpNoChange fails on the code before, passes now.

--- a/internal/coordination/leadership/members.go
+++ b/internal/coordination/leadership/members.go
@@ -324,7 +324,8 @@
 			}
 		}
 		earliest = min(earliest, renewed)
-		lease := max(options.Lease, entry.heartbeat.Lease)
+		// No build renews for longer than MaxLease; a row that says so is malformed.
+		lease := min(max(options.Lease, entry.heartbeat.Lease), options.MaxLease)
 		found.leasedFor = max(found.leasedFor, renewed+lease+leaseMargin-storeNow)
 		found.confirmedFor = max(found.confirmedFor, renewed+options.MaxLease+leaseMargin-storeNow)
 		switch {
--- a/internal/coordination/leadership/members_test.go
+++ b/internal/coordination/leadership/members_test.go
@@ -224,3 +224,15 @@
 	require.True(t, m.readMembers(t.Context()))
 	require.Contains(t, m.members.byName, state.InstanceID("b"), "an earlier read that is answered late")
 }
+
+// A malformed row states a lease of an hour. It holds up changes no longer than the longest
+// lease that instances have.
+func TestMalformedLeaseHoldsUpNoChange(t *testing.T) {
+	const announcedAt = time.Hour
+	options := DefaultOptions()
+	members := newMembers("a", "dc")
+	members.byName["b"] = member{heartbeat: heartbeat{Lease: time.Hour}, version: 5, seenAt: announcedAt}
+	announced := announcement{group: "g", epoch: 1, commit: rowstore.Commit{Version: 9, Now: announcedAt}}
+	require.NotEmpty(t, members.pending("a", announced, options, announcedAt+options.MaxLease).leased)
+	require.Empty(t, members.pending("a", announced, options, announcedAt+options.MaxLease+2*leaseMargin).leased)
+}
