Wording and names of the fixes; nonces of confirmations begin at random

Nonces of confirmations began at 1 in each run, so that a response to a request of the run before could match one of this run (found in review; by reading, a delay of a restart is needed). TestResponseToAnEarlierRunConfirmsNothing fails on the code before, passes now.

'no instance uses the old primary any more' states versions: the time of an announcement whose response was lost is an upper bound, so that the difference of times could be negative.

--- a/internal/coordination/leadership/changelog.go
+++ b/internal/coordination/leadership/changelog.go
@@ -33,16 +33,16 @@
 	return found
 }
 
-// logWithdrawal logs on whom a change relies when it goes on, and how old the instances'
-// rows were that it went by.
+// logWithdrawal logs on whom a change relies when it goes on, and which version of the
+// instances' rows it went by.
 func (m *Manager) logWithdrawal(attempt *changeAttempt) {
 	m.mu.Lock()
 	found := m.members.withdrawal(m.Self, attempt.group, attempt.epoch)
-	rowsAfter := m.members.now - attempt.announceCommit.Now
+	rows := m.members.version
 	m.mu.Unlock()
 	instancesLapsed.Add(len(found.lapsed))
 	m.Log.Info().Str("group", string(attempt.group)).Uint64("epoch", attempt.epoch).Str("old", string(attempt.old)).
-		Interface("acknowledged", found.acknowledged).Interface("lapsed", found.lapsed).Dur("rows_read_after_ms", rowsAfter).
+		Interface("acknowledged", found.acknowledged).Interface("lapsed", found.lapsed).Uint64("announced_version", attempt.announceCommit.Version).Uint64("rows_version", rows).
 		Bool("stepped_down", attempt.final).Stringer("target", attempt.target).Msg("no instance uses the old primary any more")
 }
 
--- a/internal/coordination/leadership/choose.go
+++ b/internal/coordination/leadership/choose.go
@@ -36,7 +36,7 @@
 		replies := m.pollGroup(poll, attempt)
 		now := m.Clock.Now()
 		called := m.calledDatabase(attempt.group)
-		if called.isAwaited(now) {
+		if called.mustNotRepeat(now) {
 			mayCallSince = now
 		}
 		attempt.lastResort = now.Sub(attempt.since) > lastResortAfter
@@ -67,7 +67,7 @@
 	switch {
 	case found && !attempt.uncertain && r.isNewest(successor, called):
 		return successor, true, called.allows(successor.server.ID)
-	case called.isAwaited(now):
+	case called.mustNotRepeat(now):
 		return candidate{}, false, false
 	case found && called.id == "" && r.proven(successor.status.Received):
 		return successor, false, attempt.uncertain || waited >= statusTimeout
--- a/internal/coordination/leadership/confirmation.go
+++ b/internal/coordination/leadership/confirmation.go
@@ -64,6 +64,8 @@
 // confirmations is one round of confirmations: the last request and the instances
 // that have responded to it, this one included.
 type confirmations struct {
+	// nonce counts from a random number, so that no response to a request of an earlier
+	// run counts.
 	nonce       uint64
 	requestedAt state.Instant
 	from        map[state.InstanceID]bool
@@ -214,8 +216,8 @@
 // respond returns the response to a request, with all records that the sender has
 // not seen. It returns nil until this instance has read the primaries, because it
 // could not report their changes. If its own lease could not be confirmed any more, it
-// confirms none, by a nonce of no request: promoters no longer wait for its
-// acknowledgement. The caller must hold m.mu.
+// confirms none: it responds with nonce 0, which matches no request, as promoters no longer
+// wait for its acknowledgement. The caller must hold m.mu.
 func (m *Manager) respond(request peerMessage) []byte {
 	if !m.ready {
 		return nil
--- a/internal/coordination/leadership/confirmation_test.go
+++ b/internal/coordination/leadership/confirmation_test.go
@@ -29,3 +29,20 @@
 		require.Equal(t, minority, pending.isMinority(), "c confirms only with a lease: %t", leasedOnly)
 	}
 }
+
+// An instance is restarted while it depends on confirmations. A response to the run before
+// that arrives late must not extend the lease of the next run.
+func TestResponseToAnEarlierRunConfirmsNothing(t *testing.T) {
+	clock := &manualClock{now: state.Instant(time.Minute)}
+	requested := make(map[uint64]bool)
+	for range 20 {
+		m, _ := newTestManager(clock, &fakeStore{clock: clock})
+		m.lease.acquired, m.renewalFailures = true, 1
+		for range 100 {
+			_, request := m.startRequest()
+			require.NotNil(t, request)
+			require.False(t, requested[m.confirmations.nonce])
+			requested[m.confirmations.nonce] = true
+		}
+	}
+}
--- a/internal/coordination/leadership/doc.go
+++ b/internal/coordination/leadership/doc.go
@@ -23,8 +23,9 @@
 //     while the lease is valid;
 //   - an epoch is acknowledged only after every grant of earlier epochs was
 //     released or its connection closed;
-//   - a promotion is sent only while the duty's lease is valid, and after it was
-//     recorded in the duty's row, while its announcement was the newest of the group;
+//   - a promotion is sent only while the duty's lease is valid, and after the duty's row
+//     has recorded it in a transaction with the condition that the group's row is still
+//     the announcement of the change;
 //   - while a promotion call may still be carried out, the duty passes to no other
 //     instance and no other database of the group is promoted.
 //
--- a/internal/coordination/leadership/manager.go
+++ b/internal/coordination/leadership/manager.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -194,7 +195,7 @@
 		Config: config, runName: nameOfRun(config.Self, config.Run),
 		groups: make(map[state.GroupID]*group), changed: make(chan struct{}),
 		heartbeatNow: make(chan struct{}, 1), readMembersNow: make(chan struct{}, 1), members: newMembers(config.Self, config.DataCentre),
-		duty: duty{lastCalled: make(map[state.GroupID]state.DatabaseID)}, dutyTurn: make(chan struct{}, 1), probing: make(map[state.DatabaseID]bool), nextProbe: make(map[state.DatabaseID]state.Instant),
+		confirmations: confirmations{nonce: 1 + rand.Uint64N(1<<62)}, duty: duty{lastCalled: make(map[state.GroupID]state.DatabaseID)}, dutyTurn: make(chan struct{}, 1), probing: make(map[state.DatabaseID]bool), nextProbe: make(map[state.DatabaseID]state.Instant),
 	}
 }
 
--- a/internal/coordination/leadership/options.go
+++ b/internal/coordination/leadership/options.go
@@ -91,7 +91,7 @@
 	// it is the usual statement timeout.
 	leaseMargin = 800 * time.Millisecond
 	// leaseGrace is how long after the end of the lease statements under way may still
-	// get their answer. leaseWatchInterval is the time between two looks whether it is
+	// get their answer. leaseWatchInterval is the time between two checks whether it is
 	// over: a timer would stand still while the machine is suspended. Both together,
 	// and the closing of connections, take less than leaseMargin.
 	leaseGrace         = 600 * time.Millisecond
--- a/internal/coordination/leadership/promotioncall.go
+++ b/internal/coordination/leadership/promotioncall.go
@@ -131,9 +131,9 @@
 	return c.id == "" || c.id == id
 }
 
-// isAwaited reports whether the calls may not be repeated: one was accepted, or the last
+// mustNotRepeat reports whether the calls may not be repeated: one was accepted, or the last
 // one has not been silent for long.
-func (c calledDatabase) isAwaited(now state.Instant) bool {
+func (c calledDatabase) mustNotRepeat(now state.Instant) bool {
 	return c.id != "" && (c.accepted || now.Sub(c.sentAt) < silentCallPatience)
 }
 
