--- a/test/council/latefaults_test.go
+++ b/test/council/latefaults_test.go
@@ -36,6 +36,32 @@
 	})
 }
 
+// Guards against changes that rest on outdated rows: reads of the instances' rows fail for
+// some instances while their writes succeed, and instances are restarted gracefully beside
+// the loss of a primary, among the random faults of TestRandomFaultsBreakNoPromise.
+func TestRandomFaultsBreakNoPromiseWithOutdatedRows(t *testing.T) {
+	forEachSeed(t, propertyRuns/3, func(t *testing.T, seed uint64) {
+		random := rand.New(rand.NewPCG(seed, 103))
+		runSeedWith(t, seed, func(tc *testCluster, round int) {
+			var blind []string
+			for _, name := range fourInstances {
+				if random.IntN(2) == 0 && round < 7 {
+					blind = append(blind, name)
+				}
+			}
+			tc.failRowReads(blind...)
+			tc.restartGracefully(fourInstances[random.IntN(len(fourInstances))], time.Duration(random.IntN(3000))*time.Millisecond)
+			tc.loseLeader(random)
+		})
+	})
+}
+
+// restartGracefully makes an instance leave now and starts it again after a while.
+func (tc *testCluster) restartGracefully(name string, after time.Duration) {
+	go tc.newestRun(name).leave()
+	time.AfterFunc(after, func() { tc.start(name) })
+}
+
 // Replicas acknowledge commits. They receive nothing for a while, state their position
 // slowly and are retired, among the same faults. No acknowledged commit may be missing in
 // the log of a database that is promoted.
