--- a/internal/coordination/directory/directory.go
+++ b/internal/coordination/directory/directory.go
@@ -66,8 +66,8 @@
 	leaving bool
 }
 
-// unconfirmed is a registration that is used once it has stood until the given time.
-type unconfirmed struct {
+// heldRegistration is a registration that is used once it has stood until the given time.
+type heldRegistration struct {
 	server   state.Server
 	usableAt state.Instant
 }
@@ -103,10 +103,10 @@
 	servers map[state.DatabaseID]Entry
 	// removed holds the last runs of databases that were removed lately.
 	removed map[state.DatabaseID]removedRun
-	// unconfirmed holds registrations that were read again after their removal,
+	// held holds registrations that were read again after their removal,
 	// because the store was restored from a copy, and those that contradict what is
 	// known of the database.
-	unconfirmed map[state.DatabaseID]unconfirmed
+	held map[state.DatabaseID]heldRegistration
 	// refused holds the row versions of the registrations that can't be decoded.
 	refused map[state.DatabaseID]uint64
 	// named holds the groups that a configuration has named; nil before the first one.
@@ -128,7 +128,7 @@
 // the row that holds the configuration.
 func New(decoder Decoder, configurationKey rowstore.Row, clock state.Clock, log zerolog.Logger, onRemoved func(state.DatabaseID)) *Directory {
 	d := &Directory{decoder: decoder, configurationKey: configurationKey, clock: clock, log: log, servers: make(map[state.DatabaseID]Entry), onRemoved: onRemoved}
-	d.removed, d.unconfirmed = make(map[state.DatabaseID]removedRun), make(map[state.DatabaseID]unconfirmed)
+	d.removed, d.held = make(map[state.DatabaseID]removedRun), make(map[state.DatabaseID]heldRegistration)
 	d.refused = make(map[state.DatabaseID]uint64)
 	d.byGroup.Store(&map[state.GroupID][]Entry{})
 	d.stalenessBounds.Store(&map[state.GroupID]time.Duration{})
@@ -337,7 +337,7 @@
 	}
 	// A response shows no more than what the store held when it was asked.
 	d.removeExpired(update.RequestedAt)
-	d.acceptUnconfirmed(update.RequestedAt)
+	d.acceptHeld(update.RequestedAt)
 	d.publish()
 }
 
@@ -351,8 +351,8 @@
 	listed := make(map[state.DatabaseID]bool, len(update.Rows))
 	for _, row := range update.Rows {
 		id := state.DatabaseID(row.Key)
-		earlier := d.unconfirmed[id]
-		delete(d.unconfirmed, id)
+		earlier := d.held[id]
+		delete(d.held, id)
 		if row.Removed {
 			delete(d.refused, id)
 			d.handleMissing(id, now, update.AfterOutage)
@@ -376,7 +376,7 @@
 		case d.isElsewhere(server):
 			d.hold(server, earlier, now, "the same run is known at another address or in another group")
 		default:
-			if d.returns(server) {
+			if d.contradictsLeaving(server) {
 				d.hold(server, earlier, now, "the same run was leaving")
 			}
 			d.register(server, now)
@@ -391,7 +391,7 @@
 		}
 	}
 	maps.DeleteFunc(d.refused, func(id state.DatabaseID, _ uint64) bool { return !listed[id] })
-	maps.DeleteFunc(d.unconfirmed, func(id state.DatabaseID, _ unconfirmed) bool { return !listed[id] })
+	maps.DeleteFunc(d.held, func(id state.DatabaseID, _ heldRegistration) bool { return !listed[id] })
 }
 
 // refuse handles a registration that can't be used, which another writer left. It
@@ -441,10 +441,10 @@
 	return server.Born != 0 && server.Born == known.Born && (server.Address != known.Address || server.Group != known.Group)
 }
 
-// returns reports whether a registration says that the known run, which was leaving, is
+// contradictsLeaving reports whether a registration says that the known run, which was leaving, is
 // not. It comes from a copy that the store was restored from, or was written late; or
 // another writer's said that the database leaves. The lock must be held.
-func (d *Directory) returns(server state.Server) bool {
+func (d *Directory) contradictsLeaving(server state.Server) bool {
 	known := d.servers[server.ID]
 	return known.Leaving && !server.Leaving && server.Born != 0 && server.Born == known.Born
 }
@@ -452,26 +452,26 @@
 // hold keeps a registration unused until a live database has written a newer one and, in
 // a new era, that of a gone database has expired. One that says the same as the one held
 // before keeps its time. The lock must be held.
-func (d *Directory) hold(server state.Server, earlier unconfirmed, now state.Instant, reason string) {
+func (d *Directory) hold(server state.Server, earlier heldRegistration, now state.Instant, reason string) {
 	if earlier.usableAt != 0 && earlier.server.Born == server.Born && earlier.server.Address == server.Address && earlier.server.Group == server.Group {
-		d.unconfirmed[server.ID] = unconfirmed{server, earlier.usableAt}
+		d.held[server.ID] = heldRegistration{server, earlier.usableAt}
 		return
 	}
 	usableAt := now.Add(reregistrationGrace)
 	if d.eraBegan != 0 {
 		usableAt = max(usableAt, d.eraBegan.Add(unconfirmedTime))
 	}
-	d.unconfirmed[server.ID] = unconfirmed{server, usableAt}
+	d.held[server.ID] = heldRegistration{server, usableAt}
 	d.log.Info().Str("database", string(server.ID)).Str("reason", reason).Int64("born", server.Born).Int64("known", d.servers[server.ID].Born).
 		Str("address", server.Address).Str("group", string(server.Group)).Msg("registration not used yet")
 }
 
-// acceptUnconfirmed registers the databases whose registration has stood until the given
+// acceptHeld registers the databases whose registration has stood until the given
 // time for long enough. The lock must be held.
-func (d *Directory) acceptUnconfirmed(seen state.Instant) {
-	for id, held := range d.unconfirmed {
+func (d *Directory) acceptHeld(seen state.Instant) {
+	for id, held := range d.held {
 		if seen.Sub(held.usableAt) > 0 {
-			delete(d.unconfirmed, id)
+			delete(d.held, id)
 			d.list(held.server, d.clock.Now())
 		}
 	}
@@ -480,7 +480,7 @@
 // register adds or updates an entry. A run that was leaving stays so at first. The lock
 // must be held.
 func (d *Directory) register(server state.Server, now state.Instant) {
-	server.Leaving = server.Leaving || d.returns(server)
+	server.Leaving = server.Leaving || d.contradictsLeaving(server)
 	d.list(server, now)
 }
 
@@ -535,9 +535,9 @@
 			d.servers[id] = entry
 		}
 	}
-	for id, held := range d.unconfirmed {
+	for id, held := range d.held {
 		held.usableAt = max(held.usableAt, now.Add(reregistrationGrace))
-		d.unconfirmed[id] = held
+		d.held[id] = held
 	}
 }
 
@@ -571,7 +571,7 @@
 // publish rebuilds byGroup and unsettled from the current entries. The lock must be held.
 func (d *Directory) publish() {
 	groups := make(map[state.GroupID][]Entry)
-	unsettled := len(d.unconfirmed) > 0
+	unsettled := len(d.held) > 0
 	for _, id := range slices.Sorted(maps.Keys(d.servers)) {
 		entry := d.servers[id]
 		unsettled = unsettled || entry.missingSince != 0
--- a/internal/coordination/leadership/change.go
+++ b/internal/coordination/leadership/change.go
@@ -235,7 +235,7 @@
 		storeNow := m.members.now
 		announced.earlierLeases = !m.earlierLeasesOver(storeNow, m.Options.MaxLease)
 		pending := m.members.pending(m.Self, announced, m.Options, storeNow)
-		complete := m.members.show(announced.commit)
+		complete := m.members.include(announced.commit)
 		own := m.group(attempt.group).acknowledged >= attempt.epoch && m.earlierLeasesOver(storeNow, m.nextLease())
 		m.mu.Unlock()
 		if !own || !complete || !pending.isMinority() {
--- a/internal/coordination/leadership/heartbeat.go
+++ b/internal/coordination/leadership/heartbeat.go
@@ -433,7 +433,7 @@
 		return nil, eris.Wrapf(rowstore.ErrEraChanged, "instances of era %d", snapshot.Era)
 	}
 	m.observeStore(sent, received, snapshot.Now)
-	if m.members.follow(snapshot) {
+	if m.members.newerThan(snapshot) {
 		return nil, nil // a later read was faster
 	}
 	for _, key := range m.members.update(snapshot) {
--- a/internal/coordination/leadership/members.go
+++ b/internal/coordination/leadership/members.go
@@ -124,18 +124,18 @@
 	return unreadable
 }
 
-// follow reports whether the rows are those of a later read than the snapshot. The
+// newerThan reports whether the rows are those of a later read than the snapshot. The
 // store's versions tell, as its clock may have been set.
-func (m *members) follow(snapshot rowstore.Snapshot) bool {
+func (m *members) newerThan(snapshot rowstore.Snapshot) bool {
 	if m.outdated {
 		return false
 	}
 	return snapshot.Version < m.version || snapshot.Version == m.version && snapshot.Now < m.now
 }
 
-// show reports whether the rows were read after a commit. Instances that joined before
+// include reports whether the rows were read after a commit. Instances that joined before
 // it are then among them.
-func (m *members) show(commit rowstore.Commit) bool {
+func (m *members) include(commit rowstore.Commit) bool {
 	return !m.outdated && m.version >= commit.Version
 }
 
