--- a/internal/coordination/leadership/options.go
+++ b/internal/coordination/leadership/options.go
@@ -91,11 +91,16 @@
 	// it is the usual statement timeout.
 	leaseMargin = 800 * time.Millisecond
 	// leaseGrace is how long after the end of the lease statements under way may still
-	// get their answer. leaseWatchInterval is the time between two looks whether it is
+	// get their answer. leaseWatchInterval is the time between two checks whether it is
 	// over: a timer would stand still while the machine is suspended. Both together,
 	// and the closing of connections, take less than leaseMargin.
 	leaseGrace         = 600 * time.Millisecond
 	leaseWatchInterval = 50 * time.Millisecond
+	// lateRemovalTime is how long after the start of a run a removal of the row of the
+	// run before may still be carried out. rowGuardInterval is the time between two
+	// renewals meanwhile, in fleets of up to FullRateMembers.
+	lateRemovalTime  = 8 * time.Second
+	rowGuardInterval = 200 * time.Millisecond
 	// confirmationLead is how long before the lease expires an instance starts to
 	// request confirmations from others, confirmationInterval the time between two
 	// requests, and confirmationTTL how long a confirmation is valid: several
--- a/internal/coordination/leadership/promotioncall.go
+++ b/internal/coordination/leadership/promotioncall.go
@@ -131,9 +131,9 @@
 	return c.id == "" || c.id == id
 }
 
-// isAwaited reports whether the calls may not be repeated: one was accepted, or the last
+// mustNotRepeat reports whether the calls may not be repeated: one was accepted, or the last
 // one has not been silent for long.
-func (c calledDatabase) isAwaited(now state.Instant) bool {
+func (c calledDatabase) mustNotRepeat(now state.Instant) bool {
 	return c.id != "" && (c.accepted || now.Sub(c.sentAt) < silentCallPatience)
 }
 
@@ -175,7 +175,7 @@
 		answered:     make(chan error, 1),
 	}
 	m.duty.calls = append(m.duty.calls, call)
-	delete(m.duty.inherited, attempt.group)
+	delete(m.duty.lastCalled, attempt.group)
 	m.mu.Unlock()
 	if err := m.recordCall(ctx, call); err != nil {
 		m.endCall(call)
@@ -370,7 +370,11 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.duty.calls = slices.DeleteFunc(m.duty.calls, func(call *promotionCall) bool {
-		return call.Group == id && call.carriedOut(found)
+		carriedOut := call.Group == id && call.carriedOut(found)
+		if carriedOut {
+			m.duty.lastCalled[id] = call.Database
+		}
+		return carriedOut
 	})
 	if g := m.group(id); g.accepted != nil && g.accepted.effective(found) {
 		g.accepted = nil
