--- a/internal/coordination/leadership/renewal_test.go
+++ b/internal/coordination/leadership/renewal_test.go
@@ -98,3 +98,24 @@
 	require.Equal(t, 1, *outdated)
 	require.True(t, m.lease.valid(clock.now))
 }
+
+// An instance that missed the announcement of a change sees its end, under a lease. A grant
+// of before must not go on, for a transaction at the old primary would.
+func TestEndOfAMissedChangeRevokesGrants(t *testing.T) {
+	clock := &manualClock{now: state.Instant(time.Minute)}
+	store := &fakeStore{clock: clock, version: 10, rows: map[string]uint64{"config": 5}}
+	m, _ := newTestManager(clock, store)
+	require.True(t, m.sendHeartbeat(t.Context()))
+	apply := func(record Record, version uint64) {
+		m.Apply(rowstore.Update{Snapshot: rowstore.Snapshot{Version: version, Rows: []rowstore.Row{recordRowOf(t, "g", record, version)}}})
+	}
+	apply(Record{Epoch: 3, Primary: "d1", Term: 2}, 8)
+	grant, err := m.Acquire("g")
+	require.NoError(t, err)
+	require.True(t, grant.Valid())
+	apply(Record{Epoch: 4, Primary: "d2", Term: 3}, 9)
+	require.False(t, grant.Valid())
+	grant, err = m.Acquire("g")
+	require.NoError(t, err)
+	require.True(t, grant.Valid())
+}
