Review: acknowledged commits lost after a loss of power, with a script

Cause: after a restart an instance knows only the members of a group that are registered, so one reply of one known member counts as proof that its log holds each acknowledged commit (SyncReplicas 1).

--- /dev/null
+++ b/review/cases/beats.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"time"
+
+	standin "github.com/cyclamenpin/cyclamenpin/internal/standin/platform/council"
+)
+
+// beats writes the databases' entries to the store on their behalf. An entry changes when
+// more than its count does, and is removed after three heartbeat intervals of silence.
+type beats struct {
+	cluster *cluster
+	last    map[string]beat
+}
+
+type beat struct {
+	entry string
+	at    time.Time
+}
+
+// beatsInterval is how often the databases are looked at: a changed role or state is
+// reported at once, all else each heartbeat interval.
+const beatsInterval = 20 * time.Millisecond
+
+func (b *beats) run() {
+	ticker := time.NewTicker(beatsInterval)
+	defer ticker.Stop()
+	for {
+		for g, group := range b.cluster.groups {
+			for n := 1; n <= b.cluster.deployment.groups[g].Databases; n++ {
+				b.update(group.Database(n))
+			}
+		}
+		select {
+		case <-b.cluster.done:
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (b *beats) update(d *standin.Database) {
+	key := string(d.ID)
+	known := b.last[key]
+	if !d.Running() {
+		if known.entry != "" && time.Since(known.at) > silenceLimit {
+			b.cluster.store.Delete(tableServers, key)
+			b.last[key] = beat{}
+			b.cluster.record.line("store: the entry of %s has expired", key)
+		}
+		return
+	}
+	entry := string(d.Registration(d.Address))
+	if entry != known.entry {
+		b.cluster.store.Put(tableServers, key, []byte(entry))
+		b.cluster.record.line("store: %s registers %s", key, entry)
+		b.last[key] = beat{entry, time.Now()}
+		return
+	}
+	if time.Since(known.at) >= heartbeatInterval {
+		b.last[key] = beat{entry, time.Now()}
+	}
+}
--- /dev/null
+++ b/review/cases/powerloss.go
@@ -0,0 +1,224 @@
+package main
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	standin "github.com/cyclamenpin/cyclamenpin/internal/standin/platform/council"
+	"github.com/cyclamenpin/cyclamenpin/internal/state"
+)
+
+const (
+	// regionDelay is the delay between regions, one way: the far replica has received what
+	// was committed that long ago. It receives each receivePace.
+	regionDelay = 12 * time.Millisecond
+	receivePace = 2 * regionDelay
+	// machinesDown and databasesDown are how long the machines and the databases are
+	// without power. The small sites have 3.5 s and 8.7 s.
+	machinesDown  = 3500 * time.Millisecond
+	databasesDown = 8700 * time.Millisecond
+	// writers is the number of sessions that write, each every writePace.
+	writers   = 10
+	writePace = 20 * time.Millisecond
+	// beforeLoss and afterLoss are how long the clients write before the loss of power
+	// and after the databases are back.
+	beforeLoss = 6600 * time.Millisecond
+	afterLoss  = 12 * time.Second
+)
+
+func powerLossDeployment() deployment {
+	return deployment{
+		zones: []string{"chc-depot", "dud-depot", "wlg-depot"}, instances: 4, syncReplicas: 1,
+		groups: []standin.Options{{
+			Group: "dispatch-db", Databases: 3, MaxConnections: maxConnections, Slots: slots, MaxQueued: queued, ServiceTime: 2 * time.Millisecond,
+			ReceiveDelay: time.Millisecond, ApplyDelay: 60 * time.Millisecond, PromotionDelay: time.Second, SyncReplicas: 1, FollowDelay: time.Second,
+		}},
+		routes: []route{{Name: "r-order", Host: "order-entry", Type: "primary", Backend: "dispatch-db", Prio: 1, TimeoutMs: 800, SloMs: 400}},
+	}
+}
+
+// acknowledged holds the writes that clients were told are done, by request id.
+type acknowledged struct {
+	mu     sync.Mutex
+	writes map[string]time.Time
+}
+
+func (a *acknowledged) add(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.writes[id] = time.Now()
+}
+
+func (a *acknowledged) has(id string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	_, done := a.writes[id]
+	return done
+}
+
+// playPowerLoss lets all machines of the system, the primary and one replica lose power
+// at the same moment.
+func playPowerLoss(c *cluster, trouble bool) (broken []string, err error) {
+	group := c.groups[0]
+	primary, near := group.Database(1), group.Database(2)
+	far := &farReplica{group: group, database: group.Database(3)}
+	done := &acknowledged{writes: make(map[string]time.Time)}
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	clients.Go(func() { far.receive(stop) })
+	for n := range writers {
+		clients.Go(func() { c.keepWriting(n, done, stop) })
+	}
+	time.Sleep(beforeLoss)
+	if trouble {
+		far.awaitDelay()
+		c.loseMachinesAndDatabases(far.resume, primary, near)
+	}
+	time.Sleep(afterLoss)
+	close(stop)
+	clients.Wait()
+	if len(done.writes) < writers {
+		return nil, fmt.Errorf("%w: only %d writes were acknowledged", errSetup, len(done.writes))
+	}
+	c.record.line("%d writes were acknowledged, the primary is %s", len(done.writes), group.Leader().ID)
+	return c.lostCommits(group, done), nil
+}
+
+// loseMachinesAndDatabases plays the loss of power and its end. It calls lost once the
+// databases are down.
+func (c *cluster) loseMachinesAndDatabases(lost func(), databases ...*standin.Database) {
+	for _, d := range databases {
+		d.Crash(true)
+		c.record.line("%s loses power", d.ID)
+	}
+	lost()
+	var ends sync.WaitGroup
+	for _, p := range c.instances {
+		ends.Go(p.kill)
+	}
+	ends.Wait()
+	c.record.line("all machines of the system have lost power")
+	lostAt := time.Now()
+	time.Sleep(machinesDown)
+	for _, p := range c.instances {
+		if err := p.start(); err != nil {
+			c.record.line("%s: %v", p.name, err)
+		}
+	}
+	time.Sleep(time.Until(lostAt.Add(databasesDown)))
+	for _, d := range databases {
+		d.Restart()
+		c.record.line("%s is back with its log", d.ID)
+	}
+}
+
+// farReplica is a replica in another region. It receives commits a little later than the
+// one that is near the primary.
+type farReplica struct {
+	group    *standin.Group
+	database *standin.Database
+
+	mu     sync.Mutex
+	ending bool
+}
+
+// receive receives in steps until stop is closed.
+func (r *farReplica) receive(stop chan struct{}) {
+	r.database.SetDeaf(true)
+	ticker := time.NewTicker(receivePace)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-ticker.C:
+			r.step()
+		}
+	}
+}
+
+// step receives what the primary has committed, unless that is down.
+func (r *farReplica) step() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if leader := r.group.Leader(); !r.ending && leader != r.database && leader.Running() {
+		r.database.SetDeaf(false)
+		r.database.SetDeaf(true)
+	}
+}
+
+// awaitDelay returns when the replica lacks the commits of regionDelay. What follows does
+// not reach it before resume.
+func (r *farReplica) awaitDelay() {
+	r.step()
+	r.mu.Lock()
+	r.ending = true
+	r.mu.Unlock()
+	time.Sleep(regionDelay)
+}
+
+func (r *farReplica) resume() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ending = false
+}
+
+// keepWriting writes through the instances until stop is closed. A session that ends is
+// opened again, at the next instance.
+func (c *cluster) keepWriting(n int, done *acknowledged, stop chan struct{}) {
+	name := fmt.Sprintf("depot-%d", n)
+	for attempt := n; ; attempt++ {
+		cl, err := c.connect(c.instances[attempt%len(c.instances)], "order-entry", name)
+		for err == nil {
+			var a answer
+			text := fmt.Sprintf("WRITE order-%d-%d lodged", n, time.Now().UnixMilli())
+			a, err = cl.query(text)
+			cl.log(text, a, err)
+			if err == nil && a.ok() {
+				done.add(a.id)
+			}
+			select {
+			case <-stop:
+				cl.close()
+				return
+			case <-time.After(writePace):
+			}
+		}
+		if cl != nil {
+			cl.close()
+		}
+		select {
+		case <-stop:
+			return
+		case <-time.After(200 * time.Millisecond):
+		}
+	}
+}
+
+// lostCommits returns the acknowledged writes that are missing in the log of the database
+// that was promoted.
+func (c *cluster) lostCommits(group *standin.Group, done *acknowledged) (broken []string) {
+	missing := group.RolledBack()
+	for _, commit := range group.Commits() {
+		if !missing[commit.Position] {
+			continue
+		}
+		for _, id := range commit.IDs {
+			if done.has(id) {
+				broken = append(broken, fmt.Sprintf("LOST: write %s was acknowledged at %s, and its commit %v of %s is not in the log of %s, which was promoted",
+					id, commit.At.Sub(c.record.started).Round(time.Millisecond), commit.Position, commit.Database, promoted(group)))
+			}
+		}
+	}
+	return broken
+}
+
+func promoted(group *standin.Group) state.DatabaseID {
+	for _, promotion := range group.Promotions() {
+		if !promotion.Effect.IsZero() {
+			return promotion.Database
+		}
+	}
+	return ""
+}
