Review: acknowledged commits lost while the configuration is unread, with a script

Cause: SyncReplicas counts as 0 until an instance has read the operator's configuration, and it changes primaries without one.

--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -36,8 +36,9 @@
 
 func cases() map[string]caseOf {
 	return map[string]caseOf{
-		"moved-route": {movedRouteDeployment(), playMovedRoute},
-		"power-loss":  {powerLossDeployment(), playPowerLoss},
+		"moved-route":          {movedRouteDeployment(), playMovedRoute},
+		"unread-configuration": {powerLossDeployment(), playUnreadConfiguration},
+		"power-loss":           {powerLossDeployment(), playPowerLoss},
 	}
 }
 
--- a/review/cases/powerloss.go
+++ b/review/cases/powerloss.go
@@ -57,12 +57,37 @@
 	return done
 }
 
-// playPowerLoss lets all machines of the system, the primary and one replica lose power
-// at the same moment.
+// loss is a loss of power of all machines of the system, the primary and one replica.
+type loss struct {
+	machinesDown time.Duration
+	// changedBefore is set if the group's primary was changed as planned before.
+	changedBefore bool
+	// began is called when the power is lost; it may be nil.
+	began func()
+}
+
+// playPowerLoss plays a loss of power alone.
 func playPowerLoss(c *cluster, trouble bool) (broken []string, err error) {
+	return c.writeAround(trouble, loss{machinesDown: machinesDown})
+}
+
+// writeAround lets clients write before and after a loss of power.
+func (c *cluster) writeAround(trouble bool, l loss) (broken []string, err error) {
 	group := c.groups[0]
-	primary, near := group.Database(1), group.Database(2)
-	far := &farReplica{group: group, database: group.Database(3)}
+	if l.changedBefore {
+		if err := c.changeAsPlanned(group); err != nil {
+			return nil, err
+		}
+	}
+	primary := group.Leader()
+	var replicas []*standin.Database
+	for n := 1; n <= 3; n++ {
+		if d := group.Database(n); d != primary {
+			replicas = append(replicas, d)
+		}
+	}
+	near := replicas[0]
+	far := &farReplica{group: group, database: replicas[1]}
 	done := &acknowledged{writes: make(map[string]time.Time)}
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
@@ -73,7 +98,7 @@
 	time.Sleep(beforeLoss)
 	if trouble {
 		far.awaitDelay()
-		c.loseMachinesAndDatabases(far.resume, primary, near)
+		c.lose(l, far.resume, primary, near)
 	}
 	time.Sleep(afterLoss)
 	close(stop)
@@ -85,9 +110,25 @@
 	return c.lostCommits(group, done), nil
 }
 
-// loseMachinesAndDatabases plays the loss of power and its end. It calls lost once the
-// databases are down.
-func (c *cluster) loseMachinesAndDatabases(lost func(), databases ...*standin.Database) {
+// changeAsPlanned lets the first primary be retired, and a new database take its place as a
+// replica.
+func (c *cluster) changeAsPlanned(group *standin.Group) error {
+	first := group.Leader()
+	first.Leave()
+	for deadline := time.Now().Add(15 * time.Second); group.Leader() == first; {
+		if time.Now().After(deadline) {
+			return fmt.Errorf("%w: no planned change of primary", errSetup)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	time.Sleep(3 * time.Second)
+	first.Stay()
+	time.Sleep(3 * time.Second)
+	return nil
+}
+
+// lose plays the loss of power and its end. It calls lost once the databases are down.
+func (c *cluster) lose(l loss, lost func(), databases ...*standin.Database) {
 	for _, d := range databases {
 		d.Crash(true)
 		c.record.line("%s loses power", d.ID)
@@ -100,7 +141,10 @@
 	ends.Wait()
 	c.record.line("all machines of the system have lost power")
 	lostAt := time.Now()
-	time.Sleep(machinesDown)
+	if l.began != nil {
+		l.began()
+	}
+	time.Sleep(l.machinesDown)
 	for _, p := range c.instances {
 		if err := p.start(); err != nil {
 			c.record.line("%s: %v", p.name, err)
@@ -207,16 +251,17 @@
 		for _, id := range commit.IDs {
 			if done.has(id) {
 				broken = append(broken, fmt.Sprintf("LOST: write %s was acknowledged at %s, and its commit %v of %s is not in the log of %s, which was promoted",
-					id, commit.At.Sub(c.record.started).Round(time.Millisecond), commit.Position, commit.Database, promoted(group)))
+					id, commit.At.Sub(c.record.started).Round(time.Millisecond), commit.Position, commit.Database, promoted(group, commit.At)))
 			}
 		}
 	}
 	return broken
 }
 
-func promoted(group *standin.Group) state.DatabaseID {
+// promoted returns the database whose promotion took effect first after a moment.
+func promoted(group *standin.Group, after time.Time) state.DatabaseID {
 	for _, promotion := range group.Promotions() {
-		if !promotion.Effect.IsZero() {
+		if promotion.Effect.After(after) {
 			return promotion.Database
 		}
 	}
