Review: a replica that started again counts as proof of commits, with a script

Cause: a registered database that replies counts as one that would hold each acknowledged commit, also if its run began after the commit.

--- a/review/cases/beats.go
+++ b/review/cases/beats.go
@@ -26,10 +26,8 @@
 	ticker := time.NewTicker(beatsInterval)
 	defer ticker.Stop()
 	for {
-		for g, group := range b.cluster.groups {
-			for n := 1; n <= b.cluster.deployment.groups[g].Databases; n++ {
-				b.update(group.Database(n))
-			}
+		for _, s := range b.cluster.servers {
+			b.update(s.current())
 		}
 		select {
 		case <-b.cluster.done:
--- a/review/cases/cluster.go
+++ b/review/cases/cluster.go
@@ -61,6 +61,7 @@
 	block      string
 	store      *standin.Store
 	groups     []*standin.Group
+	servers    []*server
 	instances  []*process
 	beats      *beats
 	done       chan struct{}
@@ -122,15 +123,10 @@
 	}
 	for g, group := range c.groups {
 		for n := 1; n <= c.deployment.groups[g].Databases; n++ {
-			database := group.Database(n)
-			address := c.address(100+10*g+n, databasePort)
-			listener, err := net.Listen("tcp", address)
-			if err != nil {
+			zone := c.deployment.zones[(n-1)%len(c.deployment.zones)]
+			if err := c.addServer(group.Database(n), c.address(100+10*g+n, databasePort), zone); err != nil {
 				return err
 			}
-			database.Address = address
-			database.SetDataCentre(c.deployment.zones[(n-1)%len(c.deployment.zones)])
-			go database.Serve(listener)
 		}
 	}
 	return nil
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -37,6 +37,7 @@
 func cases() map[string]caseOf {
 	return map[string]caseOf{
 		"moved-route":          {movedRouteDeployment(), playMovedRoute},
+		"reborn-replica":       {powerLossDeployment(), playReborn},
 		"unread-configuration": {powerLossDeployment(), playUnreadConfiguration},
 		"power-loss":           {powerLossDeployment(), playPowerLoss},
 	}
--- /dev/null
+++ b/review/cases/reborn.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	standin "github.com/cyclamenpin/cyclamenpin/internal/standin/platform/council"
+)
+
+const (
+	// restartTime is how long the replica needs to start again.
+	restartTime = time.Second
+	// primaryDark is how long the primary is silent: 8.71 s in the small site.
+	primaryDark = 8700 * time.Millisecond
+)
+
+// playReborn lets the primary go dark and the near replica start again under its id, with
+// nothing of what it held.
+func playReborn(c *cluster, trouble bool) (broken []string, err error) {
+	group := c.groups[0]
+	primary, near := group.Database(1), group.Database(2)
+	far := &farReplica{group: group, database: group.Database(3)}
+	// The log is empty now, and stays so: the database receives nothing until it runs.
+	reborn := group.Add(4, "")
+	reborn.SetDeaf(true)
+	reborn.ID = near.ID
+	reborn.Stay()
+	done := &acknowledged{writes: make(map[string]time.Time)}
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	clients.Go(func() { far.receive(stop) })
+	for n := range writers {
+		clients.Go(func() { c.keepWriting(n, done, stop) })
+	}
+	time.Sleep(beforeLoss)
+	if trouble {
+		far.awaitDelay()
+		c.restartEmpty(primary, near, reborn, far)
+	}
+	time.Sleep(afterLoss)
+	close(stop)
+	clients.Wait()
+	if len(done.writes) < writers {
+		return nil, fmt.Errorf("%w: only %d writes were acknowledged", errSetup, len(done.writes))
+	}
+	c.record.line("%d writes were acknowledged, the primary is %s", len(done.writes), group.Leader().ID)
+	return c.lostCommits(group, done), nil
+}
+
+// restartEmpty stops the primary and a replica. The replica's machine runs reborn soon
+// after, the primary is back later with its log.
+func (c *cluster) restartEmpty(primary, near, reborn *standin.Database, far *farReplica) {
+	primary.Crash(true)
+	near.Crash(false)
+	c.record.line("%s goes dark, %s crashes", primary.ID, near.ID)
+	far.resume()
+	lostAt := time.Now()
+	time.Sleep(restartTime)
+	for _, s := range c.servers {
+		if s.current() == near {
+			s.run(reborn)
+		}
+	}
+	c.record.line("%s has started again, with nothing of before", reborn.ID)
+	for time.Since(lostAt) < primaryDark && !far.group.Leader().Running() {
+		time.Sleep(receivePace)
+	}
+	// It receives from whichever database leads and runs.
+	reborn.SetDeaf(false)
+	time.Sleep(time.Until(lostAt.Add(primaryDark)))
+	primary.Restart()
+	c.record.line("%s is back with its log", primary.ID)
+}
