Review: a silent replica without a registration counts for nothing, with a script

Change: review/9 with its script, in the place of a replica that started again without its log, which stays in review/cases as reborn-replica.

--- a/review/cases/beats.go
+++ b/review/cases/beats.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"sync"
 	"time"
 
 	standin "github.com/cyclamenpin/cyclamenpin/internal/standin/platform/council"
@@ -10,7 +11,9 @@
 // more than its count does, and is removed after three heartbeat intervals of silence.
 type beats struct {
 	cluster *cluster
-	last    map[string]beat
+
+	mu   sync.Mutex
+	last map[string]beat
 }
 
 type beat struct {
@@ -27,7 +30,7 @@
 	defer ticker.Stop()
 	for {
 		for _, s := range b.cluster.servers {
-			b.update(s.current())
+			b.update(s.current(), s.registers())
 		}
 		select {
 		case <-b.cluster.done:
@@ -37,10 +40,12 @@
 	}
 }
 
-func (b *beats) update(d *standin.Database) {
+func (b *beats) update(d *standin.Database, registers bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	key := string(d.ID)
 	known := b.last[key]
-	if !d.Running() {
+	if !registers {
 		if known.entry != "" && time.Since(known.at) > silenceLimit {
 			b.cluster.store.Delete(tableServers, key)
 			b.last[key] = beat{}
@@ -59,3 +64,14 @@
 		b.last[key] = beat{entry, time.Now()}
 	}
 }
+
+// rewrite lets the databases write their entries again.
+func (b *beats) rewrite() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for key, known := range b.last {
+		if known.entry != "" {
+			b.last[key] = beat{"lost with the store's last seconds", known.at}
+		}
+	}
+}
--- a/review/cases/cluster.go
+++ b/review/cases/cluster.go
@@ -31,6 +31,8 @@
 	slots          = 3
 	queued         = 24
 	graceSeconds   = 6
+	// rewriteDelay is how long after a restoration what others wrote is written again.
+	rewriteDelay = time.Second
 )
 
 // route is a route of the operator's configuration.
@@ -49,6 +51,8 @@
 	groups       []standin.Options
 	syncReplicas int
 	routes       []route
+	// links gives each machine a link to the platform that can be cut.
+	links bool
 }
 
 // cluster is the platform, the databases and the instances.
@@ -68,6 +72,8 @@
 
 	mu      sync.Mutex
 	version uint64
+	// configuration is the last version's text.
+	configuration []byte
 }
 
 // newCluster starts the stand-ins and the instances, and waits until all are ready.
@@ -166,12 +172,26 @@
 	if err != nil {
 		panic(err)
 	}
+	c.configuration = value
 	c.store.Put(tableOperator, rowConfig, value)
 	for _, r := range routes {
 		c.record.line("operator: version %d, %s to %s", c.version, r.Host, r.Backend)
 	}
 }
 
+// restore lets the store come back from a copy. The operator and the databases write again
+// what they wrote.
+func (c *cluster) restore(from standin.Copy) {
+	c.store.Restore(from)
+	c.record.line("store: back from a copy, era %d", c.store.Era())
+	time.AfterFunc(rewriteDelay, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.store.Put(tableOperator, rowConfig, c.configuration)
+		c.beats.rewrite()
+	})
+}
+
 // awaitReady waits until all instances answer the ready probe with 200.
 func (c *cluster) awaitReady() error {
 	deadline := time.Now().Add(20 * time.Second)
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -38,6 +38,7 @@
 	return map[string]caseOf{
 		"moved-route":          {movedRouteDeployment(), playMovedRoute},
 		"reborn-replica":       {powerLossDeployment(), playReborn},
+		"unregistered-replica": {powerLossDeployment(), playUnregistered},
 		"unread-configuration": {powerLossDeployment(), playUnreadConfiguration},
 		"power-loss":           {powerLossDeployment(), playPowerLoss},
 	}
--- a/review/cases/powerloss.go
+++ b/review/cases/powerloss.go
@@ -88,6 +88,13 @@
 	}
 	near := replicas[0]
 	far := &farReplica{group: group, database: replicas[1]}
+	return c.writeWhile(trouble, far, func() { c.lose(l, far.resume, primary, near) })
+}
+
+// writeWhile lets clients write before, during and after a disruption. It begins when the
+// far replica lacks the commits of regionDelay.
+func (c *cluster) writeWhile(trouble bool, far *farReplica, disruption func()) (broken []string, err error) {
+	group := c.groups[0]
 	done := &acknowledged{writes: make(map[string]time.Time)}
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
@@ -98,7 +105,7 @@
 	time.Sleep(beforeLoss)
 	if trouble {
 		far.awaitDelay()
-		c.lose(l, far.resume, primary, near)
+		disruption()
 	}
 	time.Sleep(afterLoss)
 	close(stop)
--- a/review/cases/process.go
+++ b/review/cases/process.go
@@ -47,6 +47,10 @@
 	cluster  *cluster
 	name, ip string
 	settings string
+	// platform is the machine at whose addresses the platform is reached: its own, or that
+	// of link.
+	platform int
+	link     *machineLink
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -72,6 +76,16 @@
 	zone := c.deployment.zones[n%len(c.deployment.zones)]
 	p := &process{cluster: c, name: fmt.Sprintf("front-%s-%d", zone, n+1), ip: fmt.Sprintf("%s.%d", c.block, 11+n)}
 	p.settings = c.path(p.name + ".toml")
+	p.platform = 1
+	if c.deployment.links {
+		p.platform = 201 + n
+		p.link = &machineLink{record: c.record, name: p.name}
+		for _, port := range []int{storePort, cloudPort} {
+			if err := p.link.serve(c.address(p.platform, port), c.address(1, port)); err != nil {
+				return err
+			}
+		}
+	}
 	if err := os.WriteFile(p.settings, []byte(c.settings(p, zone)), 0o600); err != nil {
 		return err
 	}
@@ -147,7 +161,7 @@
 Duties = ["failover"]
 DutyPerS = 50.0
 `, p.name, p.ip, zone, zone, peerPort, peerPort+15, heartbeatInterval.Milliseconds(), zones.String(),
-		p.ip, frontPort, p.ip, readyPort, graceSeconds, c.address(1, storePort), c.address(1, cloudPort))
+		p.ip, frontPort, p.ip, readyPort, graceSeconds, c.address(p.platform, storePort), c.address(p.platform, cloudPort))
 }
 
 // start starts the program with the command of deploy/system.toml.
--- a/review/cases/reborn.go
+++ b/review/cases/reborn.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"fmt"
-	"sync"
 	"time"
 
 	standin "github.com/cyclamenpin/cyclamenpin/internal/standin/platform/council"
@@ -26,26 +24,7 @@
 	reborn.SetDeaf(true)
 	reborn.ID = near.ID
 	reborn.Stay()
-	done := &acknowledged{writes: make(map[string]time.Time)}
-	stop := make(chan struct{})
-	var clients sync.WaitGroup
-	clients.Go(func() { far.receive(stop) })
-	for n := range writers {
-		clients.Go(func() { c.keepWriting(n, done, stop) })
-	}
-	time.Sleep(beforeLoss)
-	if trouble {
-		far.awaitDelay()
-		c.restartEmpty(primary, near, reborn, far)
-	}
-	time.Sleep(afterLoss)
-	close(stop)
-	clients.Wait()
-	if len(done.writes) < writers {
-		return nil, fmt.Errorf("%w: only %d writes were acknowledged", errSetup, len(done.writes))
-	}
-	c.record.line("%d writes were acknowledged, the primary is %s", len(done.writes), group.Leader().ID)
-	return c.lostCommits(group, done), nil
+	return c.writeWhile(trouble, far, func() { c.restartEmpty(primary, near, reborn, far) })
 }
 
 // restartEmpty stops the primary and a replica. The replica's machine runs reborn soon
@@ -57,11 +36,7 @@
 	far.resume()
 	lostAt := time.Now()
 	time.Sleep(restartTime)
-	for _, s := range c.servers {
-		if s.current() == near {
-			s.run(reborn)
-		}
-	}
+	c.serverOf(near).run(reborn)
 	c.record.line("%s has started again, with nothing of before", reborn.ID)
 	for time.Since(lostAt) < primaryDark && !far.group.Leader().Running() {
 		time.Sleep(receivePace)
--- a/review/cases/server.go
+++ b/review/cases/server.go
@@ -14,6 +14,8 @@
 
 	mu       sync.Mutex
 	database *standin.Database
+	// cutOff is set while the machine can't reach the store.
+	cutOff bool
 }
 
 // addServer lets a database listen on an address.
@@ -52,3 +54,27 @@
 	defer s.mu.Unlock()
 	return s.database
 }
+
+// setCutOff cuts the machine off from the store, or ends that.
+func (s *server) setCutOff(cutOff bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cutOff = cutOff
+}
+
+// registers reports whether the database writes its entry.
+func (s *server) registers() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.cutOff && s.database.Running()
+}
+
+// serverOf returns the machine on which a database runs.
+func (c *cluster) serverOf(d *standin.Database) *server {
+	for _, s := range c.servers {
+		if s.current() == d {
+			return s
+		}
+	}
+	return nil
+}
