Review: a promotion call outlives a drill that takes the duty's row, with a script

Cause: the duty of a new era of the store is free after 5.8 s, while a promotion call of the era before may be carried out for 15 s; the row that says so is lost with the store's last seconds.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -6,4 +6,4 @@
   echo "run the build of deploy/system.toml and review/build-2.sh first"
   exit 2
 fi
-exec target/review-cases -program target/cyclamenpin -record review/6/record.txt power-loss
+exec target/review-cases -program target/cyclamenpin -record review/6/record.txt drill
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -36,6 +36,7 @@
 
 func cases() map[string]caseOf {
 	return map[string]caseOf{
+		"drill":                {drillDeployment(), playDrill},
 		"moved-route":          {movedRouteDeployment(), playMovedRoute},
 		"reborn-replica":       {powerLossDeployment(), playReborn},
 		"unregistered-replica": {powerLossDeployment(), playUnregistered},
