Review: stand-ins in a folder for the platform's names, replicas down within the site's limit

Cause: TestPlatformNamesAreUsedOnlyInThisPackage allows the platform's names in stand-ins under platform/ only; and a replica beside a primary is down for 5.62 s at most in the small sites, where cases 7 to 9 took 8.7 s. Change: review/cases/platform; the near replica is back after 5.6 s, with its own log; case 7 has a planned change of primary before.

--- a/review/cases/powerloss.go
+++ b/review/cases/platform/powerloss.go
@@ -14,10 +14,11 @@
 	// was committed that long ago. It receives each receivePace.
 	regionDelay = 12 * time.Millisecond
 	receivePace = 2 * regionDelay
-	// machinesDown and databasesDown are how long the machines and the databases are
-	// without power. The small sites have 3.5 s and 8.7 s.
-	machinesDown  = 3500 * time.Millisecond
-	databasesDown = 8700 * time.Millisecond
+	// machinesDown, primaryDown and replicaDown are how long the machines and the databases
+	// are without power: in the small sites 3.5 s, 8.71 s and 5.62 s.
+	machinesDown = 3500 * time.Millisecond
+	primaryDown  = 8700 * time.Millisecond
+	replicaDown  = 5600 * time.Millisecond
 	// writers is the number of sessions that write, each every writePace.
 	writers   = 10
 	writePace = 20 * time.Millisecond
@@ -68,7 +69,7 @@
 
 // playPowerLoss plays a loss of power alone.
 func playPowerLoss(c *cluster, trouble bool) (broken []string, err error) {
-	return c.writeAround(trouble, loss{machinesDown: machinesDown})
+	return c.writeAround(trouble, loss{machinesDown: machinesDown, changedBefore: true})
 }
 
 // writeAround lets clients write before and after a loss of power.
@@ -88,7 +89,7 @@
 	}
 	near := replicas[0]
 	far := &farReplica{group: group, database: replicas[1]}
-	return c.writeWhile(trouble, far, func() { c.lose(l, far.resume, primary, near) })
+	return c.writeWhile(trouble, far, func() { c.lose(l, far, primary, near) })
 }
 
 // writeWhile lets clients write before, during and after a disruption. It begins when the
@@ -134,34 +135,45 @@
 	return nil
 }
 
-// lose plays the loss of power and its end. It calls lost once the databases are down.
-func (c *cluster) lose(l loss, lost func(), databases ...*standin.Database) {
-	for _, d := range databases {
-		d.Crash(true)
-		c.record.line("%s loses power", d.ID)
-	}
-	lost()
+// lose plays the loss of power and its end.
+func (c *cluster) lose(l loss, far *farReplica, primary, near *standin.Database) {
+	lostAt := c.goDark(far, primary, near)
 	var ends sync.WaitGroup
 	for _, p := range c.instances {
 		ends.Go(p.kill)
 	}
 	ends.Wait()
 	c.record.line("all machines of the system have lost power")
-	lostAt := time.Now()
 	if l.began != nil {
 		l.began()
 	}
-	time.Sleep(l.machinesDown)
+	time.Sleep(time.Until(lostAt.Add(l.machinesDown)))
 	for _, p := range c.instances {
 		if err := p.start(); err != nil {
 			c.record.line("%s: %v", p.name, err)
 		}
 	}
-	time.Sleep(time.Until(lostAt.Add(databasesDown)))
-	for _, d := range databases {
-		d.Restart()
-		c.record.line("%s is back with its log", d.ID)
+	c.awaitDatabases(lostAt, primary, near)
+}
+
+// goDark lets the primary and the near replica go dark, and returns when that was.
+func (c *cluster) goDark(far *farReplica, primary, near *standin.Database) time.Time {
+	for _, d := range []*standin.Database{primary, near} {
+		d.Crash(true)
+		c.record.line("%s goes dark", d.ID)
 	}
+	far.resume()
+	return time.Now()
+}
+
+// awaitDatabases lets the databases come back with their logs.
+func (c *cluster) awaitDatabases(lostAt time.Time, primary, near *standin.Database) {
+	time.Sleep(time.Until(lostAt.Add(replicaDown)))
+	near.RestartDetached()
+	c.record.line("%s is back with its log", near.ID)
+	time.Sleep(time.Until(lostAt.Add(primaryDown)))
+	primary.Restart()
+	c.record.line("%s is back with its log", primary.ID)
 }
 
 // farReplica is a replica in another region. It receives commits a little later than the
--- a/review/cases/reborn.go
+++ b/review/cases/platform/reborn.go
@@ -6,12 +6,8 @@
 	standin "github.com/cyclamenpin/cyclamenpin/internal/standin/platform/council"
 )
 
-const (
-	// restartTime is how long the replica needs to start again.
-	restartTime = time.Second
-	// primaryDark is how long the primary is silent: 8.71 s in the small site.
-	primaryDark = 8700 * time.Millisecond
-)
+// restartTime is how long the replica needs to start again.
+const restartTime = time.Second
 
 // playReborn lets the primary go dark and the near replica start again under its id, with
 // nothing of what it held.
@@ -38,12 +34,12 @@
 	time.Sleep(restartTime)
 	c.serverOf(near).run(reborn)
 	c.record.line("%s has started again, with nothing of before", reborn.ID)
-	for time.Since(lostAt) < primaryDark && !far.group.Leader().Running() {
+	for time.Since(lostAt) < primaryDown && !far.group.Leader().Running() {
 		time.Sleep(receivePace)
 	}
 	// It receives from whichever database leads and runs.
 	reborn.SetDeaf(false)
-	time.Sleep(time.Until(lostAt.Add(primaryDark)))
+	time.Sleep(time.Until(lostAt.Add(primaryDown)))
 	primary.Restart()
 	c.record.line("%s is back with its log", primary.ID)
 }
--- a/review/cases/unregistered.go
+++ b/review/cases/platform/unregistered.go
@@ -1,10 +1,6 @@
 package main
 
-import (
-	"time"
-
-	standin "github.com/cyclamenpin/cyclamenpin/internal/standin/platform/council"
-)
+import "time"
 
 // storeCut is how long the near replica can't reach the store: 5 s is the usual length of
 // a cut between a database and the store.
@@ -22,21 +18,8 @@
 		c.record.line("%s is cut off from the store", near.ID)
 		time.Sleep(storeCut)
 		far.awaitDelay()
-		c.goDark(far, primary, near)
+		lostAt := c.goDark(far, primary, near)
 		c.serverOf(near).setCutOff(false)
+		c.awaitDatabases(lostAt, primary, near)
 	})
 }
-
-// goDark lets databases go dark and come back with their logs.
-func (c *cluster) goDark(far *farReplica, databases ...*standin.Database) {
-	for _, d := range databases {
-		d.Crash(true)
-		c.record.line("%s goes dark", d.ID)
-	}
-	far.resume()
-	time.Sleep(databasesDown)
-	for _, d := range databases {
-		d.Restart()
-		c.record.line("%s is back with its log", d.ID)
-	}
-}
