--- a/review/harness3/cut.go
+++ b/review/harness3/cut.go
@@ -5,47 +5,48 @@
 	"sync"
 )
 
-// cutProxy forwards connections to a target. While it is cut, nothing passes in either
-// direction; what was sent meanwhile arrives when the cut has ended.
-type cutProxy struct {
+// storeLink forwards a machine's connections to the store.
+type storeLink struct {
 	listener net.Listener
 	target   string
 
-	mu  sync.Mutex
+	mu sync.Mutex
+	// end is closed when a cut ends; nil if there is none.
 	end chan struct{}
 }
 
-func newCutProxy(target string) (*cutProxy, error) {
+func newStoreLink(target string) (*storeLink, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &cutProxy{listener: listener, target: target}
-	go p.serve()
-	return p, nil
+	l := &storeLink{listener: listener, target: target}
+	go l.serve()
+	return l, nil
 }
 
-func (p *cutProxy) address() string { return p.listener.Addr().String() }
+func (l *storeLink) address() string { return l.listener.Addr().String() }
 
-// cut begins or ends the cut.
-func (p *cutProxy) cut(active bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if active && p.end == nil {
-		p.end = make(chan struct{})
+// cut begins or ends a cut: nothing passes in either direction, and what was sent
+// meanwhile arrives when the cut has ended.
+func (l *storeLink) cut(active bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if active && l.end == nil {
+		l.end = make(chan struct{})
 	}
-	if !active && p.end != nil {
-		close(p.end)
-		p.end = nil
+	if !active && l.end != nil {
+		close(l.end)
+		l.end = nil
 	}
 }
 
 // await returns once there is no cut.
-func (p *cutProxy) await() {
+func (l *storeLink) await() {
 	for {
-		p.mu.Lock()
-		end := p.end
-		p.mu.Unlock()
+		l.mu.Lock()
+		end := l.end
+		l.mu.Unlock()
 		if end == nil {
 			return
 		}
@@ -53,36 +54,37 @@
 	}
 }
 
-func (p *cutProxy) serve() {
+func (l *storeLink) serve() {
 	for {
-		near, err := p.listener.Accept()
+		near, err := l.listener.Accept()
 		if err != nil {
 			return
 		}
-		go p.forward(near)
+		go l.forward(near)
 	}
 }
 
-func (p *cutProxy) forward(near net.Conn) {
-	defer near.Close()
-	p.await()
-	far, err := net.Dial("tcp", p.target)
+func (l *storeLink) forward(near net.Conn) {
+	defer func() { _ = near.Close() }()
+	l.await()
+	far, err := net.Dial("tcp", l.target)
 	if err != nil {
 		return
 	}
-	defer far.Close()
+	defer func() { _ = far.Close() }()
 	var both sync.WaitGroup
-	both.Go(func() { p.carry(far, near) })
-	both.Go(func() { p.carry(near, far) })
+	both.Go(func() { l.carry(far, near) })
+	both.Go(func() { l.carry(near, far) })
 	both.Wait()
 }
 
-func (p *cutProxy) carry(to, from net.Conn) {
-	defer to.Close()
+// carry copies one direction of a connection until it ends.
+func (l *storeLink) carry(to, from net.Conn) {
+	defer func() { _ = to.Close() }()
 	buffer := make([]byte, 64<<10)
 	for {
 		n, err := from.Read(buffer)
-		p.await()
+		l.await()
 		if n > 0 {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
--- a/review/harness3/deployment.go
+++ b/review/harness3/deployment.go
@@ -57,7 +57,7 @@
 	ready      string
 	settings   string
 	// storeLink leads from the machine to the store.
-	storeLink *cutProxy
+	storeLink *storeLink
 
 	mu      sync.Mutex
 	process *exec.Cmd
@@ -252,7 +252,7 @@
 		deployment: d, name: fmt.Sprintf("front-%s-%d", zone(n), n+1), ip: ip, clients: net.JoinHostPort(ip, ports[0]),
 		ready: net.JoinHostPort(ip, ports[1]), settings: filepath.Join(d.folder, fmt.Sprintf("node-%d.toml", n+1)), out: true,
 	}
-	link, err := newCutProxy(store)
+	link, err := newStoreLink(store)
 	if err != nil {
 		return nil, err
 	}
