Review: a restarted machine uses a leaving primary again

Cause: how long a leaving primary is used counts from when the process first read that it leaves, so that a restart begins it anew.

--- a/review/harness3/platform/deployment.go
+++ b/review/harness3/platform/deployment.go
@@ -62,6 +62,9 @@
 	mu      sync.Mutex
 	process *exec.Cmd
 	exited  chan struct{}
+	// startedAt is when its process started last. offUntil is until when the machine has no
+	// power.
+	startedAt, offUntil time.Time
 	// kills counts how often the platform killed the process for its memory.
 	kills int
 	// peak is the greatest resident memory of any of its processes, in bytes.
@@ -139,27 +142,34 @@
 // startDatabases lets the databases of a service listen and register.
 func (d *deployment) startDatabases(g *standin.Group) error {
 	for n := 1; n <= databases; n++ {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return err
-		}
-		d.closers = append(d.closers, func() { _ = listener.Close() })
 		database := g.Database(n)
 		database.SetDataCentre(zone(n - 1))
-		go database.Serve(listener)
-		front, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
+		if err := d.startDatabase(database); err != nil {
 			return err
 		}
-		d.closers = append(d.closers, func() { _ = front.Close() })
-		results := &resultProxy{target: listener.Addr().String(), rows: 1, rowBytes: 1}
-		d.results = append(d.results, results)
-		go results.serve(front)
-		go d.register(database, front.Addr().String())
 	}
 	return nil
 }
 
+func (d *deployment) startDatabase(database *standin.Database) error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	d.closers = append(d.closers, func() { _ = listener.Close() })
+	go database.Serve(listener)
+	front, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	d.closers = append(d.closers, func() { _ = front.Close() })
+	results := &resultProxy{target: listener.Addr().String(), rows: 1, rowBytes: 1}
+	d.results = append(d.results, results)
+	go results.serve(front)
+	go d.register(database, front.Addr().String())
+	return nil
+}
+
 // primaryRoute is a route to a service whose reads run on the primary.
 func primaryRoute(name string, to state.GroupID) standin.Route {
 	return standin.Route{Name: name, Group: to, Consistency: state.ConsistencyPrimary, Timeout: 2 * time.Second, Objective: 2 * time.Second}
@@ -190,12 +200,17 @@
 	return listener.Addr().String(), nil
 }
 
-// register writes a database's registration when it changes.
+// register writes a database's registration when it changes, until the database has ended.
 func (d *deployment) register(database *standin.Database, address string) {
 	var last []byte
 	for !d.pause(heartbeat / 12) {
-		if row := database.Registration(address); database.Running() && !bytes.Equal(row, last) {
+		if !database.Running() {
+			d.store.remove(platform.ServersTable, string(database.ID))
+			return
+		}
+		if row := database.Registration(address); !bytes.Equal(row, last) {
 			d.store.put(platform.ServersTable, string(database.ID), row)
+			d.record.printf("the store has acknowledged %s", row)
 			last = row
 		}
 	}
@@ -239,7 +254,9 @@
 
 // newMachine writes the settings of a machine, which has a loopback address of its own.
 func (d *deployment) newMachine(n int, store, promotions string) (*machine, error) {
-	ip := fmt.Sprintf("127.0.0.%d", 11+n)
+	// Runs at the same time use different loopback addresses.
+	pid := os.Getpid()
+	ip := fmt.Sprintf("127.%d.%d.%d", 1+(pid>>8)%250, pid%256, 11+n)
 	var ports [3]string
 	for p := range ports {
 		port, err := freePort(ip)
@@ -269,6 +286,13 @@
 // run keeps the process running.
 func (m *machine) run() {
 	for !m.deployment.pause(time.Millisecond) {
+		m.mu.Lock()
+		off := time.Until(m.offUntil)
+		m.mu.Unlock()
+		if off > 0 {
+			m.deployment.pause(off)
+			continue
+		}
 		if err := m.startProcess(); err != nil {
 			m.deployment.record.printf("%s: start failed: %v", m.name, err)
 		} else {
@@ -294,7 +318,7 @@
 		return err
 	}
 	exited := make(chan struct{})
-	m.process, m.exited = process, exited
+	m.process, m.exited, m.startedAt = process, exited, time.Now()
 	go func() {
 		_ = process.Wait()
 		close(exited)
@@ -368,6 +392,22 @@
 	<-exited
 }
 
+// losePower ends the machine's process and keeps it from starting for a while.
+func (m *machine) losePower(duration time.Duration) {
+	m.mu.Lock()
+	m.offUntil = time.Now().Add(duration)
+	m.mu.Unlock()
+	m.deployment.record.printf("%s: loses power for %v", m.name, duration)
+	m.end(syscall.SIGKILL)
+}
+
+// inTouch reports whether the machine's process had run for StableMs at a moment.
+func (m *machine) inTouch(moment time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return moment.Sub(m.startedAt) >= stableTime && moment.After(m.offUntil)
+}
+
 // probe asks for the machine's readiness each second, as the platform does.
 func (m *machine) probe() {
 	client := &http.Client{Timeout: time.Second}
--- a/review/harness3/platform/main.go
+++ b/review/harness3/platform/main.go
@@ -41,6 +41,7 @@
 // cases holds the plays of the cases by name. Each returns an exit code.
 var cases = map[string]func(*deployment, bool) int{
 	"configuration": playConfiguration,
+	"drain":         playDrain,
 	"memory":        playMemory,
 }
 
--- a/review/harness3/platform/store.go
+++ b/review/harness3/platform/store.go
@@ -50,6 +50,9 @@
 	forgotten uint64
 	changed   chan struct{}
 	started   time.Time
+	// onWrite, which may be nil, is called with each row that a machine has written, before
+	// the call is answered.
+	onWrite func(storedRow)
 }
 
 type rowsResult struct {
@@ -87,6 +90,13 @@
 	s.write([]storedRow{{Table: table, Key: key, Value: value}}, nil)
 }
 
+// remove removes a row on behalf of a database that has ended.
+func (s *rowStore) remove(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.write(nil, []storedRow{{Table: table, Key: key}})
+}
+
 // trim drops the changes that are older than historyTime. The lock must be held.
 func (s *rowStore) trim() {
 	oldest := time.Now().Add(-historyTime)
@@ -212,7 +222,12 @@
 		return
 	}
 	s.write(call.Puts, call.Deletes)
-	result := s.result(nil)
+	result, onWrite := s.result(nil), s.onWrite
 	s.mu.Unlock()
+	for _, row := range call.Puts {
+		if onWrite != nil {
+			onWrite(row)
+		}
+	}
 	respond(w, http.StatusOK, result)
 }
