--- a/review/harness3/platform/configuration.go
+++ b/review/harness3/platform/configuration.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"slices"
 	"time"
 
@@ -32,7 +31,7 @@
 // moves a route to another service. With trouble, one machine is cut off from the store
 // meanwhile. Writes by the route through machines in touch must run at the new service.
 func playConfiguration(d *deployment, trouble bool) int {
-	if !d.awaitRotation(20 * time.Second) {
+	if !d.awaitRotation() {
 		d.record.printf("the machines are not ready")
 		return exitNoRun
 	}
@@ -118,11 +117,10 @@
 
 // writeOnce opens a session by a route, sends one write and ends the session.
 func writeOnce(address, route, id string) (state.Reply, error) {
-	conn, err := net.DialTimeout("tcp", address, dialTimeout) //nolint:gosec // a machine of the deployment
+	s, err := openSession(address)
 	if err != nil {
 		return state.Reply{}, err
 	}
-	s := newSession(conn)
 	defer s.close()
 	if reply, err := s.exchange("CONNECT " + route); err != nil || reply.Code != state.CodeNone {
 		return reply, err
--- a/review/harness3/platform/deployment.go
+++ b/review/harness3/platform/deployment.go
@@ -32,6 +32,8 @@
 	// restartDelay is the short delay after which a process that has ended starts again.
 	restartDelay = 500 * time.Millisecond
 	metricsPort  = "9464"
+	// rotationLimit is how long the machines may take to be in rotation.
+	rotationLimit = 20 * time.Second
 )
 
 // deployment is the store, the databases and the machines with their processes.
@@ -448,8 +450,8 @@
 }
 
 // awaitRotation waits until all machines are in rotation.
-func (d *deployment) awaitRotation(limit time.Duration) bool {
-	for deadline := time.Now().Add(limit); time.Now().Before(deadline); d.pause(50 * time.Millisecond) {
+func (d *deployment) awaitRotation() bool {
+	for deadline := time.Now().Add(rotationLimit); time.Now().Before(deadline); d.pause(50 * time.Millisecond) {
 		ready := 0
 		for _, m := range d.machines {
 			if m.inRotation() {
--- a/review/harness3/platform/drain.go
+++ b/review/harness3/platform/drain.go
@@ -35,7 +35,7 @@
 // loses power. No write may reach a leaving database later than DrainMs after the store has
 // acknowledged that it leaves, through machines in touch.
 func playDrain(d *deployment, trouble bool) int {
-	if !d.awaitRotation(20 * time.Second) {
+	if !d.awaitRotation() {
 		d.record.printf("the machines are not ready")
 		return exitNoRun
 	}
--- a/review/harness3/platform/main.go
+++ b/review/harness3/platform/main.go
@@ -43,6 +43,7 @@
 	"configuration": playConfiguration,
 	"drain":         playDrain,
 	"memory":        playMemory,
+	"recover":       playRecover,
 }
 
 func run(arguments []string) int {
--- a/review/harness3/platform/memory.go
+++ b/review/harness3/platform/memory.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"sync/atomic"
 	"time"
 
@@ -40,7 +39,7 @@
 			p.rows, p.rowBytes = largeRows, largeRowBytes
 		}
 	}
-	if !d.awaitRotation(20 * time.Second) {
+	if !d.awaitRotation() {
 		d.record.printf("the machines are not ready")
 		return exitNoRun
 	}
@@ -123,11 +122,10 @@
 
 // readOnce opens a session by a route, reads an item and ends the session.
 func readOnce(address, route, id, item string) (state.Reply, error) {
-	conn, err := net.DialTimeout("tcp", address, dialTimeout)
+	s, err := openSession(address)
 	if err != nil {
 		return state.Reply{}, err
 	}
-	s := newSession(conn)
 	defer s.close()
 	if reply, err := s.exchange("CONNECT " + route); err != nil || reply.Code != state.CodeNone {
 		return reply, err
--- a/review/harness3/platform/session.go
+++ b/review/harness3/platform/session.go
@@ -21,7 +21,14 @@
 	reader *bufio.Reader
 }
 
-func newSession(conn net.Conn) *session { return &session{conn: conn, reader: bufio.NewReader(conn)} }
+// openSession connects to a machine. The session's first message is its CONNECT.
+func openSession(address string) (*session, error) {
+	conn, err := net.DialTimeout("tcp", address, dialTimeout) //nolint:gosec // a machine of the deployment
+	if err != nil {
+		return nil, err
+	}
+	return &session{conn: conn, reader: bufio.NewReader(conn)}, nil
+}
 
 // exchange sends a message and returns the reply.
 func (s *session) exchange(message string) (state.Reply, error) {
